--- /dev/null
+++ b/cmd/goldcrestwick/settings.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"goldcrestwick/internal/version/config"
+)
+
+func settingsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "settings",
+		Usage: "work with settings",
+		Commands: []*cli.Command{{
+			Name:      "check",
+			Usage:     "check a settings tree (a directory) or the settings of one process (a file)",
+			ArgsUsage: "DIR or FILE",
+			Description: "All faults are reported together, each with its file, line, section and key.\n" +
+				"Exit codes: 0 no fault, 2 faults or nothing to read.",
+			Flags:  []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "write the faults as JSON"}},
+			Action: checkSettings,
+		}},
+	}
+}
+
+func checkSettings(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return usageError{eris.New("settings check takes one directory or file")}
+	}
+	summary, err := check(c.Args().First())
+	var findings config.Findings
+	if err != nil && !errors.As(err, &findings) {
+		return usageError{err}
+	}
+	if c.Bool("json") {
+		if e := writeFindings(c.Root().Writer, findings); e != nil {
+			return e
+		}
+	} else if err == nil {
+		fmt.Fprintln(c.Root().Writer, summary) //nolint:errcheck // nowhere else to tell it.
+	}
+	return err
+}
+
+func check(path string) (string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return "", err
+	}
+	if info.IsDir() || filepath.Base(path) == "root.ini" {
+		if !info.IsDir() {
+			path = filepath.Dir(path)
+		}
+		tree, err := config.Load(os.DirFS(path), 1)
+		if err != nil {
+			return "", err
+		}
+		accounts, endpoints := 0, 0
+		for _, t := range tree.Teams {
+			accounts += len(t.Accounts)
+			endpoints += len(t.Endpoints)
+		}
+		return fmt.Sprintf("no fault: %d teams, %d pools, %d accounts, %d endpoints", len(tree.Teams), len(tree.Pools()), accounts, endpoints), nil
+	}
+	p, err := config.LoadProcess(path)
+	if err != nil {
+		return "", err
+	}
+	if _, err := config.Load(os.DirFS(p.Tree), 1); err != nil {
+		return "", err
+	}
+	return "no fault: process " + string(p.Name) + " and its settings tree", nil
+}
+
+type jsonFinding struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Section string `json:"section"`
+	Key     string `json:"key"`
+	Problem string `json:"problem"`
+}
+
+func writeFindings(w io.Writer, findings config.Findings) error {
+	list := make([]jsonFinding, len(findings))
+	for i, f := range findings {
+		list[i] = jsonFinding{f.File, f.Line, f.Section, f.Key, f.Problem}
+	}
+	return json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/cmd/goldcrestwick/try.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"embed"
+	"fmt"
+	"io"
+	"io/fs"
+	"math/rand/v2"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"goldcrestwick/internal/process/trace"
+	"goldcrestwick/internal/tool/fleet"
+	"goldcrestwick/internal/tool/load"
+	"goldcrestwick/internal/version/config"
+)
+
+const (
+	tryRate    = 6.0
+	trySeconds = 6
+	tryNodes   = 3
+)
+
+//go:embed tree
+var tryTree embed.FS
+
+func tryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "try",
+		Usage: "run a whole small deployment in one process and send it a short workload",
+		Description: "Stand-ins take the place of the platform and the endpoints; the entry nodes, their links and the\n" +
+			"callers' interface are the real ones, on 127.0.0.x with ports from the system.\n" +
+			"Exit codes: 0 every answer was whole and its own, 1 otherwise.",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "seconds", Usage: "length of the workload in `SECONDS`", Value: trySeconds},
+			&cli.Uint64Flag{Name: "seed", Usage: "`SEED` of the workload; 0 draws one"},
+			&cli.BoolFlag{Name: "keep", Usage: "serve on until interrupted"},
+			&cli.BoolFlag{Name: "log", Usage: "write the nodes' logs to standard error"},
+		},
+		Action: try,
+	}
+}
+
+func try(ctx context.Context, c *cli.Command) error {
+	if c.Int("seconds") < 1 {
+		return usageError{eris.New("--seconds must be at least 1")}
+	}
+	tree, err := tryTreeOf()
+	if err != nil {
+		return err
+	}
+	options := fleet.Options{Tree: tree, Nodes: tryNodes, LogLevel: log.InfoLevel}
+	if c.Bool("log") {
+		options.LogTo = c.Root().ErrWriter
+	}
+	f, err := fleet.Start(options)
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	out := c.Root().Writer
+	fmt.Fprintf(out, "started %d entry nodes before %d model runners and %d application runners\n", len(f.Nodes), len(f.Runners), len(f.Services)) //nolint:errcheck // nowhere else to tell it.
+	seed := seedOr(c.Uint64("seed"))
+	report := runLoad(ctx, f, load.Profiles["ekin"], tryRate, time.Duration(c.Int("seconds"))*time.Second, seed)
+	if err := report.WriteText(out); err != nil {
+		return err
+	}
+	explainOne(ctx, out, f, report)
+	if c.Bool("keep") {
+		keep(ctx, out, f)
+	}
+	if !report.AllWhole() {
+		return eris.New("not every answer was whole and its own")
+	}
+	return nil
+}
+
+func tryTreeOf() (*config.Tree, error) {
+	sub, err := fs.Sub(tryTree, "tree")
+	if err != nil {
+		return nil, eris.Wrap(err, "embedded settings")
+	}
+	return config.Load(sub, 1)
+}
+
+func seedOr(seed uint64) uint64 {
+	if seed == 0 {
+		return rand.Uint64N(1 << 32)
+	}
+	return seed
+}
+
+// exampleKey is the bearer key of an account in the examples.
+func exampleKey(team string) func(string) string {
+	return func(account string) string { return "example-key-" + team + "-" + account }
+}
+
+// runLoad sends a workload to a fleet in this process.
+func runLoad(ctx context.Context, f *fleet.Fleet, p load.Profile, rate float64, length time.Duration, seed uint64) *load.Report {
+	g := &load.Generator{
+		Profile: p, Rate: rate, Length: length, Seed: seed,
+		Key: exampleKey(p.Team), Prefilled: f.Holdings.Prompt,
+	}
+	for _, n := range f.Nodes {
+		g.Nodes = append(g.Nodes, n.Address)
+	}
+	report := g.Run(ctx)
+	total, wasted := f.Holdings.Wasted()
+	report.Prefills, report.Wasted = int64(total), int64(wasted)
+	return report
+}
+
+// explainOne prints why the last answered request was decided as it was.
+func explainOne(ctx context.Context, out io.Writer, f *fleet.Fleet, r *load.Report) {
+	if r.Example == "" {
+		return
+	}
+	fmt.Fprintf(out, "\nwhy request %s went where it went:\n%s", r.Example, trace.Explain(f.Nodes[0].Explain(ctx, r.Example))) //nolint:errcheck // nowhere else to tell it.
+}
+
+// keep serves until interrupted and says how to use the fleet.
+func keep(ctx context.Context, out io.Writer, f *fleet.Fleet) {
+	address := f.Nodes[0].Address
+	key := exampleKey("ekin")("grain_union")
+	fmt.Fprintf(out, `
+serving until interrupted; try
+
+  curl -s http://%[1]s/v1/addresses -H 'Authorization: Bearer %[2]s'
+  curl -sN http://%[1]s/v1/chat/completions -H 'Authorization: Bearer %[2]s' \
+    -d '{"model":"crop-reader","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"wheat or sunflower?"}]}'
+  curl -si http://%[1]s/services/subsidy/claims -H 'Authorization: Bearer %[2]s' -H 'Idempotency-Key: claim-7' -d 'parcel 7'
+
+`, address, key) //nolint:errcheck // nowhere else to tell it.
+	<-ctx.Done()
+}
--- /dev/null
+++ b/internal/connection/front/operators.go
@@ -0,0 +1,70 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"goldcrestwick/internal/process/trace"
+	"goldcrestwick/internal/request/ident"
+)
+
+// Explanation is the JSON form of what was decided for a request.
+type Explanation struct {
+	Request string            `json:"request_id"`
+	Steps   []ExplanationStep `json:"steps"`
+}
+
+// ExplanationStep is one step of an Explanation.
+type ExplanationStep struct {
+	Time       string `json:"time"`
+	Node       string `json:"node"`
+	Event      string `json:"event"`
+	Account    string `json:"account,omitempty"`
+	Tier       string `json:"tier,omitempty"`
+	Pool       string `json:"pool,omitempty"`
+	Cell       string `json:"cell,omitempty"`
+	Endpoint   string `json:"endpoint,omitempty"`
+	Reason     string `json:"reason,omitempty"`
+	Considered string `json:"endpoints_considered,omitempty"`
+	Sequence   uint64 `json:"sequence,omitempty"`
+	Settings   uint64 `json:"settings_version,omitempty"`
+	Sentence   string `json:"sentence"`
+}
+
+const timeForm = "2006-01-02T15:04:05.000000Z07:00"
+
+// Operators returns the handler for operators: metrics and explanations. It
+// belongs on an address that callers cannot reach.
+func Operators(explain func(context.Context, ident.RequestID) []trace.Record, metrics func(io.Writer)) http.Handler {
+	r := chi.NewRouter()
+	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		metrics(w)
+	})
+	r.Get("/v1/explain/{id}", func(w http.ResponseWriter, req *http.Request) {
+		id := ident.RequestID(chi.URLParam(req, "id"))
+		records := explain(req.Context(), id)
+		if len(records) == 0 {
+			http.Error(w, "no node remembers this request", http.StatusNotFound)
+			return
+		}
+		writeJSON(w, explanationOf(id, records))
+	})
+	return r
+}
+
+func explanationOf(id ident.RequestID, records []trace.Record) Explanation {
+	e := Explanation{Request: string(id)}
+	for _, r := range records {
+		e.Steps = append(e.Steps, ExplanationStep{
+			Time: r.Time.UTC().Format(timeForm), Node: string(r.Node), Event: string(r.Event),
+			Account: string(r.Account), Tier: r.Tier, Pool: string(r.Pool), Cell: r.Cell,
+			Endpoint: string(r.Endpoint), Reason: r.Reason, Considered: r.Considered,
+			Sequence: r.Sequence, Settings: uint64(r.Settings), Sentence: r.Sentence(),
+		})
+	}
+	return e
+}
--- /dev/null
+++ b/internal/connection/link/certs.go
@@ -0,0 +1,146 @@
+package link
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// rereadInterval is how often the key files are looked at for rotation.
+	rereadInterval = 10 * time.Second
+	testCertLife   = 24 * time.Hour
+	serialBits     = 128
+)
+
+// Files reads the certificates of a node from files and reads them anew when
+// they change, so that keys are rotated without a restart. While new files
+// cannot be read, the old certificates stay in use.
+type Files struct {
+	CA, Cert, Key string
+
+	mu     sync.Mutex
+	config *tls.Config
+	read   time.Time
+}
+
+// Load reads the files. It fails when one is missing or does not fit.
+func (f *Files) Load() error {
+	pem, err := os.ReadFile(f.CA)
+	if err != nil {
+		return eris.Wrap(err, "read peer CA")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return eris.Errorf("%s holds no certificate", f.CA)
+	}
+	cert, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+	if err != nil {
+		return eris.Wrap(err, "read peer certificate")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.config = mutual(pool, cert)
+	f.read = time.Now()
+	return nil
+}
+
+// Config returns the certificates in use.
+func (f *Files) Config() *tls.Config {
+	f.mu.Lock()
+	old := time.Since(f.read) > rereadInterval
+	if old {
+		f.read = time.Now()
+	}
+	f.mu.Unlock()
+	if old {
+		f.Load() //nolint:errcheck // the old certificates stay in use.
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config
+}
+
+func mutual(pool *x509.CertPool, certs ...tls.Certificate) *tls.Config {
+	return &tls.Config{
+		Certificates: certs,
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		MinVersion:   tls.VersionTLS13,
+	}
+}
+
+// Authority issues short-lived certificates in memory, for the try command and
+// for tests.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pool *x509.CertPool
+}
+
+// NewAuthority returns an Authority with a fresh key.
+func NewAuthority() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "make a CA key")
+	}
+	template := certTemplate("goldcrestwick try")
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	raw, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, eris.Wrap(err, "make a CA")
+	}
+	cert, err := x509.ParseCertificate(raw)
+	if err != nil {
+		return nil, eris.Wrap(err, "make a CA")
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(cert)
+	return &Authority{cert, key, pool}, nil
+}
+
+// Issue returns the TLS settings of a node at an IP address.
+func (a *Authority) Issue(name string, ip net.IP) (*tls.Config, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "make a node key")
+	}
+	template := certTemplate(name)
+	template.IPAddresses = []net.IP{ip}
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	raw, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return nil, eris.Wrap(err, "issue a node certificate")
+	}
+	return mutual(a.pool, tls.Certificate{Certificate: [][]byte{raw}, PrivateKey: key}), nil
+}
+
+func certTemplate(name string) *x509.Certificate {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		panic(err) // crypto/rand.Reader never fails.
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(testCertLife),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+	}
+}
+
+// Fixed returns a TLS source that never changes.
+func Fixed(c *tls.Config) func() *tls.Config { return func() *tls.Config { return c } }
--- /dev/null
+++ b/internal/connection/outlet/outlet.go
@@ -0,0 +1,108 @@
+// Package outlet sends requests to endpoints and knows whether any byte of a
+// request left this process.
+//
+// net/http repeats some requests by itself when a kept connection turns out to
+// be closed. A scheduler that dispatches each request at most once must decide
+// that itself, so an Outlet never repeats, and Do says whether the request may
+// have been seen.
+//
+// # Usage
+//
+//	out := &outlet.Outlet{}
+//	resp, sent, err := out.Do(req)
+//	if err != nil && !sent {
+//		// safe to dispatch again
+//	}
+package outlet
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialTimeout       = 2 * time.Second
+	idleTimeout       = 20 * time.Second
+	maxIdlePerHost    = 64
+	maxResponseHeader = 64 << 10
+	bufferBytes       = 4 << 10
+)
+
+// Outlet is the way out to all endpoints. The zero value is ready for use and
+// safe for concurrent use.
+type Outlet struct {
+	// Dial opens connections; nil takes TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	once   sync.Once
+	client http.Client
+}
+
+// conn counts the bytes written to a connection.
+type conn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+func (o *Outlet) setUp() {
+	dial := o.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	o.client.Transport = &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: c}, nil
+		},
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeader,
+		DisableCompression:     true,
+		ReadBufferSize:         bufferBytes,
+		WriteBufferSize:        bufferBytes,
+	}
+	o.client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+}
+
+// Do sends a request once. Sent is false only when no byte of it can have
+// reached the endpoint.
+func (o *Outlet) Do(req *http.Request) (resp *http.Response, sent bool, err error) {
+	o.once.Do(o.setUp)
+	var used atomic.Pointer[conn]
+	var before atomic.Int64
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok {
+			before.Store(c.written.Load())
+			used.Store(c)
+		}
+	}}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	// A body that cannot be rewound keeps the transport from repeating.
+	req.GetBody = nil
+	if req.Body == nil || req.Body == http.NoBody {
+		req.Body = io.NopCloser(strings.NewReader(""))
+	}
+	resp, err = o.client.Do(req)
+	c := used.Load()
+	sent = err == nil || c != nil && c.written.Load() > before.Load()
+	return resp, sent, err
+}
+
+// CloseIdle closes the connections that carry no request.
+func (o *Outlet) CloseIdle() { o.client.CloseIdleConnections() }
--- /dev/null
+++ b/internal/connection/wire/claim.go
@@ -0,0 +1,261 @@
+package wire
+
+import (
+	"net/http"
+	"time"
+
+	"goldcrestwick/internal/process/claims"
+	"goldcrestwick/internal/process/trace"
+	"goldcrestwick/internal/request/answer"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/request/refuse"
+)
+
+// Claim is claims.Claim on the wire.
+type Claim struct {
+	Account    string `cbor:"1,keyasint"`
+	Key        string `cbor:"2,keyasint"`
+	Request    string `cbor:"3,keyasint"`
+	Node       string `cbor:"4,keyasint"`
+	Token      string `cbor:"5,keyasint"`
+	Digest     uint64 `cbor:"6,keyasint"`
+	Created    int64  `cbor:"7,keyasint,omitempty"` // Unix milliseconds
+	Idempotent bool   `cbor:"8,keyasint,omitempty"`
+	Left       int64  `cbor:"9,keyasint"` // nanoseconds until the deadline
+}
+
+// FromClaim maps a claim.
+func FromClaim(c claims.Claim, left time.Duration) Claim {
+	m := Claim{
+		Account: string(c.Key.Account), Key: c.Key.Key, Request: string(c.Request),
+		Node: string(c.Node), Token: c.Token, Digest: c.Digest, Idempotent: c.Idempotent,
+		Left: int64(left),
+	}
+	if !c.Created.IsZero() {
+		m.Created = c.Created.UnixMilli()
+	}
+	return m
+}
+
+// ToClaim maps a received claim.
+func (m Claim) ToClaim() claims.Claim {
+	c := claims.Claim{
+		Key:     claims.Key{Account: ident.ClientAccount(m.Account), Key: m.Key},
+		Request: ident.RequestID(m.Request), Node: ident.NodeID(m.Node), Token: m.Token,
+		Digest: m.Digest, Idempotent: m.Idempotent,
+	}
+	if m.Created > 0 {
+		c.Created = time.UnixMilli(m.Created)
+	}
+	return c
+}
+
+// Verdict is claims.Verdict on the wire.
+type Verdict struct {
+	Outcome uint8   `cbor:"1,keyasint"`
+	Request string  `cbor:"2,keyasint,omitempty"`
+	Node    string  `cbor:"3,keyasint,omitempty"`
+	Stored  *Stored `cbor:"4,keyasint,omitempty"`
+}
+
+// Stored is claims.Stored on the wire.
+type Stored struct {
+	Status      int    `cbor:"1,keyasint"`
+	ContentType string `cbor:"2,keyasint"`
+	Body        []byte `cbor:"3,keyasint"`
+}
+
+// FromStored maps a stored answer; nil stays nil.
+func FromStored(s *claims.Stored) *Stored {
+	if s == nil {
+		return nil
+	}
+	return &Stored{s.Status, s.ContentType, s.Body}
+}
+
+// ToStored maps a received stored answer; nil stays nil.
+func (m *Stored) ToStored() *claims.Stored {
+	if m == nil {
+		return nil
+	}
+	return &claims.Stored{Status: m.Status, ContentType: m.ContentType, Body: m.Body}
+}
+
+// FromVerdict maps a verdict.
+func FromVerdict(v claims.Verdict) Verdict {
+	return Verdict{uint8(v.Outcome), string(v.Request), string(v.Node), FromStored(v.Stored)}
+}
+
+// ToVerdict maps a received verdict.
+func (m Verdict) ToVerdict() claims.Verdict {
+	return claims.Verdict{
+		Outcome: claims.Outcome(m.Outcome), Request: ident.RequestID(m.Request),
+		Node: ident.NodeID(m.Node), Stored: m.Stored.ToStored(),
+	}
+}
+
+// Finish ends a claim: with KindSettle it ran, with KindRelease it did not.
+type Finish struct {
+	Account string  `cbor:"1,keyasint"`
+	Key     string  `cbor:"2,keyasint"`
+	Token   string  `cbor:"3,keyasint"`
+	Stored  *Stored `cbor:"4,keyasint,omitempty"`
+}
+
+// FromKey maps the end of a claim.
+func FromKey(k claims.Key, token string, stored *claims.Stored) Finish {
+	return Finish{string(k.Account), k.Key, token, FromStored(stored)}
+}
+
+// ToKey returns the key of a claim that ended.
+func (m Finish) ToKey() claims.Key {
+	return claims.Key{Account: ident.ClientAccount(m.Account), Key: m.Key}
+}
+
+// Join asks the node that runs a request for its answer from a piece on.
+type Join struct {
+	Request string `cbor:"1,keyasint"`
+	Account string `cbor:"2,keyasint"`
+	From    int    `cbor:"3,keyasint"`
+}
+
+// Head is answer.Head on the wire.
+type Head struct {
+	Status   int                 `cbor:"1,keyasint"`
+	Header   map[string][]string `cbor:"2,keyasint,omitempty"`
+	Endpoint string              `cbor:"3,keyasint"`
+	Request  string              `cbor:"4,keyasint"`
+}
+
+// FromHead maps the head of an answer.
+func FromHead(h answer.Head) Head {
+	return Head{h.Status, h.Header, string(h.Endpoint), string(h.Request)}
+}
+
+// ToHead maps a received head.
+func (m Head) ToHead() answer.Head {
+	return answer.Head{
+		Status: m.Status, Header: http.Header(m.Header),
+		Endpoint: ident.Endpoint(m.Endpoint), Request: ident.RequestID(m.Request),
+	}
+}
+
+// Piece is answer.Piece on the wire.
+type Piece struct {
+	Number int    `cbor:"1,keyasint"`
+	Data   []byte `cbor:"2,keyasint,omitempty"`
+	Last   bool   `cbor:"3,keyasint,omitempty"`
+	Finish string `cbor:"4,keyasint,omitempty"`
+	Prompt int64  `cbor:"5,keyasint,omitempty"`
+	Cached int64  `cbor:"6,keyasint,omitempty"`
+	Output int64  `cbor:"7,keyasint,omitempty"`
+	Offset int    `cbor:"8,keyasint,omitempty"`
+}
+
+// FromPiece maps a part of an answer.
+func FromPiece(p answer.Piece) Piece {
+	return Piece{
+		p.Number, p.Data, p.Last, p.Finish,
+		int64(p.Usage.Prompt), int64(p.Usage.Cached), int64(p.Usage.Output), p.Offset,
+	}
+}
+
+// ToPiece maps a received part.
+func (m Piece) ToPiece() answer.Piece {
+	return answer.Piece{
+		Number: m.Number, Data: m.Data, Last: m.Last, Finish: m.Finish, Offset: m.Offset,
+		Usage: answer.Usage{Prompt: ident.Tokens(m.Prompt), Cached: ident.Tokens(m.Cached), Output: ident.Tokens(m.Output)},
+	}
+}
+
+// Refusal is refuse.Refusal on the wire.
+type Refusal struct {
+	Reason     string `cbor:"1,keyasint"`
+	Message    string `cbor:"2,keyasint"`
+	Run        string `cbor:"3,keyasint"`
+	Tier       string `cbor:"4,keyasint,omitempty"`
+	RetryAfter int64  `cbor:"5,keyasint,omitempty"`
+}
+
+// FromRefusal maps a refusal.
+func FromRefusal(r *refuse.Refusal) Refusal {
+	return Refusal{string(r.Reason), r.Message, string(r.Run), r.Tier, int64(r.RetryAfter)}
+}
+
+// ToRefusal maps a received refusal.
+func (m Refusal) ToRefusal() *refuse.Refusal {
+	return &refuse.Refusal{
+		Reason: refuse.Reason(m.Reason), Message: m.Message, Run: refuse.Run(m.Run),
+		Tier: m.Tier, RetryAfter: time.Duration(m.RetryAfter),
+	}
+}
+
+// Explain asks a node for what it remembers of a request.
+type Explain struct {
+	Request string `cbor:"1,keyasint"`
+}
+
+// Records is what a node remembers.
+type Records struct {
+	Records []Record `cbor:"1,keyasint,omitempty"`
+}
+
+// Record is trace.Record on the wire.
+type Record struct {
+	Time       int64  `cbor:"1,keyasint"` // Unix nanoseconds
+	Node       string `cbor:"2,keyasint"`
+	Request    string `cbor:"3,keyasint"`
+	Event      string `cbor:"4,keyasint"`
+	Account    string `cbor:"5,keyasint,omitempty"`
+	Tier       string `cbor:"6,keyasint,omitempty"`
+	Pool       string `cbor:"7,keyasint,omitempty"`
+	Cell       string `cbor:"8,keyasint,omitempty"`
+	Endpoint   string `cbor:"9,keyasint,omitempty"`
+	Reason     string `cbor:"10,keyasint,omitempty"`
+	Considered string `cbor:"11,keyasint,omitempty"`
+	Waiting    int    `cbor:"12,keyasint,omitempty"`
+	Cached     int64  `cbor:"13,keyasint,omitempty"`
+	Sequence   uint64 `cbor:"14,keyasint,omitempty"`
+	Waited     int64  `cbor:"15,keyasint,omitempty"`
+	Settings   uint64 `cbor:"16,keyasint,omitempty"`
+}
+
+// FromRecords maps what a node remembers.
+func FromRecords(all []trace.Record) Records {
+	m := Records{Records: make([]Record, len(all))}
+	for i, r := range all {
+		m.Records[i] = Record{
+			r.Time.UnixNano(), string(r.Node), string(r.Request), string(r.Event), string(r.Account),
+			r.Tier, string(r.Pool), r.Cell, string(r.Endpoint), r.Reason, r.Considered, r.Waiting,
+			int64(r.Cached), r.Sequence, int64(r.Waited), uint64(r.Settings),
+		}
+	}
+	return m
+}
+
+// ToRecords maps received records.
+func (m Records) ToRecords() []trace.Record {
+	all := make([]trace.Record, len(m.Records))
+	for i, r := range m.Records {
+		all[i] = trace.Record{
+			Time: time.Unix(0, r.Time), Node: ident.NodeID(r.Node), Request: ident.RequestID(r.Request),
+			Event: trace.Event(r.Event), Account: ident.ClientAccount(r.Account), Tier: r.Tier,
+			Pool: ident.PoolID(r.Pool), Cell: r.Cell, Endpoint: ident.Endpoint(r.Endpoint),
+			Reason: r.Reason, Considered: r.Considered, Waiting: r.Waiting,
+			Cached: ident.Tokens(r.Cached), Sequence: r.Sequence, Waited: time.Duration(r.Waited),
+			Settings: ident.Version(r.Settings),
+		}
+	}
+	return all
+}
+
+// Lend asks the home of some accounts for shares of their limits.
+type Lend struct {
+	Node   string             `cbor:"1,keyasint"`
+	Demand map[string]float64 `cbor:"2,keyasint"`
+}
+
+// Shares answers Lend.
+type Shares struct {
+	Shares map[string]float64 `cbor:"1,keyasint"`
+}
--- /dev/null
+++ b/internal/connection/wire/wire.go
@@ -0,0 +1,314 @@
+// Package wire defines the messages between nodes and maps them by hand to
+// and from the types that the rest of the program uses.
+//
+// Messages are CBOR maps with small integer keys, so that fields can be added
+// without breaking nodes of the release before. Times travel as durations,
+// since the clocks of two nodes differ; the receiver adds its own now.
+//
+// # Usage
+//
+//	s.Send(wire.KindBid, wire.FromBid(bid, time.Now()))
+//	...
+//	bid := message.ToBid(time.Now())
+package wire
+
+import (
+	"time"
+
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/process/floor"
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/request/ident"
+)
+
+// The kinds of message. The first message of a stream selects its handler;
+// what follows is listed with it.
+const (
+	// KindBid opens a bid's stream: then KindAnswer back, and KindStarted and
+	// KindEnded forth.
+	KindBid link.Kind = iota + 1
+	KindAnswer
+	KindStarted
+	KindEnded
+	// KindEndedLate is a call that reports an ending outside its bid's stream.
+	KindEndedLate
+	// KindHeld is a call for what a node holds of a cell.
+	KindHeld
+	// KindHold is a call to close tiers.
+	KindHold
+	// KindProbe, KindProbeVia and KindSync are the calls of membership.
+	KindProbe
+	KindProbeVia
+	KindSync
+	// KindClaim, KindSettle and KindRelease are calls to the home of a key.
+	KindClaim
+	KindSettle
+	KindRelease
+	// KindJoin opens a stream of KindHead, KindPiece and KindRefusal.
+	KindJoin
+	KindHead
+	KindPiece
+	KindRefusal
+	// KindExplain is a call for what a node remembers of a request.
+	KindExplain
+	// KindLend is a call to the home of an account for a share of its limits.
+	KindLend
+	// KindDone is an answer without content.
+	KindDone
+)
+
+// Done is an answer without content.
+type Done struct{}
+
+// Bid is sched.Bid on the wire.
+type Bid struct {
+	Request  string   `cbor:"1,keyasint"`
+	Node     string   `cbor:"2,keyasint"`
+	Tier     uint8    `cbor:"3,keyasint"`
+	Account  string   `cbor:"4,keyasint"`
+	Weight   int      `cbor:"5,keyasint"`
+	Prompt   int64    `cbor:"6,keyasint"`
+	Output   int64    `cbor:"7,keyasint"`
+	Left     int64    `cbor:"8,keyasint"` // nanoseconds until the deadline
+	Prefix   []uint64 `cbor:"9,keyasint,omitempty"`
+	Pool     string   `cbor:"10,keyasint"`
+	Cell     int      `cbor:"11,keyasint"`
+	Settings uint64   `cbor:"12,keyasint"`
+}
+
+// FromBid maps a bid for a cell.
+func FromBid(b *sched.Bid, cell ident.CellID, version ident.Version, now time.Time) Bid {
+	prints := make([]uint64, len(b.Prefix))
+	for i, p := range b.Prefix {
+		prints[i] = uint64(p)
+	}
+	return Bid{
+		Request: string(b.Request), Node: string(b.Node), Tier: uint8(b.Tier),
+		Account: string(b.Account), Weight: b.Weight, Prompt: int64(b.Prompt),
+		Output: int64(b.Output), Left: int64(b.Deadline.Sub(now)), Prefix: prints,
+		Pool: string(cell.Pool), Cell: cell.Index, Settings: uint64(version),
+	}
+}
+
+// ToBid maps a received bid. A tier out of range becomes the lowest.
+func (m Bid) ToBid(now time.Time) *sched.Bid {
+	prints := make([]ident.Fingerprint, len(m.Prefix))
+	for i, p := range m.Prefix {
+		prints[i] = ident.Fingerprint(p)
+	}
+	return &sched.Bid{
+		Request: ident.RequestID(m.Request), Node: ident.NodeID(m.Node),
+		Tier: ident.Tier(min(m.Tier, ident.MaxTiers-1)), Account: ident.ClientAccount(m.Account),
+		Weight: m.Weight, Prompt: max(ident.Tokens(m.Prompt), 0), Output: max(ident.Tokens(m.Output), 0),
+		Deadline: now.Add(time.Duration(m.Left)), Prefix: prints,
+	}
+}
+
+// CellID returns the cell that a bid is for.
+func (m Bid) CellID() ident.CellID {
+	return ident.CellID{Pool: ident.PoolID(m.Pool), Index: m.Cell}
+}
+
+// Answer is sched.Answer on the wire.
+type Answer struct {
+	Outcome    uint8  `cbor:"1,keyasint"`
+	Reason     string `cbor:"2,keyasint"`
+	Endpoint   string `cbor:"3,keyasint,omitempty"`
+	Address    string `cbor:"4,keyasint,omitempty"`
+	Sequence   uint64 `cbor:"5,keyasint,omitempty"`
+	Life       int64  `cbor:"6,keyasint,omitempty"`
+	Cached     int64  `cbor:"7,keyasint,omitempty"`
+	Considered int    `cbor:"8,keyasint,omitempty"`
+	Waited     int64  `cbor:"9,keyasint,omitempty"`
+	RetryAfter int64  `cbor:"10,keyasint,omitempty"`
+}
+
+// FromAnswer maps a cell's answer.
+func FromAnswer(a sched.Answer) Answer {
+	return Answer{
+		Outcome: uint8(a.Outcome), Reason: string(a.Reason), Endpoint: string(a.Endpoint),
+		Address: a.Address, Sequence: a.Sequence, Life: int64(a.Life), Cached: int64(a.Cached),
+		Considered: a.Considered, Waited: int64(a.Waited), RetryAfter: int64(a.RetryAfter),
+	}
+}
+
+// ToAnswer maps a received answer.
+func (m Answer) ToAnswer() sched.Answer {
+	return sched.Answer{
+		Outcome: sched.Outcome(m.Outcome), Reason: sched.Reason(m.Reason),
+		Endpoint: ident.Endpoint(m.Endpoint), Address: m.Address, Sequence: m.Sequence,
+		Life: time.Duration(m.Life), Cached: ident.Tokens(m.Cached), Considered: m.Considered,
+		Waited: time.Duration(m.Waited), RetryAfter: time.Duration(m.RetryAfter),
+	}
+}
+
+// Started says that a request left its prefill phase.
+type Started struct{}
+
+// Ended is sched.Ending on the wire.
+type Ended struct {
+	Failed   bool   `cbor:"1,keyasint,omitempty"`
+	Unused   bool   `cbor:"2,keyasint,omitempty"`
+	First    int64  `cbor:"3,keyasint,omitempty"`
+	Between  int64  `cbor:"4,keyasint,omitempty"`
+	Uncached int64  `cbor:"5,keyasint,omitempty"`
+	Cached   int64  `cbor:"6,keyasint,omitempty"`
+	Output   int64  `cbor:"7,keyasint,omitempty"`
+	Request  string `cbor:"8,keyasint,omitempty"`
+	Pool     string `cbor:"9,keyasint,omitempty"`
+	Cell     int    `cbor:"10,keyasint,omitempty"`
+}
+
+// FromEnding maps how a request went.
+func FromEnding(e sched.Ending) Ended {
+	return Ended{
+		Failed: e.Failed, Unused: e.Unused, First: int64(e.FirstToken), Between: int64(e.BetweenTokens),
+		Uncached: int64(e.Uncached), Cached: int64(e.Cached), Output: int64(e.Output),
+	}
+}
+
+// ToEnding maps a received ending.
+func (m Ended) ToEnding() sched.Ending {
+	return sched.Ending{
+		Failed: m.Failed, Unused: m.Unused, FirstToken: time.Duration(m.First),
+		BetweenTokens: time.Duration(m.Between), Uncached: ident.Tokens(m.Uncached),
+		Cached: ident.Tokens(m.Cached), Output: ident.Tokens(m.Output),
+	}
+}
+
+// HeldCall asks what a node holds of a cell.
+type HeldCall struct {
+	Pool string `cbor:"1,keyasint"`
+	Cell int    `cbor:"2,keyasint"`
+}
+
+// HeldReply lists the granted requests of a cell that a node holds, what it
+// knows of the endpoints if it had the cell, and the floors it wishes.
+type HeldReply struct {
+	Held    []Held    `cbor:"1,keyasint,omitempty"`
+	Learned []Learned `cbor:"2,keyasint,omitempty"`
+	Floors  []Hold    `cbor:"3,keyasint,omitempty"`
+}
+
+// Held is sched.Held on the wire.
+type Held struct {
+	Request  string `cbor:"1,keyasint"`
+	Endpoint string `cbor:"2,keyasint"`
+	Charge   int64  `cbor:"3,keyasint"`
+	Started  bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// FromHeld maps a held request.
+func FromHeld(h sched.Held) Held {
+	return Held{string(h.Request), string(h.Endpoint), int64(h.Charge), h.Started}
+}
+
+// ToHeld maps a held request of a node.
+func (m Held) ToHeld(node ident.NodeID) sched.Held {
+	return sched.Held{
+		Request: ident.RequestID(m.Request), Node: node, Endpoint: ident.Endpoint(m.Endpoint),
+		Charge: ident.Tokens(m.Charge), Started: m.Started,
+	}
+}
+
+// Learned is sched.Learned on the wire.
+type Learned struct {
+	Endpoint string  `cbor:"1,keyasint"`
+	Window   int64   `cbor:"2,keyasint"`
+	Prefill  float64 `cbor:"3,keyasint"`
+	Between  int64   `cbor:"4,keyasint"`
+}
+
+// FromLearned maps what a cell learned.
+func FromLearned(l sched.Learned) Learned {
+	return Learned{string(l.Endpoint), int64(l.Window), l.PrefillRate, int64(l.BetweenTokens)}
+}
+
+// ToLearned maps what another cell learned.
+func (m Learned) ToLearned() sched.Learned {
+	return sched.Learned{
+		Endpoint: ident.Endpoint(m.Endpoint), Window: ident.Tokens(m.Window),
+		PrefillRate: m.Prefill, BetweenTokens: time.Duration(m.Between),
+	}
+}
+
+// Hold asks a node to close the tiers below a floor.
+type Hold struct {
+	Node  string `cbor:"1,keyasint"`
+	Pool  string `cbor:"2,keyasint"`
+	Floor uint8  `cbor:"3,keyasint"`
+}
+
+// FromAsk maps a floor question.
+func FromAsk(node ident.NodeID, a floor.Ask) Hold {
+	return Hold{string(node), string(a.Pool), uint8(a.Floor)}
+}
+
+// ToAsk maps a received floor question.
+func (m Hold) ToAsk() floor.Ask {
+	return floor.Ask{Pool: ident.PoolID(m.Pool), Floor: ident.Tier(m.Floor)}
+}
+
+// Gossip carries membership updates.
+type Gossip struct {
+	Members []Member `cbor:"1,keyasint,omitempty"`
+}
+
+// ProbeVia asks a node to probe another.
+type ProbeVia struct {
+	Target Member `cbor:"1,keyasint"`
+}
+
+// Reached answers ProbeVia.
+type Reached struct {
+	Reached bool `cbor:"1,keyasint"`
+}
+
+// Member is member.Member on the wire.
+type Member struct {
+	ID          string `cbor:"1,keyasint"`
+	Region      string `cbor:"2,keyasint"`
+	Zone        string `cbor:"3,keyasint"`
+	Peer        string `cbor:"4,keyasint"`
+	Caller      string `cbor:"5,keyasint"`
+	State       uint8  `cbor:"6,keyasint"`
+	Suspect     bool   `cbor:"7,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"8,keyasint"`
+	Settings    uint64 `cbor:"9,keyasint,omitempty"`
+}
+
+// FromMember maps a member.
+func FromMember(m member.Member) Member {
+	return Member{
+		string(m.ID), string(m.Region), string(m.Zone), m.PeerAddress, m.CallerAddress,
+		uint8(m.State), m.Suspect, m.Incarnation, uint64(m.Settings),
+	}
+}
+
+// ToMember maps a received member.
+func (m Member) ToMember() member.Member {
+	return member.Member{
+		ID: ident.NodeID(m.ID), Region: ident.Region(m.Region), Zone: ident.AvailabilityZone(m.Zone),
+		PeerAddress: m.Peer, CallerAddress: m.Caller, State: min(member.State(m.State), member.Dead),
+		Suspect: m.Suspect, Incarnation: m.Incarnation, Settings: ident.Version(m.Settings),
+	}
+}
+
+// FromMembers maps a list of members.
+func FromMembers(all []member.Member) Gossip {
+	g := Gossip{Members: make([]Member, len(all))}
+	for i, m := range all {
+		g.Members[i] = FromMember(m)
+	}
+	return g
+}
+
+// ToMembers maps a received list of members.
+func (g Gossip) ToMembers() []member.Member {
+	all := make([]member.Member, len(g.Members))
+	for i, m := range g.Members {
+		all[i] = m.ToMember()
+	}
+	return all
+}
--- /dev/null
+++ b/internal/process/cells/cells.go
@@ -0,0 +1,383 @@
+// Package cells runs the cells that this node owns, and finds the owner of the
+// others.
+//
+// Every cell of a pool has one owner among the ready members of the region, by
+// rendezvous hashing over each node's own view. When views differ for a while,
+// two nodes can both run a cell; the endpoints then get more work than their
+// windows say, and nothing else follows, since only the entry node that holds
+// a request dispatches it.
+//
+// A node that takes a cell over first asks every member what it holds of the
+// cell and which floors it wishes. Until all have answered or left, only the
+// highest tier is granted there.
+//
+// # Usage
+//
+//	m := &cells.Manager{Self: list.Self, Members: list.View, Tree: tree, Open: link.Open}
+//	m.Register(&mux)
+//	m.SetRoster(view)
+//	go m.Run(ctx)
+package cells
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/floor"
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/roster"
+	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/version/config"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	// PollInterval is the time between looks at each endpoint's load.
+	PollInterval = time.Second
+	pollTimeout  = 800 * time.Millisecond
+	askTimeout   = 400 * time.Millisecond
+	askPause     = 250 * time.Millisecond
+	// auditInterval is the time between questions about a request whose
+	// stream broke.
+	auditInterval = 2 * time.Second
+	firstAudit    = 100 * time.Millisecond
+)
+
+// Manager runs cells. Set the exported fields before use.
+type Manager struct {
+	Self    func() member.Member
+	Members func() *member.View
+	Tree    func() *config.Tree
+	// Open reaches the other nodes.
+	Open link.Opener
+	// Held returns the granted requests of a cell that this node's entry side
+	// holds.
+	Held func(ident.CellID) []sched.Held
+	// Poll asks an endpoint for its load.
+	Poll func(context.Context, sched.EndpointSpec) (sched.LoadReport, error)
+	// Policy is how cells decide. With a baseline every node runs all cells.
+	Policy sched.Policy
+	// Observe gets each decision, with the cell's lock held.
+	Observe func(sched.Decision)
+
+	floors  floor.Keeper
+	roster  atomic.Pointer[roster.View]
+	mu      sync.Mutex
+	local   map[ident.CellID]*owned
+	retired map[ident.CellID]*sched.Cell
+	members map[ident.NodeID]bool
+	tasks   sync.WaitGroup
+	ctx     context.Context
+}
+
+type owned struct {
+	cell  *sched.Cell
+	specs []sched.EndpointSpec
+}
+
+// Register adds the handlers for the other nodes' messages.
+func (m *Manager) Register(mux *link.Mux) {
+	link.Handle(mux, wire.KindBid, m.serveBid)
+	link.Handle(mux, wire.KindEndedLate, m.serveEnded)
+	link.Handle(mux, wire.KindHeld, m.serveHeld)
+	link.Handle(mux, wire.KindHold, m.serveHold)
+}
+
+// SetRoster replaces the picture of the endpoints.
+func (m *Manager) SetRoster(v *roster.View) {
+	m.roster.Store(v)
+	m.Reconcile()
+}
+
+// Roster returns the picture of the endpoints.
+func (m *Manager) Roster() *roster.View {
+	if v := m.roster.Load(); v != nil {
+		return v
+	}
+	return &roster.View{}
+}
+
+// IsLeaving reports whether an endpoint is known to be leaving or gone.
+func (m *Manager) IsLeaving(cell ident.CellID, id ident.Endpoint) bool {
+	for _, c := range m.Roster().Cells(cell.Pool) {
+		for _, spec := range c.Endpoints {
+			if spec.ID == id {
+				return spec.Leaving
+			}
+		}
+	}
+	return true
+}
+
+// Owner returns the node that runs a cell by this node's view.
+func (m *Manager) Owner(id ident.CellID) (member.Member, bool) {
+	self := m.Self()
+	if m.Policy != sched.Fair {
+		return self, true
+	}
+	return m.Members().Owner(self.Region, id.String())
+}
+
+// Local returns a cell that this node runs, or nil.
+func (m *Manager) Local(id ident.CellID) *sched.Cell {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o := m.local[id]; o != nil {
+		return o.cell
+	}
+	return nil
+}
+
+// find returns a cell that this node runs or lately ran.
+func (m *Manager) find(id ident.CellID) *sched.Cell {
+	if c := m.Local(id); c != nil {
+		return c
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.retired[id]
+}
+
+// Reconcile starts the cells that this node owns now, hands over those that it
+// no longer owns, and drops the requests of members that are gone. Call it
+// when the members, the settings or the endpoints changed.
+func (m *Manager) Reconcile() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.local == nil {
+		m.local = map[ident.CellID]*owned{}
+		m.retired = map[ident.CellID]*sched.Cell{}
+	}
+	wanted := m.wanted()
+	for id, o := range m.local {
+		if _, ok := wanted[id]; !ok {
+			o.cell.Close()
+			m.retired[id] = o.cell
+			delete(m.local, id)
+		}
+	}
+	for id, cell := range wanted {
+		m.configure(id, cell)
+	}
+	m.dropGone()
+}
+
+func (m *Manager) wanted() map[ident.CellID]roster.Cell {
+	wanted := map[ident.CellID]roster.Cell{}
+	self := m.Self()
+	for _, cell := range m.Roster().All() {
+		owner, ok := m.Owner(cell.ID)
+		if ok && owner.ID == self.ID && m.Tree().Pool(cell.ID.Pool) != nil {
+			wanted[cell.ID] = cell
+		}
+	}
+	return wanted
+}
+
+func (m *Manager) configure(id ident.CellID, cell roster.Cell) {
+	pool := m.Tree().Pool(id.Pool)
+	if o := m.local[id]; o != nil {
+		o.specs = cell.Endpoints
+		o.cell.Configure(pool, cell.Endpoints)
+		return
+	}
+	c := m.newCell(id, pool)
+	last := m.retired[id]
+	delete(m.retired, id)
+	c.Pause()
+	c.Configure(pool, cell.Endpoints)
+	if last != nil {
+		for _, l := range last.Learned() {
+			c.Teach(l)
+		}
+	}
+	m.local[id] = &owned{c, cell.Endpoints}
+	if m.Policy != sched.Fair || m.ctx == nil {
+		c.Resume(floor.Open)
+		return
+	}
+	m.tasks.Go(func() { m.takeOver(m.ctx, c) })
+}
+
+func (m *Manager) newCell(id ident.CellID, pool *config.Pool) *sched.Cell {
+	return &sched.Cell{
+		ID: id, Pool: pool, Policy: m.Policy, Observe: m.Observe,
+		Admits:  func(t ident.Tier) bool { return m.floors.Admits(id.Pool, t, time.Now()) },
+		Press:   func(t ident.Tier) { m.floors.Press(id.Pool, t, time.Now()) },
+		MayShed: func(t ident.Tier) bool { return m.mayShed(id.Pool, t) },
+	}
+}
+
+func (m *Manager) mayShed(pool ident.PoolID, tier ident.Tier) bool {
+	p := m.Tree().Pool(pool)
+	if p == nil {
+		return false
+	}
+	lowest := ident.Tier(0)
+	for _, t := range p.Team.Tiers {
+		lowest = max(lowest, t.Rank)
+	}
+	return m.floors.MayShed(pool, tier, lowest, m.regionMembers(), time.Now())
+}
+
+// regionMembers returns everyone in the region who could run a cell of it by
+// any view, this node among them.
+func (m *Manager) regionMembers() []ident.NodeID {
+	region := m.Self().Region
+	var ids []ident.NodeID
+	for _, other := range m.Members().Members {
+		if other.Region == region {
+			ids = append(ids, other.ID)
+		}
+	}
+	return ids
+}
+
+// dropGone ends the requests of members that have left the view.
+func (m *Manager) dropGone() {
+	now := map[ident.NodeID]bool{}
+	for _, other := range m.Members().Members {
+		now[other.ID] = true
+	}
+	for id := range m.members {
+		if now[id] {
+			continue
+		}
+		for _, o := range m.local {
+			o.cell.DropNode(id)
+		}
+	}
+	m.members = now
+}
+
+// Run drives the cells until the context ends.
+func (m *Manager) Run(ctx context.Context) {
+	m.mu.Lock()
+	m.ctx = ctx
+	m.mu.Unlock()
+	m.tasks.Go(func() { every(ctx, tickInterval, m.tick) })
+	m.tasks.Go(func() { every(ctx, floor.AskInterval, m.askFloors) })
+	m.tasks.Go(func() { every(ctx, PollInterval, m.pollAll) })
+	<-ctx.Done()
+	m.tasks.Wait()
+}
+
+func every(ctx context.Context, interval time.Duration, do func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do(ctx)
+		}
+	}
+}
+
+func (m *Manager) cells() []*owned {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]*owned, 0, len(m.local))
+	for _, o := range m.local {
+		all = append(all, &owned{o.cell, o.specs})
+	}
+	return all
+}
+
+func (m *Manager) tick(context.Context) {
+	for _, o := range m.cells() {
+		o.cell.Tick()
+	}
+}
+
+// enforce closes the tiers below the floors in all cells of a pool here.
+func (m *Manager) enforce(pool ident.PoolID) {
+	for _, o := range m.cells() {
+		if o.cell.ID.Pool == pool {
+			o.cell.Enforce()
+		}
+	}
+}
+
+// askFloors asks every member of the region, this node too, to close the tiers
+// that this node's cells want closed.
+func (m *Manager) askFloors(ctx context.Context) {
+	now := time.Now()
+	self := m.Self()
+	for _, ask := range m.floors.Asks(now) {
+		m.enforce(ask.Pool)
+		m.floors.Acked(self.ID, ask, now)
+		for _, other := range m.Members().Members {
+			if other.ID == self.ID || other.Region != self.Region {
+				continue
+			}
+			m.tasks.Go(func() { m.askFloor(ctx, other, ask) })
+		}
+	}
+}
+
+func (m *Manager) askFloor(ctx context.Context, to member.Member, ask floor.Ask) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	sent := time.Now()
+	message := wire.FromAsk(m.Self().ID, ask)
+	if _, err := link.Call[wire.Hold, wire.Done](ctx, m.Open, to.PeerAddress, wire.KindHold, message); err == nil {
+		m.floors.Acked(to.ID, ask, sent)
+	}
+}
+
+func (m *Manager) serveHold(_ context.Context, s *link.Stream, message wire.Hold) {
+	ask := message.ToAsk()
+	m.floors.Hold(ident.NodeID(message.Node), ask, time.Now())
+	m.enforce(ask.Pool)
+	s.Send(wire.KindDone, wire.Done{}) //nolint:errcheck // unacknowledged holds are asked for again.
+}
+
+// pollAll asks every endpoint of the cells here for its load.
+func (m *Manager) pollAll(ctx context.Context) {
+	if m.Poll == nil {
+		return
+	}
+	for _, o := range m.cells() {
+		for _, spec := range o.specs {
+			m.tasks.Go(func() { m.poll(ctx, o.cell, spec) })
+		}
+	}
+	m.forgetRetired()
+}
+
+func (m *Manager) poll(ctx context.Context, cell *sched.Cell, spec sched.EndpointSpec) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	report, err := m.Poll(ctx, spec)
+	if err != nil {
+		cell.Unreachable(spec.ID)
+		return
+	}
+	cell.Report(report)
+}
+
+func (m *Manager) forgetRetired() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, c := range m.retired {
+		if c.Load().InFlight == 0 {
+			delete(m.retired, id)
+		}
+	}
+}
+
+// Loads returns the load of each cell that runs here.
+func (m *Manager) Loads() map[ident.CellID]sched.Load {
+	all := map[ident.CellID]sched.Load{}
+	for _, o := range m.cells() {
+		all[o.cell.ID] = o.cell.Load()
+	}
+	return all
+}
--- /dev/null
+++ b/internal/process/cells/remote.go
@@ -0,0 +1,229 @@
+package cells
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/floor"
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/request/ident"
+)
+
+// frame is one message read from a bid's stream.
+type frame struct {
+	kind link.Kind
+	body []byte
+}
+
+// serveBid answers another node's bid and follows the granted request on the
+// same stream until it ends.
+func (m *Manager) serveBid(_ context.Context, s *link.Stream, message wire.Bid) {
+	cell := m.Local(message.CellID())
+	if cell == nil {
+		moved := sched.Answer{Outcome: sched.Moved, Reason: sched.ReasonCellMoved}
+		s.Send(wire.KindAnswer, wire.FromAnswer(moved)) //nolint:errcheck // the bidder sees the stream end.
+		return
+	}
+	woken := make(chan struct{}, 1)
+	b := message.ToBid(time.Now())
+	b.Wake = func() { woken <- struct{}{} }
+	frames := readFrames(s)
+	if !cell.Submit(b) {
+		select {
+		case <-woken:
+		case <-frames:
+			if !cell.Cancel(b) && b.Answer.Outcome == sched.Granted {
+				cell.Done(b.Request, sched.Ending{Unused: true})
+			}
+			return
+		}
+	}
+	err := s.Send(wire.KindAnswer, wire.FromAnswer(b.Answer))
+	if b.Answer.Outcome != sched.Granted {
+		return
+	}
+	if err != nil || !follow(cell, b.Request, frames) {
+		m.startAudit(cell, b.Request, b.Node)
+	}
+}
+
+// readFrames reads a stream until it ends, which closes the channel.
+func readFrames(s *link.Stream) <-chan frame {
+	frames := make(chan frame, 2)
+	go func() {
+		defer close(frames)
+		for {
+			kind, body, err := s.Receive()
+			if err != nil {
+				return
+			}
+			frames <- frame{kind, body}
+		}
+	}()
+	return frames
+}
+
+// follow reports whether the stream told the request's end.
+func follow(cell *sched.Cell, id ident.RequestID, frames <-chan frame) bool {
+	for f := range frames {
+		switch f.kind {
+		case wire.KindStarted:
+			cell.FirstToken(id)
+		case wire.KindEnded:
+			ended, err := link.Decode[wire.Ended](f.body)
+			if err != nil {
+				return false
+			}
+			cell.Done(id, ended.ToEnding())
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Manager) startAudit(cell *sched.Cell, id ident.RequestID, node ident.NodeID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ctx != nil && m.ctx.Err() == nil {
+		ctx := m.ctx
+		m.tasks.Go(func() { m.audit(ctx, cell, id, node) })
+	}
+}
+
+func holds(r wire.HeldReply, id ident.RequestID) bool {
+	return slices.ContainsFunc(r.Held, func(h wire.Held) bool { return h.Request == string(id) })
+}
+
+// audit asks the entry node of a request whose stream broke whether it still
+// holds the request, until it does not, or the node or the cell is gone.
+func (m *Manager) audit(ctx context.Context, cell *sched.Cell, id ident.RequestID, node ident.NodeID) {
+	wait := firstAudit
+	for m.Local(cell.ID) == cell && cell.IsInFlight(id) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+		wait = auditInterval
+		other, ok := m.Members().Find(node)
+		if !ok {
+			return
+		}
+		reply, err := m.callHeld(ctx, other, cell.ID)
+		if err == nil && !holds(reply, id) {
+			cell.Done(id, sched.Ending{Unused: true})
+		}
+	}
+}
+
+func (m *Manager) serveEnded(_ context.Context, s *link.Stream, message wire.Ended) {
+	id := ident.CellID{Pool: ident.PoolID(message.Pool), Index: message.Cell}
+	if cell := m.find(id); cell != nil {
+		cell.Done(ident.RequestID(message.Request), message.ToEnding())
+	}
+	s.Send(wire.KindDone, wire.Done{}) //nolint:errcheck // the sender tries again.
+}
+
+// serveHeld tells a cell's new node what this node holds and knows of it.
+func (m *Manager) serveHeld(_ context.Context, s *link.Stream, message wire.HeldCall) {
+	id := ident.CellID{Pool: ident.PoolID(message.Pool), Index: message.Cell}
+	var reply wire.HeldReply
+	for _, h := range m.Held(id) {
+		reply.Held = append(reply.Held, wire.FromHeld(h))
+	}
+	if cell := m.find(id); cell != nil {
+		for _, l := range cell.Learned() {
+			reply.Learned = append(reply.Learned, wire.FromLearned(l))
+		}
+	}
+	for _, ask := range m.floors.Asks(time.Now()) {
+		if ask.Pool == id.Pool {
+			reply.Floors = append(reply.Floors, wire.FromAsk(m.Self().ID, ask))
+		}
+	}
+	s.Send(wire.KindHeld, reply) //nolint:errcheck // the new node asks again.
+}
+
+// takeOver learns from every member what is in flight in a cell. The highest
+// tier is granted after the first round of questions; the others wait until
+// every member has answered or left the view, since a member that did not
+// answer may have closed them.
+func (m *Manager) takeOver(ctx context.Context, cell *sched.Cell) {
+	answered := map[ident.NodeID]bool{m.Self().ID: true}
+	for _, h := range m.Held(cell.ID) {
+		cell.Adopt(h)
+	}
+	for {
+		missing := m.askHeld(ctx, cell, answered)
+		if missing == 0 {
+			cell.Resume(floor.Open)
+			return
+		}
+		cell.Resume(0)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(askPause):
+		}
+		if m.Local(cell.ID) != cell {
+			return
+		}
+	}
+}
+
+// askHeld asks the members that have not answered yet, all at once, and
+// returns how many are still missing.
+func (m *Manager) askHeld(ctx context.Context, cell *sched.Cell, answered map[ident.NodeID]bool) int {
+	type reply struct {
+		from member.Member
+		wire.HeldReply
+		err error
+	}
+	region := m.Self().Region
+	replies := make(chan reply)
+	asked := 0
+	for _, other := range m.Members().Members {
+		if other.Region != region || answered[other.ID] {
+			continue
+		}
+		asked++
+		go func() {
+			held, err := m.callHeld(ctx, other, cell.ID)
+			replies <- reply{other, held, err}
+		}()
+	}
+	missing := 0
+	for range asked {
+		r := <-replies
+		if r.err != nil {
+			missing++
+			continue
+		}
+		answered[r.from.ID] = true
+		m.learn(cell, r.from.ID, r.HeldReply)
+	}
+	return missing
+}
+
+func (m *Manager) callHeld(ctx context.Context, to member.Member, id ident.CellID) (wire.HeldReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	call := wire.HeldCall{Pool: string(id.Pool), Cell: id.Index}
+	return link.Call[wire.HeldCall, wire.HeldReply](ctx, m.Open, to.PeerAddress, wire.KindHeld, call)
+}
+
+func (m *Manager) learn(cell *sched.Cell, from ident.NodeID, r wire.HeldReply) {
+	for _, h := range r.Held {
+		cell.Adopt(h.ToHeld(from))
+	}
+	for _, l := range r.Learned {
+		cell.Teach(l.ToLearned())
+	}
+	for _, f := range r.Floors {
+		m.floors.Hold(ident.NodeID(f.Node), f.ToAsk(), time.Now())
+	}
+}
--- /dev/null
+++ b/internal/process/floor/floor.go
@@ -0,0 +1,178 @@
+// Package floor keeps the promise that a tier is shed only after all lower
+// tiers are closed in the whole pool.
+//
+// A node whose cells are over their bounds presses the floor of the pool to
+// the lowest tier that it still wants admitted. It asks every other member to
+// close the tiers below; a member sheds what waits there in those tiers,
+// admits none for the time of the hold, and only then acknowledges. The asking
+// node counts the time of an acknowledgement from when it sent the question,
+// so an acknowledgement that still counts is always covered by a hold that
+// still stands. A tier may be shed while every member's acknowledgement counts.
+//
+// # Usage
+//
+//	k := &floor.Keeper{}
+//	k.Press(pool, tier, now)             // a cell is full of this tier
+//	for _, ask := range k.Asks(now) {    // send to each member
+//		ack := peer.Hold(self, ask, now)
+//		k.Acked(peer, ack, sentAt)
+//	}
+//	if k.MayShed(pool, tier, lowest, members, now) { ... }
+package floor
+
+import (
+	"sync"
+	"time"
+
+	"goldcrestwick/internal/request/ident"
+)
+
+const (
+	// HoldTime is how long a member keeps tiers closed after a question.
+	HoldTime = 3 * time.Second
+	// AskInterval is the time between questions.
+	AskInterval = 500 * time.Millisecond
+	// wishTime keeps a floor pressed for a while, so that lower tiers do not
+	// open and close with every short queue.
+	wishTime = 2 * time.Second
+	// drift is the share of a hold that clocks may differ by.
+	drift = 0.1
+)
+
+// Open is the floor of a pool in which every tier is admitted.
+const Open = ident.Tier(ident.MaxTiers - 1)
+
+// Ask is the question to close the tiers below Floor.
+type Ask struct {
+	Pool  ident.PoolID
+	Floor ident.Tier
+}
+
+// Keeper keeps the floors of all pools on one node. The zero value is ready
+// for use and safe for concurrent use.
+type Keeper struct {
+	mu    sync.Mutex
+	pools map[ident.PoolID]*pool
+}
+
+type pool struct {
+	wish  limit
+	holds map[ident.NodeID]limit
+	acks  map[ident.NodeID]limit
+}
+
+// limit is a floor that counts until a time.
+type limit struct {
+	floor ident.Tier
+	until time.Time
+}
+
+func (l limit) counts(now time.Time) bool { return now.Before(l.until) }
+
+func (k *Keeper) pool(id ident.PoolID) *pool {
+	if k.pools == nil {
+		k.pools = map[ident.PoolID]*pool{}
+	}
+	p := k.pools[id]
+	if p == nil {
+		p = &pool{holds: map[ident.NodeID]limit{}, acks: map[ident.NodeID]limit{}}
+		k.pools[id] = p
+	}
+	return p
+}
+
+// Press wishes the tiers below the given one closed for a while.
+func (k *Keeper) Press(id ident.PoolID, tier ident.Tier, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p := k.pool(id)
+	if p.wish.counts(now) && p.wish.floor < tier {
+		return
+	}
+	p.wish = limit{tier, now.Add(wishTime)}
+}
+
+// Asks returns the questions to send to every member now.
+func (k *Keeper) Asks(now time.Time) []Ask {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var asks []Ask
+	for id, p := range k.pools {
+		if p.wish.counts(now) && p.wish.floor < Open {
+			asks = append(asks, Ask{id, p.wish.floor})
+		}
+	}
+	return asks
+}
+
+// Hold closes the tiers below the asked floor on this node for HoldTime. The
+// caller must shed what waits in those tiers before it acknowledges.
+func (k *Keeper) Hold(from ident.NodeID, ask Ask, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pool(ask.Pool).holds[from] = limit{ask.Floor, now.Add(HoldTime)}
+}
+
+// Acked records that a member acknowledged a question sent at a time.
+func (k *Keeper) Acked(from ident.NodeID, ask Ask, sent time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	life := time.Duration(float64(HoldTime) * (1 - drift))
+	k.pool(ask.Pool).acks[from] = limit{ask.Floor, sent.Add(life)}
+}
+
+// Floor returns the lowest tier that is admitted on this node.
+func (k *Keeper) Floor(id ident.PoolID, now time.Time) ident.Tier {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.floor(id, now)
+}
+
+func (k *Keeper) floor(id ident.PoolID, now time.Time) ident.Tier {
+	p := k.pools[id]
+	if p == nil {
+		return Open
+	}
+	floor := Open
+	if p.wish.counts(now) {
+		floor = p.wish.floor
+	}
+	for node, h := range p.holds {
+		if !h.counts(now) {
+			delete(p.holds, node)
+			continue
+		}
+		floor = min(floor, h.floor)
+	}
+	return floor
+}
+
+// Admits reports whether a tier is admitted on this node.
+func (k *Keeper) Admits(id ident.PoolID, tier ident.Tier, now time.Time) bool {
+	return tier <= k.Floor(id, now)
+}
+
+// MayShed reports whether a tier may be shed: it is the lowest that the pool
+// has, or the lower ones are closed here and at every other member.
+func (k *Keeper) MayShed(id ident.PoolID, tier, lowest ident.Tier, others []ident.NodeID, now time.Time) bool {
+	if tier >= lowest {
+		return true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.floor(id, now) > tier {
+		return false
+	}
+	p := k.pool(id)
+	for _, node := range others {
+		ack, ok := p.acks[node]
+		if !ok || !ack.counts(now) || ack.floor > tier {
+			return false
+		}
+	}
+	return true
+}
+
+// Standing returns the floors that this node itself wishes, for a member that
+// has just joined or taken a cell over.
+func (k *Keeper) Standing(now time.Time) []Ask { return k.Asks(now) }
--- /dev/null
+++ b/internal/process/node/node.go
@@ -0,0 +1,218 @@
+// Package node assembles one entry node from its parts and runs it.
+//
+// # Usage
+//
+//	n := &node.Node{Process: process, Tree: tree, Store: client, Open: link.Open, Log: logger}
+//	n.Prepare(&mux)      // registers the handlers for peers
+//	n.Start(ctx)         // joins the fleet
+//	http.Serve(listener, n.Front().Server().Handler)
+//	n.Leave()            // out of the lists; serves on
+//	n.Wait()             // until the last request has ended
+package node
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"goldcrestwick/internal/connection/front"
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/outlet"
+	"goldcrestwick/internal/process/cells"
+	"goldcrestwick/internal/process/claims"
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/meter"
+	"goldcrestwick/internal/process/quota"
+	"goldcrestwick/internal/process/roster"
+	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/process/store"
+	"goldcrestwick/internal/process/trace"
+	"goldcrestwick/internal/request/entry"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/version/config"
+)
+
+const (
+	// listInterval is the time between looks at the platform's list.
+	listInterval = time.Second
+	// lendInterval is the time between questions for shares of limits.
+	lendInterval = time.Second
+	// joinTime bounds the wait for the list and the peers before a node
+	// counts itself ready.
+	joinTime    = 3 * time.Second
+	callTimeout = 500 * time.Millisecond
+	// maxHomes bounds the nodes that write claims, since each writes its own
+	// transactions.
+	maxHomes = 16
+)
+
+// Node is one entry node. Set the exported fields before Prepare.
+type Node struct {
+	Process config.Process
+	Tree    *config.Tree
+	Store   *store.Client
+	// Open reaches the other nodes, Forget drops the connection to one that
+	// is gone; nil is allowed.
+	Open   link.Opener
+	Forget func(address string)
+	Outlet *outlet.Outlet
+	Policy sched.Policy
+	Log    *log.Logger
+
+	tree      atomic.Pointer[config.Tree]
+	members   member.List
+	cells     cells.Manager
+	entry     entry.Entry
+	keys      entry.Keys
+	home      claims.Home
+	quota     quota.Keeper
+	lender    quota.Lender
+	trace     trace.Memory
+	meter     meter.Meter
+	front     front.Front
+	decisions decisions
+	instances atomic.Pointer[[]roster.Instance]
+	tenure    atomic.Pointer[tenure]
+	resumeKey []byte
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
+}
+
+// tenure is since when the set of claim homes has been the same.
+type tenure struct {
+	homes string
+	since time.Time
+}
+
+// Prepare connects the parts and registers the handlers for peers. The resume
+// key is shared by all nodes.
+func (n *Node) Prepare(mux *link.Mux, resumeKey []byte) {
+	n.tree.Store(n.Tree)
+	n.resumeKey = resumeKey
+	if n.Outlet == nil {
+		n.Outlet = &outlet.Outlet{}
+	}
+	n.members = member.List{
+		Probe: n.probe, ProbeVia: n.probeVia, Sync: n.syncList, Seeds: n.seeds, Changed: n.membersChanged,
+	}
+	n.cells = cells.Manager{
+		Self: n.members.Self, Members: n.members.View, Tree: n.tree.Load, Open: n.Open,
+		Held: n.entry.Held, Poll: n.poll, Policy: n.Policy, Observe: n.observe,
+	}
+	n.home = claims.Home{Transact: n.Store.Transact, WriteRate: n.writeRate, Tenure: n.homeSince}
+	n.keys = entry.Keys{
+		Self: n.Process.Name, HomeOf: n.homeOf, Home: &n.home, Open: n.Open,
+		Find: func(id ident.NodeID) (member.Member, bool) { return n.members.View().Find(id) },
+	}
+	n.quota = quota.Keeper{Even: n.evenShare}
+	n.entry = entry.Entry{
+		Self: n.Process.Name, Cells: &n.cells, Open: n.Open, Keys: &n.keys, Quota: &n.quota,
+		Outlet: n.Outlet, Record: n.record, Finished: n.finished,
+	}
+	n.front = front.Front{
+		Tree: n.tree.Load, Serve: n.entry.Serve, Addresses: n.addresses, IsReady: n.isReady,
+		Resume: n.resume, Token: n.resumeToken, Meter: &n.meter,
+	}
+	n.cells.Register(mux)
+	n.keys.Register(mux)
+	n.registerPeers(mux)
+	n.gauges()
+}
+
+// Front returns the part that serves callers.
+func (n *Node) Front() *front.Front { return &n.front }
+
+// Entry returns the part that carries requests.
+func (n *Node) Entry() *entry.Entry { return &n.entry }
+
+// Cells returns the part that runs cells.
+func (n *Node) Cells() *cells.Manager { return &n.cells }
+
+// Members returns the node's picture of the fleet.
+func (n *Node) Members() *member.View { return n.members.View() }
+
+// Start joins the fleet. It returns when the node is ready, or after a bounded
+// time when neither peers nor the platform answer: then the node goes on alone
+// and finds them later.
+func (n *Node) Start(ctx context.Context) {
+	ctx, n.cancel = context.WithCancel(ctx)
+	n.members.Start(member.Member{
+		ID: n.Process.Name, Region: n.Process.Region, Zone: n.Process.Zone,
+		PeerAddress: n.Process.PeerAddress, CallerAddress: n.Process.CallerAddress,
+		State: member.Joining, Incarnation: uint64(time.Now().UnixMilli()), Settings: n.Tree.Version,
+	})
+	n.tasks.Go(func() { n.cells.Run(ctx) })
+	n.tasks.Go(func() { n.home.Run(ctx) })
+	n.tasks.Go(func() { n.drainDecisions(ctx) })
+	joining, cancel := context.WithTimeout(ctx, joinTime)
+	n.refreshList(joining)
+	n.members.Seed(joining)
+	cancel()
+	n.members.SetSelf(func(m *member.Member) { m.State = member.Ready })
+	n.tasks.Go(func() { n.members.Run(ctx) })
+	n.tasks.Go(func() { every(ctx, listInterval, n.refreshList) })
+	n.tasks.Go(func() { every(ctx, lendInterval, n.askShares) })
+	n.Log.Info("node_ready", "node", n.Process.Name, "availability_zone", n.Process.Zone,
+		"members", len(n.members.View().Members), "settings_version", n.Tree.Version)
+}
+
+func every(ctx context.Context, interval time.Duration, do func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do(ctx)
+		}
+	}
+}
+
+// Leave takes the node out of the lists and hands its cells over. It serves on
+// until Stop.
+func (n *Node) Leave() {
+	n.members.SetSelf(func(m *member.Member) { m.State = member.Leaving })
+	n.Log.Info("node_leaving", "node", n.Process.Name, "open_requests", n.front.Open())
+}
+
+// Wait returns when every request has ended.
+func (n *Node) Wait() { n.entry.Wait() }
+
+// Stop ends the node's own work. Call it after Leave and Wait for a graceful
+// shutdown; alone it is a crash that the other nodes have to find out.
+func (n *Node) Stop() {
+	n.cancel()
+	n.tasks.Wait()
+	n.Outlet.CloseIdle()
+}
+
+func (n *Node) isReady() bool { return n.members.Self().State == member.Ready }
+
+// membersChanged reacts to a new picture of the fleet.
+func (n *Node) membersChanged(v *member.View) {
+	n.cells.Reconcile()
+	homes := homesKey(n.homes(v))
+	if old := n.tenure.Load(); old == nil || old.homes != homes {
+		n.tenure.Store(&tenure{homes, time.Now()})
+	}
+	n.forgetGone(v)
+}
+
+// refreshList reads the platform's list and rebuilds the picture of the
+// endpoints. While the list cannot be read, the last one counts.
+func (n *Node) refreshList(ctx context.Context) {
+	list, err := n.Store.List(ctx)
+	if err != nil {
+		n.Log.Warn("instance_list_unavailable", "error", err)
+		if n.instances.Load() != nil {
+			return
+		}
+	} else {
+		n.instances.Store(&list)
+	}
+	n.cells.SetRoster(roster.Build(n.tree.Load(), list, n.Process.Region))
+}
--- /dev/null
+++ b/internal/process/node/observe.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/process/trace"
+	"goldcrestwick/internal/request/entry"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/request/relay"
+)
+
+var errNotReached = eris.New("the member was not reached")
+
+// drainInterval is how often decisions go from the cells to the log.
+const drainInterval = 20 * time.Millisecond
+
+// decisions buffers what the cells decide under their locks until it is
+// logged.
+type decisions struct {
+	mu   sync.Mutex
+	list []trace.Record
+}
+
+// observe takes a decision with the cell's lock held, so it only copies.
+func (n *Node) observe(d sched.Decision) {
+	b, a := d.Bid, d.Bid.Answer
+	r := trace.Record{
+		Time: time.Now(), Node: n.Process.Name, Request: b.Request, Account: b.Account,
+		Pool: d.Cell.Pool, Cell: d.Cell.String(), Endpoint: a.Endpoint, Reason: string(a.Reason),
+		Considered: joinEndpoints(d.Considered), Waiting: d.Queued, Cached: a.Cached, Sequence: a.Sequence,
+		Waited: a.Waited, Settings: n.tree.Load().Version, Event: eventOf(a.Outcome),
+		Tier: n.tierName(d.Cell.Pool, b.Tier),
+	}
+	n.decisions.mu.Lock()
+	n.decisions.list = append(n.decisions.list, r)
+	n.decisions.mu.Unlock()
+}
+
+func eventOf(o sched.Outcome) trace.Event {
+	switch o {
+	case sched.Granted:
+		return trace.Granted
+	case sched.Shed:
+		return trace.Shed
+	default:
+		return trace.Moved
+	}
+}
+
+func (n *Node) tierName(pool ident.PoolID, rank ident.Tier) string {
+	if p := n.tree.Load().Pool(pool); p != nil {
+		for _, t := range p.Team.Tiers {
+			if t.Rank == rank {
+				return t.Name
+			}
+		}
+	}
+	return ""
+}
+
+func joinEndpoints(ids []ident.Endpoint) string {
+	var b strings.Builder
+	for i, id := range ids {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(string(id))
+	}
+	return b.String()
+}
+
+func (n *Node) drainDecisions(ctx context.Context) {
+	every(ctx, drainInterval, func(context.Context) { n.flushDecisions() })
+	n.flushDecisions()
+}
+
+// flushDecisions logs and remembers the buffered decisions.
+func (n *Node) flushDecisions() {
+	n.decisions.mu.Lock()
+	list := n.decisions.list
+	n.decisions.list = nil
+	n.decisions.mu.Unlock()
+	for _, r := range list {
+		n.trace.Add(r)
+		n.meter.Waited(r.Tier, r.Waited)
+		n.Log.Info("routing_decision", "request_id", r.Request, "account", r.Account, "tier", r.Tier,
+			"pool", r.Pool, "cell", r.Cell, "decision", r.Event, "reason", r.Reason, "endpoint", r.Endpoint,
+			"endpoints_considered", r.Considered, "cached_tokens", int64(r.Cached), "waited", r.Waited,
+			"still_waiting", r.Waiting, "sequence", r.Sequence, "settings_version", r.Settings)
+	}
+}
+
+// record remembers and logs a step that this node's entry side took.
+func (n *Node) record(r trace.Record) {
+	n.trace.Add(r)
+	n.Log.Debug("request_step", "request_id", r.Request, "event", r.Event, "account", r.Account,
+		"tier", r.Tier, "pool", r.Pool, "endpoint", r.Endpoint, "reason", r.Reason, "settings_version", r.Settings)
+}
+
+func (n *Node) finished(j *entry.Job, r relay.Result) {
+	tier, pool := j.Tier.Name, string(j.Pool.ID)
+	if r.Ending.FirstToken > 0 {
+		n.meter.FirstToken(tier, pool, r.Ending.FirstToken)
+	}
+	if r.Ending.BetweenTokens > 0 {
+		n.meter.BetweenTokens(tier, pool, r.Ending.BetweenTokens)
+	}
+	n.meter.Prompt(pool, int64(r.Ending.Cached), int64(r.Ending.Uncached))
+}
+
+func (n *Node) gauges() {
+	n.meter.Gauge("goldcrestwick_members", func() float64 { return float64(len(n.members.View().Members)) })
+	n.meter.Gauge("goldcrestwick_open_requests", func() float64 { return float64(n.front.Open()) })
+	n.meter.Gauge("goldcrestwick_settings_version", func() float64 { return float64(n.tree.Load().Version) })
+	n.meter.Gauge("goldcrestwick_cells", func() float64 { return float64(len(n.cells.Loads())) })
+	n.meter.Gauge("goldcrestwick_waiting_bids", func() float64 {
+		sum := 0
+		for _, l := range n.cells.Loads() {
+			sum += l.Waiting
+		}
+		return float64(sum)
+	})
+	n.meter.Gauge("goldcrestwick_store_down", func() float64 {
+		if n.Store.IsDown() {
+			return 1
+		}
+		return 0
+	})
+}
+
+// WriteMetrics writes the node's metrics in the text format of Prometheus.
+func (n *Node) WriteMetrics(w io.Writer) { n.meter.Write(w) }
--- /dev/null
+++ b/internal/process/node/peers.go
@@ -0,0 +1,215 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/claims"
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/trace"
+	"goldcrestwick/internal/request/ident"
+)
+
+// registerPeers adds the handlers of membership, limits and explanations.
+func (n *Node) registerPeers(mux *link.Mux) {
+	link.Handle(mux, wire.KindProbe, n.serveProbe)
+	link.Handle(mux, wire.KindProbeVia, n.serveProbeVia)
+	link.Handle(mux, wire.KindSync, n.serveSync)
+	link.Handle(mux, wire.KindLend, n.serveLend)
+	link.Handle(mux, wire.KindExplain, n.serveExplain)
+}
+
+func (n *Node) probe(ctx context.Context, to member.Member, updates []member.Member) ([]member.Member, error) {
+	return n.gossip(ctx, to, wire.KindProbe, updates)
+}
+
+func (n *Node) syncList(ctx context.Context, to member.Member, all []member.Member) ([]member.Member, error) {
+	return n.gossip(ctx, to, wire.KindSync, all)
+}
+
+func (n *Node) gossip(ctx context.Context, to member.Member, kind link.Kind, updates []member.Member) ([]member.Member, error) {
+	reply, err := link.Call[wire.Gossip, wire.Gossip](ctx, n.Open, to.PeerAddress, kind, wire.FromMembers(updates))
+	return reply.ToMembers(), err
+}
+
+func (n *Node) serveProbe(_ context.Context, s *link.Stream, m wire.Gossip) {
+	reply := n.members.Merge(m.ToMembers())
+	s.Send(wire.KindProbe, wire.FromMembers(reply)) //nolint:errcheck // the prober asks others.
+}
+
+func (n *Node) serveSync(_ context.Context, s *link.Stream, m wire.Gossip) {
+	n.members.Merge(m.ToMembers())
+	s.Send(wire.KindSync, wire.FromMembers(n.members.All())) //nolint:errcheck // the other asks again.
+}
+
+func (n *Node) probeVia(ctx context.Context, via, target member.Member) error {
+	message := wire.ProbeVia{Target: wire.FromMember(target)}
+	reply, err := link.Call[wire.ProbeVia, wire.Reached](ctx, n.Open, via.PeerAddress, wire.KindProbeVia, message)
+	if err != nil {
+		return err
+	}
+	if !reply.Reached {
+		return errNotReached
+	}
+	return nil
+}
+
+func (n *Node) serveProbeVia(ctx context.Context, s *link.Stream, m wire.ProbeVia) {
+	ctx, cancel := context.WithTimeout(ctx, member.ProbeTimeout)
+	defer cancel()
+	_, err := n.probe(ctx, m.Target.ToMember(), nil)
+	s.Send(wire.KindProbeVia, wire.Reached{Reached: err == nil}) //nolint:errcheck // the prober gives up.
+}
+
+// seeds returns the nodes that the platform lists.
+func (n *Node) seeds(context.Context) []member.Member {
+	list := n.instances.Load()
+	if list == nil {
+		return nil
+	}
+	var found []member.Member
+	for _, in := range *list {
+		if in.IsNode && in.PeerAddress != "" && in.ID != string(n.Process.Name) {
+			found = append(found, member.Member{ID: ident.NodeID(in.ID), PeerAddress: in.PeerAddress})
+		}
+	}
+	return found
+}
+
+// forgetGone closes the links to members that have left the view.
+func (n *Node) forgetGone(v *member.View) {
+	if n.Forget == nil {
+		return
+	}
+	for _, m := range n.members.All() {
+		if _, ok := v.Find(m.ID); !ok {
+			n.Forget(m.PeerAddress)
+		}
+	}
+}
+
+// homes returns the nodes that write claims.
+func (n *Node) homes(v *member.View) []member.Member {
+	ranked := member.Ranked(v.Ready(""), "claim_homes")
+	return ranked[:min(len(ranked), maxHomes)]
+}
+
+func homesKey(homes []member.Member) string {
+	names := make([]string, len(homes))
+	for i, m := range homes {
+		names[i] = string(m.ID)
+	}
+	slices.Sort(names)
+	return strings.Join(names, ",")
+}
+
+func (n *Node) homeOf(k claims.Key) (member.Member, bool) {
+	return member.Owner(n.homes(n.members.View()), k.String())
+}
+
+// writeRate is this home's share of the fleet's claim transactions.
+func (n *Node) writeRate() float64 {
+	return n.tree.Load().Limits.ClaimWrites / float64(max(len(n.homes(n.members.View())), 1))
+}
+
+func (n *Node) homeSince() time.Time {
+	if t := n.tenure.Load(); t != nil {
+		return t.since
+	}
+	return time.Time{}
+}
+
+func (n *Node) evenShare() float64 {
+	return 1 / float64(max(len(n.members.View().Ready("")), 1))
+}
+
+// askShares asks the home of every account in use for this node's share.
+func (n *Node) askShares(ctx context.Context) {
+	ready := n.members.View().Ready("")
+	byHome := map[ident.NodeID]map[string]float64{}
+	homes := map[ident.NodeID]member.Member{}
+	for account, demand := range n.quota.Demand() {
+		home, ok := member.Owner(ready, "account/"+string(account))
+		if !ok {
+			continue
+		}
+		homes[home.ID] = home
+		if byHome[home.ID] == nil {
+			byHome[home.ID] = map[string]float64{}
+		}
+		byHome[home.ID][string(account)] = demand
+	}
+	for id, demands := range byHome {
+		message := wire.Lend{Node: string(n.Process.Name), Demand: demands}
+		if id == n.Process.Name {
+			n.setShares(n.lend(message))
+			continue
+		}
+		n.tasks.Go(func() { n.askHome(ctx, homes[id], message) })
+	}
+}
+
+func (n *Node) askHome(ctx context.Context, home member.Member, message wire.Lend) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	shares, err := link.Call[wire.Lend, wire.Shares](ctx, n.Open, home.PeerAddress, wire.KindLend, message)
+	if err == nil {
+		n.setShares(shares)
+	}
+}
+
+func (n *Node) setShares(s wire.Shares) {
+	for account, share := range s.Shares {
+		n.quota.SetShare(ident.ClientAccount(account), share)
+	}
+}
+
+func (n *Node) lend(m wire.Lend) wire.Shares {
+	shares := wire.Shares{Shares: map[string]float64{}}
+	nodes := len(n.members.View().Ready(""))
+	for account, demand := range m.Demand {
+		shares.Shares[account] = n.lender.Lend(ident.ClientAccount(account), ident.NodeID(m.Node), demand, nodes, time.Now())
+	}
+	return shares
+}
+
+func (n *Node) serveLend(_ context.Context, s *link.Stream, m wire.Lend) {
+	s.Send(wire.KindLend, n.lend(m)) //nolint:errcheck // the last share is kept.
+}
+
+func (n *Node) serveExplain(_ context.Context, s *link.Stream, m wire.Explain) {
+	s.Send(wire.KindExplain, wire.FromRecords(n.trace.Find(ident.RequestID(m.Request)))) //nolint:errcheck // the asker does without.
+}
+
+// Explain gathers what all nodes remember of a request, in order of time.
+func (n *Node) Explain(ctx context.Context, id ident.RequestID) []trace.Record {
+	n.flushDecisions()
+	all := n.trace.Find(id)
+	found := make(chan []trace.Record)
+	asked := 0
+	for _, m := range n.members.View().Members {
+		if m.ID == n.Process.Name {
+			continue
+		}
+		asked++
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			call := wire.Explain{Request: string(id)}
+			r, err := link.Call[wire.Explain, wire.Records](ctx, n.Open, m.PeerAddress, wire.KindExplain, call)
+			if err != nil {
+				n.Log.Warn("explain_without_peer", "peer", m.ID, "error", err)
+			}
+			found <- r.ToRecords()
+		}()
+	}
+	for range asked {
+		all = append(all, <-found...)
+	}
+	slices.SortStableFunc(all, func(a, b trace.Record) int { return a.Time.Compare(b.Time) })
+	return all
+}
--- /dev/null
+++ b/internal/process/quota/quota.go
@@ -0,0 +1,214 @@
+// Package quota holds the limits of client accounts over the whole fleet.
+//
+// Each entry node keeps a share of each account's rates. The account's home
+// node, found by rendezvous hashing, divides the whole among the nodes by what
+// each was lately asked for. A node that cannot reach the home keeps its last
+// share.
+//
+// # Usage
+//
+//	k := &quota.Keeper{}
+//	release, ok := k.Admit(account, tokens, now)
+//	if ok {
+//		defer release()
+//	}
+//	share := lender.Lend(accountID, node, demand, nodes, now) // on the home
+//	k.SetShare(accountID, share)
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/version/config"
+)
+
+const (
+	// evenPart of a limit is divided evenly, so that a node without recent
+	// demand can begin at once; the rest follows demand.
+	evenPart = 0.2
+	// demandLife is how long a node's word on its demand counts.
+	demandLife = 3 * time.Second
+	// burstTime is how much of a rate may come at once.
+	burstTime = time.Second
+)
+
+// Keeper holds one entry node's shares. The zero value is ready for use and
+// safe for concurrent use.
+type Keeper struct {
+	// Even is the share of an account before its home has said another: one
+	// over the number of nodes. Zero counts as 1.
+	Even func() float64
+
+	mu       sync.Mutex
+	accounts map[ident.ClientAccount]*account
+}
+
+type account struct {
+	requests *rate.Limiter
+	tokens   *rate.Limiter
+	running  int
+	share    float64
+	lent     bool
+	asked    float64
+}
+
+// Verdict says which limit stopped a request.
+type Verdict string
+
+// The verdicts.
+const (
+	Admitted        Verdict = ""
+	RequestsLimit   Verdict = "requests_per_second"
+	TokensLimit     Verdict = "tokens_per_second"
+	ConcurrentLimit Verdict = "concurrent_requests"
+)
+
+// Admit takes a request of so many tokens from the account's share. When it is
+// admitted, release must be called at its end. Otherwise retry is when there
+// will be room by rate.
+func (k *Keeper) Admit(a *config.Account, tokens ident.Tokens, now time.Time) (release func(), verdict Verdict, retry time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at := k.account(a)
+	at.asked++
+	if a.Concurrent > 0 && at.running >= k.concurrent(a, at) {
+		return nil, ConcurrentLimit, time.Second
+	}
+	if retry, ok := take(at.requests, now, 1); !ok {
+		return nil, RequestsLimit, retry
+	}
+	if retry, ok := take(at.tokens, now, int(tokens)); !ok {
+		return nil, TokensLimit, retry
+	}
+	at.running++
+	var once sync.Once
+	return func() { once.Do(func() { k.release(at) }) }, Admitted, 0
+}
+
+// take draws n from a limiter. A request larger than the burst needs a full
+// bucket and leaves it in debt.
+func take(l *rate.Limiter, now time.Time, n int) (time.Duration, bool) {
+	if l.Limit() == rate.Inf {
+		return 0, true
+	}
+	first := min(n, l.Burst())
+	r := l.ReserveN(now, first)
+	if wait := r.DelayFrom(now); wait > 0 {
+		r.CancelAt(now)
+		return wait, false
+	}
+	for rest := n - first; rest > 0; rest -= l.Burst() {
+		l.ReserveN(now, min(rest, l.Burst()))
+	}
+	return 0, true
+}
+
+func (k *Keeper) release(at *account) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at.running--
+}
+
+func (k *Keeper) concurrent(a *config.Account, at *account) int {
+	return max(int(float64(a.Concurrent)*k.shareOf(at)+0.5), 1)
+}
+
+func (k *Keeper) shareOf(at *account) float64 {
+	if at.lent || k.Even == nil {
+		return at.share
+	}
+	return k.Even()
+}
+
+func (k *Keeper) account(a *config.Account) *account {
+	if k.accounts == nil {
+		k.accounts = map[ident.ClientAccount]*account{}
+	}
+	at := k.accounts[a.ID]
+	if at == nil {
+		at = &account{requests: rate.NewLimiter(rate.Inf, 1), tokens: rate.NewLimiter(rate.Inf, 1), share: 1}
+		k.accounts[a.ID] = at
+	}
+	share := k.shareOf(at)
+	set(at.requests, a.Requests, share)
+	set(at.tokens, a.Tokens, share)
+	return at
+}
+
+func set(l *rate.Limiter, perSecond, share float64) {
+	limit := rate.Inf
+	if perSecond > 0 {
+		limit = rate.Limit(perSecond * share)
+	}
+	if l.Limit() == limit {
+		return
+	}
+	l.SetLimit(limit)
+	l.SetBurst(max(int(perSecond*share*burstTime.Seconds()), 1))
+}
+
+// Demand returns the requests that each account asked for since the last call.
+func (k *Keeper) Demand() map[ident.ClientAccount]float64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	all := make(map[ident.ClientAccount]float64, len(k.accounts))
+	for id, at := range k.accounts {
+		all[id] = at.asked
+		at.asked = 0
+	}
+	return all
+}
+
+// SetShare sets the part of an account's limits that its home lends this node.
+func (k *Keeper) SetShare(id ident.ClientAccount, share float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if at := k.accounts[id]; at != nil && share > 0 && share <= 1 {
+		at.share, at.lent = share, true
+	}
+}
+
+// Lender divides the limits of the accounts whose home is this node. The zero
+// value is ready for use and safe for concurrent use.
+type Lender struct {
+	mu      sync.Mutex
+	demands map[ident.ClientAccount]map[ident.NodeID]demand
+}
+
+type demand struct {
+	rate float64
+	at   time.Time
+}
+
+// Lend notes a node's demand and returns its share among so many nodes. The
+// shares of all nodes add up to at most 1.
+func (l *Lender) Lend(id ident.ClientAccount, node ident.NodeID, asked float64, nodes int, now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.demands == nil {
+		l.demands = map[ident.ClientAccount]map[ident.NodeID]demand{}
+	}
+	of := l.demands[id]
+	if of == nil {
+		of = map[ident.NodeID]demand{}
+		l.demands[id] = of
+	}
+	of[node] = demand{max(asked, 0), now}
+	sum := 0.0
+	for other, d := range of {
+		if now.Sub(d.at) > demandLife {
+			delete(of, other)
+			continue
+		}
+		sum += d.rate
+	}
+	even := 1 / float64(max(nodes, len(of), 1))
+	if sum == 0 {
+		return even
+	}
+	return evenPart*even + (1-evenPart)*of[node].rate/sum
+}
--- /dev/null
+++ b/internal/process/sched/cell.go
@@ -0,0 +1,448 @@
+// Package sched decides, for one cell of a pool, which request is dispatched
+// next and to which endpoint.
+//
+// Entry nodes send bids; the cell answers each with a grant or a refusal. A
+// grant names one endpoint and lives for a short time, and only the entry node
+// that holds the request dispatches it, so a cell that dies, or two nodes that
+// both hold a cell, cannot make a request run twice.
+//
+// Engines queue blindly. The cell therefore keeps the waiting requests itself
+// and fills each endpoint only up to a window in tokens, which moves with the
+// measured first-token and between-token times. A bid is decided by tier
+// first, then by the account's share, then by deadline; among the endpoints
+// with room the one with the least expected time wins, in which a cached
+// prefix counts as prefill time saved.
+//
+// # Usage
+//
+//	cell := &sched.Cell{ID: id}
+//	cell.Configure(pool, specs)
+//	if !cell.Submit(bid) {
+//		<-woken // bid.Wake was called
+//	}
+//	switch bid.Answer.Outcome { ... }
+//	cell.FirstToken(bid.Request)
+//	cell.Done(bid.Request, ending)
+package sched
+
+import (
+	"sync"
+	"time"
+
+	"goldcrestwick/internal/process/prefix"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/version/config"
+)
+
+const (
+	// GrantLife is how long an entry node may use a grant after it arrived.
+	GrantLife = 500 * time.Millisecond
+	// maxSkipped bounds the accounts whose first bid found no room and that
+	// hold a reservation in one round.
+	maxSkipped = 8
+	// pressAfter is the share of its time that a bid may wait before lower
+	// tiers are asked to close.
+	pressAfter = 0.5
+	// pressAtLeast keeps short waits from closing lower tiers.
+	pressAtLeast = time.Second
+	// maxSlowShare bounds the endpoints suspended as stragglers.
+	maxSlowShare = 1.0 / 3
+
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+)
+
+// Decision is one routing decision, for the log and for explain.
+type Decision struct {
+	Cell ident.CellID
+	Bid  *Bid
+	// Considered lists the endpoints that had room; it is valid until the
+	// call returns.
+	Considered []ident.Endpoint
+	// Queued is the number of bids that still wait in the cell.
+	Queued int
+}
+
+// Cell schedules the endpoints of one cell. The zero value with an ID and a
+// Pool is ready for use; the function fields are optional. All methods are
+// safe for concurrent use.
+type Cell struct {
+	ID   ident.CellID
+	Pool *config.Pool
+	// Policy is the way to decide; the zero value is the full one.
+	Policy Policy
+	// Now is the clock; nil takes time.Now.
+	Now func() time.Time
+	// Observe is called with each decision, with the cell's lock held.
+	Observe func(Decision)
+	// Admits reports whether a tier is open; nil admits all.
+	Admits func(ident.Tier) bool
+	// MayShed reports whether all lower tiers are closed in the whole pool;
+	// nil allows it.
+	MayShed func(ident.Tier) bool
+	// Press asks to close the tiers below the given one in the whole pool.
+	Press func(ident.Tier)
+
+	mu        sync.Mutex
+	endpoints []*endpoint
+	byID      map[ident.Endpoint]*endpoint
+	queues    [ident.MaxTiers]queue
+	inflight  map[ident.RequestID]*grant
+	spare     []*grant
+	prefixes  prefix.Index
+	match     prefix.Match
+	// considered is the room that the last look for an endpoint found.
+	considered []ident.Endpoint
+	sequence   uint64
+	round      uint64
+	closed     bool
+	paused     bool
+	// lowest is the lowest tier granted; Pause and Resume set it.
+	lowest ident.Tier
+	// limited is set while lowest counts.
+	limited bool
+}
+
+type grant struct {
+	node     ident.NodeID
+	endpoint *endpoint
+	charge   ident.Tokens
+	uncached ident.Tokens
+	cached   ident.Tokens
+	backlog  ident.Tokens
+	full     bool
+	started  bool
+	prefix   []ident.Fingerprint
+}
+
+type targets struct{ firstToken, betweenTokens time.Duration }
+
+func (c *Cell) now() time.Time {
+	if c.Now != nil {
+		return c.Now()
+	}
+	return time.Now()
+}
+
+// Submit brings a bid. It returns true when the answer is there already, and
+// false when the bid waits; then its Wake is called once.
+func (c *Cell) Submit(b *Bid) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	b.arrived = now
+	b.charge = c.chargeOf(b)
+	b.lane, b.sharer, b.order = b.Tier, b.Account, b.Deadline
+	b.Answer = Answer{}
+	switch {
+	case c.closed:
+		c.decide(b, Answer{Outcome: Moved, Reason: ReasonCellMoved})
+	case c.Policy != Fair:
+		c.submitBaseline(b, now)
+	case c.Admits != nil && !c.Admits(b.Tier):
+		c.refuse(b, ReasonTierClosed)
+	case !now.Before(b.Deadline):
+		c.refuse(b, ReasonDeadlinePassed)
+	case c.isUnreachable(b, now):
+		c.refuse(b, ReasonDeadlineUnreachable)
+	default:
+		c.enqueue(b, now)
+	}
+	return b.Answer.Outcome != Waiting
+}
+
+func (c *Cell) enqueue(b *Bid, now time.Time) {
+	wake := b.Wake
+	b.Wake = nil
+	c.queues[b.lane].push(b)
+	c.pump(now)
+	c.trim()
+	b.Wake = wake
+}
+
+// Cancel withdraws a waiting bid. It reports whether the bid still waited; a
+// bid that was granted meanwhile is ended with Done.
+func (c *Cell) Cancel(b *Bid) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.queues[b.lane].remove(b)
+}
+
+// FirstToken records that a granted request left the prefill phase.
+func (c *Cell) FirstToken(id ident.RequestID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if g := c.inflight[id]; g != nil {
+		c.start(g)
+		c.pump(c.now())
+	}
+}
+
+func (c *Cell) start(g *grant) {
+	if !g.started {
+		g.started = true
+		g.endpoint.backlog = max(g.endpoint.backlog-g.uncached, 0)
+	}
+}
+
+// Done ends a granted request and frees its room. Requests that the cell does
+// not know are ignored, as after a move.
+func (c *Cell) Done(id ident.RequestID, end Ending) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := c.inflight[id]
+	if g == nil {
+		return
+	}
+	now := c.now()
+	delete(c.inflight, id)
+	c.start(g)
+	g.endpoint.release(g.charge)
+	c.learn(g, end, now)
+	*g = grant{}
+	c.spare = append(c.spare, g)
+	c.pump(now)
+}
+
+func (c *Cell) learn(g *grant, end Ending, now time.Time) {
+	slot := g.endpoint.slot
+	switch {
+	case end.Unused || end.Failed:
+		c.prefixes.Trim(g.prefix, slot, 0)
+	case end.Cached+prefix.BlockTokens < g.cached:
+		c.prefixes.Narrow(slot)
+	case g.cached > 0:
+		c.prefixes.Widen(slot)
+	}
+	if end.Unused {
+		return
+	}
+	g.endpoint.observe(end, g.backlog, g.full, targets{c.Pool.FirstToken, c.Pool.BetweenTokens}, now)
+	c.judge(g.endpoint, now)
+}
+
+// Evicted records an endpoint's own word that only the first keep tokens of a
+// prefix are still cached.
+func (c *Cell) Evicted(id ident.Endpoint, prints []ident.Fingerprint, keep ident.Tokens) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e := c.byID[id]; e != nil {
+		c.prefixes.Trim(prints, e.slot, int(keep/prefix.BlockTokens))
+	}
+}
+
+// Tick does what time alone brings about: deadlines, pressure on lower tiers,
+// probes. Call it several times a second.
+func (c *Cell) Tick() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	c.pump(now)
+	c.expire(now)
+	c.trim()
+}
+
+// Enforce sheds the waiting bids of tiers that are no longer admitted. When it
+// returns, none of them waits here.
+func (c *Cell) Enforce() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.Admits == nil {
+		return
+	}
+	for tier := range c.queues {
+		if c.queues[tier].length > 0 && !c.Admits(ident.Tier(tier)) {
+			c.drain(&c.queues[tier], Answer{Outcome: Shed, Reason: ReasonTierClosed})
+		}
+	}
+}
+
+// Close ends the cell on this node: all waiting bids are told to move, and so
+// is every later one. Granted requests go on.
+func (c *Cell) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for tier := range c.queues {
+		c.drain(&c.queues[tier], Answer{Outcome: Moved, Reason: ReasonCellMoved})
+	}
+}
+
+// Pause keeps the cell from granting until Resume, while the node learns what
+// is in flight.
+func (c *Cell) Pause() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paused = true
+}
+
+// Resume lets a paused cell grant the tiers down to a lowest one.
+func (c *Cell) Resume(lowest ident.Tier) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.paused = false
+	c.limited = true
+	c.lowest = lowest
+	c.pump(c.now())
+}
+
+func (c *Cell) drain(q *queue, answer Answer) {
+	for q.length > 0 {
+		b := q.latest()
+		q.remove(b)
+		answer.RetryAfter = c.retryAfter(b.Tier)
+		answer.Waited = c.now().Sub(b.arrived)
+		c.decide(b, answer)
+	}
+}
+
+func (c *Cell) chargeOf(b *Bid) ident.Tokens {
+	if c.Pool.Kind == ident.ApplicationRunner {
+		return callCharge
+	}
+	return b.Prompt + b.Output + requestCharge
+}
+
+// pump grants as long as a bid fits: tiers from the highest, accounts by their
+// share. A first bid that finds no room reserves the endpoint that will have
+// room for it soonest, so that shorter and lower ones cannot starve it.
+func (c *Cell) pump(now time.Time) {
+	if c.paused || c.closed {
+		return
+	}
+	if c.Policy == FirstCome {
+		c.pumpFirstCome(now)
+	}
+	if c.Policy != Fair {
+		return
+	}
+	c.round++
+	skipped := 0
+	for tier := range c.queues {
+		if c.limited && ident.Tier(tier) > c.lowest {
+			return
+		}
+		q := &c.queues[tier]
+		for q.length > 0 && skipped < maxSkipped {
+			s := q.first(c.round)
+			if s == nil {
+				break
+			}
+			if c.tryGrant(s.heap[0], now) {
+				q.take(s)
+				continue
+			}
+			s.skipped = c.round
+			skipped++
+		}
+	}
+}
+
+// tryGrant grants the bid when an endpoint has room, and else reserves one.
+func (c *Cell) tryGrant(b *Bid, now time.Time) bool {
+	c.prefixes.Find(b.Prefix, &c.match)
+	var best, soonest *endpoint
+	var least time.Duration
+	c.considered = c.considered[:0]
+	for _, e := range c.endpoints {
+		if e.reserved == c.round || !e.isOpen(now) {
+			continue
+		}
+		uncached := c.uncached(b, e)
+		if !e.fits(b.charge, uncached, c.Pool.FirstToken) {
+			if soonest == nil || e.window-e.used > soonest.window-soonest.used {
+				soonest = e
+			}
+			continue
+		}
+		c.considered = append(c.considered, e.ID)
+		if t := e.expected(uncached, b.Output); best == nil || t < least {
+			best, least = e, t
+		}
+	}
+	if best == nil {
+		if soonest != nil {
+			soonest.reserved = c.round
+		}
+		return false
+	}
+	c.grant(b, best, now)
+	return true
+}
+
+func (c *Cell) uncached(b *Bid, e *endpoint) ident.Tokens {
+	return max(b.Prompt-c.cached(e), 0)
+}
+
+func (c *Cell) cached(e *endpoint) ident.Tokens {
+	if e.slot >= prefix.MaxSlots {
+		return 0
+	}
+	return prefix.TokensOf(int(c.match[e.slot]))
+}
+
+func (c *Cell) grant(b *Bid, e *endpoint, now time.Time) {
+	reason := ReasonLeastCost
+	cached := min(c.cached(e), b.Prompt)
+	switch {
+	case e.health != healthy:
+		reason = ReasonProbe
+	case c.Policy != Fair:
+		reason = ReasonBaseline
+	case cached > 0:
+		reason = ReasonCachedPrefix
+	}
+	g := c.newGrant()
+	*g = grant{
+		node: b.Node, endpoint: e, charge: b.charge, uncached: b.Prompt - cached,
+		cached: cached, backlog: e.backlog, prefix: b.Prefix,
+	}
+	e.admit(g.charge, g.uncached)
+	g.full = e.isBusy()
+	c.prefixes.Insert(b.Prefix, e.slot)
+	c.hold(b.Request, g)
+	c.sequence++
+	c.decide(b, Answer{
+		Outcome: Granted, Reason: reason, Endpoint: e.ID, Address: e.Address,
+		Sequence: c.sequence, Life: GrantLife, Cached: cached, Considered: len(c.considered),
+		Waited: now.Sub(b.arrived),
+	})
+}
+
+func (c *Cell) hold(id ident.RequestID, g *grant) {
+	if c.inflight == nil {
+		c.inflight = map[ident.RequestID]*grant{}
+	}
+	c.inflight[id] = g
+}
+
+func (c *Cell) newGrant() *grant {
+	if n := len(c.spare); n > 0 {
+		g := c.spare[n-1]
+		c.spare = c.spare[:n-1]
+		return g
+	}
+	return &grant{}
+}
+
+func (c *Cell) decide(b *Bid, answer Answer) {
+	b.Answer = answer
+	if c.Observe != nil {
+		d := Decision{Cell: c.ID, Bid: b, Queued: c.waiting()}
+		if answer.Outcome == Granted {
+			d.Considered = c.considered
+		}
+		c.Observe(d)
+	}
+	if b.Wake != nil {
+		b.Wake()
+	}
+}
+
+func (c *Cell) waiting() int {
+	n := 0
+	for tier := range c.queues {
+		n += c.queues[tier].length
+	}
+	return n
+}
--- /dev/null
+++ b/internal/process/sched/endpoint.go
@@ -0,0 +1,251 @@
+package sched
+
+import (
+	"time"
+
+	"goldcrestwick/internal/process/prefix"
+	"goldcrestwick/internal/request/ident"
+)
+
+const (
+	// callCharge is what one call to an application runner counts for.
+	callCharge ident.Tokens = 1024
+	// requestCharge is added for each request, since a batch slot costs time
+	// even when the request is short.
+	requestCharge ident.Tokens = 128
+
+	minWindow ident.Tokens = 2048
+	maxWindow ident.Tokens = 1 << 20
+	// windowGrowth and windowCut move the window by a share of itself.
+	windowGrowth = 0.05
+	windowCut    = 0.85
+	// windowPause is the least time between two cuts, so that one congested
+	// batch is not counted once for each of its requests.
+	windowPause = time.Second
+	// growAbove is the share in use above which a good sample widens the window.
+	growAbove = 0.7
+	// shrinkAbove is the share of a target above which the window is cut.
+	shrinkAbove = 0.95
+
+	firstPrefillRate   = 4000.0 // tokens a second
+	firstBetweenTokens = 30 * time.Millisecond
+	firstCallTime      = 50 * time.Millisecond
+	sampleShare        = 0.2
+
+	failuresToSuspend = 3
+	firstSuspension   = time.Second
+	maxSuspension     = 30 * time.Second
+	// slowFactor suspends an endpoint that is this much slower than the median
+	// of its generation; recoveredFactor takes it back.
+	slowFactor      = 3.0
+	recoveredFactor = 1.5
+	slowSamples     = 8
+	minPeers        = 3
+
+	defaultCacheTokens ident.Tokens = 64 << 10
+	// reportLife is the age from which a load report counts for nothing.
+	reportLife = 5 * time.Second
+)
+
+type health uint8
+
+const (
+	healthy health = iota
+	suspended
+	probing
+)
+
+// endpoint is what a cell knows of one endpoint.
+type endpoint struct {
+	EndpointSpec
+	slot   int
+	health health
+	// slow tells a straggler from an endpoint that fails.
+	slow       bool
+	probeAt    time.Time
+	suspension time.Duration
+	failures   int
+	samples    int
+
+	window  ident.Tokens
+	used    ident.Tokens
+	running int
+	// backlog is the prompt tokens granted that have no first token yet.
+	backlog ident.Tokens
+	lastCut time.Time
+
+	prefillRate float64
+	between     time.Duration
+
+	report   LoadReport
+	reported time.Time
+	// sinceReport counts the grants made since the report was true.
+	sinceReport int
+	// reserved holds the round in which a waiting bid laid claim to the next
+	// free room.
+	reserved uint64
+}
+
+func newEndpoint(spec EndpointSpec, slot int, window ident.Tokens) *endpoint {
+	e := &endpoint{EndpointSpec: spec, slot: slot, window: max(window, minWindow)}
+	e.prefillRate = firstPrefillRate
+	e.between = firstBetweenTokens
+	if spec.Kind == ident.ApplicationRunner {
+		e.between = firstCallTime
+	}
+	return e
+}
+
+func (e *endpoint) cacheBlocks() int {
+	tokens := e.CacheTokens
+	if tokens == 0 {
+		tokens = defaultCacheTokens
+	}
+	return int(tokens / prefix.BlockTokens)
+}
+
+// isOpen reports whether the endpoint may get any new work.
+func (e *endpoint) isOpen(now time.Time) bool {
+	if e.Leaving || e.report.Draining {
+		return false
+	}
+	switch e.health {
+	case suspended:
+		return !now.Before(e.probeAt)
+	case probing:
+		return e.running == 0
+	default:
+		return true
+	}
+}
+
+// fits reports whether a request has room. An idle endpoint takes a request of
+// any length, so that none is too long for every window.
+func (e *endpoint) fits(charge, uncached ident.Tokens, firstToken time.Duration) bool {
+	if e.running == 0 {
+		return true
+	}
+	if e.health != healthy || e.used+charge > e.window {
+		return false
+	}
+	return e.backlog == 0 || e.prefillTime(e.backlog+uncached) <= firstToken
+}
+
+func (e *endpoint) prefillTime(tokens ident.Tokens) time.Duration {
+	return time.Duration(float64(tokens) / e.prefillRate * float64(time.Second))
+}
+
+// expected returns the time until the request would be whole here.
+func (e *endpoint) expected(uncached, output ident.Tokens) time.Duration {
+	if e.Kind == ident.ApplicationRunner {
+		return e.between * time.Duration(e.running+1)
+	}
+	return e.prefillTime(e.backlog+uncached) + e.unreported() + time.Duration(output)*e.between
+}
+
+// unreported is the delay from requests that waited at the endpoint by its own
+// report and that we do not know of. The report fades with its age.
+func (e *endpoint) unreported() time.Duration {
+	others := e.report.Waiting + e.report.Running - e.running + e.sinceReport
+	if e.reported.IsZero() || others <= 0 {
+		return 0
+	}
+	fresh := 1 - float64(e.report.Age)/float64(reportLife)
+	return time.Duration(max(fresh, 0) * float64(others) * float64(e.between))
+}
+
+func (e *endpoint) admit(charge, uncached ident.Tokens) {
+	e.used += charge
+	e.running++
+	e.sinceReport++
+	e.backlog += uncached
+	if e.health == suspended {
+		e.health = probing
+	}
+}
+
+func (e *endpoint) release(charge ident.Tokens) {
+	e.used = max(e.used-charge, 0)
+	e.running = max(e.running-1, 0)
+}
+
+// observe learns from one ended request. backlog is what stood before it when
+// it was granted.
+func (e *endpoint) observe(end Ending, backlog ident.Tokens, full bool, targets targets, now time.Time) {
+	if end.Failed {
+		e.fail(now)
+		return
+	}
+	e.failures = 0
+	if e.Kind == ident.ApplicationRunner {
+		e.between = blend(e.between, end.FirstToken)
+		e.recover()
+		return
+	}
+	if end.FirstToken > 0 && backlog+end.Uncached > prefix.BlockTokens {
+		rate := float64(backlog+end.Uncached) / end.FirstToken.Seconds()
+		e.prefillRate += sampleShare * (rate - e.prefillRate)
+	}
+	if end.BetweenTokens > 0 {
+		e.between = blend(e.between, end.BetweenTokens)
+		e.samples++
+	}
+	if e.health == probing && !e.slow {
+		e.recover()
+	}
+	e.moveWindow(end, backlog, full, targets, now)
+}
+
+// moveWindow widens the window after a good sample that found it in use, and
+// cuts it after a sample past its target.
+func (e *endpoint) moveWindow(end Ending, backlog ident.Tokens, full bool, t targets, now time.Time) {
+	own := e.prefillTime(backlog + end.Uncached)
+	late := end.FirstToken > t.firstToken && end.FirstToken-own > t.firstToken/2
+	slow := float64(end.BetweenTokens) > shrinkAbove*float64(t.betweenTokens)
+	switch {
+	case late || slow:
+		if now.Sub(e.lastCut) < windowPause {
+			return
+		}
+		e.lastCut = now
+		e.window = max(ident.Tokens(float64(e.window)*windowCut), minWindow)
+	case full:
+		e.window = min(e.window+ident.Tokens(float64(e.window)*windowGrowth), maxWindow)
+	}
+}
+
+func (e *endpoint) isBusy() bool { return float64(e.used) > growAbove*float64(e.window) }
+
+// fail counts a failure and suspends the endpoint after several in a row.
+func (e *endpoint) fail(now time.Time) {
+	e.failures++
+	if e.failures >= failuresToSuspend || e.health == probing {
+		e.suspend(now)
+	}
+}
+
+func (e *endpoint) suspend(now time.Time) {
+	e.suspension = min(max(2*e.suspension, firstSuspension), maxSuspension)
+	e.health = suspended
+	e.probeAt = now.Add(e.suspension)
+}
+
+// recover takes a probed endpoint back with the smallest window, from which it
+// grows with use.
+func (e *endpoint) recover() {
+	if e.health == healthy {
+		return
+	}
+	e.health = healthy
+	e.slow = false
+	e.suspension = 0
+	e.samples = 0
+	e.window = minWindow
+	if e.Kind == ident.ApplicationRunner {
+		e.window = minWindow * 2
+	}
+}
+
+func blend(old, sample time.Duration) time.Duration {
+	return old + time.Duration(sampleShare*float64(sample-old))
+}
--- /dev/null
+++ b/internal/process/sched/refuse.go
@@ -0,0 +1,135 @@
+package sched
+
+import (
+	"time"
+
+	"goldcrestwick/internal/request/ident"
+)
+
+// refuse sheds a bid that does not wait.
+func (c *Cell) refuse(b *Bid, reason Reason) {
+	c.decide(b, Answer{
+		Outcome:    Shed,
+		Reason:     reason,
+		RetryAfter: c.retryAfter(b.Tier),
+		Waited:     c.now().Sub(b.arrived),
+	})
+}
+
+// trim sheds from the lowest waiting tier while the queue is over its bounds.
+// When lower tiers may still be admitted elsewhere in the pool, the bids wait
+// past the bound and the pool is asked to close those tiers.
+func (c *Cell) trim() {
+	for c.isOverfull() {
+		tier := c.lowestWaiting()
+		if !c.mayShed(tier) {
+			c.press(tier)
+			return
+		}
+		q := &c.queues[tier]
+		b := q.latest()
+		q.remove(b)
+		c.refuse(b, ReasonOverload)
+		c.press(tier)
+	}
+}
+
+func (c *Cell) isOverfull() bool {
+	requests, tokens := 0, ident.Tokens(0)
+	for tier := range c.queues {
+		requests += c.queues[tier].length
+		tokens += c.queues[tier].tokens
+	}
+	if requests <= 1 {
+		return false
+	}
+	return requests > c.Pool.QueueRequests || tokens > c.Pool.QueueTokens
+}
+
+func (c *Cell) lowestWaiting() ident.Tier {
+	for tier := len(c.queues) - 1; tier > 0; tier-- {
+		if c.queues[tier].length > 0 {
+			return ident.Tier(tier)
+		}
+	}
+	return 0
+}
+
+func (c *Cell) mayShed(tier ident.Tier) bool { return c.MayShed == nil || c.MayShed(tier) }
+
+func (c *Cell) press(tier ident.Tier) {
+	if c.Press != nil {
+		c.Press(tier)
+	}
+}
+
+// expire refuses the bids whose deadline passed or can no longer be met, at
+// once, and puts pressure on lower tiers for those that have waited long.
+func (c *Cell) expire(now time.Time) {
+	var late []*Bid
+	for tier := range c.queues {
+		pressed := false
+		c.queues[tier].each(func(b *Bid) bool {
+			switch {
+			case !now.Before(b.Deadline) || c.isUnreachable(b, now):
+				late = append(late, b)
+			case !pressed && isPressing(b, now):
+				pressed = true
+				c.press(b.Tier)
+			}
+			return true
+		})
+	}
+	for _, b := range late {
+		c.queues[b.lane].remove(b)
+		reason := ReasonDeadlineUnreachable
+		if !now.Before(b.Deadline) {
+			reason = ReasonDeadlinePassed
+		}
+		c.refuse(b, reason)
+	}
+}
+
+func isPressing(b *Bid, now time.Time) bool {
+	waited := now.Sub(b.arrived)
+	whole := b.Deadline.Sub(b.arrived)
+	return waited >= pressAtLeast && float64(waited) > pressAfter*float64(whole)
+}
+
+// isUnreachable reports whether no endpoint could finish the request by its
+// deadline even if it were idle.
+func (c *Cell) isUnreachable(b *Bid, now time.Time) bool {
+	if c.Pool.Kind == ident.ApplicationRunner {
+		return false
+	}
+	left := b.Deadline.Sub(now)
+	open := false
+	for _, e := range c.endpoints {
+		if !e.isOpen(now) {
+			continue
+		}
+		open = true
+		// Half of the expected time leaves room for estimates that are off.
+		if time.Duration(b.Output)*e.between/2 < left {
+			return false
+		}
+	}
+	return open
+}
+
+// retryAfter estimates when the queue ahead of a tier will have been served.
+func (c *Cell) retryAfter(tier ident.Tier) time.Duration {
+	var ahead ident.Tokens
+	for t := range int(tier) + 1 {
+		ahead += c.queues[t].tokens
+	}
+	var rate float64
+	for _, e := range c.endpoints {
+		rate += float64(max(e.running, 1)) / e.between.Seconds()
+	}
+	if rate == 0 {
+		return maxRetryAfter
+	}
+	wait := time.Duration(float64(ahead) / rate * float64(time.Second))
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/internal/request/entry/bid.go
@@ -0,0 +1,245 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/process/trace"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/request/refuse"
+)
+
+// session is one answered bid; a granted one is ended once.
+type session struct {
+	cell     ident.CellID
+	answer   sched.Answer
+	received time.Time
+	started  func()
+	end      func(sched.Ending)
+}
+
+// upload marks a streamed body as touched when any of it was read.
+type upload struct {
+	io.Reader
+	touched atomic.Bool
+}
+
+func (u *upload) Read(b []byte) (int, error) {
+	u.touched.Store(true)
+	return u.Reader.Read(b)
+}
+
+// bid asks the request's cell until it is granted or refused. While no node
+// runs the cell, it tries again until the deadline.
+func (e *Entry) bid(ctx context.Context, j *Job) (*session, *refuse.Refusal) {
+	if j.Request.Upload != nil {
+		if _, ok := j.Request.Upload.(*upload); !ok {
+			j.Request.Upload = &upload{Reader: j.Request.Upload}
+		}
+	}
+	for {
+		cell, ok := e.chooseCell(j)
+		if ok {
+			s := e.bidAt(ctx, j, cell)
+			switch s.answer.Outcome {
+			case sched.Granted:
+				return s, nil
+			case sched.Shed:
+				return nil, shedRefusal(s.answer)
+			}
+			e.note(j, trace.Record{Event: trace.Moved, Cell: cell.String()})
+		}
+		if refusal := e.pause(ctx, j); refusal != nil {
+			return nil, refusal
+		}
+	}
+}
+
+// pause waits before the next bid, unless the caller or the deadline is gone.
+func (e *Entry) pause(ctx context.Context, j *Job) *refuse.Refusal {
+	left := time.Until(j.Request.Deadline)
+	if left <= bidPause {
+		refusal := refuse.New(refuse.NoEndpoint, "no node or endpoint of the pool could be reached before the deadline")
+		refusal.RetryAfter = time.Second
+		return refusal
+	}
+	select {
+	case <-ctx.Done():
+		return e.callerGone(j)
+	case <-time.After(bidPause):
+		return nil
+	}
+}
+
+func shedRefusal(a sched.Answer) *refuse.Refusal {
+	r := refuse.New(refuse.Reason(a.Reason), shedMessages[a.Reason])
+	r.RetryAfter = a.RetryAfter
+	return r
+}
+
+var shedMessages = map[sched.Reason]string{
+	sched.ReasonOverload:            "the pool has more waiting requests than it can hold",
+	sched.ReasonTierClosed:          "the pool is overloaded and the tier is closed in favour of higher ones",
+	sched.ReasonDeadlineUnreachable: "no endpoint could finish the answer by the deadline",
+	sched.ReasonDeadlinePassed:      "the deadline passed while the request waited",
+}
+
+// chooseCell spreads requests over a pool's cells by the beginning of their
+// prompt, so that a chat comes back to the cell that has its prefix; requests
+// without one are spread by their identifier.
+func (e *Entry) chooseCell(j *Job) (ident.CellID, bool) {
+	all := e.Cells.Roster().Cells(j.Pool.ID)
+	if len(all) == 0 {
+		return ident.CellID{}, false
+	}
+	key := string(j.Request.ID)
+	if n := len(j.Request.Prefix); n > 0 {
+		key = fingerprintKey(j.Request.Prefix[min(n, spreadBlocks)-1])
+	}
+	best, most := all[0].ID, uint64(0)
+	for _, c := range all {
+		if score := member.Score(key, c.ID.String()); score >= most {
+			best, most = c.ID, score
+		}
+	}
+	return best, true
+}
+
+// spreadBlocks is how far into a prompt chats are told apart; the first blocks
+// are often a shared instruction.
+const spreadBlocks = 8
+
+func fingerprintKey(f ident.Fingerprint) string {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(f >> (8 * i))
+	}
+	return string(b[:])
+}
+
+func (e *Entry) bidAt(ctx context.Context, j *Job, cell ident.CellID) *session {
+	b := &sched.Bid{
+		Request: j.Request.ID, Node: e.Self, Tier: j.Tier.Rank, Account: j.Account.ID,
+		Weight: j.Account.Weight, Prompt: j.Request.Prompt, Output: j.Request.Output,
+		Deadline: j.Request.Deadline, Prefix: j.Request.Prefix,
+	}
+	if local := e.Cells.Local(cell); local != nil {
+		return e.bidLocally(ctx, b, local)
+	}
+	owner, ok := e.Cells.Owner(cell)
+	if !ok || owner.ID == e.Self {
+		return &session{answer: sched.Answer{Outcome: sched.Moved}}
+	}
+	return e.bidRemotely(ctx, b, cell, owner, j.Version)
+}
+
+// bidLocally bids at a cell of this node, without any message.
+func (e *Entry) bidLocally(ctx context.Context, b *sched.Bid, cell *sched.Cell) *session {
+	woken := make(chan struct{}, 1)
+	b.Wake = func() { woken <- struct{}{} }
+	if !cell.Submit(b) {
+		select {
+		case <-woken:
+		case <-ctx.Done():
+			if cell.Cancel(b) {
+				return &session{answer: sched.Answer{Outcome: sched.Moved}}
+			}
+			<-woken
+		}
+	}
+	s := &session{cell: cell.ID, answer: b.Answer, received: time.Now()}
+	if b.Answer.Outcome != sched.Granted {
+		return s
+	}
+	e.hold(cell.ID, heldOf(b, s))
+	s.started = func() { cell.FirstToken(b.Request) }
+	s.end = func(end sched.Ending) {
+		e.unhold(cell.ID, b.Request)
+		cell.Done(b.Request, end)
+	}
+	return s
+}
+
+func heldOf(b *sched.Bid, s *session) sched.Held {
+	return sched.Held{
+		Request: b.Request, Node: b.Node, Endpoint: s.answer.Endpoint,
+		Charge: b.Prompt + b.Output,
+	}
+}
+
+// bidRemotely bids at another node. The stream stays open while the granted
+// request runs; when it breaks before the answer, nothing has been dispatched
+// and the bid can be repeated.
+func (e *Entry) bidRemotely(ctx context.Context, b *sched.Bid, cell ident.CellID, owner member.Member, version ident.Version) *session {
+	moved := &session{answer: sched.Answer{Outcome: sched.Moved}}
+	stream, err := e.Open(ctx, owner.PeerAddress)
+	if err != nil {
+		return moved
+	}
+	if stream.Send(wire.KindBid, wire.FromBid(b, cell, version, time.Now())) != nil {
+		stream.Close() //nolint:errcheck // broken already.
+		return moved
+	}
+	stop := context.AfterFunc(ctx, func() { stream.Close() }) //nolint:errcheck // unblocks Receive.
+	_, body, err := stream.Receive()
+	stop()
+	if err != nil {
+		stream.Close() //nolint:errcheck // broken already.
+		return moved
+	}
+	message, err := link.Decode[wire.Answer](body)
+	s := &session{cell: cell, answer: message.ToAnswer(), received: time.Now()}
+	if err != nil || s.answer.Outcome != sched.Granted {
+		stream.Close() //nolint:errcheck // the bid is over.
+		return s
+	}
+	e.hold(cell, heldOf(b, s))
+	s.started = func() { stream.Send(wire.KindStarted, wire.Started{}) } //nolint:errcheck // the end is told again.
+	s.end = func(end sched.Ending) {
+		e.unhold(cell, b.Request)
+		e.endRemotely(stream, b.Request, cell, end)
+	}
+	return s
+}
+
+// endRemotely tells the cell's node the end on the bid's stream. When the
+// stream is broken, the cell's node of then is told by a call.
+func (e *Entry) endRemotely(stream *link.Stream, id ident.RequestID, cell ident.CellID, end sched.Ending) {
+	message := wire.FromEnding(end)
+	message.Request, message.Pool, message.Cell = string(id), string(cell.Pool), cell.Index
+	err := stream.Send(wire.KindEnded, message)
+	stream.Close() //nolint:errcheck // the exchange is over.
+	if err == nil {
+		return
+	}
+	e.active.Go(func() { e.endLate(message, cell) })
+}
+
+func (e *Entry) endLate(message wire.Ended, cell ident.CellID) {
+	for range endAttempts {
+		owner, ok := e.Cells.Owner(cell)
+		if ok && owner.ID == e.Self {
+			if local := e.Cells.Local(cell); local != nil {
+				local.Done(ident.RequestID(message.Request), message.ToEnding())
+				return
+			}
+		}
+		if ok && e.callEnded(owner, message) == nil {
+			return
+		}
+		time.Sleep(endTimeout)
+	}
+}
+
+func (e *Entry) callEnded(owner member.Member, message wire.Ended) error {
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	_, err := link.Call[wire.Ended, wire.Done](ctx, e.Open, owner.PeerAddress, wire.KindEndedLate, message)
+	return err
+}
--- /dev/null
+++ b/internal/version/config/finding.go
@@ -0,0 +1,59 @@
+package config
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Finding is one fault in a settings tree, with its place.
+type Finding struct {
+	// File is the path as it was given to the reader.
+	File string
+	// Section and Key name the place inside the file; either may be empty.
+	Section string
+	Key     string
+	// Line counts from 1; 0 means the whole file.
+	Line int
+	// Problem says what is wrong and what would be right.
+	Problem string
+}
+
+// String returns "file:line: [section] key: problem".
+func (f Finding) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s:%d:", f.File, f.Line)
+	if f.Section != "" {
+		fmt.Fprintf(&b, " [%s]", f.Section)
+	}
+	if f.Key != "" {
+		fmt.Fprintf(&b, " %s:", f.Key)
+	}
+	return b.String() + " " + f.Problem
+}
+
+// Findings is a list of faults. It is an error when it is not empty.
+type Findings []Finding
+
+// Error returns all findings, one a line.
+func (fs Findings) Error() string {
+	lines := make([]string, len(fs))
+	for i, f := range fs {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the sorted findings as an error, or nil when there are none.
+func (fs Findings) Err() error {
+	if len(fs) == 0 {
+		return nil
+	}
+	sort.SliceStable(fs, func(i, j int) bool {
+		if fs[i].File != fs[j].File {
+			return fs[i].File < fs[j].File
+		}
+		return fs[i].Line < fs[j].Line
+	})
+	return fs
+}
