--- a/internal/connection/front/front.go
+++ b/internal/connection/front/front.go
@@ -16,11 +16,11 @@
 	"crypto/sha256"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 
+	"goldcrestwick/internal/process/gate"
 	"goldcrestwick/internal/process/meter"
 	"goldcrestwick/internal/request/entry"
 	"goldcrestwick/internal/request/ident"
@@ -58,9 +58,7 @@
 	// Token makes a resume token for a run.
 	Token func(ident.ClientAccount, ident.PoolID, ident.Endpoint, ident.RequestID) string
 	Meter *meter.Meter
-
-	open atomic.Int64
-	held atomic.Int64
+	Gate  *gate.Gate
 }
 
 // Server returns the callers' server with the time limits of the settings.
@@ -146,11 +144,12 @@
 // model serves a request for a model runner.
 func (f *Front) model(form intake.Form) accountHandler {
 	return func(w http.ResponseWriter, r *http.Request, tree *config.Tree, account *config.Account) {
-		if refusal := f.enter(r, tree); refusal != nil {
+		leave, refusal := f.enter(r, tree, account)
+		if refusal != nil {
 			f.refuse(w, ident.NewRequestID(), refusal)
 			return
 		}
-		defer f.leave(r)
+		defer leave()
 		setReadDeadline(w, tree.Limits.BodyTimeout)
 		req, refusal := intake.Model(r, form, tree.Limits, time.Now())
 		if refusal != nil {
@@ -169,11 +168,12 @@
 
 // service serves a request for an application runner.
 func (f *Front) service(w http.ResponseWriter, r *http.Request, tree *config.Tree, account *config.Account) {
-	if refusal := f.enter(r, tree); refusal != nil {
+	leave, refusal := f.enter(r, tree, account)
+	if refusal != nil {
 		f.refuse(w, ident.NewRequestID(), refusal)
 		return
 	}
-	defer f.leave(r)
+	defer leave()
 	name := chi.URLParam(r, "name")
 	req, refusal := intake.Service(r, name, chi.URLParam(r, "*"), tree.Limits, time.Now())
 	if refusal != nil {
@@ -209,27 +209,22 @@
 	out.fail(refusal)
 }
 
-// enter admits a request to this node's memory.
-func (f *Front) enter(r *http.Request, tree *config.Tree) *refuse.Refusal {
-	open := f.open.Add(1)
-	held := f.held.Add(max(r.ContentLength, 0))
-	if open <= int64(tree.Limits.OpenRequests) && held <= tree.Limits.HeldBytes {
-		return nil
+// enter admits a request to this node's memory. The body is not read yet, so
+// the account's requests count as the highest tier that they can have.
+func (f *Front) enter(r *http.Request, tree *config.Tree, account *config.Account) (func(), *refuse.Refusal) {
+	ctx, cancel := context.WithTimeout(r.Context(), tree.Limits.BodyTimeout)
+	defer cancel()
+	tier := account.HighestTier()
+	leave, entered := f.Gate.Enter(ctx, tier.Rank, min(r.ContentLength, tree.Limits.BodyBytes))
+	if entered {
+		return leave, nil
 	}
-	f.leave(r)
 	refusal := refuse.New(refuse.NodeFull, "this node holds as many requests as it can; use another address")
 	refusal.RetryAfter = time.Second
-	return refusal
+	refusal.Tier = tier.Name
+	return nil, refusal
 }
 
-func (f *Front) leave(r *http.Request) {
-	f.open.Add(-1)
-	f.held.Add(-max(r.ContentLength, 0))
-}
-
-// Open returns the number of requests being served.
-func (f *Front) Open() int64 { return f.open.Load() }
-
 func setReadDeadline(w http.ResponseWriter, after time.Duration) {
 	var at time.Time
 	if after > 0 {
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -225,6 +225,24 @@
 	return m.floors.MayShed(pool, tier, lowest, m.regionMembers(), time.Now())
 }
 
+// MayShedEverywhere reports whether a tier may be shed in every pool, for a
+// limit that is not of one pool.
+func (m *Manager) MayShedEverywhere(tier ident.Tier) bool {
+	for _, p := range m.Tree().Pools() {
+		if !m.mayShed(p.ID, tier) {
+			return false
+		}
+	}
+	return true
+}
+
+// PressEverywhere asks to close the tiers below the given one in every pool.
+func (m *Manager) PressEverywhere(tier ident.Tier) {
+	for _, p := range m.Tree().Pools() {
+		m.floors.Press(p.ID, tier, time.Now())
+	}
+}
+
 // regionMembers returns everyone in the region who could run a cell of it by
 // any view, this node among them.
 func (m *Manager) regionMembers() []ident.NodeID {
@@ -334,7 +352,7 @@
 
 func (m *Manager) serveHold(_ context.Context, s *link.Stream, message wire.Hold) {
 	ask := message.ToAsk()
-	m.floors.Hold(ident.NodeID(message.Node), ask, time.Now())
+	m.floors.Hold(ask, time.Now())
 	m.enforce(ask.Pool)
 	s.Send(wire.KindDone, wire.Done{}) //nolint:errcheck // unacknowledged holds are asked for again.
 }
--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -224,6 +224,6 @@
 		cell.Teach(l.ToLearned())
 	}
 	for _, f := range r.Floors {
-		m.floors.Hold(ident.NodeID(f.Node), f.ToAsk(), time.Now())
+		m.floors.Hold(f.ToAsk(), time.Now())
 	}
 }
--- a/internal/process/floor/floor.go
+++ b/internal/process/floor/floor.go
@@ -14,8 +14,8 @@
 //	k := &floor.Keeper{}
 //	k.Press(pool, tier, now)             // a cell is full of this tier
 //	for _, ask := range k.Asks(now) {    // send to each member
-//		ack := peer.Hold(self, ask, now)
-//		k.Acked(peer, ack, sentAt)
+//		peer.Hold(ask, now)
+//		k.Acked(peer, ask, sentAt)
 //	}
 //	if k.MayShed(pool, tier, lowest, members, now) { ... }
 package floor
@@ -56,9 +56,11 @@
 }
 
 type pool struct {
-	wish  limit
-	holds map[ident.NodeID]limit
-	acks  map[ident.NodeID]limit
+	wish limit
+	// holds and acks keep each floor apart, since messages overtake each
+	// other: a looser one that comes late must not undo a stricter one.
+	holds limits
+	acks  map[ident.NodeID]*limits
 }
 
 // limit is a floor that counts until a time.
@@ -69,13 +71,32 @@
 
 func (l limit) counts(now time.Time) bool { return now.Before(l.until) }
 
+// limits is, for each floor, until when it counts.
+type limits [ident.MaxTiers]time.Time
+
+func (l *limits) add(floor ident.Tier, until time.Time) {
+	if floor < ident.MaxTiers && until.After(l[floor]) {
+		l[floor] = until
+	}
+}
+
+// lowest returns the strictest floor that counts.
+func (l *limits) lowest(now time.Time) ident.Tier {
+	for floor, until := range l {
+		if now.Before(until) {
+			return ident.Tier(floor)
+		}
+	}
+	return Open
+}
+
 func (k *Keeper) pool(id ident.PoolID) *pool {
 	if k.pools == nil {
 		k.pools = map[ident.PoolID]*pool{}
 	}
 	p := k.pools[id]
 	if p == nil {
-		p = &pool{holds: map[ident.NodeID]limit{}, acks: map[ident.NodeID]limit{}}
+		p = &pool{acks: map[ident.NodeID]*limits{}}
 		k.pools[id] = p
 	}
 	return p
@@ -107,10 +128,10 @@
 
 // Hold closes the tiers below the asked floor on this node for HoldTime. The
 // caller must shed what waits in those tiers before it acknowledges.
-func (k *Keeper) Hold(from ident.NodeID, ask Ask, now time.Time) {
+func (k *Keeper) Hold(ask Ask, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.pool(ask.Pool).holds[from] = limit{ask.Floor, now.Add(HoldTime)}
+	k.pool(ask.Pool).holds.add(ask.Floor, now.Add(HoldTime))
 }
 
 // Acked records that a member acknowledged a question sent at a time.
@@ -118,7 +139,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	life := time.Duration(float64(HoldTime) * (1 - drift))
-	k.pool(ask.Pool).acks[from] = limit{ask.Floor, sent.Add(life)}
+	acks := k.pool(ask.Pool).acks
+	if acks[from] == nil {
+		acks[from] = &limits{}
+	}
+	acks[from].add(ask.Floor, sent.Add(life))
 }
 
 // Floor returns the lowest tier that is admitted on this node.
@@ -133,16 +158,9 @@
 	if p == nil {
 		return Open
 	}
-	floor := Open
+	floor := p.holds.lowest(now)
 	if p.wish.counts(now) {
-		floor = p.wish.floor
-	}
-	for node, h := range p.holds {
-		if !h.counts(now) {
-			delete(p.holds, node)
-			continue
-		}
-		floor = min(floor, h.floor)
+		floor = min(floor, p.wish.floor)
 	}
 	return floor
 }
@@ -165,14 +183,10 @@
 	}
 	p := k.pool(id)
 	for _, node := range others {
-		ack, ok := p.acks[node]
-		if !ok || !ack.counts(now) || ack.floor > tier {
+		acks := p.acks[node]
+		if acks == nil || acks.lowest(now) > tier {
 			return false
 		}
 	}
 	return true
 }
-
-// Standing returns the floors that this node itself wishes, for a member that
-// has just joined or taken a cell over.
-func (k *Keeper) Standing(now time.Time) []Ask { return k.Asks(now) }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -23,6 +23,7 @@
 	"goldcrestwick/internal/connection/outlet"
 	"goldcrestwick/internal/process/cells"
 	"goldcrestwick/internal/process/claims"
+	"goldcrestwick/internal/process/gate"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/meter"
 	"goldcrestwick/internal/process/quota"
@@ -73,6 +74,7 @@
 	trace     trace.Memory
 	meter     meter.Meter
 	front     front.Front
+	gate      gate.Gate
 	decisions decisions
 	instances atomic.Pointer[[]roster.Instance]
 	tenure    atomic.Pointer[tenure]
@@ -114,8 +116,9 @@
 	}
 	n.front = front.Front{
 		Tree: n.tree.Load, Serve: n.entry.Serve, Addresses: n.addresses, IsReady: n.isReady,
-		Resume: n.resume, Token: n.resumeToken, Meter: &n.meter,
+		Resume: n.resume, Token: n.resumeToken, Meter: &n.meter, Gate: &n.gate,
 	}
+	n.gate = gate.Gate{Limits: n.gateLimits, MayShed: n.cells.MayShedEverywhere, Press: n.cells.PressEverywhere}
 	n.cells.Register(mux)
 	n.keys.Register(mux)
 	n.registerPeers(mux)
@@ -176,7 +179,7 @@
 // until Stop.
 func (n *Node) Leave() {
 	n.members.SetSelf(func(m *member.Member) { m.State = member.Leaving })
-	n.Log.Info("node_leaving", "node", n.Process.Name, "open_requests", n.front.Open())
+	n.Log.Info("node_leaving", "node", n.Process.Name, "open_requests", n.gate.Open())
 }
 
 // Wait returns when every request has ended.
@@ -190,6 +193,11 @@
 	n.Outlet.CloseIdle()
 }
 
+func (n *Node) gateLimits() gate.Limits {
+	l := n.tree.Load().Limits
+	return gate.Limits{Open: l.OpenRequests, Bytes: l.HeldBytes}
+}
+
 func (n *Node) isReady() bool { return n.members.Self().State == member.Ready }
 
 // membersChanged reacts to a new picture of the fleet.
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -27,9 +27,11 @@
 )
 
 const (
-	// evenPart of a limit is divided evenly, so that a node without recent
-	// demand can begin at once; the rest follows demand.
+	// evenPart of a limit is divided evenly when demand is over the limit, so
+	// that a node without recent demand can begin at once.
 	evenPart = 0.2
+	// demandWeight is the weight of the last second in the moving mean.
+	demandWeight = 0.3
 	// demandLife is how long a node's word on its demand counts.
 	demandLife = 3 * time.Second
 	// burstTime is how much of a rate may come at once.
@@ -53,7 +55,10 @@
 	running  int
 	share    float64
 	lent     bool
-	asked    float64
+	// asked sums up what was asked for since the last look, as a part of the
+	// whole limit a second; demand is its moving mean.
+	asked  float64
+	demand float64
 }
 
 // Verdict says which limit stopped a request.
@@ -74,7 +79,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	at := k.account(a)
-	at.asked++
+	at.asked += part(a, tokens)
 	if a.Concurrent > 0 && at.running >= k.concurrent(a, at) {
 		return nil, ConcurrentLimit, time.Second
 	}
@@ -89,6 +94,19 @@
 	return func() { once.Do(func() { k.release(at) }) }, Admitted, 0
 }
 
+// part is what a request takes of the account's limits, by the limit that it
+// takes most of.
+func part(a *config.Account, tokens ident.Tokens) float64 {
+	most := 0.0
+	if a.Requests > 0 {
+		most = 1 / a.Requests
+	}
+	if a.Tokens > 0 {
+		most = max(most, float64(tokens)/a.Tokens)
+	}
+	return most
+}
+
 // take draws n from a limiter. A request larger than the burst needs a full
 // bucket and leaves it in debt.
 func take(l *rate.Limiter, now time.Time, n int) (time.Duration, bool) {
@@ -151,14 +169,16 @@
 	l.SetBurst(max(int(perSecond*share*burstTime.Seconds()), 1))
 }
 
-// Demand returns the requests that each account asked for since the last call.
+// Demand returns what each account is asked for, as a part of its whole
+// limits. Call it once a second.
 func (k *Keeper) Demand() map[ident.ClientAccount]float64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	all := make(map[ident.ClientAccount]float64, len(k.accounts))
 	for id, at := range k.accounts {
-		all[id] = at.asked
+		at.demand += demandWeight * (at.asked - at.demand)
 		at.asked = 0
+		all[id] = at.demand
 	}
 	return all
 }
@@ -184,8 +204,10 @@
 	at   time.Time
 }
 
-// Lend notes a node's demand and returns its share among so many nodes. The
-// shares of all nodes add up to at most 1.
+// Lend notes a node's demand, as a part of the account's limits, and returns
+// its share among so many nodes. Demand below the limit is met and what is left
+// is divided evenly; demand above it is met in proportion. The shares of all
+// nodes add up to at most 1 once each has been told anew.
 func (l *Lender) Lend(id ident.ClientAccount, node ident.NodeID, asked float64, nodes int, now time.Time) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -207,8 +229,8 @@
 		sum += d.rate
 	}
 	even := 1 / float64(max(nodes, len(of), 1))
-	if sum == 0 {
-		return even
+	if sum <= 1 {
+		return of[node].rate + (1-sum)*even
 	}
 	return evenPart*even + (1-evenPart)*of[node].rate/sum
 }
--- a/internal/process/sched/bid.go
+++ b/internal/process/sched/bid.go
@@ -31,10 +31,12 @@
 
 	arrived time.Time
 	charge  ident.Tokens
-	// lane and sharer place the bid in a queue, order ranks it there.
+	// lane and sharer place the bid in a queue, order and then number rank it
+	// there.
 	lane     ident.Tier
 	sharer   ident.ClientAccount
 	order    time.Time
+	number   uint64
 	position int
 }
 
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -93,10 +93,13 @@
 	match     prefix.Match
 	// considered is the room that the last look for an endpoint found.
 	considered []ident.Endpoint
-	sequence   uint64
-	round      uint64
-	closed     bool
-	paused     bool
+	// times is room for the medians.
+	times    []time.Duration
+	sequence uint64
+	arrivals uint64
+	round    uint64
+	closed   bool
+	paused   bool
 	// lowest is the lowest tier granted; Pause and Resume set it.
 	lowest ident.Tier
 	// limited is set while lowest counts.
@@ -132,8 +135,18 @@
 	now := c.now()
 	b.arrived = now
 	b.charge = c.chargeOf(b)
-	b.lane, b.sharer, b.order = b.Tier, b.Account, b.Deadline
+	c.arrivals++
+	b.lane, b.sharer, b.order, b.number = b.Tier, b.Account, b.Deadline, c.arrivals
 	b.Answer = Answer{}
+	// An answer that is there on return is not announced as well.
+	wake := b.Wake
+	b.Wake = nil
+	c.submit(b, now)
+	b.Wake = wake
+	return b.Answer.Outcome != Waiting
+}
+
+func (c *Cell) submit(b *Bid, now time.Time) {
 	switch {
 	case c.closed:
 		c.decide(b, Answer{Outcome: Moved, Reason: ReasonCellMoved})
@@ -146,18 +159,10 @@
 	case c.isUnreachable(b, now):
 		c.refuse(b, ReasonDeadlineUnreachable)
 	default:
-		c.enqueue(b, now)
+		c.queues[b.lane].push(b)
+		c.pump(now)
+		c.trim()
 	}
-	return b.Answer.Outcome != Waiting
-}
-
-func (c *Cell) enqueue(b *Bid, now time.Time) {
-	wake := b.Wake
-	b.Wake = nil
-	c.queues[b.lane].push(b)
-	c.pump(now)
-	c.trim()
-	b.Wake = wake
 }
 
 // Cancel withdraws a waiting bid. It reports whether the bid still waited; a
--- a/internal/process/sched/members.go
+++ b/internal/process/sched/members.go
@@ -205,7 +205,7 @@
 // needs a large gap and return a small one, so that an endpoint does not swing
 // in and out on noise.
 func (c *Cell) judge(e *endpoint, now time.Time) {
-	if e.Kind == ident.ApplicationRunner {
+	if e.Kind == ident.ApplicationRunner || e.health == healthy && e.samples%slowSamples != 0 {
 		return
 	}
 	median, peers := c.medianBetween(e)
@@ -228,12 +228,13 @@
 }
 
 func (c *Cell) medianBetween(of *endpoint) (time.Duration, int) {
-	var times []time.Duration
+	times := c.times[:0]
 	for _, e := range c.endpoints {
 		if e != of && e.Generation == of.Generation && e.health == healthy {
 			times = append(times, e.between)
 		}
 	}
+	c.times = times
 	if len(times) == 0 {
 		return 0, 0
 	}
--- a/internal/process/sched/policy.go
+++ b/internal/process/sched/policy.go
@@ -67,8 +67,6 @@
 
 // submitFirstCome queues in the order of arrival: one lane, one share.
 func (c *Cell) submitFirstCome(b *Bid, now time.Time) {
-	wake := b.Wake
-	b.Wake = nil
 	b.order = now
 	q := &c.queues[b.lane]
 	q.push(b)
@@ -78,7 +76,6 @@
 		q.remove(last)
 		c.refuse(last, ReasonOverload)
 	}
-	b.Wake = wake
 }
 
 func (c *Cell) pumpFirstCome(now time.Time) {
--- a/internal/process/sched/queue.go
+++ b/internal/process/sched/queue.go
@@ -115,7 +115,7 @@
 	}
 	last := most.heap[0]
 	for _, b := range most.heap {
-		if b.order.After(last.order) {
+		if last.precedes(b) {
 			last = b
 		}
 	}
@@ -178,7 +178,15 @@
 	}
 }
 
-func (s *share) less(i, j int) bool { return s.heap[i].order.Before(s.heap[j].order) }
+func (s *share) less(i, j int) bool { return s.heap[i].precedes(s.heap[j]) }
+
+// precedes orders the bids of one account.
+func (b *Bid) precedes(other *Bid) bool {
+	if !b.order.Equal(other.order) {
+		return b.order.Before(other.order)
+	}
+	return b.number < other.number
+}
 
 func (s *share) swap(i, j int) {
 	s.heap[i], s.heap[j] = s.heap[j], s.heap[i]
--- /dev/null
+++ b/internal/process/sched/script_test.go
@@ -0,0 +1,271 @@
+package sched
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/version/config"
+)
+
+// TestScripts runs the scripts in testdata. Each line is a command with
+// key=value arguments; see testdata/README.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.script")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) > 0, qt.IsTrue)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".script"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runScript(t, file) })
+		})
+	}
+}
+
+// script is the state of one running script.
+type script struct {
+	t      *testing.T
+	place  string
+	cell   *Cell
+	specs  []EndpointSpec
+	bids   map[string]*Bid
+	woken  map[string]bool
+	closed ident.Tier
+	may    bool
+	press  []ident.Tier
+}
+
+func runScript(t *testing.T, file string) {
+	f, err := os.Open(file)
+	qt.Assert(t, err, qt.IsNil)
+	defer f.Close() //nolint:errcheck // only read.
+	s := &script{t: t, bids: map[string]*Bid{}, woken: map[string]bool{}, closed: ident.MaxTiers, may: true}
+	s.cell = &Cell{
+		ID: ident.CellID{Pool: "team/pool"}, Pool: pool(),
+		Admits:  func(tier ident.Tier) bool { return tier < s.closed },
+		MayShed: func(ident.Tier) bool { return s.may },
+		Press:   func(tier ident.Tier) { s.press = append(s.press, tier) },
+	}
+	lines := bufio.NewScanner(f)
+	for n := 1; lines.Scan(); n++ {
+		s.place = fmt.Sprintf("%s:%d", file, n)
+		line, _, _ := strings.Cut(lines.Text(), "#")
+		if words := strings.Fields(line); len(words) > 0 {
+			s.run(words[0], words[1:])
+		}
+	}
+}
+
+func pool() *config.Pool {
+	return &config.Pool{
+		ID: "team/pool", QueueRequests: 100, QueueTokens: 1 << 30, Window: 4096,
+		FirstToken: 1100 * time.Millisecond, BetweenTokens: 78 * time.Millisecond,
+	}
+}
+
+func (s *script) run(command string, args []string) {
+	given, names := map[string]string{}, []string{}
+	for _, a := range args {
+		if key, value, ok := strings.Cut(a, "="); ok {
+			given[key] = value
+			continue
+		}
+		names = append(names, a)
+	}
+	commands := map[string]func([]string, map[string]string){
+		"queue": s.queue, "endpoint": s.endpoint, "leave": s.leave, "bid": s.bid, "first": s.first,
+		"done": s.done, "cancel": s.cancel, "wait": s.wait, "close_below": s.closeBelow,
+		"may_shed": s.mayShed, "granted": s.granted, "waiting": s.waiting, "refused": s.refused,
+		"pressed": s.pressed, "move": s.move, "pause": s.pause, "resume": s.resume, "window": s.window,
+		"adopt": s.adopt, "drop_node": s.dropNode, "report": s.report, "unreachable": s.unreachable,
+	}
+	do, ok := commands[command]
+	qt.Assert(s.t, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", s.place, command))
+	do(names, given)
+}
+
+func (s *script) number(given map[string]string, key string, otherwise int) int {
+	text, ok := given[key]
+	if !ok {
+		return otherwise
+	}
+	n, err := strconv.Atoi(text)
+	qt.Assert(s.t, err, qt.IsNil, qt.Commentf(s.place))
+	return n
+}
+
+func (s *script) span(text string) time.Duration {
+	if text == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(text)
+	qt.Assert(s.t, err, qt.IsNil, qt.Commentf(s.place))
+	return d
+}
+
+func (s *script) queue(_ []string, given map[string]string) {
+	s.cell.Pool.QueueRequests = s.number(given, "requests", s.cell.Pool.QueueRequests)
+	s.cell.Pool.QueueTokens = ident.Tokens(s.number(given, "tokens", int(s.cell.Pool.QueueTokens)))
+	s.cell.Pool.Window = ident.Tokens(s.number(given, "window", int(s.cell.Pool.Window)))
+}
+
+func (s *script) endpoint(names []string, given map[string]string) {
+	for _, name := range names {
+		s.specs = append(s.specs, EndpointSpec{ID: ident.Endpoint(name), Address: "http://" + name, Generation: given["generation"]})
+	}
+	s.cell.Configure(s.cell.Pool, s.specs)
+}
+
+func (s *script) leave(names []string, _ map[string]string) {
+	for i := range s.specs {
+		s.specs[i].Leaving = s.specs[i].Leaving || string(s.specs[i].ID) == names[0]
+	}
+	s.cell.Configure(s.cell.Pool, s.specs)
+}
+
+func (s *script) bid(names []string, given map[string]string) {
+	for _, name := range names {
+		deadline := s.span(given["deadline"])
+		if deadline == 0 {
+			deadline = time.Hour
+		}
+		b := &Bid{
+			Request: ident.RequestID(name), Node: ident.NodeID(given["node"]), Account: ident.ClientAccount(given["account"]),
+			Tier: ident.Tier(s.number(given, "tier", 0)), Weight: s.number(given, "weight", 1),
+			Prompt: ident.Tokens(s.number(given, "prompt", 100)), Output: ident.Tokens(s.number(given, "output", 100)),
+			Deadline: time.Now().Add(deadline),
+		}
+		for i := range s.number(given, "blocks", 0) {
+			b.Prefix = append(b.Prefix, ident.Fingerprint(s.number(given, "chat", 1)*1000+i))
+		}
+		b.Wake = func() {
+			qt.Assert(s.t, s.woken[name], qt.IsFalse, qt.Commentf("%s: %s was woken twice", s.place, name))
+			s.woken[name] = true
+		}
+		s.bids[name] = b
+		if !s.cell.Submit(b) {
+			continue
+		}
+		qt.Assert(s.t, s.woken[name], qt.IsFalse, qt.Commentf("%s: %s was answered and woken", s.place, name))
+	}
+}
+
+func (s *script) first(names []string, _ map[string]string) {
+	for _, name := range names {
+		s.cell.FirstToken(ident.RequestID(name))
+	}
+}
+
+func (s *script) done(names []string, given map[string]string) {
+	for _, name := range names {
+		s.cell.Done(ident.RequestID(name), Ending{
+			Failed: given["failed"] == "yes", Unused: given["unused"] == "yes",
+			FirstToken: s.span(given["first"]), BetweenTokens: s.span(given["between"]),
+			Cached:   ident.Tokens(s.number(given, "cached", 0)),
+			Uncached: ident.Tokens(s.number(given, "uncached", 0)),
+		})
+	}
+}
+
+func (s *script) cancel(names []string, _ map[string]string) {
+	qt.Assert(s.t, s.cell.Cancel(s.bids[names[0]]), qt.IsTrue, qt.Commentf(s.place))
+}
+
+func (s *script) wait(names []string, _ map[string]string) {
+	for end := time.Now().Add(s.span(names[0])); time.Now().Before(end); {
+		time.Sleep(100 * time.Millisecond)
+		s.cell.Tick()
+	}
+}
+
+func (s *script) closeBelow(_ []string, given map[string]string) {
+	s.closed = ident.Tier(s.number(given, "tier", 0)) + 1
+	s.cell.Enforce()
+}
+
+func (s *script) mayShed(names []string, _ map[string]string) {
+	s.may = names[0] == "yes"
+	s.cell.Tick()
+}
+
+func (s *script) granted(names []string, given map[string]string) {
+	for _, name := range names {
+		a := s.bids[name].Answer
+		qt.Assert(s.t, a.Outcome, qt.Equals, Granted, qt.Commentf("%s: %s: %s", s.place, name, a.Reason))
+		if on := given["on"]; on != "" {
+			qt.Assert(s.t, string(a.Endpoint), qt.Equals, on, qt.Commentf("%s: %s", s.place, name))
+		}
+		if reason := given["reason"]; reason != "" {
+			qt.Assert(s.t, string(a.Reason), qt.Equals, reason, qt.Commentf("%s: %s", s.place, name))
+		}
+		if given["cached"] != "" {
+			qt.Assert(s.t, int(a.Cached), qt.Equals, s.number(given, "cached", 0), qt.Commentf("%s: %s", s.place, name))
+		}
+	}
+}
+
+func (s *script) waiting(names []string, _ map[string]string) {
+	for _, name := range names {
+		qt.Assert(s.t, s.bids[name].Answer.Outcome, qt.Equals, Waiting, qt.Commentf("%s: %s", s.place, name))
+	}
+}
+
+func (s *script) refused(names []string, given map[string]string) {
+	for _, name := range names {
+		a := s.bids[name].Answer
+		qt.Assert(s.t, a.Outcome == Shed || a.Outcome == Moved, qt.IsTrue, qt.Commentf("%s: %s is not refused", s.place, name))
+		qt.Assert(s.t, string(a.Reason), qt.Equals, given["reason"], qt.Commentf("%s: %s", s.place, name))
+	}
+}
+
+func (s *script) pressed(_ []string, given map[string]string) {
+	want := ident.Tier(s.number(given, "tier", 0))
+	qt.Assert(s.t, s.press, qt.Contains, want, qt.Commentf(s.place))
+}
+
+func (s *script) move([]string, map[string]string)  { s.cell.Close() }
+func (s *script) pause([]string, map[string]string) { s.cell.Pause() }
+
+func (s *script) resume(_ []string, given map[string]string) {
+	s.cell.Resume(ident.Tier(s.number(given, "lowest", ident.MaxTiers-1)))
+}
+
+func (s *script) window(names []string, given map[string]string) {
+	for _, l := range s.cell.Learned() {
+		if string(l.Endpoint) != names[0] {
+			continue
+		}
+		qt.Assert(s.t, int(l.Window) >= s.number(given, "at_least", 0), qt.IsTrue, qt.Commentf("%s: window %d", s.place, l.Window))
+		qt.Assert(s.t, int(l.Window) <= s.number(given, "at_most", 1<<30), qt.IsTrue, qt.Commentf("%s: window %d", s.place, l.Window))
+	}
+}
+
+func (s *script) adopt(names []string, given map[string]string) {
+	s.cell.Adopt(Held{
+		Request: ident.RequestID(names[0]), Node: ident.NodeID(given["node"]),
+		Endpoint: ident.Endpoint(given["on"]), Charge: ident.Tokens(s.number(given, "charge", 0)),
+	})
+}
+
+func (s *script) dropNode(names []string, _ map[string]string) {
+	s.cell.DropNode(ident.NodeID(names[0]))
+}
+
+func (s *script) report(names []string, given map[string]string) {
+	s.cell.Report(LoadReport{
+		Endpoint: ident.Endpoint(names[0]), Age: s.span(given["age"]), Running: s.number(given, "running", 0),
+		Waiting: s.number(given, "waiting", 0), Draining: given["draining"] == "yes",
+	})
+}
+
+func (s *script) unreachable(names []string, _ map[string]string) {
+	s.cell.Unreachable(ident.Endpoint(names[0]))
+}
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -213,6 +213,17 @@
 	return a.Tier
 }
 
+// HighestTier returns the highest tier that a request of the account can have.
+func (a *Account) HighestTier() *Tier {
+	highest := a.Tier
+	for _, r := range a.Team.Rules {
+		if (r.Account == "" || r.Account == a.ID.Name()) && r.Tier.Rank < highest.Rank {
+			highest = r.Tier
+		}
+	}
+	return highest
+}
+
 func (r *Rule) matches(a *Account, pool *Pool, output ident.Tokens) bool {
 	if r.Account != "" && r.Account != a.ID.Name() {
 		return false
--- a/internal/version/config/finding.go
+++ b/internal/version/config/finding.go
@@ -27,7 +27,10 @@
 		fmt.Fprintf(&b, " [%s]", f.Section)
 	}
 	if f.Key != "" {
-		fmt.Fprintf(&b, " %s:", f.Key)
+		fmt.Fprintf(&b, " %s", f.Key)
+	}
+	if f.Section != "" || f.Key != "" {
+		b.WriteByte(':')
 	}
 	return b.String() + " " + f.Problem
 }
