Bring every fault about at every step of a request, under synctest

Cause: the promises had no test under failure. Change: a network of pipes with cuts, freezes and kills; the fleet package runs on it or on sockets; a matrix of faults and steps in a data file, each case in its own bubble with fake time. Found: the home of a key that stopped left its callers waiting for ever (cell_node_leaves at record, keyed chat). A stopped home now answers them.

--- a/internal/process/claims/home.go
+++ b/internal/process/claims/home.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
 	"goldcrestwick/internal/process/store"
@@ -37,6 +38,7 @@
 	records map[Key]*record
 	oldest  []Key
 	pending chan *pendingRow
+	stopped chan struct{}
 	once    sync.Once
 }
 
@@ -63,7 +65,12 @@
 	conflict store.Row
 }
 
-func (h *Home) setUp() { h.once.Do(func() { h.pending = make(chan *pendingRow, maxBatch) }) }
+func (h *Home) setUp() {
+	h.once.Do(func() {
+		h.pending = make(chan *pendingRow, maxBatch)
+		h.stopped = make(chan struct{})
+	})
+}
 
 // Claim decides a claim. It tries until the context ends; then the verdict is
 // Unsure.
@@ -162,7 +169,7 @@
 			go h.catchUp(r)
 			return h.take(r, r.row, 0)
 		}
-		if !pause(ctx, retryPause) {
+		if eris.Is(w.err, errStopped) || !pause(ctx, retryPause) {
 			h.drop(c.Key)
 			return Verdict{}
 		}
@@ -207,7 +214,11 @@
 		h.mu.Lock()
 		held := r.row
 		h.mu.Unlock()
-		if w := h.write(context.Background(), held, 0); w.err == nil {
+		w := h.write(context.Background(), held, 0)
+		if eris.Is(w.err, errStopped) {
+			return
+		}
+		if w.err == nil {
 			h.mu.Lock()
 			r.provisional = false
 			r.version = max(w.conflict.Version, 1)
@@ -284,7 +295,7 @@
 			held, version = found, w.conflict.Version
 			continue
 		}
-		if !pause(ctx, retryPause) {
+		if eris.Is(w.err, errStopped) || !pause(ctx, retryPause) {
 			return
 		}
 	}
@@ -297,18 +308,23 @@
 	case h.pending <- p:
 	case <-ctx.Done():
 		return written{err: ctx.Err()}
+	case <-h.stopped:
+		return written{err: errStopped}
 	}
 	select {
 	case w := <-p.done:
 		return w
 	case <-ctx.Done():
 		return written{err: ctx.Err()}
+	case <-h.stopped:
+		return written{err: errStopped}
 	}
 }
 
 // Run gathers rows into transactions until the context ends.
 func (h *Home) Run(ctx context.Context) {
 	h.setUp()
+	defer close(h.stopped)
 	limiter := rate.NewLimiter(rate.Inf, 1)
 	for {
 		batch := h.gather(ctx)
--- a/internal/process/claims/row.go
+++ b/internal/process/claims/row.go
@@ -11,7 +11,10 @@
 // Table is the name of the table that holds the claims.
 const Table = "claims"
 
-var errNoConflict = eris.New("the table service refused a transaction and named no conflict")
+var (
+	errNoConflict = eris.New("the table service refused a transaction and named no conflict")
+	errStopped    = eris.New("this home has stopped")
+)
 
 type state uint8
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -62,6 +62,11 @@
 	Outlet *outlet.Outlet
 	Policy sched.Policy
 	Log    *log.Logger
+	// Step, when set, is called at each step of each request on this node.
+	Step func(trace.Record)
+	// Decided, when set, is called with each decision of this node's cells,
+	// with the cell's lock held.
+	Decided func(sched.Decision)
 
 	tree      atomic.Pointer[config.Tree]
 	members   member.List
--- a/internal/process/node/observe.go
+++ b/internal/process/node/observe.go
@@ -38,6 +38,9 @@
 		Waited: a.Waited, Settings: n.tree.Load().Version, Event: eventOf(a.Outcome),
 		Tier: n.tierName(d.Cell.Pool, b.Tier),
 	}
+	if n.Decided != nil {
+		n.Decided(d)
+	}
 	n.decisions.mu.Lock()
 	n.decisions.list = append(n.decisions.list, r)
 	n.decisions.mu.Unlock()
@@ -99,6 +102,9 @@
 
 // record remembers and logs a step that this node's entry side took.
 func (n *Node) record(r trace.Record) {
+	if n.Step != nil {
+		n.Step(r)
+	}
 	n.trace.Add(r)
 	n.Log.Debug("request_step", "request_id", r.Request, "event", r.Event, "account", r.Account,
 		"tier", r.Tier, "pool", r.Pool, "endpoint", r.Endpoint, "reason", r.Reason, "settings_version", r.Settings)
--- a/internal/process/trace/trace.go
+++ b/internal/process/trace/trace.go
@@ -31,6 +31,8 @@
 // The events.
 const (
 	Accepted   Event = "accepted"
+	Bidding    Event = "bidding"
+	GrantTaken Event = "grant_taken"
 	Claimed    Event = "claimed"
 	Joined     Event = "joined"
 	Granted    Event = "granted"
@@ -71,6 +73,10 @@
 	switch r.Event {
 	case Accepted:
 		return at + fmt.Sprintf("accepted for account %s in tier %s, pool %s, under settings version %d", r.Account, r.Tier, r.Pool, r.Settings)
+	case Bidding:
+		return at + "bid at cell " + r.Cell
+	case GrantTaken:
+		return at + "took the grant for endpoint " + string(r.Endpoint)
 	case Claimed:
 		return at + "its idempotency key was claimed for this request"
 	case Joined:
--- a/internal/request/entry/bid.go
+++ b/internal/request/entry/bid.go
@@ -46,9 +46,11 @@
 	for {
 		cell, ok := e.chooseCell(j)
 		if ok {
+			e.note(j, trace.Record{Event: trace.Bidding, Cell: cell.String()})
 			s := e.bidAt(ctx, j, cell)
 			switch s.answer.Outcome {
 			case sched.Granted:
+				e.note(j, trace.Record{Event: trace.GrantTaken, Endpoint: s.answer.Endpoint})
 				return s, nil
 			case sched.Shed:
 				return nil, shedRefusal(s.answer)
--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -75,6 +75,9 @@
 	Fault func(id ident.RequestID) Fault
 	// Slowdown multiplies the time of a step; nil or values below 1 mean 1.
 	Slowdown func() float64
+	// Sent is called before each token is sent, and once with last set before
+	// the end of the answer. Nil is allowed.
+	Sent func(id ident.RequestID, tokens int, last bool)
 	// Holdings, when set, is shared by all engines and counts wasted prefill.
 	Holdings *Holdings
 
--- a/internal/stand/runner/serve.go
+++ b/internal/stand/runner/serve.go
@@ -157,9 +157,11 @@
 				flusher.Flush() //nolint:errcheck // about to be cut.
 				panic(http.ErrAbortHandler)
 			}
+			e.sent(s.id, from, false)
 			writeToken(w, s, from, fault.Crossed)
 		}
 		if ended {
+			e.sent(s.id, from, true)
 			writeEnd(w, s)
 			return
 		}
@@ -174,6 +176,12 @@
 	}
 }
 
+func (e *Runner) sent(id ident.RequestID, tokens int, last bool) {
+	if e.Sent != nil {
+		e.Sent(id, tokens, last)
+	}
+}
+
 func (e *Runner) attach(s *stream, n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/tool/fleet/fleet.go
+++ b/internal/tool/fleet/fleet.go
@@ -14,7 +14,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -23,6 +22,7 @@
 	"github.com/rotisserie/eris"
 
 	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/outlet"
 	"goldcrestwick/internal/process/node"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/store"
@@ -48,10 +48,17 @@
 	Nodes int
 	// Policy is how the nodes decide.
 	Policy sched.Policy
+	// Network is what the parts are connected by; nil takes sockets on
+	// 127.0.0.x.
+	Network *Network
 	// LogTo gets the nodes' logs; nil drops them.
 	LogTo io.Writer
 	// LogLevel is the least severe level logged.
 	LogLevel log.Level
+	// Prepare changes a node before it starts, PrepareRunner an engine; nil
+	// changes nothing.
+	Prepare       func(*Node)
+	PrepareRunner func(ident.Endpoint, *runner.Runner)
 }
 
 // Fleet is a running deployment.
@@ -62,20 +69,22 @@
 	Holdings *runner.Holdings
 	Nodes    []*Node
 
-	options   Options
-	authority *link.Authority
-	listed    []cloud.Instance
-	platform  string
-	servers   []*http.Server
+	options  Options
+	network  *Network
+	listed   []cloud.Instance
+	platform string
+	servers  []*http.Server
 }
 
 // Node is one entry node of a Fleet.
 type Node struct {
 	*node.Node
-	// Address is where callers connect.
+	// Address is where callers connect, Host the machine's name in the
+	// network.
 	Address string
+	Host    string
 
-	link   *link.Link
+	peers  *Peers
 	server *http.Server
 	once   sync.Once
 }
@@ -98,10 +107,13 @@
 
 func (f *Fleet) start() error {
 	var err error
-	if f.authority, err = link.NewAuthority(); err != nil {
-		return err
+	f.network = f.options.Network
+	if f.network == nil {
+		if f.network, err = Sockets(); err != nil {
+			return err
+		}
 	}
-	if f.platform, err = f.serve(f.Platform, "127.0.0.1:0"); err != nil {
+	if f.platform, err = f.serve(f.Platform, PlatformHost); err != nil {
 		return err
 	}
 	for _, team := range f.options.Tree.Teams {
@@ -137,10 +149,10 @@
 	return zones[i%len(zones)]
 }
 
-func (f *Fleet) serve(h http.Handler, address string) (string, error) {
-	listener, err := net.Listen("tcp", address)
+func (f *Fleet) serve(h http.Handler, host string) (string, error) {
+	listener, err := f.network.Listen(host)
 	if err != nil {
-		return "", eris.Wrap(err, "listen")
+		return "", err
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: shutdownTime, ErrorLog: quiet()}
 	f.servers = append(f.servers, server)
@@ -166,12 +178,15 @@
 			speed = runner.Medium
 		}
 		r := &runner.Runner{Speed: speed, Holdings: f.Holdings, ChecksFencing: e.ChecksFencing}
+		if f.options.PrepareRunner != nil {
+			f.options.PrepareRunner(e.ID, r)
+		}
 		r.Start()
 		f.Runners[e.ID] = r
 		handler = r
 	}
 	var err error
-	in.Address, err = f.serve(handler, "127.0.0.1:0")
+	in.Address, err = f.serve(handler, HostOf(e.ID))
 	f.listed = append(f.listed, in)
 	f.Platform.SetInstances(f.list())
 	return err
@@ -191,39 +206,42 @@
 
 // AddNode starts one more entry node.
 func (f *Fleet) AddNode(zone ident.AvailabilityZone) (*Node, error) {
-	number := len(f.Nodes) + 1
-	ip := net.IPv4(127, 0, 0, byte(number)) //nolint:gosec // a fleet has few nodes.
-	name := fmt.Sprintf("entry-%d", number)
-	certs, err := f.authority.Issue(name, ip)
+	name := fmt.Sprintf("entry-%d", len(f.Nodes)+1)
+	host := f.network.NodeHost(len(f.Nodes))
+	n := &Node{Host: host}
+	mux := &link.Mux{}
+	listener, err := f.network.Listen(host)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{link: &link.Link{TLS: link.Fixed(certs), Mux: &link.Mux{}}}
-	if err := n.link.Listen(ip.String() + ":0"); err != nil {
+	if n.peers, err = f.network.Peers(host, mux); err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", ip.String()+":0")
-	if err != nil {
-		return nil, eris.Wrap(err, "listen for callers")
-	}
 	n.Address = listener.Addr().String()
-	logger := log.NewWithOptions(f.options.LogTo, log.Options{Level: f.options.LogLevel, Formatter: log.LogfmtFormatter, ReportTimestamp: true})
+	dial := f.network.Dial(host)
 	n.Node = &node.Node{
 		Process: config.Process{
 			Name: ident.NodeID(name), Zone: zone, Region: f.options.Tree.Region,
-			CallerAddress: n.Address, PeerAddress: n.link.Address(),
+			CallerAddress: n.Address, PeerAddress: n.peers.Address,
+		},
+		Tree: f.options.Tree,
+		Store: &store.Client{
+			Table: f.platform, Objects: f.platform, Instances: f.platform,
+			HTTP: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
 		},
-		Tree:   f.options.Tree,
-		Store:  &store.Client{Table: f.platform, Objects: f.platform, Instances: f.platform},
-		Open:   n.link.Open,
-		Forget: n.link.Forget,
+		Open:   n.peers.Open,
+		Forget: n.peers.Forget,
+		Outlet: &outlet.Outlet{Dial: dial},
 		Policy: f.options.Policy,
-		Log:    logger.With("node", name),
+		Log:    f.logger(name),
+	}
+	if f.options.Prepare != nil {
+		f.options.Prepare(n)
 	}
-	n.Prepare(n.link.Mux, resumeKey)
+	n.Prepare(mux, resumeKey)
 	f.listed = append(f.listed, cloud.Instance{
 		ID: name, Kind: "entry", State: "live", Region: string(f.options.Tree.Region), Zone: string(zone),
-		Address: n.Address, Peer: n.link.Address(),
+		Address: n.Address, Peer: n.peers.Address,
 	})
 	f.Platform.SetInstances(f.list())
 	n.Start(context.Background())
@@ -234,6 +252,11 @@
 	return n, nil
 }
 
+func (f *Fleet) logger(name string) *log.Logger {
+	options := log.Options{Level: f.options.LogLevel, Formatter: log.LogfmtFormatter, ReportTimestamp: true}
+	return log.NewWithOptions(f.options.LogTo, options).With("node", name)
+}
+
 // settle waits until every node sees every other ready.
 func (f *Fleet) settle() error {
 	end := time.Now().Add(settleTime)
@@ -260,7 +283,7 @@
 	n.once.Do(func() {
 		n.server.Close() //nolint:errcheck // a crash.
 		n.Stop()
-		n.link.Close() //nolint:errcheck // a crash.
+		n.peers.Close()
 	})
 }
 
