Answer the waiting bids of a node that seems dead

Ruled out: a lost wake-up in the pipes, a paused cell, a suspended endpoint. Change: such bids are answered as moved, so a node that lives bids again.

--- a/internal/process/sched/members.go
+++ b/internal/process/sched/members.go
@@ -116,12 +116,14 @@
 		delete(c.inflight, id)
 	}
 	for tier := range c.queues {
-		c.queues[tier].dropNode(node)
+		c.dropBids(&c.queues[tier], node)
 	}
 	c.pump(c.now())
 }
 
-func (q *queue) dropNode(node ident.NodeID) {
+// dropBids answers the waiting bids of a node: a node that only seemed dead
+// bids again.
+func (c *Cell) dropBids(q *queue, node ident.NodeID) {
 	var gone []*Bid
 	q.each(func(b *Bid) bool {
 		if b.Node == node {
@@ -131,6 +133,7 @@
 	})
 	for _, b := range gone {
 		q.remove(b)
+		c.decide(b, Answer{Outcome: Moved, Reason: ReasonCellMoved})
 	}
 }
 
--- a/internal/tool/fleet/case_test.go
+++ b/internal/tool/fleet/case_test.go
@@ -382,7 +382,12 @@
 			told = append(told, r)
 		}
 	}
-	return "\n" + trace.Explain(told)
+	var b strings.Builder
+	b.WriteString("\n" + trace.Explain(told))
+	for _, n := range c.fleet.Nodes {
+		fmt.Fprintf(&b, "%s sees %v, runs %+v\n", n.Process.Name, n.Members().Members, n.Cells().Loads())
+	}
+	return b.String()
 }
 
 func (c *testCase) runnerFault(_ ident.Endpoint, id ident.RequestID) runner.Fault {
