--- a/internal/connection/front/front.go
+++ b/internal/connection/front/front.go
@@ -43,6 +43,15 @@
 	Zone    ident.AvailabilityZone
 }
 
+// ResumePoint says where a broken answer can be taken up.
+type ResumePoint struct {
+	Account  ident.ClientAccount
+	Pool     ident.PoolID
+	Endpoint ident.Endpoint
+	Request  ident.RequestID
+	Form     intake.Form
+}
+
 // Front serves HTTP. Set the exported fields before use.
 type Front struct {
 	Tree func() *config.Tree
@@ -56,7 +65,7 @@
 	// Resume streams the rest of an answer whose entry node died.
 	Resume func(ctx context.Context, account ident.ClientAccount, token string, from int, sink Sinker) *refuse.Refusal
 	// Token makes a resume token for a run.
-	Token func(ident.ClientAccount, ident.PoolID, ident.Endpoint, ident.RequestID) string
+	Token func(ResumePoint) string
 	Meter *meter.Meter
 	Gate  *gate.Gate
 }
--- a/internal/connection/front/writer.go
+++ b/internal/connection/front/writer.go
@@ -44,7 +44,7 @@
 			if f.Token == nil || pool.Kind != ident.ModelRunner {
 				return ""
 			}
-			return f.Token(account.ID, pool.ID, h.Endpoint, h.Request)
+			return f.Token(ResumePoint{account.ID, pool.ID, h.Endpoint, h.Request, req.Form})
 		},
 	}
 	if r.ProtoMajor == 1 {
--- /dev/null
+++ b/internal/connection/link/link_test.go
@@ -0,0 +1,91 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+type note struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+const kindNote Kind = 1
+
+// pair opens two links on loopback with certificates from the given issuers.
+func pair(t *testing.T, first, second *Authority) (*Link, *Link) {
+	open := func(a *Authority) *Link {
+		certs, err := a.Issue("node", net.IPv4(127, 0, 0, 1))
+		qt.Assert(t, err, qt.IsNil)
+		l := &Link{TLS: Fixed(certs), Mux: &Mux{}}
+		Handle(l.Mux, kindNote, func(_ context.Context, s *Stream, n note) {
+			s.Send(kindNote, note{"echo " + n.Text}) //nolint:errcheck // the caller sees it.
+		})
+		qt.Assert(t, l.Listen("127.0.0.1:0"), qt.IsNil)
+		t.Cleanup(func() { l.Close() }) //nolint:errcheck // the test is over.
+		return l
+	}
+	return open(first), open(second)
+}
+
+func authority(t *testing.T) *Authority {
+	a, err := NewAuthority()
+	qt.Assert(t, err, qt.IsNil)
+	return a
+}
+
+// TestCall exchanges messages over QUIC, also after the connection is dropped.
+func TestCall(t *testing.T) {
+	ca := authority(t)
+	a, b := pair(t, ca, ca)
+	for range 2 {
+		reply, err := Call[note, note](t.Context(), a.Open, b.Address(), kindNote, note{"hello"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, reply.Text, qt.Equals, "echo hello")
+		a.Forget(b.Address())
+	}
+}
+
+// TestStranger checks that a node with a certificate of another authority gets
+// no answer.
+func TestStranger(t *testing.T) {
+	a, b := pair(t, authority(t), authority(t))
+	_, err := Call[note, note](t.Context(), a.Open, b.Address(), kindNote, note{"hello"})
+	qt.Assert(t, err, qt.IsNotNil)
+}
+
+// TestEnd checks that closing a stream ends the other side's context and read.
+func TestEnd(t *testing.T) {
+	ca := authority(t)
+	a, b := pair(t, ca, ca)
+	ended := make(chan error, 1)
+	Handle(b.Mux, 2, func(ctx context.Context, s *Stream, _ note) {
+		<-ctx.Done()
+		_, _, err := s.Receive()
+		ended <- err
+	})
+	s, err := a.Open(t.Context(), b.Address())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, s.Send(2, note{}), qt.IsNil)
+	qt.Assert(t, s.Close(), qt.IsNil)
+	qt.Assert(t, <-ended, qt.IsNotNil)
+}
+
+// FuzzReadFrame checks that no bytes make the reader panic, and that what it
+// reads it would write in the same way.
+func FuzzReadFrame(f *testing.F) {
+	f.Add(AppendFrame(nil, 3, []byte{0xa1, 0x01, 0x61, 0x78}))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1, 2})
+	f.Add([]byte{0, 0, 0, 1})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		kind, body, err := ReadFrame(bytes.NewReader(raw))
+		if err != nil {
+			return
+		}
+		qt.Assert(t, bytes.HasPrefix(raw, AppendFrame(nil, kind, body)), qt.IsTrue)
+		Decode[note](body) //nolint:errcheck // it must not panic.
+	})
+}
--- a/internal/process/node/callers.go
+++ b/internal/process/node/callers.go
@@ -120,13 +120,15 @@
 	Pool     string `json:"pool"`
 	Endpoint string `json:"endpoint"`
 	Request  string `json:"request"`
+	Form     uint8  `json:"form"`
 	Expires  int64  `json:"expires_unix"`
 }
 
 // resumeToken makes a token that any node can check with the shared key.
-func (n *Node) resumeToken(account ident.ClientAccount, pool ident.PoolID, endpoint ident.Endpoint, id ident.RequestID) string {
+func (n *Node) resumeToken(p front.ResumePoint) string {
 	raw, err := json.Marshal(token{
-		string(account), string(pool), string(endpoint), string(id), time.Now().Add(resumeLife).Unix(),
+		string(p.Account), string(p.Pool), string(p.Endpoint), string(p.Request), uint8(p.Form),
+		time.Now().Add(resumeLife).Unix(),
 	})
 	if err != nil {
 		panic(err) // strings and numbers always encode.
@@ -168,7 +170,7 @@
 	id := ident.RequestID(t.Request)
 	run := &relay.Run{
 		Outlet: n.Outlet, Address: address, Endpoint: ident.Endpoint(t.Endpoint),
-		Request: &intake.Request{ID: id}, Sink: sinker(id, pool.Model, intake.Chat),
+		Request: &intake.Request{ID: id}, Sink: sinker(id, pool.Model, intake.Form(t.Form)),
 	}
 	return run.Resume(ctx, from).Refusal
 }
--- a/internal/stand/runner/serve.go
+++ b/internal/stand/runner/serve.go
@@ -196,17 +196,17 @@
 }
 
 func writeToken(w http.ResponseWriter, s *stream, i int, crossed bool) {
-	id := s.id
+	id, text := s.id, s.answer[i]
 	if crossed {
-		id = "another-request"
+		id, text = "another-request", "foreign "
 	}
 	finish := "null"
 	if i == len(s.answer)-1 {
 		finish = `"stop"`
 	}
-	body := `"text":"` + s.answer[i] + `"`
+	body := `"text":"` + text + `"`
 	if s.chat {
-		body = `"delta":{"content":"` + s.answer[i] + `"}`
+		body = `"delta":{"content":"` + text + `"}`
 	}
 	fmt.Fprintf(w, "id: %d\ndata: {\"id\":%q,\"choices\":[{\"index\":0,%s,\"finish_reason\":%s}]}\n\n", i+1, id, body, finish) //nolint:errcheck // seen at the flush.
 }
