Take cache events in, exit with 2 on every usage error

Cause: cache events were not read; a bad flag of a subcommand exited with 1. Change: each poll reads an endpoint's cache events and trims the prefix index; the usage handler is set on every command.

--- a/cmd/goldcrestwick/main.go
+++ b/cmd/goldcrestwick/main.go
@@ -59,19 +59,29 @@
 }
 
 func command(out, errs io.Writer) *cli.Command {
-	return &cli.Command{
+	app := &cli.Command{
 		Name:  "goldcrestwick",
 		Usage: "a request scheduler for unlike model engines and the plain services beside them",
 		Description: "Exit codes: 0 success, 1 the work failed, 2 the command line or the settings are at fault.\n" +
 			"Results go to standard output, errors and logs to standard error.",
-		Writer:    out,
-		ErrWriter: errs,
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return usageError{err}
-		},
+		Writer:         out,
+		ErrWriter:      errs,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			serveCommand(), settingsCommand(), addressesCommand(), explainCommand(), loadCommand(), tryCommand(),
 		},
 	}
+	markUsageErrors(app)
+	return app
+}
+
+// markUsageErrors makes faults of the command line tell themselves apart in a
+// command and all below it.
+func markUsageErrors(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return usageError{err}
+	}
+	for _, sub := range c.Commands {
+		markUsageErrors(sub)
+	}
 }
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -60,6 +60,9 @@
 	Held func(ident.CellID) []sched.Held
 	// Poll asks an endpoint for its load.
 	Poll func(context.Context, sched.EndpointSpec) (sched.LoadReport, error)
+	// Events asks an endpoint for its cache events after a number and returns
+	// the number to ask from next; nil does without.
+	Events func(ctx context.Context, spec sched.EndpointSpec, after int) ([]CacheEvent, int, error)
 	// Policy is how cells decide. With a baseline every node runs all cells.
 	Policy sched.Policy
 	// Observe gets each decision, with the cell's lock held.
@@ -75,9 +78,15 @@
 	ctx     context.Context
 }
 
+// owned is a cell that runs here.
 type owned struct {
-	cell  *sched.Cell
-	specs []sched.EndpointSpec
+	cell   *sched.Cell
+	specs  []sched.EndpointSpec
+	recent recent
+
+	mu sync.Mutex
+	// events holds how far each endpoint's cache events were read.
+	events map[ident.Endpoint]int
 }
 
 // Register adds the handlers for the other nodes' messages.
@@ -182,11 +191,13 @@
 func (m *Manager) configure(id ident.CellID, cell roster.Cell) {
 	pool := m.Tree().Pool(id.Pool)
 	if o := m.local[id]; o != nil {
-		o.specs = cell.Endpoints
+		o.setEndpoints(cell.Endpoints)
 		o.cell.Configure(pool, cell.Endpoints)
 		return
 	}
-	c := m.newCell(id, pool)
+	o := &owned{specs: cell.Endpoints}
+	c := m.newCell(id, pool, o)
+	o.cell = c
 	last := m.retired[id]
 	delete(m.retired, id)
 	c.Pause()
@@ -196,7 +207,7 @@
 			c.Teach(l)
 		}
 	}
-	m.local[id] = &owned{c, cell.Endpoints}
+	m.local[id] = o
 	if m.Policy != sched.Fair || m.ctx == nil {
 		c.Resume(floor.Open)
 		return
@@ -204,9 +215,17 @@
 	m.tasks.Go(func() { m.takeOver(m.ctx, c) })
 }
 
-func (m *Manager) newCell(id ident.CellID, pool *config.Pool) *sched.Cell {
+func (m *Manager) newCell(id ident.CellID, pool *config.Pool, o *owned) *sched.Cell {
 	return &sched.Cell{
-		ID: id, Pool: pool, Policy: m.Policy, Observe: m.Observe,
+		ID: id, Pool: pool, Policy: m.Policy,
+		Observe: func(d sched.Decision) {
+			if d.Bid.Answer.Outcome == sched.Granted {
+				o.recent.add(d.Bid.Request, d.Bid.Prefix)
+			}
+			if m.Observe != nil {
+				m.Observe(d)
+			}
+		},
 		Admits:  func(t ident.Tier) bool { return m.floors.Admits(id.Pool, t, time.Now()) },
 		Press:   func(t ident.Tier) { m.floors.Press(id.Pool, t, time.Now()) },
 		MayShed: func(t ident.Tier) bool { return m.mayShed(id.Pool, t) },
@@ -303,11 +322,23 @@
 	defer m.mu.Unlock()
 	all := make([]*owned, 0, len(m.local))
 	for _, o := range m.local {
-		all = append(all, &owned{o.cell, o.specs})
+		all = append(all, o)
 	}
 	return all
 }
 
+func (o *owned) endpoints() []sched.EndpointSpec {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.specs
+}
+
+func (o *owned) setEndpoints(specs []sched.EndpointSpec) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.specs = specs
+}
+
 func (m *Manager) tick(context.Context) {
 	for _, o := range m.cells() {
 		o.cell.Tick()
@@ -363,22 +394,23 @@
 		return
 	}
 	for _, o := range m.cells() {
-		for _, spec := range o.specs {
-			m.tasks.Go(func() { m.poll(ctx, o.cell, spec) })
+		for _, spec := range o.endpoints() {
+			m.tasks.Go(func() { m.poll(ctx, o, spec) })
 		}
 	}
 	m.forgetRetired()
 }
 
-func (m *Manager) poll(ctx context.Context, cell *sched.Cell, spec sched.EndpointSpec) {
+func (m *Manager) poll(ctx context.Context, o *owned, spec sched.EndpointSpec) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	report, err := m.Poll(ctx, spec)
 	if err != nil {
-		cell.Unreachable(spec.ID)
+		o.cell.Unreachable(spec.ID)
 		return
 	}
-	cell.Report(report)
+	o.cell.Report(report)
+	m.readEvents(ctx, o, spec)
 }
 
 func (m *Manager) forgetRetired() {
--- a/internal/process/floor/floor_test.go
+++ b/internal/process/floor/floor_test.go
@@ -110,7 +110,7 @@
 					m.deliver(rapid.IntRange(0, len(m.flying)-1).Draw(rt, "message"))
 				}
 			},
-			"lose": func(rt *rapid.T) {
+			"lose": func(*rapid.T) {
 				if len(m.flying) > 0 {
 					m.flying = m.flying[1:]
 				}
--- a/internal/process/node/callers.go
+++ b/internal/process/node/callers.go
@@ -8,14 +8,10 @@
 	"encoding/json"
 	"math"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"goldcrestwick/internal/connection/front"
 	"goldcrestwick/internal/process/member"
-	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/intake"
 	"goldcrestwick/internal/request/refuse"
@@ -86,34 +82,6 @@
 	return len(members) == 0
 }
 
-type endpointLoad struct {
-	AsOf     int64 `json:"as_of_unix_ms"`
-	Running  int   `json:"running"`
-	Waiting  int   `json:"waiting"`
-	Draining bool  `json:"draining"`
-}
-
-// poll asks an endpoint for its load.
-func (n *Node) poll(ctx context.Context, spec sched.EndpointSpec) (sched.LoadReport, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, spec.Address+"/load", nil)
-	if err != nil {
-		return sched.LoadReport{}, eris.Wrap(err, "ask for load")
-	}
-	resp, _, err := n.Outlet.Do(req)
-	if err != nil {
-		return sched.LoadReport{}, eris.Wrap(err, "ask for load")
-	}
-	defer resp.Body.Close() //nolint:errcheck // read to its end.
-	var l endpointLoad
-	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
-		return sched.LoadReport{}, eris.Wrap(err, "load report")
-	}
-	return sched.LoadReport{
-		Endpoint: spec.ID, Age: max(time.Since(time.UnixMilli(l.AsOf)), 0),
-		Running: l.Running, Waiting: l.Waiting, Draining: l.Draining,
-	}, nil
-}
-
 // token is what a resume token says.
 type token struct {
 	Account  string `json:"account"`
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -107,7 +107,7 @@
 	}
 	n.cells = cells.Manager{
 		Self: n.members.Self, Members: n.members.View, Tree: n.tree.Load, Open: n.Open,
-		Held: n.entry.Held, Poll: n.poll, Policy: n.Policy, Observe: n.observe,
+		Held: n.entry.Held, Poll: n.poll, Events: n.cacheEvents, Policy: n.Policy, Observe: n.observe,
 	}
 	n.home = claims.Home{Transact: n.Store.Transact, WriteRate: n.writeRate, Tenure: n.homeSince}
 	n.keys = entry.Keys{
