Spread addresses over zones with one change for each lost node

Cause: the answer of /v1/addresses had no test; the extra address of another zone let one lost node change two addresses of an account.

--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -113,6 +113,8 @@
 	TLS func() *tls.Config
 	// Mux serves the streams that others open.
 	Mux *Mux
+	// Socket wraps the UDP socket, to count or to disturb; nil leaves it.
+	Socket func(net.PacketConn) net.PacketConn
 
 	socket    net.PacketConn
 	transport *quic.Transport
@@ -137,6 +139,9 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
+	if l.Socket != nil {
+		socket = l.Socket(socket)
+	}
 	l.socket = socket
 	l.transport = &quic.Transport{Conn: socket}
 	l.peers = map[string]*peer{}
--- a/internal/process/node/callers.go
+++ b/internal/process/node/callers.go
@@ -40,11 +40,13 @@
 	ready := n.members.View().Ready(n.Process.Region)
 	count := min(n.addressCount(account, len(ready)), len(ready))
 	ranked := member.Ranked(ready, "addresses/"+string(account.ID))
-	chosen := ranked[:count]
+	chosen := ranked[:count:count]
 	if !hasOtherZone(chosen) {
+		// The last one makes room for another zone, so that a zone that is
+		// lost does not take the account with it.
 		for _, m := range ranked[count:] {
 			if m.Zone != chosen[0].Zone {
-				chosen = append(chosen[:len(chosen):len(chosen)], m)
+				chosen[count-1] = m
 				break
 			}
 		}
--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -107,6 +107,8 @@
 	CutBeforeFirst bool
 	// CutAfter closes the connection after so many tokens; 0 means never.
 	CutAfter int
+	// Skip leaves the token with this number out; 0 means none.
+	Skip int
 	// Lose makes the stream impossible to resume.
 	Lose bool
 	// Crossed sends another request's identifier in the events.
--- a/internal/stand/runner/serve.go
+++ b/internal/stand/runner/serve.go
@@ -158,6 +158,9 @@
 				panic(http.ErrAbortHandler)
 			}
 			e.sent(s.id, from, false)
+			if fault.Skip > 0 && from == fault.Skip {
+				continue
+			}
 			writeToken(w, s, from, fault.Crossed)
 		}
 		if ended {
--- a/internal/tool/fleet/faults_test.go
+++ b/internal/tool/fleet/faults_test.go
@@ -56,6 +56,7 @@
 	"stream_lost": func(c *testCase) {
 		c.spoil(runner.Fault{CutAfter: caseTokens / 4, Lose: true}, apprun.Fault{CutMid: true})
 	},
+	"stream_gap":     func(c *testCase) { c.spoil(runner.Fault{Skip: caseTokens / 2}, apprun.Fault{}) },
 	"late_answer":    func(c *testCase) { c.spoil(runner.Fault{Delay: faultTime}, apprun.Fault{Delay: faultTime}) },
 	"crossed_answer": func(c *testCase) { c.spoil(runner.Fault{Crossed: true, Lose: true}, apprun.Fault{Crossed: true}) },
 }
--- a/internal/tool/fleet/fleet.go
+++ b/internal/tool/fleet/fleet.go
@@ -36,7 +36,7 @@
 const (
 	serviceTime  = 20 * time.Millisecond
 	shutdownTime = 5 * time.Second
-	settleTime   = 10 * time.Second
+	settleTime   = 30 * time.Second
 	settlePause  = 50 * time.Millisecond
 )
 
@@ -109,7 +109,7 @@
 	var err error
 	f.network = f.options.Network
 	if f.network == nil {
-		if f.network, err = Sockets(); err != nil {
+		if f.network, err = Sockets(nil); err != nil {
 			return err
 		}
 	}
--- a/internal/tool/fleet/network.go
+++ b/internal/tool/fleet/network.go
@@ -40,8 +40,9 @@
 // HostOf names the machine of an endpoint.
 func HostOf(id ident.Endpoint) string { return strings.ReplaceAll(string(id), "/", ".") }
 
-// Sockets is the real network: TCP and QUIC on 127.0.0.x.
-func Sockets() (*Network, error) {
+// Sockets is the real network: TCP and QUIC on 127.0.0.x. Wrap, when not nil,
+// wraps each UDP socket.
+func Sockets(wrap func(net.PacketConn) net.PacketConn) (*Network, error) {
 	authority, err := link.NewAuthority()
 	if err != nil {
 		return nil, err
@@ -58,16 +59,16 @@
 		Dial: func(string) func(context.Context, string, string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext
 		},
-		Peers: func(host string, mux *link.Mux) (*Peers, error) { return quicPeers(authority, host, mux) },
+		Peers: func(host string, mux *link.Mux) (*Peers, error) { return quicPeers(authority, host, mux, wrap) },
 	}, nil
 }
 
-func quicPeers(authority *link.Authority, host string, mux *link.Mux) (*Peers, error) {
+func quicPeers(authority *link.Authority, host string, mux *link.Mux, wrap func(net.PacketConn) net.PacketConn) (*Peers, error) {
 	certs, err := authority.Issue(host, net.ParseIP(host))
 	if err != nil {
 		return nil, err
 	}
-	l := &link.Link{TLS: link.Fixed(certs), Mux: mux}
+	l := &link.Link{TLS: link.Fixed(certs), Mux: mux, Socket: wrap}
 	if err := l.Listen(net.JoinHostPort(host, "0")); err != nil {
 		return nil, err
 	}
