Keep the settings in the platform and follow them on every node

Cause: settings were read from files at the start of a node; changing one meant restarting the fleet. Change: the table service holds versions of the tree; settings init, get, put, diff, history, status and watch; each operator reaches its own subtree. Nodes learn of a version from three that look often, from news and from gossip, fetch only the texts they lack, from peers when the store is down, and never go back. A node that starts waits for the newest version that the platform or a peer knows.

--- a/cmd/goldcrestwick/serve.go
+++ b/cmd/goldcrestwick/serve.go
@@ -13,7 +13,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
-	"goldcrestwick/internal/connection/front"
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/process/node"
 	"goldcrestwick/internal/process/store"
@@ -46,7 +45,9 @@
 	operators *http.Server
 	failed    chan error
 	log       *log.Logger
-	ttl       time.Duration
+	// callerAddress and operatorAddress are the addresses in use.
+	callerAddress   string
+	operatorAddress string
 }
 
 func serve(ctx context.Context, c *cli.Command) error {
@@ -67,9 +68,11 @@
 	if err != nil {
 		return nil, err
 	}
-	tree, err := config.Load(os.DirFS(p.Tree), 1)
-	if err != nil {
-		return nil, err
+	var tree *config.Tree
+	if p.Tree != "" {
+		if tree, err = config.Load(os.DirFS(p.Tree), 1); err != nil {
+			return nil, err
+		}
 	}
 	key, err := os.ReadFile(p.ResumeKey)
 	if err != nil {
@@ -82,7 +85,7 @@
 	if err := files.Load(); err != nil {
 		return nil, err
 	}
-	s := &server{failed: make(chan error, 2), log: newLogger(p, logTo), ttl: tree.Limits.AddressesTTL}
+	s := &server{failed: make(chan error, 2), log: newLogger(p, logTo)}
 	s.link = &link.Link{TLS: files.Config, Mux: &link.Mux{}}
 	if err := s.link.Listen(p.PeerAddress); err != nil {
 		return nil, err
@@ -110,6 +113,7 @@
 		return eris.Wrap(err, "listen for operators")
 	}
 	p.CallerAddress = callers.Addr().String()
+	s.callerAddress, s.operatorAddress = p.CallerAddress, operators.Addr().String()
 	s.node = &node.Node{
 		Process: p, Tree: tree, Open: s.link.Open, Forget: s.link.Forget, Log: s.log,
 		Store: &store.Client{Table: p.TableURL, Objects: p.ObjectURL, Instances: p.InstancesURL},
@@ -117,7 +121,7 @@
 	s.node.Prepare(s.link.Mux, key)
 	s.node.Start(context.Background())
 	s.callers = s.node.Front().Server()
-	s.operators = &http.Server{Handler: front.Operators(s.node.Explain, s.node.WriteMetrics), ReadHeaderTimeout: tree.Limits.HeaderTimeout}
+	s.operators = &http.Server{Handler: s.node.Operators().Handler(), ReadHeaderTimeout: s.node.Settings().Limits.HeaderTimeout}
 	s.run(s.callers, callers)
 	s.run(s.operators, operators)
 	s.log.Info("listening", "callers", p.CallerAddress, "peers", p.PeerAddress, "operators", operators.Addr().String())
@@ -137,7 +141,7 @@
 // it has ended.
 func (s *server) drain() error {
 	s.node.Leave()
-	time.Sleep(s.ttl)
+	time.Sleep(s.node.Settings().Limits.AddressesTTL)
 	err := s.callers.Shutdown(context.Background())
 	s.node.Wait()
 	s.node.Stop()
--- a/cmd/goldcrestwick/settings.go
+++ b/cmd/goldcrestwick/settings.go
@@ -19,7 +19,7 @@
 	return &cli.Command{
 		Name:  "settings",
 		Usage: "work with settings",
-		Commands: []*cli.Command{{
+		Commands: append([]*cli.Command{{
 			Name:      "check",
 			Usage:     "check a settings tree (a directory) or the settings of one process (a file)",
 			ArgsUsage: "DIR or FILE",
@@ -27,7 +27,7 @@
 				"Exit codes: 0 no fault, 2 faults or nothing to read.",
 			Flags:  []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "write the faults as JSON"}},
 			Action: checkSettings,
-		}},
+		}}, platformCommands()...),
 	}
 }
 
@@ -74,6 +74,9 @@
 	if err != nil {
 		return "", err
 	}
+	if p.Tree == "" {
+		return "no fault: process " + string(p.Name) + ", which follows the platform's settings", nil
+	}
 	if _, err := config.Load(os.DirFS(p.Tree), 1); err != nil {
 		return "", err
 	}
--- a/internal/connection/front/operators.go
+++ b/internal/connection/front/operators.go
@@ -36,26 +36,36 @@
 
 const timeForm = "2006-01-02T15:04:05.000000Z07:00"
 
-// Operators returns the handler for operators: metrics and explanations. It
-// belongs on an address that callers cannot reach.
-func Operators(explain func(context.Context, ident.RequestID) []trace.Record, metrics func(io.Writer)) http.Handler {
+// Operators serves operators: metrics, explanations and settings. It belongs
+// on an address that callers cannot reach.
+type Operators struct {
+	Explain  func(context.Context, ident.RequestID) []trace.Record
+	Metrics  func(io.Writer)
+	Settings Settings
+}
+
+// Handler returns the HTTP handler.
+func (o *Operators) Handler() http.Handler {
 	r := chi.NewRouter()
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		metrics(w)
-	})
-	r.Get("/v1/explain/{id}", func(w http.ResponseWriter, req *http.Request) {
-		id := ident.RequestID(chi.URLParam(req, "id"))
-		records := explain(req.Context(), id)
-		if len(records) == 0 {
-			http.Error(w, "no node remembers this request", http.StatusNotFound)
-			return
-		}
-		writeJSON(w, explanationOf(id, records))
+		o.Metrics(w)
 	})
+	r.Get("/v1/explain/{id}", o.explain)
+	o.Settings.routes(r)
 	return r
 }
 
+func (o *Operators) explain(w http.ResponseWriter, r *http.Request) {
+	id := ident.RequestID(chi.URLParam(r, "id"))
+	records := o.Explain(r.Context(), id)
+	if len(records) == 0 {
+		http.Error(w, "no node remembers this request", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, explanationOf(id, records))
+}
+
 func explanationOf(id ident.RequestID, records []trace.Record) Explanation {
 	e := Explanation{Request: string(id)}
 	for _, r := range records {
--- a/internal/connection/link/certs.go
+++ b/internal/connection/link/certs.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
+	"encoding/pem"
 	"math/big"
 	"net"
 	"os"
@@ -36,12 +37,12 @@
 
 // Load reads the files. It fails when one is missing or does not fit.
 func (f *Files) Load() error {
-	pem, err := os.ReadFile(f.CA)
+	text, err := os.ReadFile(f.CA)
 	if err != nil {
 		return eris.Wrap(err, "read peer CA")
 	}
 	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
+	if !pool.AppendCertsFromPEM(text) {
 		return eris.Errorf("%s holds no certificate", f.CA)
 	}
 	cert, err := tls.LoadX509KeyPair(f.Cert, f.Key)
@@ -128,6 +129,23 @@
 	return mutual(a.pool, tls.Certificate{Certificate: [][]byte{raw}, PrivateKey: key}), nil
 }
 
+// PEM returns the authority's certificate in the form that Files reads.
+func (a *Authority) PEM() []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw})
+}
+
+// PEMOf returns a node's issued certificate and key in the form that Files
+// reads.
+func PEMOf(c *tls.Config) (cert, key []byte, err error) {
+	raw, err := x509.MarshalPKCS8PrivateKey(c.Certificates[0].PrivateKey)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "encode a node key")
+	}
+	cert = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: c.Certificates[0].Certificate[0]})
+	key = pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: raw})
+	return cert, key, nil
+}
+
 func certTemplate(name string) *x509.Certificate {
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
 	if err != nil {
--- /dev/null
+++ b/internal/connection/wire/tree.go
@@ -0,0 +1,57 @@
+package wire
+
+import (
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/version/follow"
+	"goldcrestwick/internal/version/repo"
+)
+
+// News tells that a node has a version of the settings.
+type News struct {
+	Version uint64 `cbor:"1,keyasint"`
+	From    string `cbor:"2,keyasint"`
+}
+
+// TreeCall asks a node for its settings; Have names the texts that the asking
+// node has already.
+type TreeCall struct {
+	Have []string `cbor:"1,keyasint,omitempty"`
+}
+
+// Tree is one version of the settings, without the texts that the asking node
+// has.
+type Tree struct {
+	Version uint64              `cbor:"1,keyasint"`
+	Files   map[string]TreeFile `cbor:"2,keyasint,omitempty"`
+	Texts   map[string][]byte   `cbor:"3,keyasint,omitempty"`
+}
+
+// TreeFile names the text of a file.
+type TreeFile struct {
+	Hash    string `cbor:"1,keyasint"`
+	Changed uint64 `cbor:"2,keyasint"`
+}
+
+// FromUpdate maps a version of the settings.
+func FromUpdate(u follow.Update) Tree {
+	m := Tree{Version: uint64(u.Head.Version), Files: map[string]TreeFile{}, Texts: u.Texts}
+	for name, f := range u.Head.Files {
+		m.Files[name] = TreeFile{f.Hash, uint64(f.Changed)}
+	}
+	return m
+}
+
+// ToUpdate maps a received version of the settings.
+func (m Tree) ToUpdate() follow.Update {
+	u := follow.Update{Head: repo.Head{Version: ident.Version(m.Version), Files: map[string]repo.File{}}, Texts: m.Texts}
+	for name, f := range m.Files {
+		u.Head.Files[name] = repo.File{Hash: f.Hash, Changed: ident.Version(f.Changed)}
+	}
+	return u
+}
+
+// Version says which settings version is in force at a node, and since when.
+type Version struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Since   int64  `cbor:"2,keyasint"` // Unix milliseconds
+}
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -54,6 +54,11 @@
 	KindExplain
 	// KindLend is a call to the home of an account for a share of its limits.
 	KindLend
+	// KindTree is a call for the files of a node's settings, KindNews tells of
+	// a new version, KindVersion is a call for the version in force.
+	KindTree
+	KindNews
+	KindVersion
 	// KindDone is an answer without content.
 	KindDone
 )
@@ -253,6 +258,9 @@
 // Gossip carries membership updates.
 type Gossip struct {
 	Members []Member `cbor:"1,keyasint,omitempty"`
+	// Settings is the version in force at the sender, From its peer address.
+	Settings uint64 `cbor:"2,keyasint,omitempty"`
+	From     string `cbor:"3,keyasint,omitempty"`
 }
 
 // ProbeVia asks a node to probe another.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -34,6 +34,8 @@
 	"goldcrestwick/internal/request/entry"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/version/config"
+	"goldcrestwick/internal/version/follow"
+	"goldcrestwick/internal/version/repo"
 )
 
 const (
@@ -53,8 +55,10 @@
 // Node is one entry node. Set the exported fields before Prepare.
 type Node struct {
 	Process config.Process
-	Tree    *config.Tree
-	Store   *store.Client
+	// Tree is the settings; nil takes them from the platform and follows
+	// their changes.
+	Tree  *config.Tree
+	Store *store.Client
 	// Open reaches the other nodes, Forget drops the connection to one that
 	// is gone; nil is allowed.
 	Open   link.Opener
@@ -83,6 +87,8 @@
 	decisions decisions
 	instances atomic.Pointer[[]roster.Instance]
 	tenure    atomic.Pointer[tenure]
+	repo      repo.Repo
+	follower  follow.Follower
 	resumeKey []byte
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
@@ -98,6 +104,11 @@
 // key is shared by all nodes.
 func (n *Node) Prepare(mux *link.Mux, resumeKey []byte) {
 	n.tree.Store(n.Tree)
+	if n.Tree == nil {
+		n.tree.Store(&config.Tree{})
+	}
+	n.repo = repo.Repo{Transact: n.Store.Transact, Get: n.Store.Get}
+	n.follower = follow.Follower{Repo: &n.repo, Apply: n.useTree, Announce: n.announce}
 	n.resumeKey = resumeKey
 	if n.Outlet == nil {
 		n.Outlet = &outlet.Outlet{}
@@ -133,6 +144,9 @@
 // Front returns the part that serves callers.
 func (n *Node) Front() *front.Front { return &n.front }
 
+// Settings returns the settings in force.
+func (n *Node) Settings() *config.Tree { return n.tree.Load() }
+
 // Entry returns the part that carries requests.
 func (n *Node) Entry() *entry.Entry { return &n.entry }
 
@@ -150,7 +164,7 @@
 	n.members.Start(member.Member{
 		ID: n.Process.Name, Region: n.Process.Region, Zone: n.Process.Zone,
 		PeerAddress: n.Process.PeerAddress, CallerAddress: n.Process.CallerAddress,
-		State: member.Joining, Incarnation: uint64(time.Now().UnixMilli()), Settings: n.Tree.Version,
+		State: member.Joining, Incarnation: uint64(time.Now().UnixMilli()),
 	})
 	n.tasks.Go(func() { n.cells.Run(ctx) })
 	n.tasks.Go(func() { n.home.Run(ctx) })
@@ -159,12 +173,16 @@
 	n.refreshList(joining)
 	n.members.Seed(joining)
 	cancel()
+	if n.Tree == nil {
+		n.firstTree(ctx)
+		n.tasks.Go(func() { every(ctx, settingsInterval, n.followSettings) })
+	}
 	n.members.SetSelf(func(m *member.Member) { m.State = member.Ready })
 	n.tasks.Go(func() { n.members.Run(ctx) })
 	n.tasks.Go(func() { every(ctx, listInterval, n.refreshList) })
 	n.tasks.Go(func() { every(ctx, lendInterval, n.askShares) })
 	n.Log.Info("node_ready", "node", n.Process.Name, "availability_zone", n.Process.Zone,
-		"members", len(n.members.View().Members), "settings_version", n.Tree.Version)
+		"members", len(n.members.View().Members), "settings_version", n.tree.Load().Version)
 }
 
 func every(ctx context.Context, interval time.Duration, do func(context.Context)) {
@@ -227,5 +245,13 @@
 	} else {
 		n.instances.Store(&list)
 	}
+	n.buildRoster()
+}
+
+func (n *Node) buildRoster() {
+	var list []roster.Instance
+	if known := n.instances.Load(); known != nil {
+		list = *known
+	}
 	n.cells.SetRoster(roster.Build(n.tree.Load(), list, n.Process.Region))
 }
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -21,6 +21,9 @@
 	link.Handle(mux, wire.KindSync, n.serveSync)
 	link.Handle(mux, wire.KindLend, n.serveLend)
 	link.Handle(mux, wire.KindExplain, n.serveExplain)
+	link.Handle(mux, wire.KindTree, n.serveTree)
+	link.Handle(mux, wire.KindNews, n.serveNews)
+	link.Handle(mux, wire.KindVersion, n.serveVersion)
 }
 
 func (n *Node) probe(ctx context.Context, to member.Member, updates []member.Member) ([]member.Member, error) {
@@ -32,18 +35,28 @@
 }
 
 func (n *Node) gossip(ctx context.Context, to member.Member, kind link.Kind, updates []member.Member) ([]member.Member, error) {
-	reply, err := link.Call[wire.Gossip, wire.Gossip](ctx, n.Open, to.PeerAddress, kind, wire.FromMembers(updates))
+	reply, err := link.Call[wire.Gossip, wire.Gossip](ctx, n.Open, to.PeerAddress, kind, n.gossipOf(updates))
+	n.hearOf(reply)
 	return reply.ToMembers(), err
 }
 
+// gossipOf adds this node's settings version to membership updates.
+func (n *Node) gossipOf(updates []member.Member) wire.Gossip {
+	g := wire.FromMembers(updates)
+	g.Settings, g.From = uint64(n.tree.Load().Version), n.Process.PeerAddress
+	return g
+}
+
 func (n *Node) serveProbe(_ context.Context, s *link.Stream, m wire.Gossip) {
+	n.hearOf(m)
 	reply := n.members.Merge(m.ToMembers())
-	s.Send(wire.KindProbe, wire.FromMembers(reply)) //nolint:errcheck // the prober asks others.
+	s.Send(wire.KindProbe, n.gossipOf(reply)) //nolint:errcheck // the prober asks others.
 }
 
 func (n *Node) serveSync(_ context.Context, s *link.Stream, m wire.Gossip) {
+	n.hearOf(m)
 	n.members.Merge(m.ToMembers())
-	s.Send(wire.KindSync, wire.FromMembers(n.members.All())) //nolint:errcheck // the other asks again.
+	s.Send(wire.KindSync, n.gossipOf(n.members.All())) //nolint:errcheck // the other asks again.
 }
 
 func (n *Node) probeVia(ctx context.Context, via, target member.Member) error {
--- a/internal/stand/cloud/cloud.go
+++ b/internal/stand/cloud/cloud.go
@@ -13,6 +13,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -223,10 +224,11 @@
 }
 
 func (p *Platform) row(w http.ResponseWriter, r *http.Request) {
+	key, err := url.PathUnescape(chi.URLParam(r, "*"))
 	p.mu.Lock()
-	row, ok := p.rows[rowKey{chi.URLParam(r, "table"), chi.URLParam(r, "*")}]
+	row, ok := p.rows[rowKey{chi.URLParam(r, "table"), key}]
 	p.mu.Unlock()
-	if !ok {
+	if err != nil || !ok {
 		http.Error(w, "no such row", http.StatusNotFound)
 		return
 	}
--- a/internal/tool/fleet/fleet.go
+++ b/internal/tool/fleet/fleet.go
@@ -31,6 +31,7 @@
 	"goldcrestwick/internal/stand/cloud"
 	"goldcrestwick/internal/stand/runner"
 	"goldcrestwick/internal/version/config"
+	"goldcrestwick/internal/version/repo"
 )
 
 const (
@@ -46,6 +47,9 @@
 type Options struct {
 	Tree  *config.Tree
 	Nodes int
+	// Files, when set, are written to the platform as the first settings, and
+	// the nodes follow them there; Tree still names the endpoints.
+	Files map[string][]byte
 	// Policy is how the nodes decide.
 	Policy sched.Policy
 	// Network is what the parts are connected by; nil takes sockets on
@@ -123,6 +127,12 @@
 			}
 		}
 	}
+	if f.options.Files != nil {
+		r := &repo.Repo{Transact: f.platformStore().Transact, Get: f.platformStore().Get}
+		if err := r.Init(context.Background(), f.options.Files, "fleet"); err != nil {
+			return err
+		}
+	}
 	for i := range f.options.Nodes {
 		if _, err := f.AddNode(zoneOf(f.options.Tree, i)); err != nil {
 			return err
@@ -224,17 +234,17 @@
 			Name: ident.NodeID(name), Zone: zone, Region: f.options.Tree.Region,
 			CallerAddress: n.Address, PeerAddress: n.peers.Address,
 		},
-		Tree: f.options.Tree,
-		Store: &store.Client{
-			Table: f.platform, Objects: f.platform, Instances: f.platform,
-			HTTP: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}},
-		},
+		Tree:   f.options.Tree,
+		Store:  f.storeFrom(host),
 		Open:   n.peers.Open,
 		Forget: n.peers.Forget,
 		Outlet: &outlet.Outlet{Dial: dial},
 		Policy: f.options.Policy,
 		Log:    f.logger(name),
 	}
+	if f.options.Files != nil {
+		n.Node.Tree = nil
+	}
 	if f.options.Prepare != nil {
 		f.options.Prepare(n)
 	}
@@ -252,6 +262,14 @@
 	return n, nil
 }
 
+// platformStore is the platform as its own machine sees it.
+func (f *Fleet) platformStore() *store.Client { return f.storeFrom(PlatformHost) }
+
+func (f *Fleet) storeFrom(host string) *store.Client {
+	transport := &http.Transport{DialContext: f.network.Dial(host), DisableKeepAlives: true}
+	return &store.Client{Table: f.platform, Objects: f.platform, Instances: f.platform, HTTP: &http.Client{Transport: transport}}
+}
+
 func (f *Fleet) logger(name string) *log.Logger {
 	options := log.Options{Level: f.options.LogLevel, Formatter: log.LogfmtFormatter, ReportTimestamp: true}
 	return log.NewWithOptions(f.options.LogTo, options).With("node", name)
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -40,8 +40,30 @@
 	byKey    map[[hashBytes]byte]*Account
 	models   map[string][]*Pool
 	services map[string][]*Pool
+	// operators holds the operators by the hashes of their keys.
+	operators map[[hashBytes]byte]*Operator
 }
 
+// Operator may change one file of the tree.
+type Operator struct {
+	Name string
+	// Team is empty for operators of root.ini.
+	Team    ident.Team
+	KeyHash [hashBytes]byte
+}
+
+// MayWrite reports whether the operator may change a file of the tree: its own
+// team's, or root.ini and files of teams that do not exist yet.
+func (o *Operator) MayWrite(file string, exists bool) bool {
+	if o.Team == "" {
+		return file == rootFile || !exists && teamOf(file) != ""
+	}
+	return teamOf(file) == o.Team
+}
+
+// OperatorByKey returns the operator whose key has a SHA-256, or nil.
+func (t *Tree) OperatorByKey(hash [hashBytes]byte) *Operator { return t.operators[hash] }
+
 // Limits bounds what one entry node holds for its callers.
 type Limits struct {
 	// BodyBytes is the largest request body.
--- a/internal/version/config/fields.go
+++ b/internal/version/config/fields.go
@@ -106,6 +106,10 @@
 	})},
 }
 
+var operatorFields = []field[Operator]{
+	{"key_sha256", true, keyHash(func(o *Operator) *[hashBytes]byte { return &o.KeyHash })},
+}
+
 var ruleFields = []field[Rule]{
 	{"account", false, text(func(r *Rule) *string { return &r.Account })},
 	{"pool", false, text(func(r *Rule) *string { return &r.Pool })},
--- a/internal/version/config/process.go
+++ b/internal/version/config/process.go
@@ -23,7 +23,8 @@
 	PeerAddress string
 	// OperatorAddress is the IP and TCP port for metrics and explain.
 	OperatorAddress string
-	// Tree is the directory of the settings tree.
+	// Tree is the directory of the settings tree; empty takes the tree from
+	// the platform and follows its changes.
 	Tree string
 	// TableURL, ObjectURL and InstancesURL are those of the platform.
 	TableURL     string
@@ -60,7 +61,7 @@
 		{"key_file", true, text(func(p *Process) *string { return &p.KeyFile })},
 	},
 	"settings": {
-		{"tree", true, text(func(p *Process) *string { return &p.Tree })},
+		{"tree", false, text(func(p *Process) *string { return &p.Tree })},
 	},
 	"resume": {
 		{"key_file", true, text(func(p *Process) *string { return &p.ResumeKey })},
@@ -75,7 +76,7 @@
 	},
 }
 
-var requiredSections = []string{"node", "platform", "tls", "settings", "resume"}
+var requiredSections = []string{"node", "platform", "tls", "resume"}
 
 // LoadProcess reads the settings of one process from a file. Paths inside it
 // are relative to the file. The error is of type Findings when the file is at
@@ -91,7 +92,7 @@
 	}
 	base := filepath.Dir(file)
 	for _, at := range []*string{&p.Tree, &p.CAFile, &p.CertFile, &p.KeyFile, &p.ResumeKey} {
-		if !filepath.IsAbs(*at) {
+		if *at != "" && !filepath.IsAbs(*at) {
 			*at = filepath.Join(base, *at)
 		}
 	}
--- a/internal/version/config/tree.go
+++ b/internal/version/config/tree.go
@@ -68,6 +68,8 @@
 			byKey:    map[[hashBytes]byte]*Account{},
 			models:   map[string][]*Pool{},
 			services: map[string][]*Pool{},
+
+			operators: map[[hashBytes]byte]*Operator{},
 		},
 		keyPlaces: map[[hashBytes]byte]string{},
 	}
@@ -95,16 +97,33 @@
 		b.root(d)
 		return
 	}
-	team := strings.TrimSuffix(path.Base(name), iniSuffix)
-	if path.Dir(name) != teamsDir {
-		d.findings = append(d.findings, Finding{File: name, Problem: "the file is neither root.ini nor teams/NAME.ini"})
+	team := teamOf(name)
+	if team == "" {
+		d.findings = append(d.findings, Finding{File: name, Problem: "the file is neither root.ini nor teams/NAME.ini with a NAME in lower-case snake_case"})
 		return
 	}
-	if err := checkName(team); err != nil {
-		d.findings = append(d.findings, Finding{File: name, Problem: err.Error()})
+	b.team(d, team)
+}
+
+// teamOf returns the team whose subtree a file is, or "".
+func teamOf(file string) ident.Team {
+	name, ok := strings.CutSuffix(path.Base(file), iniSuffix)
+	if !ok || path.Dir(file) != teamsDir || checkName(name) != nil {
+		return ""
+	}
+	return ident.Team(name)
+}
+
+// operator reads one [operator.NAME] section.
+func (b *builder) operator(d *document, section, name string, team ident.Team) {
+	o := &Operator{Name: name, Team: team}
+	fill(d, section, o, operatorFields)
+	if first, ok := b.keyPlaces[o.KeyHash]; ok && o.KeyHash != [hashBytes]byte{} {
+		d.add(place{section, "key_sha256"}, "the key is that of "+first+" already")
 		return
 	}
-	b.team(d, ident.Team(team))
+	b.keyPlaces[o.KeyHash] = "operator " + name
+	b.tree.operators[o.KeyHash] = o
 }
 
 func (b *builder) root(d *document) {
@@ -115,7 +134,11 @@
 		case "limits":
 			fill(d, section, &b.tree.Limits, limitFields)
 		default:
-			d.add(place{section: section}, "unknown section; root.ini has [fleet] and [limits], all else belongs to teams/NAME.ini")
+			if name, ok := strings.CutPrefix(section, "operator."); ok && checkName(name) == nil {
+				b.operator(d, section, name, "")
+				continue
+			}
+			d.add(place{section: section}, "unknown section; root.ini has [fleet], [limits] and [operator.NAME], all else belongs to teams/NAME.ini")
 		}
 	}
 	if !slices.Contains(d.sections, "fleet") {
@@ -142,7 +165,7 @@
 		return
 	}
 	if !slices.Contains(sectionKinds, kind) {
-		d.add(place{section: section}, "unknown section; a team has [tier.NAME], [account.NAME], [pool.NAME], [endpoint.NAME] and [rule.NAME]")
+		d.add(place{section: section}, "unknown section; a team has [tier.NAME], [account.NAME], [pool.NAME], [endpoint.NAME], [rule.NAME] and [operator.NAME]")
 		return
 	}
 	if err := checkName(name); err != nil {
@@ -171,6 +194,8 @@
 		fill(d, section, e, endpointFields)
 		team.Endpoints = append(team.Endpoints, e)
 		places[e] = section
+	case "operator":
+		b.operator(d, section, name, team.ID)
 	case "rule":
 		r := &Rule{Name: name}
 		fill(d, section, r, ruleFields)
@@ -179,4 +204,4 @@
 	}
 }
 
-var sectionKinds = []string{"tier", "account", "pool", "endpoint", "rule"}
+var sectionKinds = []string{"tier", "account", "pool", "endpoint", "rule", "operator"}
