Move windows while requests run, and weigh prefill against speed

Change: entry nodes tell the pace of a running answer once a second and the window follows it; with time to spare an uncached prompt counts fourfold and the time between tokens a quarter; a bid whose wait would pass its deadline is refused when it comes, by the tokens in flight and their mean stay; buckets of account limits start full. Ruled out: shares of limits as the cause of the four early account_limit refusals; a new limiter's bucket was empty. The first-come baseline crashed on its second bid and is tested now. Wasted prefill under load is still high.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -25,11 +25,12 @@
 // The kinds of message. The first message of a stream selects its handler;
 // what follows is listed with it.
 const (
-	// KindBid opens a bid's stream: then KindAnswer back, and KindStarted and
-	// KindEnded forth.
+	// KindBid opens a bid's stream: then KindAnswer back, and KindStarted,
+	// KindProgress about once a second, and KindEnded forth.
 	KindBid link.Kind = iota + 1
 	KindAnswer
 	KindStarted
+	KindProgress
 	KindEnded
 	// KindEndedLate is a call that reports an ending outside its bid's stream.
 	KindEndedLate
@@ -151,6 +152,11 @@
 // Started says that a request left its prefill phase.
 type Started struct{}
 
+// Progress tells the mean time between tokens of late, in nanoseconds.
+type Progress struct {
+	Between int64 `cbor:"1,keyasint"`
+}
+
 // Ended is sched.Ending on the wire.
 type Ended struct {
 	Failed   bool   `cbor:"1,keyasint,omitempty"`
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -31,6 +31,7 @@
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/roster"
 	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/version/config"
 )
@@ -297,26 +298,13 @@
 	m.mu.Lock()
 	m.ctx = ctx
 	m.mu.Unlock()
-	m.tasks.Go(func() { every(ctx, tickInterval, m.tick) })
-	m.tasks.Go(func() { every(ctx, floor.AskInterval, m.askFloors) })
-	m.tasks.Go(func() { every(ctx, PollInterval, m.pollAll) })
+	m.tasks.Go(func() { tick.Every(ctx, tickInterval, m.tick) })
+	m.tasks.Go(func() { tick.Every(ctx, floor.AskInterval, m.askFloors) })
+	m.tasks.Go(func() { tick.Every(ctx, PollInterval, m.pollAll) })
 	<-ctx.Done()
 	m.tasks.Wait()
 }
 
-func every(ctx context.Context, interval time.Duration, do func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			do(ctx)
-		}
-	}
-}
-
 func (m *Manager) cells() []*owned {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -73,6 +73,10 @@
 		switch f.kind {
 		case wire.KindStarted:
 			cell.FirstToken(id)
+		case wire.KindProgress:
+			if p, err := link.Decode[wire.Progress](f.body); err == nil {
+				cell.Progress(id, time.Duration(p.Between))
+			}
 		case wire.KindEnded:
 			ended, err := link.Decode[wire.Ended](f.body)
 			if err != nil {
--- a/internal/process/claims/home.go
+++ b/internal/process/claims/home.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"goldcrestwick/internal/process/store"
+	"goldcrestwick/internal/process/tick"
 )
 
 const (
@@ -169,7 +170,7 @@
 			go h.catchUp(r)
 			return h.take(r, r.row, 0)
 		}
-		if eris.Is(w.err, errStopped) || !pause(ctx, retryPause) {
+		if eris.Is(w.err, errStopped) || !tick.Sleep(ctx, retryPause) {
 			h.drop(c.Key)
 			return Verdict{}
 		}
@@ -231,17 +232,6 @@
 
 const maxCatchUpPause = 5 * time.Second
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Settle stores the answer of a request that ran, so that a repeat gets it.
 // It tries until the context ends.
 func (h *Home) Settle(ctx context.Context, k Key, token string, stored *Stored) {
@@ -295,7 +285,7 @@
 			held, version = found, w.conflict.Version
 			continue
 		}
-		if eris.Is(w.err, errStopped) || !pause(ctx, retryPause) {
+		if eris.Is(w.err, errStopped) || !tick.Sleep(ctx, retryPause) {
 			return
 		}
 	}
--- a/internal/process/member/list.go
+++ b/internal/process/member/list.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/request/ident"
 )
 
@@ -177,22 +178,9 @@
 func (l *List) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
-	tasks.Go(func() { every(ctx, ProbeInterval, l.probeNext) })
-	tasks.Go(func() { every(ctx, SyncInterval, l.syncOne) })
-	tasks.Go(func() { every(ctx, SeedInterval, l.Seed) })
-}
-
-func every(ctx context.Context, interval time.Duration, do func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			do(ctx)
-		}
-	}
+	tasks.Go(func() { tick.Every(ctx, ProbeInterval, l.probeNext) })
+	tasks.Go(func() { tick.Every(ctx, SyncInterval, l.syncOne) })
+	tasks.Go(func() { tick.Every(ctx, SeedInterval, l.Seed) })
 }
 
 // Seed exchanges lists with every listed node that is not known to live.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -30,6 +30,7 @@
 	"goldcrestwick/internal/process/roster"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/store"
+	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/entry"
 	"goldcrestwick/internal/request/ident"
@@ -175,29 +176,16 @@
 	cancel()
 	if n.Tree == nil {
 		n.firstTree(ctx)
-		n.tasks.Go(func() { every(ctx, settingsInterval, n.followSettings) })
+		n.tasks.Go(func() { tick.Every(ctx, settingsInterval, n.followSettings) })
 	}
 	n.members.SetSelf(func(m *member.Member) { m.State = member.Ready })
 	n.tasks.Go(func() { n.members.Run(ctx) })
-	n.tasks.Go(func() { every(ctx, listInterval, n.refreshList) })
-	n.tasks.Go(func() { every(ctx, lendInterval, n.askShares) })
+	n.tasks.Go(func() { tick.Every(ctx, listInterval, n.refreshList) })
+	n.tasks.Go(func() { tick.Every(ctx, lendInterval, n.askShares) })
 	n.Log.Info("node_ready", "node", n.Process.Name, "availability_zone", n.Process.Zone,
 		"members", len(n.members.View().Members), "settings_version", n.tree.Load().Version)
 }
 
-func every(ctx context.Context, interval time.Duration, do func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			do(ctx)
-		}
-	}
-}
-
 // Leave takes the node out of the lists and hands its cells over. It serves on
 // until Stop.
 func (n *Node) Leave() {
--- a/internal/process/node/observe.go
+++ b/internal/process/node/observe.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/entry"
 	"goldcrestwick/internal/request/ident"
@@ -80,7 +81,7 @@
 }
 
 func (n *Node) drainDecisions(ctx context.Context) {
-	every(ctx, drainInterval, func(context.Context) { n.flushDecisions() })
+	tick.Every(ctx, drainInterval, func(context.Context) { n.flushDecisions() })
 	n.flushDecisions()
 }
 
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -12,6 +12,7 @@
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/wire"
 	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/version/config"
 	"goldcrestwick/internal/version/repo"
@@ -114,7 +115,7 @@
 			return
 		}
 		n.Log.Warn("no_settings_yet", "error", err)
-		if !sleep(ctx, firstPause) {
+		if !tick.Sleep(ctx, firstPause) {
 			return
 		}
 		n.refreshList(ctx)
@@ -122,15 +123,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // followSettings looks for a new version in the platform: a few nodes often,
 // the others now and then, since they hear of it from those.
 func (n *Node) followSettings(ctx context.Context) {
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -78,7 +78,7 @@
 func (k *Keeper) Admit(a *config.Account, tokens ident.Tokens, now time.Time) (release func(), verdict Verdict, retry time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	at := k.account(a)
+	at := k.account(a, now)
 	at.asked += part(a, tokens)
 	if a.Concurrent > 0 && at.running >= k.concurrent(a, at) {
 		return nil, ConcurrentLimit, time.Second
@@ -142,31 +142,37 @@
 	return k.Even()
 }
 
-func (k *Keeper) account(a *config.Account) *account {
+func (k *Keeper) account(a *config.Account, now time.Time) *account {
 	if k.accounts == nil {
 		k.accounts = map[ident.ClientAccount]*account{}
 	}
 	at := k.accounts[a.ID]
 	if at == nil {
-		at = &account{requests: rate.NewLimiter(rate.Inf, 1), tokens: rate.NewLimiter(rate.Inf, 1), share: 1}
+		at = &account{share: 1}
 		k.accounts[a.ID] = at
 	}
 	share := k.shareOf(at)
-	set(at.requests, a.Requests, share)
-	set(at.tokens, a.Tokens, share)
+	at.requests = limited(at.requests, a.Requests, share, now)
+	at.tokens = limited(at.tokens, a.Tokens, share, now)
 	return at
 }
 
-func set(l *rate.Limiter, perSecond, share float64) {
-	limit := rate.Inf
+// limited returns the limiter for a share of a rate. A new one starts with a
+// full bucket.
+func limited(l *rate.Limiter, perSecond, share float64, now time.Time) *rate.Limiter {
+	limit, burst := rate.Inf, 1
 	if perSecond > 0 {
 		limit = rate.Limit(perSecond * share)
+		burst = max(int(perSecond*share*burstTime.Seconds()), 1)
 	}
-	if l.Limit() == limit {
-		return
+	if l == nil || l.Limit() == rate.Inf {
+		return rate.NewLimiter(limit, burst)
 	}
-	l.SetLimit(limit)
-	l.SetBurst(max(int(perSecond*share*burstTime.Seconds()), 1))
+	if l.Limit() != limit {
+		l.SetLimitAt(now, limit)
+		l.SetBurstAt(now, burst)
+	}
+	return l
 }
 
 // Demand returns what each account is asked for, as a part of its whole
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -48,6 +48,12 @@
 	// maxSlowShare bounds the endpoints suspended as stragglers.
 	maxSlowShare = 1.0 / 3
 
+	// hopelessFactor is how far past its deadline a bid's expected wait must
+	// be before the bid counts as lost; the estimate is rough.
+	hopelessFactor = 1.2
+	// stayDecay is what a request still counts after the next one ended.
+	stayDecay = 0.99
+
 	minRetryAfter = time.Second
 	maxRetryAfter = time.Minute
 )
@@ -100,6 +106,7 @@
 	round    uint64
 	closed   bool
 	paused   bool
+	stay     stay
 	// lowest is the lowest tier granted; Pause and Resume set it.
 	lowest ident.Tier
 	// limited is set while lowest counts.
@@ -113,7 +120,7 @@
 	uncached ident.Tokens
 	cached   ident.Tokens
 	backlog  ident.Tokens
-	full     bool
+	granted  time.Time
 	started  bool
 	prefix   []ident.Fingerprint
 }
@@ -183,6 +190,22 @@
 	}
 }
 
+// Progress records the mean time between the tokens of a running request of
+// late.
+func (c *Cell) Progress(id ident.RequestID, between time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := c.inflight[id]
+	if g == nil || between <= 0 {
+		return
+	}
+	now := c.now()
+	g.endpoint.pace(between, c.targets(), now)
+	c.pump(now)
+}
+
+func (c *Cell) targets() targets { return targets{c.Pool.FirstToken, c.Pool.BetweenTokens} }
+
 func (c *Cell) start(g *grant) {
 	if !g.started {
 		g.started = true
@@ -201,9 +224,12 @@
 	}
 	now := c.now()
 	delete(c.inflight, id)
+	if !end.Unused && !end.Failed {
+		c.stay.add(g.charge, now.Sub(g.granted))
+	}
 	c.start(g)
-	g.endpoint.release(g.charge)
 	c.learn(g, end, now)
+	g.endpoint.release(g.charge)
 	*g = grant{}
 	c.spare = append(c.spare, g)
 	c.pump(now)
@@ -222,7 +248,7 @@
 	if end.Unused {
 		return
 	}
-	g.endpoint.observe(end, g.backlog, g.full, targets{c.Pool.FirstToken, c.Pool.BetweenTokens}, now)
+	g.endpoint.observe(end, g.backlog, c.targets(), now)
 	c.judge(g.endpoint, now)
 }
 
@@ -349,6 +375,7 @@
 	var best, soonest *endpoint
 	var least time.Duration
 	c.considered = c.considered[:0]
+	left := b.Deadline.Sub(now)
 	for _, e := range c.endpoints {
 		if e.reserved == c.round || !e.isOpen(now) {
 			continue
@@ -361,7 +388,7 @@
 			continue
 		}
 		c.considered = append(c.considered, e.ID)
-		if t := e.expected(uncached, b.Output); best == nil || t < least {
+		if t := e.cost(uncached, b.Output, left); best == nil || t < least {
 			best, least = e, t
 		}
 	}
@@ -400,10 +427,9 @@
 	g := c.newGrant()
 	*g = grant{
 		node: b.Node, endpoint: e, charge: b.charge, uncached: b.Prompt - cached,
-		cached: cached, backlog: e.backlog, prefix: b.Prefix,
+		cached: cached, granted: now, backlog: e.backlog, prefix: b.Prefix,
 	}
 	e.admit(g.charge, g.uncached)
-	g.full = e.isBusy()
 	c.prefixes.Insert(b.Prefix, e.slot)
 	c.hold(b.Request, g)
 	c.sequence++
--- a/internal/process/sched/cell_test.go
+++ b/internal/process/sched/cell_test.go
@@ -252,3 +252,32 @@
 		}
 	})
 }
+
+// TestBaselines checks that the policies to measure against serve what they
+// queue.
+func TestBaselines(t *testing.T) {
+	for name, policy := range Policies {
+		t.Run(name, func(t *testing.T) {
+			c := &Cell{ID: ident.CellID{Pool: "team/pool"}, Policy: policy}
+			c.Configure(pool(), []EndpointSpec{{ID: "a"}})
+			served, bids := 0, make([]*Bid, 3*baselineConcurrent)
+			for i := range bids {
+				bids[i] = &Bid{
+					Request: ident.RequestID(fmt.Sprint("r", i)), Tier: ident.Tier(i % testTiers), Prompt: 10, Output: 10,
+					Account: ident.ClientAccount(fmt.Sprint("a", i%testAccounts)), Deadline: time.Now().Add(time.Hour),
+				}
+				c.Submit(bids[i])
+			}
+			for _, b := range bids {
+				c.Done(b.Request, Ending{FirstToken: time.Millisecond, BetweenTokens: time.Millisecond})
+			}
+			for _, b := range bids {
+				if b.Answer.Outcome == Granted {
+					served++
+				}
+			}
+			qt.Assert(t, served, qt.Equals, len(bids))
+			qt.Assert(t, c.Load().Waiting, qt.Equals, 0)
+		})
+	}
+}
--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -19,13 +19,15 @@
 	// windowGrowth and windowCut move the window by a share of itself.
 	windowGrowth = 0.05
 	windowCut    = 0.85
-	// windowPause is the least time between two cuts, so that one congested
-	// batch is not counted once for each of its requests.
-	windowPause = time.Second
+	// cutPause and growthPause are the least times between two moves, so that
+	// one batch is not counted once for each of its requests.
+	cutPause    = time.Second
+	growthPause = 300 * time.Millisecond
 	// growAbove is the share in use above which a good sample widens the window.
 	growAbove = 0.7
 	// shrinkAbove is the share of a target above which the window is cut.
 	shrinkAbove = 0.95
+	growBelow   = 0.85
 
 	firstPrefillRate   = 4000.0 // tokens a second
 	firstBetweenTokens = 30 * time.Millisecond
@@ -42,6 +44,12 @@
 	slowSamples     = 8
 	minPeers        = 3
 
+	// tightShare is the part of the time left from which on an expected answer
+	// counts as tight.
+	tightShare    = 0.5
+	prefillWeight = 4
+	decodeDivisor = 4
+
 	defaultCacheTokens ident.Tokens = 64 << 10
 	// reportLife is the age from which a load report counts for nothing.
 	reportLife = 5 * time.Second
@@ -72,7 +80,9 @@
 	running int
 	// backlog is the prompt tokens granted that have no first token yet.
 	backlog ident.Tokens
-	lastCut time.Time
+	// lastCut and lastGrowth are when the window was last moved.
+	lastCut    time.Time
+	lastGrowth time.Time
 
 	prefillRate float64
 	between     time.Duration
@@ -143,6 +153,19 @@
 	return e.prefillTime(e.backlog+uncached) + e.unreported() + time.Duration(output)*e.between
 }
 
+// cost weighs what the request would take here. With time to spare until its
+// deadline, prefill counts for more than its time, since it holds up everything
+// else on the engine, and the time between tokens for less, since the windows
+// keep it within its target.
+func (e *endpoint) cost(uncached, output ident.Tokens, left time.Duration) time.Duration {
+	whole := e.expected(uncached, output)
+	if e.Kind == ident.ApplicationRunner || whole > time.Duration(tightShare*float64(left)) {
+		return whole
+	}
+	return prefillWeight*e.prefillTime(uncached) + e.prefillTime(e.backlog) + e.unreported() +
+		time.Duration(output)*e.between/decodeDivisor
+}
+
 // unreported is the delay from requests that waited at the endpoint by its own
 // report and that we do not know of. The report fades with its age.
 func (e *endpoint) unreported() time.Duration {
@@ -171,7 +194,7 @@
 
 // observe learns from one ended request. backlog is what stood before it when
 // it was granted.
-func (e *endpoint) observe(end Ending, backlog ident.Tokens, full bool, targets targets, now time.Time) {
+func (e *endpoint) observe(end Ending, backlog ident.Tokens, t targets, now time.Time) {
 	if end.Failed {
 		e.fail(now)
 		return
@@ -182,34 +205,44 @@
 		e.recover()
 		return
 	}
+	if e.health == probing && !e.slow {
+		e.recover()
+	}
+	if own := e.prefillTime(backlog + end.Uncached); end.FirstToken > t.firstToken && end.FirstToken-own > t.firstToken/2 {
+		e.shrink(now)
+	}
 	if end.FirstToken > 0 && backlog+end.Uncached > prefix.BlockTokens {
 		rate := float64(backlog+end.Uncached) / end.FirstToken.Seconds()
 		e.prefillRate += sampleShare * (rate - e.prefillRate)
 	}
 	if end.BetweenTokens > 0 {
-		e.between = blend(e.between, end.BetweenTokens)
 		e.samples++
+		e.pace(end.BetweenTokens, t, now)
 	}
-	if e.health == probing && !e.slow {
-		e.recover()
-	}
-	e.moveWindow(end, backlog, full, targets, now)
 }
 
-// moveWindow widens the window after a good sample that found it in use, and
-// cuts it after a sample past its target.
-func (e *endpoint) moveWindow(end Ending, backlog ident.Tokens, full bool, t targets, now time.Time) {
-	own := e.prefillTime(backlog + end.Uncached)
-	late := end.FirstToken > t.firstToken && end.FirstToken-own > t.firstToken/2
-	slow := float64(end.BetweenTokens) > shrinkAbove*float64(t.betweenTokens)
+// pace learns from the time between tokens. It cuts the window near the target
+// and widens it well below when the window is in use.
+func (e *endpoint) pace(between time.Duration, t targets, now time.Time) {
+	e.between = blend(e.between, between)
 	switch {
-	case late || slow:
-		if now.Sub(e.lastCut) < windowPause {
-			return
-		}
+	case float64(between) > shrinkAbove*float64(t.betweenTokens):
+		e.shrink(now)
+	case float64(e.between) < growBelow*float64(t.betweenTokens):
+		e.grow(now)
+	}
+}
+
+func (e *endpoint) shrink(now time.Time) {
+	if now.Sub(e.lastCut) >= cutPause {
 		e.lastCut = now
 		e.window = max(ident.Tokens(float64(e.window)*windowCut), minWindow)
-	case full:
+	}
+}
+
+func (e *endpoint) grow(now time.Time) {
+	if now.Sub(e.lastGrowth) >= growthPause && now.Sub(e.lastCut) >= cutPause && e.isBusy() {
+		e.lastGrowth = now
 		e.window = min(e.window+ident.Tokens(float64(e.window)*windowGrowth), maxWindow)
 	}
 }
--- a/internal/process/sched/members.go
+++ b/internal/process/sched/members.go
@@ -92,7 +92,7 @@
 		return
 	}
 	e.admit(h.Charge, 0)
-	c.hold(h.Request, &grant{node: h.Node, endpoint: e, charge: h.Charge, started: true})
+	c.hold(h.Request, &grant{node: h.Node, endpoint: e, charge: h.Charge, granted: c.now(), started: true})
 }
 
 // IsInFlight reports whether a request was granted and has not ended.
--- a/internal/process/sched/policy.go
+++ b/internal/process/sched/policy.go
@@ -26,6 +26,9 @@
 // baselineConcurrent is FirstCome's number of requests for each endpoint.
 const baselineConcurrent = 8
 
+// noRound is a round in which no account was skipped.
+const noRound = ^uint64(0)
+
 // Policies maps the names used on the command line.
 var Policies = map[string]Policy{
 	"fair": Fair, "random": Random, "least_reported": LeastReported, "first_come": FirstCome,
@@ -67,7 +70,7 @@
 
 // submitFirstCome queues in the order of arrival: one lane, one share.
 func (c *Cell) submitFirstCome(b *Bid, now time.Time) {
-	b.order = now
+	b.lane, b.sharer, b.order = 0, "", now
 	q := &c.queues[b.lane]
 	q.push(b)
 	c.pumpFirstCome(now)
@@ -90,7 +93,7 @@
 		if best == nil {
 			return
 		}
-		s := q.first(0)
+		s := q.first(noRound)
 		c.grant(q.take(s), best, now)
 	}
 }
--- a/internal/process/sched/refuse.go
+++ b/internal/process/sched/refuse.go
@@ -20,8 +20,11 @@
 // When lower tiers may still be admitted elsewhere in the pool, the bids wait
 // past the bound and the pool is asked to close those tiers.
 func (c *Cell) trim() {
-	for c.isOverfull() {
+	for {
 		tier := c.lowestWaiting()
+		if !c.isOverfull() && !c.isHopeless(tier) {
+			return
+		}
 		if !c.mayShed(tier) {
 			c.press(tier)
 			return
@@ -46,6 +49,50 @@
 	return requests > c.Pool.QueueRequests || tokens > c.Pool.QueueTokens
 }
 
+// isHopeless reports whether the last bid of a tier would wait past its
+// deadline at the rate at which the cell has lately served. Such a bid is
+// refused now rather than at its deadline.
+func (c *Cell) isHopeless(tier ident.Tier) bool {
+	b := c.queues[tier].latest()
+	if b == nil {
+		return false
+	}
+	return c.waitOf(tier) > time.Duration(hopelessFactor*float64(b.Deadline.Sub(c.now())))
+}
+
+// waitOf estimates the time until what waits in a tier and above is granted:
+// the tokens in flight leave once in a mean stay. It is 0 while the stay is
+// unknown.
+func (c *Cell) waitOf(tier ident.Tier) time.Duration {
+	var ahead, used ident.Tokens
+	for t := range int(tier) + 1 {
+		ahead += c.queues[t].tokens
+	}
+	for _, e := range c.endpoints {
+		used += e.used
+	}
+	if used == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / float64(used) * float64(c.stay.mean()))
+}
+
+// stay is the mean time from a grant to its end, weighted by tokens, with older
+// requests counting less and less.
+type stay struct{ tokens, seconds float64 }
+
+func (s *stay) add(charge ident.Tokens, took time.Duration) {
+	s.tokens = stayDecay*s.tokens + float64(charge)
+	s.seconds = stayDecay*s.seconds + float64(charge)*took.Seconds()
+}
+
+func (s *stay) mean() time.Duration {
+	if s.tokens == 0 {
+		return 0
+	}
+	return time.Duration(s.seconds / s.tokens * float64(time.Second))
+}
+
 func (c *Cell) lowestWaiting() ident.Tier {
 	for tier := len(c.queues) - 1; tier > 0; tier-- {
 		if c.queues[tier].length > 0 {
@@ -119,17 +166,5 @@
 
 // retryAfter estimates when the queue ahead of a tier will have been served.
 func (c *Cell) retryAfter(tier ident.Tier) time.Duration {
-	var ahead ident.Tokens
-	for t := range int(tier) + 1 {
-		ahead += c.queues[t].tokens
-	}
-	var rate float64
-	for _, e := range c.endpoints {
-		rate += float64(max(e.running, 1)) / e.between.Seconds()
-	}
-	if rate == 0 {
-		return maxRetryAfter
-	}
-	wait := time.Duration(float64(ahead) / rate * float64(time.Second))
-	return min(max(wait, minRetryAfter), maxRetryAfter)
+	return min(max(c.waitOf(tier), minRetryAfter), maxRetryAfter)
 }
--- a/internal/process/sched/script_test.go
+++ b/internal/process/sched/script_test.go
@@ -82,7 +82,7 @@
 	}
 	commands := map[string]func([]string, map[string]string){
 		"queue": s.queue, "endpoint": s.endpoint, "leave": s.leave, "bid": s.bid, "first": s.first,
-		"done": s.done, "cancel": s.cancel, "wait": s.wait, "close_below": s.closeBelow,
+		"done": s.done, "progress": s.progress, "cancel": s.cancel, "wait": s.wait, "close_below": s.closeBelow,
 		"may_shed": s.mayShed, "granted": s.granted, "waiting": s.waiting, "refused": s.refused,
 		"pressed": s.pressed, "move": s.move, "pause": s.pause, "resume": s.resume, "window": s.window,
 		"adopt": s.adopt, "drop_node": s.dropNode, "report": s.report, "unreachable": s.unreachable,
@@ -175,6 +175,10 @@
 	}
 }
 
+func (s *script) progress(names []string, given map[string]string) {
+	s.cell.Progress(ident.RequestID(names[0]), s.span(given["between"]))
+}
+
 func (s *script) cancel(names []string, _ map[string]string) {
 	qt.Assert(s.t, s.cell.Cancel(s.bids[names[0]]), qt.IsTrue, qt.Commentf(s.place))
 }
--- a/internal/request/entry/bid.go
+++ b/internal/request/entry/bid.go
@@ -21,6 +21,7 @@
 	answer   sched.Answer
 	received time.Time
 	started  func()
+	progress func(between time.Duration)
 	end      func(sched.Ending)
 }
 
@@ -161,6 +162,7 @@
 	}
 	e.hold(cell.ID, heldOf(b, s))
 	s.started = func() { cell.FirstToken(b.Request) }
+	s.progress = func(between time.Duration) { cell.Progress(b.Request, between) }
 	s.end = func(end sched.Ending) {
 		e.unhold(cell.ID, b.Request)
 		cell.Done(b.Request, end)
@@ -203,6 +205,9 @@
 	}
 	e.hold(cell, heldOf(b, s))
 	s.started = func() { stream.Send(wire.KindStarted, wire.Started{}) } //nolint:errcheck // the end is told again.
+	s.progress = func(between time.Duration) {
+		stream.Send(wire.KindProgress, wire.Progress{Between: int64(between)}) //nolint:errcheck // the end is told again.
+	}
 	s.end = func(end sched.Ending) {
 		e.unhold(cell, b.Request)
 		e.endRemotely(stream, b.Request, cell, end)
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -152,7 +152,7 @@
 	e.note(j, trace.Record{Event: trace.Dispatched, Endpoint: s.answer.Endpoint})
 	run := &relay.Run{
 		Outlet: e.Outlet, Address: s.answer.Address, Endpoint: s.answer.Endpoint,
-		Request: j.Request, Sink: sink, Started: s.started, Timeout: j.Pool.CallTimeout,
+		Request: j.Request, Sink: sink, Started: s.started, Progress: s.progress, Timeout: j.Pool.CallTimeout,
 	}
 	if j.Pool.Kind == ident.ApplicationRunner {
 		result = run.Service(ctx)
--- a/internal/request/relay/model.go
+++ b/internal/request/relay/model.go
@@ -40,6 +40,7 @@
 	stallTime       = time.Minute
 	cancelTime      = 2 * time.Second
 	maxErrorBytes   = 1 << 10
+	progressTime    = time.Second
 )
 
 // Run is one dispatch.
@@ -51,6 +52,9 @@
 	Sink     answer.Sink
 	// Started is called when the first token or the head of the answer came.
 	Started func()
+	// Progress is called about once a second with the mean time between the
+	// tokens since the last call; nil is allowed.
+	Progress func(between time.Duration)
 	// Timeout bounds a call to an application runner.
 	Timeout time.Duration
 }
@@ -74,6 +78,9 @@
 	dispatched time.Time
 	first      time.Time
 	last       time.Time
+	// told is when the progress was last told, and toldTokens how far it was.
+	told       time.Time
+	toldTokens int
 	headSent   bool
 }
 
@@ -182,6 +189,7 @@
 			return err
 		}
 	}
+	r.tellProgress(p)
 	piece := answer.Piece{Number: p.pieces, Offset: p.tokens, Data: []byte(text), Last: done}
 	if done {
 		piece.Finish, piece.Usage = p.finish, *p.usage
@@ -190,6 +198,19 @@
 	return r.Sink.Piece(piece)
 }
 
+func (r *Run) tellProgress(p *progress) {
+	if p.told.IsZero() {
+		p.told, p.toldTokens = p.last, p.tokens
+		return
+	}
+	took, tokens := p.last.Sub(p.told), p.tokens-p.toldTokens
+	if r.Progress == nil || took < progressTime || tokens == 0 {
+		return
+	}
+	p.told, p.toldTokens = p.last, p.tokens
+	r.Progress(took / time.Duration(tokens))
+}
+
 func (r *Run) mayResume(ctx context.Context, err error) bool {
 	var gone sinkError
 	return ctx.Err() == nil && !eris.As(err, &gone) && !eris.Is(err, errCount)
