Fit control into its budget at the target size

Cause: each node fetched the whole instance list and rebuilt the picture of the endpoints every second: 3.2 ms at 2,300 endpoints, 0.3% of a core, and several hundred kilobytes; two connections for each pair of nodes; 64 polls a second for a cell of 32; decisions drained 50 times a second. Change: the list is asked for conditionally and by region, the picture is built only when it changed; a node uses the connection that a peer opened; loads are polled every 2 s and cache events every 8 s; decisions drain 10 times a second. Handlers are registered through atomics, since a peer can be early. Tests for all message mappings.

--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -1,8 +1,8 @@
 // Package link carries typed messages between the nodes, over QUIC with
 // mutual TLS.
 //
-// There is one QUIC connection for each pair of nodes and direction, opened
-// when first needed and kept while it is in use. Each exchange has a stream of
+// There is one QUIC connection for each pair of nodes, opened by whichever needs
+// it first, used by both and kept while it is in use. Each exchange has a stream of
 // its own, so a long one does not hold up a short one, and a stream that
 // breaks tells both sides at once.
 //
@@ -24,6 +24,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -51,22 +52,23 @@
 // Opener opens a stream to the node at an address.
 type Opener func(ctx context.Context, address string) (*Stream, error)
 
-// Mux finds the handler of a stream by the kind of its first message. Register
-// all handlers before the first stream.
+// Mux finds the handler of a stream by the kind of its first message. The zero
+// value has none and closes every stream.
 type Mux struct {
-	handlers [256]func(context.Context, *Stream, []byte)
+	handlers [256]atomic.Pointer[handler]
 }
 
+type handler func(context.Context, *Stream, []byte)
+
 // Handle registers a handler for streams that begin with a message of type T.
 // A body that cannot be decoded closes the stream.
-func Handle[T any](m *Mux, kind Kind, handler func(context.Context, *Stream, T)) {
-	m.handlers[kind] = func(ctx context.Context, s *Stream, body []byte) {
-		message, err := Decode[T](body)
-		if err != nil {
-			return
+func Handle[T any](m *Mux, kind Kind, serve func(context.Context, *Stream, T)) {
+	h := handler(func(ctx context.Context, s *Stream, body []byte) {
+		if message, err := Decode[T](body); err == nil {
+			serve(ctx, s, message)
 		}
-		handler(ctx, s, message)
-	}
+	})
+	m.handlers[kind].Store(&h)
 }
 
 // Serve reads the first message of a stream, runs its handler and closes the
@@ -77,13 +79,17 @@
 		return
 	}
 	kind, body, err := s.Receive()
-	if err != nil || m.handlers[kind] == nil {
+	if err != nil {
+		return
+	}
+	h := m.handlers[kind].Load()
+	if h == nil {
 		return
 	}
 	if err := s.SetReadDeadline(time.Time{}); err != nil {
 		return
 	}
-	m.handlers[kind](ctx, s, body)
+	(*h)(ctx, s, body)
 }
 
 // Call sends one message and waits for one answer.
@@ -119,8 +125,10 @@
 	socket    net.PacketConn
 	transport *quic.Transport
 	listener  *quic.Listener
+	ctx       context.Context
 	cancel    context.CancelFunc
 	serving   sync.WaitGroup
+	dials     atomic.Int64
 	mu        sync.Mutex
 	peers     map[string]*peer
 }
@@ -152,7 +160,7 @@
 		return eris.Wrap(err, "listen for peers")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	l.cancel = cancel
+	l.ctx, l.cancel = ctx, cancel
 	l.serving.Go(func() { l.acceptConns(ctx) })
 	return nil
 }
@@ -196,10 +204,25 @@
 		if err != nil {
 			return
 		}
+		l.adopt(conn)
 		l.serving.Go(func() { l.acceptStreams(ctx, conn) })
 	}
 }
 
+// adopt uses a connection that a peer opened for our own streams too. A node
+// dials from the socket that it listens on, so the address is that of the peer.
+func (l *Link) adopt(conn *quic.Conn) {
+	p := l.peer(conn.RemoteAddr().String())
+	if !p.mu.TryLock() {
+		// We are dialling the same peer; that connection will do.
+		return
+	}
+	defer p.mu.Unlock()
+	if p.conn == nil || p.conn.Context().Err() != nil {
+		p.conn = conn
+	}
+}
+
 func (l *Link) acceptStreams(ctx context.Context, conn *quic.Conn) {
 	for {
 		s, err := conn.AcceptStream(ctx)
@@ -255,8 +278,14 @@
 	}
 	client := l.prepared()
 	client.ServerName = to.IP.String()
-	p.conn, err = l.transport.Dial(ctx, to, client, quicConfig())
-	return eris.Wrapf(err, "dial %s", address)
+	l.dials.Add(1)
+	conn, err := l.transport.Dial(ctx, to, client, quicConfig())
+	if err != nil {
+		return eris.Wrapf(err, "dial %s", address)
+	}
+	p.conn = conn
+	l.serving.Go(func() { l.acceptStreams(l.ctx, conn) })
+	return nil
 }
 
 // Forget closes the connection to an address, as after the node there died.
--- /dev/null
+++ b/internal/connection/wire/wire_test.go
@@ -0,0 +1,144 @@
+package wire
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/process/claims"
+	"goldcrestwick/internal/process/floor"
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/process/trace"
+	"goldcrestwick/internal/request/answer"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/request/refuse"
+	"goldcrestwick/internal/version/follow"
+	"goldcrestwick/internal/version/repo"
+)
+
+// travel sends a message through the codec.
+func travel[T any](t testing.TB, message T) T {
+	body, err := cbor.Marshal(message)
+	qt.Assert(t, err, qt.IsNil)
+	got, err := link.Decode[T](body)
+	qt.Assert(t, err, qt.IsNil)
+	return got
+}
+
+var now = time.Unix(1000, 0)
+
+// TestMappings checks that every field of every type arrives as it was sent.
+func TestMappings(t *testing.T) {
+	equal := func(got, want any) {
+		t.Helper()
+		qt.Assert(t, got, qt.DeepEquals, want)
+	}
+	a := sched.Answer{Outcome: sched.Granted, Reason: sched.ReasonProbe, Endpoint: "e", Address: "a", Sequence: 4, Life: 5, Cached: 6, Considered: 7, Waited: 8, RetryAfter: 9}
+	equal(travel(t, FromAnswer(a)).ToAnswer(), a)
+	e := sched.Ending{Failed: true, Unused: true, FirstToken: 1, BetweenTokens: 2, Uncached: 3, Cached: 4, Output: 5}
+	equal(travel(t, FromEnding(e)).ToEnding(), e)
+	h := sched.Held{Request: "r", Node: "n", Endpoint: "e", Charge: 3, Started: true}
+	equal(travel(t, FromHeld(h)).ToHeld("n"), h)
+	l := sched.Learned{Endpoint: "e", Window: 1, PrefillRate: 2.5, BetweenTokens: 3}
+	equal(travel(t, FromLearned(l)).ToLearned(), l)
+	f := floor.Ask{Pool: "p", Floor: 2}
+	equal(travel(t, FromAsk("n", f)).ToAsk(), f)
+	m := member.Member{ID: "n", Region: "r", Zone: "z", PeerAddress: "p", CallerAddress: "c", State: member.Leaving, Suspect: true, Incarnation: 8, Settings: 9}
+	equal(travel(t, FromMembers([]member.Member{m})).ToMembers(), []member.Member{m})
+	c := claims.Claim{Key: claims.Key{Account: "a", Key: "k"}, Request: "r", Node: "n", Token: "t", Digest: 1 << 63, Created: time.UnixMilli(77), Idempotent: true}
+	equal(travel(t, FromClaim(c, time.Second)).ToClaim(), c)
+	v := claims.Verdict{Outcome: claims.Settled, Request: "r", Node: "n", Stored: &claims.Stored{Status: 201, ContentType: "x", Body: []byte("b")}}
+	equal(travel(t, FromVerdict(v)).ToVerdict(), v)
+	head := answer.Head{Status: 200, Header: http.Header{"X": {"y", "z"}}, Endpoint: "e", Request: "r"}
+	equal(travel(t, FromHead(head)).ToHead(), head)
+	p := answer.Piece{Number: 1, Offset: 2, Data: []byte("d"), Last: true, Finish: "stop", Usage: answer.Usage{Prompt: 3, Cached: 4, Output: 5}}
+	equal(travel(t, FromPiece(p)).ToPiece(), p)
+	r := &refuse.Refusal{Reason: "x", Message: "m", Run: refuse.Unknown, Tier: "t", RetryAfter: 5}
+	equal(travel(t, FromRefusal(r)).ToRefusal(), r)
+	records := []trace.Record{{
+		Time: now, Node: "n", Request: "r", Event: trace.Granted, Account: "a", Tier: "t", Pool: "p", Cell: "c", Endpoint: "e",
+		Reason: "x", Considered: "e f", Waiting: 1, Cached: 2, Sequence: 3, Waited: 4, Settings: 5,
+	}}
+	equal(travel(t, FromRecords(records)).ToRecords(), records)
+	u := follow.Update{Head: repo.Head{Version: 3, Files: map[string]repo.File{"f": {Hash: "h", Changed: 2}}}, Texts: map[string][]byte{"h": []byte("t")}}
+	got := travel(t, FromUpdate(u)).ToUpdate()
+	equal(got.Texts, u.Texts)
+	equal(got.Head.Version, u.Head.Version)
+	equal(got.Head.Files, u.Head.Files)
+}
+
+func bid(blocks int) *sched.Bid {
+	b := &sched.Bid{
+		Request: "06h3x5aasw7ytxyd5y9cez0r20", Node: "entry-17", Tier: 3, Account: "ekin/grain_union", Weight: 4,
+		Prompt: 6000, Output: 600, Deadline: now.Add(time.Minute),
+	}
+	for i := range blocks {
+		b.Prefix = append(b.Prefix, ident.Fingerprint(1<<63+uint64(i)*1e15))
+	}
+	return b
+}
+
+// TestBid checks that a bid arrives with the time left, not the deadline.
+func TestBid(t *testing.T) {
+	sent := bid(9)
+	message := travel(t, FromBid(sent, ident.CellID{Pool: "ekin/reports", Index: 3}, 7, now))
+	elsewhere := now.Add(time.Hour)
+	got := message.ToBid(elsewhere)
+	qt.Assert(t, got.Deadline, qt.Equals, elsewhere.Add(time.Minute))
+	got.Deadline = sent.Deadline
+	qt.Assert(t, got.Request, qt.Equals, sent.Request)
+	qt.Assert(t, got.Prefix, qt.DeepEquals, sent.Prefix)
+	qt.Assert(t, [4]int{int(got.Tier), got.Weight, int(got.Prompt), int(got.Output)}, qt.Equals, [4]int{3, 4, 6000, 600})
+	qt.Assert(t, message.CellID(), qt.Equals, ident.CellID{Pool: "ekin/reports", Index: 3})
+}
+
+// FuzzDecode checks that no bytes make the messages panic.
+func FuzzDecode(f *testing.F) {
+	for _, message := range []any{FromBid(bid(3), ident.CellID{Pool: "p"}, 1, now), Gossip{Members: []Member{{ID: "n"}}}, Tree{Version: 1}} {
+		body, err := cbor.Marshal(message)
+		qt.Assert(f, err, qt.IsNil)
+		f.Add(body)
+	}
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		if m, err := link.Decode[Bid](body); err == nil {
+			m.ToBid(now)
+		}
+		if m, err := link.Decode[Gossip](body); err == nil {
+			m.ToMembers()
+		}
+		if m, err := link.Decode[Tree](body); err == nil {
+			m.ToUpdate()
+		}
+		if m, err := link.Decode[Verdict](body); err == nil {
+			m.ToVerdict()
+		}
+	})
+}
+
+// BenchmarkSizes reports the bytes of the messages of one remote request.
+func BenchmarkSizes(b *testing.B) {
+	size := func(message any) float64 {
+		body, err := cbor.Marshal(message)
+		qt.Assert(b, err, qt.IsNil)
+		return float64(len(link.AppendFrame(nil, 0, body)))
+	}
+	for b.Loop() {
+		size(Done{})
+	}
+	cell := ident.CellID{Pool: "ekin/reports", Index: 3}
+	b.ReportMetric(size(FromBid(bid(0), cell, 7, now)), "bid_bytes")
+	b.ReportMetric(size(FromBid(bid(100), cell, 7, now)), "bid_100_blocks_bytes")
+	b.ReportMetric(size(FromAnswer(sched.Answer{Outcome: 1, Reason: sched.ReasonCachedPrefix, Endpoint: "ekin/reader_01", Address: "http://10.0.0.7:8000", Sequence: 9999, Life: sched.GrantLife, Cached: 5000, Considered: 9, Waited: time.Second})), "grant_bytes")
+	b.ReportMetric(size(Progress{Between: 3e7}), "progress_bytes")
+	b.ReportMetric(size(FromEnding(sched.Ending{FirstToken: 1e9, BetweenTokens: 3e7, Uncached: 1000, Cached: 5000, Output: 600})), "ended_bytes")
+	m := member.Member{ID: "entry-117", Region: "central_anatolia", Zone: "anadolu_a", PeerAddress: "10.0.0.11:8443", CallerAddress: "10.0.0.11:8080", Incarnation: 1 << 50, Settings: 4400}
+	b.ReportMetric(size(FromMembers([]member.Member{m, m})), "gossip_of_2_bytes")
+	b.ReportMetric(size(FromMembers([]member.Member{m, m, m})), "gossip_of_3_bytes")
+	c := claims.Claim{Key: claims.Key{Account: "ekin/grain_union", Key: "claim-2026-0001"}, Request: "06h3x5aasw7ytxyd5y9cez0r20", Node: "entry-17", Token: "06h3x5aasw7ytxyd5y9cez0r21", Digest: 1 << 63}
+	b.ReportMetric(size(FromClaim(c, time.Minute)), "claim_bytes")
+}
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -38,8 +38,10 @@
 
 const (
 	tickInterval = 100 * time.Millisecond
-	// PollInterval is the time between looks at each endpoint's load.
-	PollInterval = time.Second
+	// PollInterval is the time between looks at each endpoint's load; its cache
+	// events are asked for once in eventPolls of them.
+	PollInterval = 2 * time.Second
+	eventPolls   = 4
 	pollTimeout  = 800 * time.Millisecond
 	askTimeout   = 400 * time.Millisecond
 	askPause     = 250 * time.Millisecond
@@ -88,6 +90,7 @@
 	mu sync.Mutex
 	// events holds how far each endpoint's cache events were read.
 	events map[ident.Endpoint]int
+	polls  map[ident.Endpoint]int
 }
 
 // Register adds the handlers for the other nodes' messages.
--- a/internal/process/cells/events.go
+++ b/internal/process/cells/events.go
@@ -55,7 +55,7 @@
 // readEvents takes an endpoint's cache events since the last look. Events that
 // the endpoint never published are made up for by the token counts of answers.
 func (m *Manager) readEvents(ctx context.Context, o *owned, spec sched.EndpointSpec) {
-	if m.Events == nil || spec.Kind != ident.ModelRunner {
+	if m.Events == nil || spec.Kind != ident.ModelRunner || !o.isEventTurn(spec.ID) {
 		return
 	}
 	events, next, err := m.Events(ctx, spec, o.seen(spec.ID))
@@ -70,6 +70,17 @@
 	}
 }
 
+// isEventTurn counts the polls of an endpoint.
+func (o *owned) isEventTurn(id ident.Endpoint) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.polls == nil {
+		o.polls = map[ident.Endpoint]int{}
+	}
+	o.polls[id]++
+	return o.polls[id]%eventPolls == 0
+}
+
 func (o *owned) seen(id ident.Endpoint) int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -224,16 +224,14 @@
 // refreshList reads the platform's list and rebuilds the picture of the
 // endpoints. While the list cannot be read, the last one counts.
 func (n *Node) refreshList(ctx context.Context) {
-	list, err := n.Store.List(ctx)
+	list, changed, err := n.Store.List(ctx, n.Process.Region)
 	if err != nil {
 		n.Log.Warn("instance_list_unavailable", "error", err)
-		if n.instances.Load() != nil {
-			return
-		}
-	} else {
+	}
+	if changed || n.instances.Load() == nil {
 		n.instances.Store(&list)
+		n.buildRoster()
 	}
-	n.buildRoster()
 }
 
 func (n *Node) buildRoster() {
--- a/internal/process/node/observe.go
+++ b/internal/process/node/observe.go
@@ -20,7 +20,7 @@
 var errNotReached = eris.New("the member was not reached")
 
 // drainInterval is how often decisions go from the cells to the log.
-const drainInterval = 20 * time.Millisecond
+const drainInterval = 100 * time.Millisecond
 
 // decisions buffers what the cells decide under their locks until it is
 // logged.
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -57,6 +57,10 @@
 
 	table    breaker
 	listings breaker
+
+	mu   sync.Mutex
+	list []roster.Instance
+	tag  string
 }
 
 // Check is a condition of a transaction: the version of a row, 0 for none.
@@ -125,7 +129,7 @@
 		return Result{}, eris.Wrap(err, "encode transaction")
 	}
 	var reply wireResult
-	status, err := c.call(ctx, &c.table, http.MethodPost, c.Table+"/transactions", body, &reply)
+	status, _, err := c.call(ctx, &c.table, request{http.MethodPost, c.Table + "/transactions", body, ""}, &reply)
 	if err != nil {
 		return Result{}, err
 	}
@@ -146,7 +150,7 @@
 		Value   json.RawMessage `json:"value"`
 	}
 	address := c.Table + "/rows/" + url.PathEscape(table) + "/" + url.PathEscape(key)
-	status, err := c.call(ctx, &c.table, http.MethodGet, address, nil, &reply)
+	status, _, err := c.call(ctx, &c.table, request{http.MethodGet, address, nil, ""}, &reply)
 	switch {
 	case err != nil:
 		return Row{}, false, err
@@ -158,23 +162,33 @@
 	return Row{key, reply.Version, reply.Value}, true, nil
 }
 
-// List returns the platform's list of instances.
-func (c *Client) List(ctx context.Context) ([]roster.Instance, error) {
+// List returns the platform's list of the instances of a region. The list is
+// transferred only when it changed since the last call; changed says so.
+func (c *Client) List(ctx context.Context, region ident.Region) (list []roster.Instance, changed bool, err error) {
 	var reply struct {
 		Instances []wireInstance `json:"instances"`
 	}
-	status, err := c.call(ctx, &c.listings, http.MethodGet, c.Instances+"/instances", nil, &reply)
-	if err != nil {
-		return nil, err
-	}
-	if status != http.StatusOK {
-		return nil, eris.Errorf("the instance list answered %d", status)
+	c.mu.Lock()
+	known, tag := c.list, c.tag
+	c.mu.Unlock()
+	address := c.Instances + "/instances?region=" + url.QueryEscape(string(region))
+	status, newTag, err := c.call(ctx, &c.listings, request{http.MethodGet, address, nil, tag}, &reply)
+	switch {
+	case err != nil:
+		return known, false, err
+	case status == http.StatusNotModified:
+		return known, false, nil
+	case status != http.StatusOK:
+		return known, false, eris.Errorf("the instance list answered %d", status)
 	}
-	list := make([]roster.Instance, len(reply.Instances))
+	list = make([]roster.Instance, len(reply.Instances))
 	for i, in := range reply.Instances {
 		list[i] = in.instance()
 	}
-	return list, nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list, c.tag = list, newTag
+	return list, true, nil
 }
 
 type wireInstance struct {
@@ -204,41 +218,51 @@
 	}
 }
 
-func (c *Client) call(ctx context.Context, b *breaker, method, address string, body []byte, into any) (int, error) {
+// request is one call to the platform; tag makes it conditional.
+type request struct {
+	method, address string
+	body            []byte
+	tag             string
+}
+
+func (c *Client) call(ctx context.Context, b *breaker, r request, into any) (status int, tag string, err error) {
 	if !b.allows(time.Now()) {
-		return 0, ErrUnavailable
+		return 0, "", ErrUnavailable
 	}
-	status, err := c.exchange(ctx, method, address, body, into)
+	status, tag, err = c.exchange(ctx, r, into)
 	b.note(time.Now(), err == nil && status < http.StatusInternalServerError)
-	return status, err
+	return status, tag, err
 }
 
-func (c *Client) exchange(ctx context.Context, method, address string, body []byte, into any) (int, error) {
+func (c *Client) exchange(ctx context.Context, r request, into any) (status int, tag string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, r.method, r.address, bytes.NewReader(r.body))
 	if err != nil {
-		return 0, eris.Wrap(err, "call the platform")
+		return 0, "", eris.Wrap(err, "call the platform")
 	}
 	// A transaction is repeated by its writer alone, who looks for its token.
 	req.GetBody = nil
+	if r.tag != "" {
+		req.Header.Set("If-None-Match", r.tag)
+	}
 	client := c.HTTP
 	if client == nil {
 		client = http.DefaultClient
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return 0, eris.Wrap(err, "call the platform")
+		return 0, "", eris.Wrap(err, "call the platform")
 	}
 	defer resp.Body.Close() //nolint:errcheck // read to its end.
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
 	if err != nil {
-		return 0, eris.Wrap(err, "answer of the platform")
+		return 0, "", eris.Wrap(err, "answer of the platform")
 	}
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
-		return resp.StatusCode, nil
+		return resp.StatusCode, "", nil
 	}
-	return resp.StatusCode, eris.Wrap(json.Unmarshal(raw, into), "answer of the platform")
+	return resp.StatusCode, resp.Header.Get("ETag"), eris.Wrap(json.Unmarshal(raw, into), "answer of the platform")
 }
 
 // breaker stops calls for a pause after several failures in a row; then one
--- a/internal/stand/cloud/cloud.go
+++ b/internal/stand/cloud/cloud.go
@@ -14,6 +14,8 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -273,15 +275,26 @@
 	w.Write(body) //nolint:errcheck // the caller may be gone.
 }
 
-func (p *Platform) instances(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := []Instance{}
 	var at time.Time
-	for _, d := range p.lists {
-		if time.Since(d.at) >= p.Lag {
-			list, at = d.list, d.at
+	region := r.URL.Query().Get("region")
+	tag := `"0"`
+	for n, d := range p.lists {
+		if time.Since(d.at) < p.Lag {
+			break
 		}
+		at, tag = d.at, strconv.Quote(strconv.Itoa(n+1))
+		list = slices.DeleteFunc(slices.Clone(d.list), func(in Instance) bool {
+			return region != "" && in.Region != region && in.Kind != "entry"
+		})
+	}
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"as_of_unix_ms": at.UnixMilli(), "instances": list})
 }
