--- a/internal/connection/outlet/outlet.go
+++ b/internal/connection/outlet/outlet.go
@@ -93,16 +93,29 @@
 		}
 	}}
 	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
-	// A body that cannot be rewound keeps the transport from repeating.
-	req.GetBody = nil
-	if req.Body == nil || req.Body == http.NoBody {
-		req.Body = io.NopCloser(strings.NewReader(""))
-	}
+	guard(req)
 	resp, err = o.client.Do(req)
 	c := used.Load()
 	sent = err == nil || c != nil && c.written.Load() > before.Load()
 	return resp, sent, err
 }
 
+// guard gives a request that net/http would repeat a body that cannot be
+// rewound, which keeps it from doing so. Others keep their empty body, so that
+// they are sent with their length.
+func guard(req *http.Request) {
+	req.GetBody = nil
+	if req.Body != nil && req.Body != http.NoBody {
+		return
+	}
+	switch req.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
+		if req.Header.Get("Idempotency-Key") == "" && req.Header.Get("X-Idempotency-Key") == "" {
+			return
+		}
+	}
+	req.Body = io.NopCloser(strings.NewReader(""))
+}
+
 // CloseIdle closes the connections that carry no request.
 func (o *Outlet) CloseIdle() { o.client.CloseIdleConnections() }
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -236,49 +236,6 @@
 	}
 }
 
-func (m *Manager) mayShed(pool ident.PoolID, tier ident.Tier) bool {
-	p := m.Tree().Pool(pool)
-	if p == nil {
-		return false
-	}
-	lowest := ident.Tier(0)
-	for _, t := range p.Team.Tiers {
-		lowest = max(lowest, t.Rank)
-	}
-	return m.floors.MayShed(pool, tier, lowest, m.regionMembers(), time.Now())
-}
-
-// MayShedEverywhere reports whether a tier may be shed in every pool, for a
-// limit that is not of one pool.
-func (m *Manager) MayShedEverywhere(tier ident.Tier) bool {
-	for _, p := range m.Tree().Pools() {
-		if !m.mayShed(p.ID, tier) {
-			return false
-		}
-	}
-	return true
-}
-
-// PressEverywhere asks to close the tiers below the given one in every pool.
-func (m *Manager) PressEverywhere(tier ident.Tier) {
-	for _, p := range m.Tree().Pools() {
-		m.floors.Press(p.ID, tier, time.Now())
-	}
-}
-
-// regionMembers returns everyone in the region who could run a cell of it by
-// any view, this node among them.
-func (m *Manager) regionMembers() []ident.NodeID {
-	region := m.Self().Region
-	var ids []ident.NodeID
-	for _, other := range m.Members().Members {
-		if other.Region == region {
-			ids = append(ids, other.ID)
-		}
-	}
-	return ids
-}
-
 // dropGone ends the requests of members that have left the view.
 func (m *Manager) dropGone() {
 	now := map[ident.NodeID]bool{}
@@ -336,49 +293,6 @@
 	}
 }
 
-// enforce closes the tiers below the floors in all cells of a pool here.
-func (m *Manager) enforce(pool ident.PoolID) {
-	for _, o := range m.cells() {
-		if o.cell.ID.Pool == pool {
-			o.cell.Enforce()
-		}
-	}
-}
-
-// askFloors asks every member of the region, this node too, to close the tiers
-// that this node's cells want closed.
-func (m *Manager) askFloors(ctx context.Context) {
-	now := time.Now()
-	self := m.Self()
-	for _, ask := range m.floors.Asks(now) {
-		m.enforce(ask.Pool)
-		m.floors.Acked(self.ID, ask, now)
-		for _, other := range m.Members().Members {
-			if other.ID == self.ID || other.Region != self.Region {
-				continue
-			}
-			m.tasks.Go(func() { m.askFloor(ctx, other, ask) })
-		}
-	}
-}
-
-func (m *Manager) askFloor(ctx context.Context, to member.Member, ask floor.Ask) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	sent := time.Now()
-	message := wire.FromAsk(m.Self().ID, ask)
-	if _, err := link.Call[wire.Hold, wire.Done](ctx, m.Open, to.PeerAddress, wire.KindHold, message); err == nil {
-		m.floors.Acked(to.ID, ask, sent)
-	}
-}
-
-func (m *Manager) serveHold(_ context.Context, s *link.Stream, message wire.Hold) {
-	ask := message.ToAsk()
-	m.floors.Hold(ask, time.Now())
-	m.enforce(ask.Pool)
-	s.Send(wire.KindDone, wire.Done{}) //nolint:errcheck // unacknowledged holds are asked for again.
-}
-
 // pollAll asks every endpoint of the cells here for its load.
 func (m *Manager) pollAll(ctx context.Context) {
 	if m.Poll == nil {
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -113,20 +113,6 @@
 	limited bool
 }
 
-type grant struct {
-	node     ident.NodeID
-	endpoint *endpoint
-	charge   ident.Tokens
-	uncached ident.Tokens
-	cached   ident.Tokens
-	backlog  ident.Tokens
-	granted  time.Time
-	started  bool
-	prefix   []ident.Fingerprint
-}
-
-type targets struct{ firstToken, betweenTokens time.Duration }
-
 func (c *Cell) now() time.Time {
 	if c.Now != nil {
 		return c.Now()
@@ -204,15 +190,6 @@
 	c.pump(now)
 }
 
-func (c *Cell) targets() targets { return targets{c.Pool.FirstToken, c.Pool.BetweenTokens} }
-
-func (c *Cell) start(g *grant) {
-	if !g.started {
-		g.started = true
-		g.endpoint.backlog = max(g.endpoint.backlog-g.uncached, 0)
-	}
-}
-
 // Done ends a granted request and frees its room. Requests that the cell does
 // not know are ignored, as after a move.
 func (c *Cell) Done(id ident.RequestID, end Ending) {
@@ -235,23 +212,6 @@
 	c.pump(now)
 }
 
-func (c *Cell) learn(g *grant, end Ending, now time.Time) {
-	slot := g.endpoint.slot
-	switch {
-	case end.Unused || end.Failed:
-		c.prefixes.Trim(g.prefix, slot, 0)
-	case end.Cached+prefix.BlockTokens < g.cached:
-		c.prefixes.Narrow(slot)
-	case g.cached > 0:
-		c.prefixes.Widen(slot)
-	}
-	if end.Unused {
-		return
-	}
-	g.endpoint.observe(end, g.backlog, c.targets(), now)
-	c.judge(g.endpoint, now)
-}
-
 // Evicted records an endpoint's own word that only the first keep tokens of a
 // prefix are still cached.
 func (c *Cell) Evicted(id ident.Endpoint, prints []ident.Fingerprint, keep ident.Tokens) {
@@ -326,154 +286,3 @@
 		c.decide(b, answer)
 	}
 }
-
-func (c *Cell) chargeOf(b *Bid) ident.Tokens {
-	if c.Pool.Kind == ident.ApplicationRunner {
-		return callCharge
-	}
-	return b.Prompt + b.Output + requestCharge
-}
-
-// pump grants as long as a bid fits: tiers from the highest, accounts by their
-// share. A first bid that finds no room reserves the endpoint that will have
-// room for it soonest, so that shorter and lower ones cannot starve it.
-func (c *Cell) pump(now time.Time) {
-	if c.paused || c.closed {
-		return
-	}
-	if c.Policy == FirstCome {
-		c.pumpFirstCome(now)
-	}
-	if c.Policy != Fair {
-		return
-	}
-	c.round++
-	skipped := 0
-	for tier := range c.queues {
-		if c.limited && ident.Tier(tier) > c.lowest {
-			return
-		}
-		q := &c.queues[tier]
-		for q.length > 0 && skipped < maxSkipped {
-			s := q.first(c.round)
-			if s == nil {
-				break
-			}
-			if c.tryGrant(s.heap[0], now) {
-				q.take(s)
-				continue
-			}
-			s.skipped = c.round
-			skipped++
-		}
-	}
-}
-
-// tryGrant grants the bid when an endpoint has room, and else reserves one.
-func (c *Cell) tryGrant(b *Bid, now time.Time) bool {
-	c.prefixes.Find(b.Prefix, &c.match)
-	var best, soonest *endpoint
-	var least time.Duration
-	c.considered = c.considered[:0]
-	left := b.Deadline.Sub(now)
-	for _, e := range c.endpoints {
-		if e.reserved == c.round || !e.isOpen(now) {
-			continue
-		}
-		uncached := c.uncached(b, e)
-		if !e.fits(b.charge, uncached, c.Pool.FirstToken) {
-			if soonest == nil || e.window-e.used > soonest.window-soonest.used {
-				soonest = e
-			}
-			continue
-		}
-		c.considered = append(c.considered, e.ID)
-		if t := e.cost(uncached, b.Output, left); best == nil || t < least {
-			best, least = e, t
-		}
-	}
-	if best == nil {
-		if soonest != nil {
-			soonest.reserved = c.round
-		}
-		return false
-	}
-	c.grant(b, best, now)
-	return true
-}
-
-func (c *Cell) uncached(b *Bid, e *endpoint) ident.Tokens {
-	return max(b.Prompt-c.cached(e), 0)
-}
-
-func (c *Cell) cached(e *endpoint) ident.Tokens {
-	if e.slot >= prefix.MaxSlots {
-		return 0
-	}
-	return prefix.TokensOf(int(c.match[e.slot]))
-}
-
-func (c *Cell) grant(b *Bid, e *endpoint, now time.Time) {
-	reason := ReasonLeastCost
-	cached := min(c.cached(e), b.Prompt)
-	switch {
-	case e.health != healthy:
-		reason = ReasonProbe
-	case c.Policy != Fair:
-		reason = ReasonBaseline
-	case cached > 0:
-		reason = ReasonCachedPrefix
-	}
-	g := c.newGrant()
-	*g = grant{
-		node: b.Node, endpoint: e, charge: b.charge, uncached: b.Prompt - cached,
-		cached: cached, granted: now, backlog: e.backlog, prefix: b.Prefix,
-	}
-	e.admit(g.charge, g.uncached)
-	c.prefixes.Insert(b.Prefix, e.slot)
-	c.hold(b.Request, g)
-	c.sequence++
-	c.decide(b, Answer{
-		Outcome: Granted, Reason: reason, Endpoint: e.ID, Address: e.Address,
-		Sequence: c.sequence, Life: GrantLife, Cached: cached, Considered: len(c.considered),
-		Waited: now.Sub(b.arrived),
-	})
-}
-
-func (c *Cell) hold(id ident.RequestID, g *grant) {
-	if c.inflight == nil {
-		c.inflight = map[ident.RequestID]*grant{}
-	}
-	c.inflight[id] = g
-}
-
-func (c *Cell) newGrant() *grant {
-	if n := len(c.spare); n > 0 {
-		g := c.spare[n-1]
-		c.spare = c.spare[:n-1]
-		return g
-	}
-	return &grant{}
-}
-
-func (c *Cell) decide(b *Bid, answer Answer) {
-	b.Answer = answer
-	if c.Observe != nil {
-		d := Decision{Cell: c.ID, Bid: b, Queued: c.waiting()}
-		if answer.Outcome == Granted {
-			d.Considered = c.considered
-		}
-		c.Observe(d)
-	}
-	if b.Wake != nil {
-		b.Wake()
-	}
-}
-
-func (c *Cell) waiting() int {
-	n := 0
-	for tier := range c.queues {
-		n += c.queues[tier].length
-	}
-	return n
-}
--- a/internal/tool/load/report.go
+++ b/internal/tool/load/report.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -190,23 +191,24 @@
 
 // WriteText writes the report for a person.
 func (r *Report) WriteText(w io.Writer) error {
-	fmt.Fprintf(w, "profile %s, seed %d, %.1f arrivals a second, %.1f s\n\n", r.Profile, r.Seed, r.Rate, r.Seconds) //nolint:errcheck // seen at the flush.
-	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "tier\toffered\twhole\tin time\trefused\tbroken\tgoodput\t") //nolint:errcheck // seen at the flush.
+	var b strings.Builder
+	say := func(form string, args ...any) { fmt.Fprintf(&b, form, args...) }
+	say("profile %s, seed %d, %.1f arrivals a second, %.1f s\n\n", r.Profile, r.Seed, r.Rate, r.Seconds)
+	table := tabwriter.NewWriter(&b, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "tier\toffered\twhole\tin time\trefused\tbroken\tgoodput\t") //nolint:errcheck // a builder never fails.
 	for _, t := range r.Tiers {
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t\n", t.Tier, t.Offered, t.Whole, t.InTime, t.Refused, t.Broken, 100*t.Goodput) //nolint:errcheck // seen at the flush.
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t\n", t.Tier, t.Offered, t.Whole, t.InTime, t.Refused, t.Broken, 100*t.Goodput) //nolint:errcheck // a builder never fails.
 	}
-	if err := table.Flush(); err != nil {
-		return err
-	}
-	fmt.Fprintf(w, "\nfirst token    p50 %.0f ms, p95 %.0f ms, p99 %.0f ms\n", r.FirstToken.P50, r.FirstToken.P95, r.FirstToken.P99)         //nolint:errcheck // seen at the end.
-	fmt.Fprintf(w, "between tokens p50 %.1f ms, p95 %.1f ms, p99 %.1f ms\n", r.BetweenTokens.P50, r.BetweenTokens.P95, r.BetweenTokens.P99)  //nolint:errcheck // seen at the end.
-	fmt.Fprintf(w, "prompt tokens  %d answered, of them %d cached\n", r.Prompt, r.Cached)                                                    //nolint:errcheck // seen at the end.
-	fmt.Fprintf(w, "prefill        %d tokens, wasted %d (cached elsewhere), lost %d (answer not delivered)\n", r.Prefills, r.Wasted, r.Lost) //nolint:errcheck // seen at the end.
+	table.Flush() //nolint:errcheck // a builder never fails.
+	say("\nfirst token    p50 %.0f ms, p95 %.0f ms, p99 %.0f ms\n", r.FirstToken.P50, r.FirstToken.P95, r.FirstToken.P99)
+	say("between tokens p50 %.1f ms, p95 %.1f ms, p99 %.1f ms\n", r.BetweenTokens.P50, r.BetweenTokens.P95, r.BetweenTokens.P99)
+	say("prompt tokens  %d answered, of them %d cached\n", r.Prompt, r.Cached)
+	say("prefill        %d tokens, wasted %d (cached elsewhere), lost %d (answer not delivered)\n", r.Prefills, r.Wasted, r.Lost)
 	for _, name := range r.reasons() {
-		fmt.Fprintf(w, "not answered   %s: %d\n", name, r.Refusals[name]) //nolint:errcheck // seen at the end.
+		say("not answered   %s: %d\n", name, r.Refusals[name])
 	}
-	_, err := fmt.Fprintf(w, "foreign answers: %d\n", r.Foreign)
+	say("foreign answers: %d\n", r.Foreign)
+	_, err := io.WriteString(w, b.String())
 	return err
 }
 
