Keep a signed ledger of what was decided

Cause: explain knew only what nodes remember, and nothing after they were gone. A hybrid logical clock orders records over nodes. A leaving node tells every member of its region itself.

--- a/cmd/goldcrestwick/main.go
+++ b/cmd/goldcrestwick/main.go
@@ -9,6 +9,7 @@
 //	goldcrestwick addresses --node ADDR      the entry addresses for an account
 //	goldcrestwick explain --node ADDR ID     why a request was decided as it was
 //	goldcrestwick load --profile ekin        an open-loop workload
+//	goldcrestwick audit verify ...           check the ledger
 //
 // Exit codes: 0 success, 1 the work failed, 2 the command line or the settings
 // are at fault.
@@ -68,7 +69,7 @@
 		ErrWriter:      errs,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			serveCommand(), settingsCommand(), addressesCommand(), explainCommand(), loadCommand(), tryCommand(),
+			serveCommand(), settingsCommand(), addressesCommand(), explainCommand(), loadCommand(), tryCommand(), auditCommand(),
 		},
 	}
 	markUsageErrors(app)
--- a/cmd/goldcrestwick/serve.go
+++ b/cmd/goldcrestwick/serve.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"crypto/ed25519"
+	"crypto/x509"
+	"encoding/pem"
 	"errors"
 	"io"
 	"net"
@@ -94,6 +97,24 @@
 	return s, s.listen(p, tree, key)
 }
 
+// readLedgerKey reads an ed25519 key in PKCS #8, as PEM.
+func readLedgerKey(file string) (ed25519.PrivateKey, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the ledger's key")
+	}
+	block, _ := pem.Decode(raw)
+	if block == nil {
+		return nil, usageError{eris.Errorf("%s holds no PEM block", file)}
+	}
+	parsed, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	key, ok := parsed.(ed25519.PrivateKey)
+	if err != nil || !ok {
+		return nil, usageError{eris.Errorf("%s holds no ed25519 key in PKCS #8", file)}
+	}
+	return key, nil
+}
+
 func newLogger(p config.Process, to io.Writer) *log.Logger {
 	formats := map[string]log.Formatter{"text": log.TextFormatter, "json": log.JSONFormatter, "logfmt": log.LogfmtFormatter}
 	level, err := log.ParseLevel(p.LogLevel)
@@ -118,6 +139,11 @@
 		Process: p, Tree: tree, Open: s.link.Open, Forget: s.link.Forget, Log: s.log,
 		Store: &store.Client{Table: p.TableURL, Objects: p.ObjectURL, Instances: p.InstancesURL},
 	}
+	if p.LedgerKey != "" {
+		if s.node.LedgerKey, err = readLedgerKey(p.LedgerKey); err != nil {
+			return err
+		}
+	}
 	s.node.Prepare(s.link.Mux, key)
 	s.node.Start(context.Background())
 	s.callers = s.node.Front().Server()
--- a/cmd/goldcrestwick/serve_test.go
+++ b/cmd/goldcrestwick/serve_test.go
@@ -3,8 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/ed25519"
+	"crypto/x509"
+	"encoding/pem"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -41,6 +46,13 @@
 	url       string
 	authority *link.Authority
 	listed    []cloud.Instance
+	ledgerKey ed25519.PrivateKey
+}
+
+func pemOf[K any](p *place, kind string, encode func(any) ([]byte, error), key K) string {
+	raw, err := encode(key)
+	qt.Assert(p, err, qt.IsNil)
+	return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}))
 }
 
 func (p *place) write(name, text string) string {
@@ -60,6 +72,8 @@
 	p.write(name+".pem", string(cert))
 	p.write(name+".key", string(key))
 	p.write("resume.key", strings.Repeat("x", minResumeKey))
+	p.write("ledger.key", pemOf(p, "PRIVATE KEY", x509.MarshalPKCS8PrivateKey, p.ledgerKey))
+	p.write("ledger.pub", pemOf(p, "PUBLIC KEY", x509.MarshalPKIXPublicKey, p.ledgerKey.Public()))
 	file := p.write(name+".ini", fmt.Sprintf(`[node]
 name = %[1]s
 availability_zone = z
@@ -77,6 +91,8 @@
 key_file = %[1]s.key
 [resume]
 key_file = resume.key
+[ledger]
+key_file = ledger.key
 `, name, p.url))
 	qt.Assert(p, run([]string{"goldcrestwick", "settings", "check", file}, &bytes.Buffer{}, &bytes.Buffer{}), qt.Equals, 0)
 	s, err := startServer(file, &bytes.Buffer{})
@@ -99,6 +115,7 @@
 // change by a team's operator, a lost race, and a graceful end.
 func TestServe(t *testing.T) {
 	p := &place{T: t, dir: t.TempDir(), platform: &cloud.Platform{}}
+	p.ledgerKey = ed25519.NewKeyFromSeed([]byte(strings.Repeat("k", ed25519.SeedSize)))
 	server := httptest.NewServer(p.platform)
 	defer server.Close()
 	bikes := httptest.NewServer(&apprun.Runner{})
@@ -125,18 +142,49 @@
 		}
 	}
 	qt.Assert(t, second.drain(), qt.IsNil)
-	p.request(first)
+	id := p.request(first)
 	qt.Assert(t, first.drain(), qt.IsNil)
+	p.audit(id)
+}
+
+// audit checks the ledger after all nodes are gone, and after a change.
+func (p *place) audit(id string) {
+	key, export := filepath.Join(p.dir, "ledger.pub"), filepath.Join(p.dir, "export")
+	code, out := p.command("", "audit", "verify", "--objects", p.url, "--key", key)
+	qt.Assert(p, code, qt.Equals, 0, qt.Commentf(out))
+	qt.Assert(p, out, qt.Contains, "no fault: 2 chains")
+	code, out = p.command("", "audit", "explain", "--objects", p.url, id)
+	qt.Assert(p, code, qt.Equals, 0, qt.Commentf(out))
+	for _, want := range []string{"accepted for account team/a", "granted endpoint team/s1", "the whole answer was delivered", "served before it: "} {
+		qt.Assert(p, out, qt.Contains, want)
+	}
+	code, out = p.command("", "audit", "export", "--objects", p.url, export)
+	qt.Assert(p, code, qt.Equals, 0, qt.Commentf(out))
+	code, _ = p.command("", "audit", "verify", "--file", export, "--key", key)
+	qt.Assert(p, code, qt.Equals, 0)
+	raw, err := os.ReadFile(export)
+	qt.Assert(p, err, qt.IsNil)
+	changed := p.write("changed", strings.Replace(string(raw), "team/s1", "team/s2", 1))
+	code, out = p.command("", "audit", "verify", "--file", changed, "--key", key)
+	qt.Assert(p, code, qt.Equals, exitFailed)
+	qt.Assert(p, out, qt.Contains, "was changed, taken out or moved")
 }
 
 // request sends one call through a node and asks why it went where it went.
-func (p *place) request(s *server) {
+func (p *place) request(s *server) (id string) {
 	code, out := p.command("key", "addresses", "--node", s.callerAddress)
 	qt.Assert(p, code, qt.Equals, 0, qt.Commentf(out))
 	qt.Assert(p, out, qt.Contains, s.callerAddress)
-	raw, err := ask(context.Background(), s.callerAddress, "/services/bikes/stock", "key")
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+s.callerAddress+"/services/bikes/stock", nil)
+	qt.Assert(p, err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer key")
+	resp, err := http.DefaultClient.Do(req)
+	qt.Assert(p, err, qt.IsNil)
+	defer resp.Body.Close() //nolint:errcheck // read to its end.
+	raw, err := io.ReadAll(resp.Body)
 	qt.Assert(p, err, qt.IsNil)
 	qt.Assert(p, string(raw), qt.Contains, `"path":"/stock"`)
+	return resp.Header.Get("X-Request-Id")
 }
 
 // change puts a new version as the team's operator, and tries what must not
--- a/internal/connection/front/front.go
+++ b/internal/connection/front/front.go
@@ -34,6 +34,7 @@
 	// the refusal can say why.
 	headerSlack = 32 << 10
 	bearer      = "Bearer "
+	ledgerRetry = 30 * time.Second
 )
 
 // Address is one entry address for callers.
@@ -68,6 +69,9 @@
 	Token func(ResumePoint) string
 	Meter *meter.Meter
 	Gate  *gate.Gate
+	// IsFull reports whether the node can prove no more and must not accept;
+	// nil is never.
+	IsFull func() bool
 }
 
 // Server returns the callers' server with the time limits of the settings.
@@ -224,6 +228,12 @@
 	ctx, cancel := context.WithTimeout(r.Context(), tree.Limits.BodyTimeout)
 	defer cancel()
 	tier := account.HighestTier()
+	if f.IsFull != nil && f.IsFull() {
+		refusal := refuse.New(refuse.LedgerFull, "the object store has been away for so long that this node can keep no more proofs")
+		refusal.RetryAfter = ledgerRetry
+		refusal.Tier = tier.Name
+		return nil, refusal
+	}
 	leave, entered := f.Gate.Enter(ctx, tier.Rank, min(r.ContentLength, tree.Limits.BodyBytes))
 	if entered {
 		return leave, nil
--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -35,7 +35,7 @@
 	protocol         = "goldcrestwick/1"
 	idleTimeout      = 30 * time.Second
 	keepAlive        = 10 * time.Second
-	handshakeTimeout = 3 * time.Second
+	handshakeTimeout = time.Second
 	maxStreams       = 1 << 16
 	// redialPause keeps those who wait for a dead peer from dialling it one
 	// after the other.
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -60,6 +60,8 @@
 	KindTree
 	KindNews
 	KindVersion
+	// KindCopy is a call to keep a block of the ledger.
+	KindCopy
 	// KindDone is an answer without content.
 	KindDone
 )
@@ -67,6 +69,12 @@
 // Done is an answer without content.
 type Done struct{}
 
+// Copy is a block of the ledger in its encoded form.
+type Copy struct {
+	Block   []byte `cbor:"1,keyasint"`
+	Written uint64 `cbor:"2,keyasint"`
+}
+
 // Bid is sched.Bid on the wire.
 type Bid struct {
 	Request  string   `cbor:"1,keyasint"`
@@ -81,6 +89,7 @@
 	Pool     string   `cbor:"10,keyasint"`
 	Cell     int      `cbor:"11,keyasint"`
 	Settings uint64   `cbor:"12,keyasint"`
+	Clock    uint64   `cbor:"13,keyasint,omitempty"`
 }
 
 // FromBid maps a bid for a cell.
@@ -128,6 +137,7 @@
 	Considered int    `cbor:"8,keyasint,omitempty"`
 	Waited     int64  `cbor:"9,keyasint,omitempty"`
 	RetryAfter int64  `cbor:"10,keyasint,omitempty"`
+	Clock      uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // FromAnswer maps a cell's answer.
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -27,6 +27,7 @@
 
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/clock"
 	"goldcrestwick/internal/process/floor"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/roster"
@@ -70,6 +71,8 @@
 	Policy sched.Policy
 	// Observe gets each decision, with the cell's lock held.
 	Observe func(sched.Decision)
+	// Clock is the node's hybrid logical clock.
+	Clock *clock.Clock
 
 	floors  floor.Keeper
 	roster  atomic.Pointer[roster.View]
--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -7,6 +7,7 @@
 
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/clock"
 	"goldcrestwick/internal/process/floor"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/sched"
@@ -28,6 +29,7 @@
 		s.Send(wire.KindAnswer, wire.FromAnswer(moved)) //nolint:errcheck // the bidder sees the stream end.
 		return
 	}
+	m.Clock.Observe(clock.Time(message.Clock))
 	woken := make(chan struct{}, 1)
 	b := message.ToBid(time.Now())
 	b.Wake = func() { woken <- struct{}{} }
@@ -42,7 +44,9 @@
 			return
 		}
 	}
-	err := s.Send(wire.KindAnswer, wire.FromAnswer(b.Answer))
+	answer := wire.FromAnswer(b.Answer)
+	answer.Clock = uint64(m.Clock.Now())
+	err := s.Send(wire.KindAnswer, answer)
 	if b.Answer.Outcome != sched.Granted {
 		return
 	}
--- /dev/null
+++ b/internal/process/ledger/ledger_test.go
@@ -0,0 +1,196 @@
+package ledger
+
+import (
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestwick/internal/process/clock"
+	"goldcrestwick/internal/process/trace"
+	"goldcrestwick/internal/request/ident"
+)
+
+var (
+	private = ed25519.NewKeyFromSeed([]byte(strings.Repeat("k", ed25519.SeedSize)))
+	public  = private.Public().(ed25519.PublicKey) //nolint:errcheck,revive // always this type.
+	errAway = errors.New("away")
+)
+
+func record(i int) Record {
+	return Record{Clock: clock.Time(i), Record: trace.Record{
+		Time: time.Unix(int64(i), 5), Node: "n1", Request: ident.RequestID(fmt.Sprint("r", i)), Event: trace.Granted,
+		Account: "a", Tier: "top", Endpoint: "e", Sequence: uint64(i),
+	}}
+}
+
+// chain makes blocks of so many records each.
+func chain(blocks, records int) []Block {
+	var all []Block
+	var before Hash
+	for b := range blocks {
+		var list []Record
+		for r := range records {
+			list = append(list, record(b*records+r+1))
+		}
+		block := seal(Chain{"n1", 7}, uint64(b*records+1), before, list, private)
+		before = block.After
+		all = append(all, block)
+	}
+	return all
+}
+
+func faultsOf(t *testing.T, blocks []Block) string {
+	decoded, err := Decode(Encode(blocks))
+	qt.Assert(t, err, qt.IsNil)
+	var lines []string
+	for _, f := range Verify(decoded, public) {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// TestVerify changes a ledger in every way that a record can be changed,
+// missing or moved, and checks that the fault is named.
+func TestVerify(t *testing.T) {
+	qt.Assert(t, faultsOf(t, chain(4, 3)), qt.Equals, "")
+	twice := append(chain(4, 3), chain(4, 3)[1])
+	qt.Assert(t, faultsOf(t, twice), qt.Equals, "")
+	for name, c := range map[string]struct {
+		change func([]Block) []Block
+		fault  string
+	}{
+		"changed":       {func(b []Block) []Block { b[1].Records[1].Tier = "low"; return b }, "record 4: a record from here to 6 was changed"},
+		"changed clock": {func(b []Block) []Block { b[1].Records[1].Clock++; return b }, "record 4: a record from here to 6 was changed"},
+		"moved": {func(b []Block) []Block {
+			r := b[2].Records
+			r[0], r[1] = r[1], r[0]
+			return b
+		}, "record 7: a record from here to 9 was changed"},
+		"removed":       {func(b []Block) []Block { b[1].Records = b[1].Records[:2]; return b }, "record 4: the block's head or signature was changed"},
+		"missing":       {func(b []Block) []Block { return append(b[:1], b[2:]...) }, "record 4: the records from here to 6 are missing"},
+		"missing start": {func(b []Block) []Block { return b[1:] }, "record 1: the records from here to 3 are missing"},
+		"renumbered":    {func(b []Block) []Block { b[2].First = 4; return b }, "record 4: the block's head or signature was changed"},
+		"other key": {func(b []Block) []Block {
+			other := ed25519.NewKeyFromSeed([]byte(strings.Repeat("x", ed25519.SeedSize)))
+			b[3] = seal(b[3].Chain, b[3].First, b[3].Before, b[3].Records, other)
+			return b
+		}, "record 10: the block's head or signature was changed"},
+		"forked": {func(b []Block) []Block {
+			return append(b, seal(b[1].Chain, b[1].First, b[1].Before, []Record{record(99)}, private))
+		}, "two different records have this number"},
+		"joined": {func(b []Block) []Block {
+			b[2] = seal(b[2].Chain, b[2].First, Hash{1}, b[2].Records, private)
+			return b
+		}, "record 7: the record does not follow the one before"},
+	} {
+		qt.Assert(t, faultsOf(t, c.change(chain(4, 3))), qt.Contains, c.fault, qt.Commentf(name))
+	}
+}
+
+// TestEveryBit flips each bit of an object: it cannot be read, or has a fault.
+func TestEveryBit(t *testing.T) {
+	raw := Encode(chain(2, 2))
+	want := fmt.Sprintf("%+v", Merge(chain(2, 2)))
+	for i := range len(raw) * 8 {
+		changed := append([]byte(nil), raw...)
+		changed[i/8] ^= 1 << (i % 8)
+		blocks, err := Decode(changed)
+		if err != nil || len(Verify(blocks, public)) > 0 {
+			continue
+		}
+		qt.Assert(t, fmt.Sprintf("%+v", Merge(blocks)), qt.Equals, want, qt.Commentf("bit %d", i))
+	}
+}
+
+// TestStoreAway keeps the object store away for an hour and checks that every
+// record comes through, and that a longer absence is noted and refused.
+func TestStoreAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		away := true
+		objects := map[string][]byte{}
+		w := &Writer{Node: "n1", Key: private, Clock: &clock.Clock{}}
+		w.Put = func(_ context.Context, name string, body []byte) error {
+			if away {
+				return errAway
+			}
+			objects[name] = body
+			return nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			w.Run(ctx)
+			close(done)
+		}()
+		const perSecond, hour = 30, 3600
+		added := 0
+		for range hour {
+			time.Sleep(time.Second)
+			for range perSecond {
+				added++
+				qt.Assert(t, w.Add(record(added).Record), qt.IsTrue)
+			}
+		}
+		qt.Assert(t, w.Kept(), qt.Equals, added)
+		qt.Assert(t, w.Add(trace.Record{Event: trace.Bidding}), qt.IsTrue)
+		for !w.IsFull() {
+			added++
+			w.Add(record(added).Record)
+		}
+		qt.Assert(t, w.Add(record(0).Record), qt.IsFalse)
+		away = false
+		cancel()
+		<-done
+		var all []Block
+		for _, raw := range objects {
+			blocks, err := Decode(raw)
+			qt.Assert(t, err, qt.IsNil)
+			all = append(all, blocks...)
+		}
+		qt.Assert(t, Verify(all, public), qt.HasLen, 0)
+		proved, left := 0, 0
+		for _, r := range Merge(all) {
+			if r.Event != trace.LeftOut {
+				proved++
+				continue
+			}
+			n := 0
+			fmt.Sscan(r.Reason, &n) //nolint:errcheck // 0 fails below.
+			left += n
+		}
+		qt.Assert(t, [2]int{proved, left}, qt.Equals, [2]int{added, 2})
+		qt.Assert(t, w.Kept(), qt.Equals, 0)
+	})
+}
+
+// TestHolder checks that a dead node's blocks are written and a living one's
+// forgotten once it has written them itself.
+func TestHolder(t *testing.T) {
+	h := &Holder{}
+	blocks := chain(4, 3)
+	for _, b := range blocks[:3] {
+		qt.Assert(t, h.Hold(b, 0), qt.IsTrue)
+	}
+	qt.Assert(t, h.Hold(blocks[3], 6), qt.IsTrue)
+	qt.Assert(t, h.Held(), qt.Equals, 2)
+	var written []Block
+	put := func(_ context.Context, _ string, body []byte) error {
+		found, err := Decode(body)
+		written = append(written, found...)
+		return err
+	}
+	h.Rescue(t.Context(), func(ident.NodeID) bool { return true }, put)
+	qt.Assert(t, written, qt.HasLen, 0)
+	h.Rescue(t.Context(), func(ident.NodeID) bool { return false }, func(context.Context, string, []byte) error { return errAway })
+	qt.Assert(t, h.Held(), qt.Equals, 2)
+	h.Rescue(t.Context(), func(ident.NodeID) bool { return false }, put)
+	qt.Assert(t, h.Held(), qt.Equals, 0)
+	qt.Assert(t, Verify(append(written, blocks[:2]...), public), qt.HasLen, 0)
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"crypto/ed25519"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,7 +24,9 @@
 	"goldcrestwick/internal/connection/outlet"
 	"goldcrestwick/internal/process/cells"
 	"goldcrestwick/internal/process/claims"
+	"goldcrestwick/internal/process/clock"
 	"goldcrestwick/internal/process/gate"
+	"goldcrestwick/internal/process/ledger"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/meter"
 	"goldcrestwick/internal/process/quota"
@@ -67,6 +70,8 @@
 	Outlet *outlet.Outlet
 	Policy sched.Policy
 	Log    *log.Logger
+	// LedgerKey signs the ledger; nil keeps none.
+	LedgerKey ed25519.PrivateKey
 	// Step, when set, is called at each step of each request on this node.
 	Step func(trace.Record)
 	// Decided, when set, is called with each decision of this node's cells,
@@ -86,6 +91,9 @@
 	front     front.Front
 	gate      gate.Gate
 	decisions decisions
+	clock     clock.Clock
+	ledger    *ledger.Writer
+	copies    ledger.Holder
 	instances atomic.Pointer[[]roster.Instance]
 	tenure    atomic.Pointer[tenure]
 	repo      repo.Repo
@@ -120,6 +128,7 @@
 	n.cells = cells.Manager{
 		Self: n.members.Self, Members: n.members.View, Tree: n.tree.Load, Open: n.Open,
 		Held: n.entry.Held, Poll: n.poll, Events: n.cacheEvents, Policy: n.Policy, Observe: n.observe,
+		Clock: &n.clock,
 	}
 	n.home = claims.Home{Transact: n.Store.Transact, WriteRate: n.writeRate, Tenure: n.homeSince}
 	n.keys = entry.Keys{
@@ -129,13 +138,15 @@
 	n.quota = quota.Keeper{Even: n.evenShare}
 	n.entry = entry.Entry{
 		Self: n.Process.Name, Cells: &n.cells, Open: n.Open, Keys: &n.keys, Quota: &n.quota,
-		Outlet: n.Outlet, Record: n.record, Finished: n.finished,
+		Outlet: n.Outlet, Clock: &n.clock, Record: n.record, Finished: n.finished,
 	}
 	n.front = front.Front{
 		Tree: n.tree.Load, Serve: n.entry.Serve, Addresses: n.addresses, IsReady: n.isReady,
 		Resume: n.resume, Token: n.resumeToken, Meter: &n.meter, Gate: &n.gate,
+		IsFull: n.isLedgerFull,
 	}
 	n.gate = gate.Gate{Limits: n.gateLimits, MayShed: n.cells.MayShedEverywhere, Press: n.cells.PressEverywhere}
+	n.prepareLedger(mux)
 	n.cells.Register(mux)
 	n.keys.Register(mux)
 	n.registerPeers(mux)
@@ -170,6 +181,7 @@
 	n.tasks.Go(func() { n.cells.Run(ctx) })
 	n.tasks.Go(func() { n.home.Run(ctx) })
 	n.tasks.Go(func() { n.drainDecisions(ctx) })
+	n.startLedger(ctx)
 	joining, cancel := context.WithTimeout(ctx, joinTime)
 	n.refreshList(joining)
 	n.members.Seed(joining)
@@ -190,6 +202,7 @@
 // until Stop.
 func (n *Node) Leave() {
 	n.members.SetSelf(func(m *member.Member) { m.State = member.Leaving })
+	n.sayGoodbye()
 	n.Log.Info("node_leaving", "node", n.Process.Name, "open_requests", n.gate.Open())
 }
 
--- a/internal/process/node/observe.go
+++ b/internal/process/node/observe.go
@@ -39,6 +39,7 @@
 		Waited: a.Waited, Settings: n.tree.Load().Version, Event: eventOf(a.Outcome),
 		Tier: n.tierName(d.Cell.Pool, b.Tier),
 	}
+	n.prove(r)
 	if n.Decided != nil {
 		n.Decided(d)
 	}
@@ -103,6 +104,7 @@
 
 // record remembers and logs a step that this node's entry side took.
 func (n *Node) record(r trace.Record) {
+	n.prove(r)
 	if n.Step != nil {
 		n.Step(r)
 	}
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"goldcrestwick/internal/connection/link"
@@ -47,6 +48,26 @@
 	return g
 }
 
+// sayGoodbye tells every member of the region at once that this node leaves,
+// so that no bid or caller is sent here that gossip would have spared.
+func (n *Node) sayGoodbye() {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	self := n.members.Self()
+	var told sync.WaitGroup
+	for _, m := range n.members.View().Members {
+		if m.ID == self.ID || m.Region != self.Region {
+			continue
+		}
+		told.Go(func() {
+			if _, err := n.probe(ctx, m, []member.Member{self}); err != nil {
+				n.Log.Debug("goodbye_not_delivered", "peer", m.ID, "error", err)
+			}
+		})
+	}
+	told.Wait()
+}
+
 func (n *Node) serveProbe(_ context.Context, s *link.Stream, m wire.Gossip) {
 	n.hearOf(m)
 	reply := n.members.Merge(m.ToMembers())
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -13,6 +13,7 @@
 	"goldcrestwick/internal/connection/wire"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/tick"
+	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/version/config"
 	"goldcrestwick/internal/version/repo"
@@ -37,6 +38,7 @@
 func (n *Node) useTree(t *config.Tree) {
 	n.tree.Store(t)
 	n.buildRoster()
+	n.prove(trace.Record{Time: time.Now(), Node: n.Process.Name, Event: trace.Settings, Settings: t.Version})
 	n.Log.Info("settings_in_force", "settings_version", t.Version)
 }
 
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -57,6 +57,7 @@
 
 	table    breaker
 	listings breaker
+	objects  breaker
 
 	mu   sync.Mutex
 	list []roster.Instance
@@ -191,6 +192,18 @@
 	return list, true, nil
 }
 
+// PutObject writes an object whole.
+func (c *Client) PutObject(ctx context.Context, name string, body []byte) error {
+	status, _, err := c.call(ctx, &c.objects, request{http.MethodPut, c.Objects + "/objects/" + name, body, ""}, nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusNoContent && status != http.StatusOK {
+		return eris.Errorf("the object store answered %d", status)
+	}
+	return nil
+}
+
 type wireInstance struct {
 	ID         string `json:"id"`
 	Kind       string `json:"kind"`
@@ -259,7 +272,7 @@
 	if err != nil {
 		return 0, "", eris.Wrap(err, "answer of the platform")
 	}
-	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
+	if into == nil || resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusConflict {
 		return resp.StatusCode, "", nil
 	}
 	return resp.StatusCode, resp.Header.Get("ETag"), eris.Wrap(json.Unmarshal(raw, into), "answer of the platform")
--- a/internal/process/trace/trace.go
+++ b/internal/process/trace/trace.go
@@ -43,6 +43,10 @@
 	Finished   Event = "finished"
 	Refused    Event = "refused"
 	CallerGone Event = "caller_gone"
+	// LeftOut and Settings are of no request: records that a full ledger left
+	// out, and a settings version that came into force.
+	LeftOut  Event = "left_out"
+	Settings Event = "settings_in_force"
 )
 
 // Record is one step of one request.
@@ -96,6 +100,10 @@
 		return at + "the whole answer was delivered from endpoint " + string(r.Endpoint)
 	case Refused:
 		return at + "refused; " + r.Reason
+	case LeftOut:
+		return at + "the ledger was full and left out " + r.Reason
+	case Settings:
+		return at + fmt.Sprintf("settings version %d came into force", r.Settings)
 	case CallerGone:
 		return at + "the caller went away"
 	default:
--- a/internal/request/entry/bid.go
+++ b/internal/request/entry/bid.go
@@ -8,6 +8,7 @@
 
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/clock"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/trace"
@@ -186,7 +187,9 @@
 	if err != nil {
 		return moved
 	}
-	if stream.Send(wire.KindBid, wire.FromBid(b, cell, version, time.Now())) != nil {
+	bid := wire.FromBid(b, cell, version, time.Now())
+	bid.Clock = uint64(e.Clock.Now())
+	if stream.Send(wire.KindBid, bid) != nil {
 		stream.Close() //nolint:errcheck // broken already.
 		return moved
 	}
@@ -198,6 +201,7 @@
 		return moved
 	}
 	message, err := link.Decode[wire.Answer](body)
+	e.Clock.Observe(clock.Time(message.Clock))
 	s := &session{cell: cell, answer: message.ToAnswer(), received: time.Now()}
 	if err != nil || s.answer.Outcome != sched.Granted {
 		stream.Close() //nolint:errcheck // the bid is over.
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -19,6 +19,7 @@
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/outlet"
 	"goldcrestwick/internal/process/cells"
+	"goldcrestwick/internal/process/clock"
 	"goldcrestwick/internal/process/quota"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/trace"
@@ -64,6 +65,8 @@
 	Keys   *Keys
 	Quota  *quota.Keeper
 	Outlet *outlet.Outlet
+	// Clock is the node's hybrid logical clock.
+	Clock *clock.Clock
 	// Record gets each step of each request.
 	Record func(trace.Record)
 	// Finished gets the end of each dispatched request, for the metrics.
--- a/internal/request/refuse/refuse.go
+++ b/internal/request/refuse/refuse.go
@@ -60,7 +60,7 @@
 	OutcomeGone         Reason = "outcome_no_longer_held"
 	EndpointFailed      Reason = "endpoint_failed"
 	AnswerBroken        Reason = "answer_incomplete"
-	Stopping            Reason = "node_stopping"
+	LedgerFull          Reason = "ledger_full"
 	CallerGone          Reason = "caller_gone"
 	HeaderTooLarge      Reason = "header_too_large"
 )
@@ -78,7 +78,7 @@
 	DeadlinePassed: http.StatusGatewayTimeout, NoEndpoint: http.StatusServiceUnavailable,
 	StoreDown: http.StatusServiceUnavailable, EarlierRun: http.StatusConflict,
 	OutcomeGone: http.StatusConflict, EndpointFailed: http.StatusBadGateway,
-	AnswerBroken: http.StatusBadGateway, Stopping: http.StatusServiceUnavailable,
+	AnswerBroken: http.StatusBadGateway, LedgerFull: http.StatusServiceUnavailable,
 	CallerGone: http.StatusRequestTimeout, HeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
 }
 
--- a/internal/stand/cloud/cloud.go
+++ b/internal/stand/cloud/cloud.go
@@ -12,6 +12,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
@@ -134,6 +135,13 @@
 	p.lists = append(p.lists, dated{time.Now(), list})
 }
 
+// Objects returns the objects by name.
+func (p *Platform) Objects() map[string][]byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.objects)
+}
+
 // Counts returns the writes and reads so far.
 func (p *Platform) Counts() (writes, reads int) {
 	p.mu.Lock()
@@ -183,6 +191,7 @@
 	r.Get("/rows/{table}", p.table)
 	r.Put("/objects/*", p.putObject)
 	r.Get("/objects/*", p.object)
+	r.Get("/objects", p.list)
 	r.Get("/instances", p.instances)
 	return r
 }
@@ -275,6 +284,19 @@
 	w.Write(body) //nolint:errcheck // the caller may be gone.
 }
 
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := []string{}
+	for name := range p.objects {
+		if strings.HasPrefix(name, r.URL.Query().Get("prefix")) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	writeJSON(w, http.StatusOK, map[string]any{"names": names})
+}
+
 func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/tool/fleet/fleet.go
+++ b/internal/tool/fleet/fleet.go
@@ -12,6 +12,8 @@
 
 import (
 	"context"
+	"crypto/ed25519"
+	"crypto/rand"
 	"fmt"
 	"io"
 	"net/http"
@@ -73,6 +75,9 @@
 	Holdings *runner.Holdings
 	Nodes    []*Node
 
+	// LedgerKey signs the ledger of all nodes.
+	LedgerKey ed25519.PrivateKey
+
 	options  Options
 	network  *Network
 	listed   []cloud.Instance
@@ -111,6 +116,9 @@
 
 func (f *Fleet) start() error {
 	var err error
+	if _, f.LedgerKey, err = ed25519.GenerateKey(rand.Reader); err != nil {
+		return eris.Wrap(err, "make a ledger key")
+	}
 	f.network = f.options.Network
 	if f.network == nil {
 		if f.network, err = Sockets(nil); err != nil {
@@ -241,6 +249,8 @@
 		Outlet: &outlet.Outlet{Dial: dial},
 		Policy: f.options.Policy,
 		Log:    f.logger(name),
+
+		LedgerKey: f.LedgerKey,
 	}
 	if f.options.Files != nil {
 		n.Node.Tree = nil
--- a/internal/version/config/process.go
+++ b/internal/version/config/process.go
@@ -36,6 +36,8 @@
 	KeyFile  string
 	// ResumeKey signs resume tokens; all nodes share it.
 	ResumeKey string
+	// LedgerKey is the file of the fleet's ed25519 key; empty keeps no ledger.
+	LedgerKey string
 	// LogLevel is debug, info, warn or error.
 	LogLevel  string
 	LogFormat string
@@ -66,6 +68,9 @@
 	"resume": {
 		{"key_file", true, text(func(p *Process) *string { return &p.ResumeKey })},
 	},
+	"ledger": {
+		{"key_file", true, text(func(p *Process) *string { return &p.LedgerKey })},
+	},
 	"log": {
 		{"level", false, oneOf(func(p *Process) *string { return &p.LogLevel }, map[string]string{
 			"debug": "debug", "info": "info", "warn": "warn", "error": "error",
@@ -91,7 +96,7 @@
 		return Process{}, err
 	}
 	base := filepath.Dir(file)
-	for _, at := range []*string{&p.Tree, &p.CAFile, &p.CertFile, &p.KeyFile, &p.ResumeKey} {
+	for _, at := range []*string{&p.Tree, &p.CAFile, &p.CertFile, &p.KeyFile, &p.ResumeKey, &p.LedgerKey} {
 		if *at != "" && !filepath.IsAbs(*at) {
 			*at = filepath.Join(base, *at)
 		}
