--- a/internal/process/gate/gate_test.go
+++ b/internal/process/gate/gate_test.go
@@ -47,6 +47,25 @@
 	})
 }
 
+// TestHighestFirst checks that of those who wait the highest tier enters next.
+func TestHighestFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &Gate{Limits: func() Limits { return Limits{Open: 8, Bytes: 100} }}
+		var inside []*try
+		for range 8 {
+			inside = append(inside, enter(t.Context(), g, 1, 1))
+		}
+		low, top := enter(t.Context(), g, 2, 1), enter(t.Context(), g, 0, 1)
+		qt.Assert(t, low.ended || top.ended, qt.IsFalse)
+		inside[0].leave()
+		synctest.Wait()
+		qt.Assert(t, top.entered && !low.ended, qt.IsTrue)
+		inside[1].leave()
+		synctest.Wait()
+		qt.Assert(t, low.entered, qt.IsTrue)
+	})
+}
+
 // TestFloor checks that a tier is not refused while lower ones are open
 // elsewhere.
 func TestFloor(t *testing.T) {
