--- a/internal/request/relay/service.go
+++ b/internal/request/relay/service.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +19,9 @@
 
 const pieceBytes = 32 << 10
 
+// buffers holds the room through which answers pass; a sink keeps none of it.
+var buffers sync.Pool
+
 // dropped are the headers that do not pass from the caller to the endpoint or
 // back: those of one hop (RFC 9110, section 7.6.1), and our own.
 var dropped = []string{
@@ -109,9 +113,13 @@
 		result.CallerGone = true
 		return
 	}
-	buffer := make([]byte, pieceBytes)
+	buffer, ok := buffers.Get().(*[pieceBytes]byte)
+	if !ok {
+		buffer = new([pieceBytes]byte)
+	}
+	defer buffers.Put(buffer)
 	for number := 0; ; number++ {
-		n, err := resp.Body.Read(buffer)
+		n, err := resp.Body.Read(buffer[:])
 		last := errors.Is(err, io.EOF)
 		if n > 0 || last {
 			if r.Sink.Piece(answer.Piece{Number: number, Data: buffer[:n], Last: last}) != nil {
--- a/internal/tool/load/load.go
+++ b/internal/tool/load/load.go
@@ -20,6 +20,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -34,6 +35,7 @@
 	answerSlack  = 60 * time.Second
 	maxEventLine = 1 << 20
 	maxReply     = 8 << 20
+	maxIdle      = 1024
 )
 
 // Generator sends one run of a workload. Set the fields, then call Run.
@@ -50,6 +52,8 @@
 	// Prefilled returns the prompt tokens processed for a request, when the
 	// endpoints are at hand; nil leaves them out.
 	Prefilled func(ident.RequestID) ident.Tokens
+	// Dial opens connections; nil takes TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	client http.Client
 	report Report
@@ -60,7 +64,9 @@
 
 // Run sends the workload and returns when every answer is in.
 func (g *Generator) Run(ctx context.Context) *Report {
-	g.client.Transport = &http.Transport{MaxIdleConnsPerHost: 1024}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdle, DialContext: g.Dial}
+	defer transport.CloseIdleConnections()
+	g.client.Transport = transport
 	g.report.start(g)
 	g.known = map[string][]string{}
 	g.turns = map[string]int{}
