Rank the claim homes once for each view, and drop three unused methods

Cause: reading the change again: every claim ranked and hashed all ready members anew, 360 at the target size, and three exported methods had no caller. Change: the homes are kept with the view that they were ranked from; Entry, Len and WaitingBelow are gone. Measured: all tests pass; no timing was taken.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -97,10 +97,19 @@
 	instances atomic.Pointer[[]roster.Instance]
 	tenure    atomic.Pointer[tenure]
 	repo      repo.Repo
-	follower  follow.Follower
-	resumeKey []byte
-	cancel    context.CancelFunc
-	tasks     sync.WaitGroup
+
+	claimHomes atomic.Pointer[claimHomes]
+	follower   follow.Follower
+	resumeKey  []byte
+	cancel     context.CancelFunc
+	tasks      sync.WaitGroup
+}
+
+// claimHomes are the nodes that write claims by one view, which every claim asks
+// for.
+type claimHomes struct {
+	view  *member.View
+	homes []member.Member
 }
 
 // tenure is since when the set of claim homes has been the same.
@@ -159,9 +168,6 @@
 // Settings returns the settings in force.
 func (n *Node) Settings() *config.Tree { return n.tree.Load() }
 
-// Entry returns the part that carries requests.
-func (n *Node) Entry() *entry.Entry { return &n.entry }
-
 // Cells returns the part that runs cells.
 func (n *Node) Cells() *cells.Manager { return &n.cells }
 
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -128,8 +128,13 @@
 
 // homes returns the nodes that write claims.
 func (n *Node) homes(v *member.View) []member.Member {
+	if known := n.claimHomes.Load(); known != nil && known.view == v {
+		return known.homes
+	}
 	ranked := member.Ranked(v.Ready(""), "claim_homes")
-	return ranked[:min(len(ranked), maxHomes)]
+	homes := ranked[:min(len(ranked), maxHomes)]
+	n.claimHomes.Store(&claimHomes{v, homes})
+	return homes
 }
 
 func homesKey(homes []member.Member) string {
--- a/internal/process/prefix/prefix.go
+++ b/internal/process/prefix/prefix.go
@@ -174,9 +174,6 @@
 	}
 }
 
-// Len returns the number of fingerprints kept.
-func (x *Index) Len() int { return len(x.entries) }
-
 // hold refreshes the slot's place in an entry or takes the stalest place.
 // Only a new place moves the slot's clock, so a slot forgets what is older
 // than its capacity of new blocks.
--- a/internal/process/sched/members.go
+++ b/internal/process/sched/members.go
@@ -192,18 +192,6 @@
 	return l
 }
 
-// WaitingBelow reports whether a bid of a tier lower than the given one waits.
-func (c *Cell) WaitingBelow(tier ident.Tier) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for lower := int(tier) + 1; lower < len(c.queues); lower++ {
-		if c.queues[lower].length > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // judge compares an endpoint with the median of its generation. Suspension
 // needs a large gap and return a small one, so that an endpoint does not swing
 // in and out on noise.
