--- /dev/null
+++ b/cmd/goldcrestwick/entry.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/process/node"
+	"goldcrestwick/internal/process/spool"
+	"goldcrestwick/internal/process/store"
+	"goldcrestwick/internal/process/tick"
+	"goldcrestwick/internal/process/trust"
+	"goldcrestwick/internal/version/config"
+	"goldcrestwick/platform"
+)
+
+const (
+	// addressesTTL is how long callers keep the answer of the directory; some
+	// keep it three times as long.
+	addressesTTL = time.Second
+	// closeAfter is when a stopping node closes the connections of callers
+	// that still use it: by then their lists have expired.
+	closeAfter = 3*addressesTTL + 500*time.Millisecond
+	// graceMargin is left of the grace time for the end of the process.
+	graceMargin = 600 * time.Millisecond
+	// memoryShare is the part of the process's memory that the heap may fill
+	// before the collector works harder.
+	memoryShare = 0.6
+	trustPause  = 200 * time.Millisecond
+	trustTime   = 2 * time.Second
+	readTimeout = 5 * time.Second
+)
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "run one entry node on the platform",
+		Description: "Settings, endpoints and certificates come from the platform's store. The first TERM signal takes the node\n" +
+			"out of the address lists; it serves on until its requests have ended or the grace time is over.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of this process; by default the platform's"},
+		},
+		Action: runEntry,
+	}
+}
+
+// entryNode is an entry node on the platform with its listeners.
+type entryNode struct {
+	process config.Process
+	node    *node.Node
+	link    *link.Link
+	callers *http.Server
+	log     *log.Logger
+	failed  chan error
+}
+
+func runEntry(ctx context.Context, c *cli.Command) error {
+	file := c.String("settings")
+	if file == "" {
+		file = platform.SettingsFile()
+	}
+	if file == "" {
+		return usageError{eris.New("no settings file is given")}
+	}
+	p, err := config.LoadProcess(file)
+	if err != nil {
+		return err
+	}
+	if p.StoreAddress == "" {
+		return usageError{eris.Errorf("%s has no section [entry]", file)}
+	}
+	if p.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(p.Memory)))
+	}
+	lines := spool.New(c.Root().Writer)
+	defer lines.Close()
+	e := &entryNode{process: p, log: newLogger(p, lines), failed: make(chan error, 8)}
+	e.log.Info("process_started", "node", p.Name, "availability_zone", p.Zone, "callers", p.CallerAddress)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go e.reload(file, reload)
+	return e.run(ctx)
+}
+
+// reload checks the settings file again when it has changed. What it holds
+// beyond the log level takes a new process.
+func (e *entryNode) reload(file string, signals <-chan os.Signal) {
+	for range signals {
+		p, err := config.LoadProcess(file)
+		if err != nil {
+			e.log.Error("settings_file_not_reloaded", "error", err)
+			continue
+		}
+		if level, err := log.ParseLevel(p.LogLevel); err == nil {
+			e.log.SetLevel(level)
+		}
+		e.log.Info("settings_file_reloaded", "log_level", p.LogLevel)
+	}
+}
+
+func (e *entryNode) run(ctx context.Context) error {
+	client := &store.Client{Service: platform.NewStore(e.process.StoreAddress).Service()}
+	e.link = &link.Link{Mux: &link.Mux{}}
+	e.node = &node.Node{
+		Process: e.process, Store: client, Open: e.link.Open, Forget: e.link.Forget, Log: e.log,
+		Platform: &node.Platform{
+			SettingsTable: platform.OperatorTable, SettingsKey: platform.SettingsKey,
+			EndpointTable: platform.EndpointTable, SettingsVersion: platform.SettingsVersion,
+			ParseSettings: platform.ParseSettings, ParseEndpoint: platform.ParseEndpoint,
+			Dialect: platform.Dialect(),
+		},
+	}
+	resumeKey := make([]byte, minResumeKey)
+	rand.Read(resumeKey) //nolint:errcheck // crypto/rand.Read never fails.
+	e.node.Prepare(e.link.Mux, resumeKey)
+	if err := e.listen(); err != nil {
+		return err
+	}
+	starting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		if err := e.start(starting, client); err != nil && ctx.Err() == nil {
+			e.failed <- err
+		}
+	}()
+	select {
+	case <-ctx.Done():
+		return e.drain()
+	case err := <-e.failed:
+		return err
+	}
+}
+
+// listen opens the addresses for callers, which get a truthful refusal until
+// the node has joined.
+func (e *entryNode) listen() error {
+	e.callers = e.node.Door().Server()
+	servers := []struct {
+		address string
+		server  *http.Server
+	}{
+		{e.process.CallerAddress, e.callers},
+		{e.process.ReadyAddress, plainServer(platform.Readiness(e.node.IsReady))},
+		{e.process.DirectoryAddress, plainServer(platform.Directory(e.node.EntryAddresses, addressesTTL))},
+		{e.process.OperatorAddress, plainServer(e.node.Operators().Handler())},
+		{e.process.MetricsAddress, plainServer(e.node.Operators().Handler())},
+	}
+	for _, s := range servers {
+		if s.address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return eris.Wrapf(err, "listen at %s", s.address)
+		}
+		go func() {
+			if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				e.failed <- eris.Wrapf(err, "serve at %s", s.address)
+			}
+		}()
+	}
+	return nil
+}
+
+func plainServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: readTimeout, IdleTimeout: time.Minute}
+}
+
+// start joins the fleet once the store has given the fleet's authority.
+func (e *entryNode) start(ctx context.Context, client *store.Client) error {
+	peers, err := netip.ParseAddrPort(e.process.PeerAddress)
+	if err != nil {
+		return eris.Wrap(err, "peer address")
+	}
+	keeper := &trust.Keeper{Store: client, Name: string(e.process.Name), IP: peers.Addr().AsSlice(), Log: e.log}
+	for {
+		loading, cancel := context.WithTimeout(ctx, trustTime)
+		err := keeper.Load(loading)
+		cancel()
+		if err == nil {
+			break
+		}
+		e.log.Warn("authority_not_loaded", "error", err)
+		if !tick.Sleep(ctx, trustPause) {
+			return nil
+		}
+	}
+	e.link.TLS = keeper.Config
+	if err := e.link.Listen(e.process.PeerAddress); err != nil {
+		return err
+	}
+	e.node.Start(ctx)
+	return nil
+}
+
+// drain leaves the fleet without cutting a request that ends in time.
+func (e *entryNode) drain() error {
+	began := time.Now()
+	e.log.Info("process_stopping", "grace", e.process.Grace)
+	e.node.Door().Leave()
+	e.node.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), e.process.Grace-graceMargin)
+	defer cancel()
+	tick.Sleep(ctx, closeAfter)
+	err := e.callers.Shutdown(ctx)
+	e.log.Info("process_stopped", "took", time.Since(began), "requests_cut", err != nil)
+	return nil
+}
--- a/cmd/goldcrestwick/main.go
+++ b/cmd/goldcrestwick/main.go
@@ -6,6 +6,7 @@
 //	goldcrestwick try                        a whole small deployment in one process
 //	goldcrestwick settings check DIR         check a settings tree
 //	goldcrestwick serve --settings FILE      one entry node
+//	goldcrestwick entry                      one entry node on the platform
 //	goldcrestwick addresses --node ADDR      the entry addresses for an account
 //	goldcrestwick explain --node ADDR ID     why a request was decided as it was
 //	goldcrestwick load --profile ekin        an open-loop workload
@@ -69,7 +70,7 @@
 		ErrWriter:      errs,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			serveCommand(), settingsCommand(), addressesCommand(), explainCommand(), loadCommand(), tryCommand(), auditCommand(),
+			serveCommand(), entryCommand(), settingsCommand(), addressesCommand(), explainCommand(), loadCommand(), tryCommand(), auditCommand(),
 		},
 	}
 	markUsageErrors(app)
--- a/cmd/goldcrestwick/platform.go
+++ b/cmd/goldcrestwick/platform.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		return usageError{err}
 	}
-	client := &store.Client{Table: strings.TrimSuffix(c.String("table"), "/")}
+	client := &store.Client{Service: store.HTTP{Table: strings.TrimSuffix(c.String("table"), "/")}.Service()}
 	r := &repo.Repo{Transact: client.Transact, Get: client.Get}
 	if err := r.Init(ctx, files, c.String("operator")); err != nil {
 		return err
--- a/cmd/goldcrestwick/serve.go
+++ b/cmd/goldcrestwick/serve.go
@@ -137,7 +137,7 @@
 	s.callerAddress, s.operatorAddress = p.CallerAddress, operators.Addr().String()
 	s.node = &node.Node{
 		Process: p, Tree: tree, Open: s.link.Open, Forget: s.link.Forget, Log: s.log,
-		Store: &store.Client{Table: p.TableURL, Objects: p.ObjectURL, Instances: p.InstancesURL},
+		Store: &store.Client{Service: store.HTTP{Table: p.TableURL, Objects: p.ObjectURL, Instances: p.InstancesURL}.Service()},
 	}
 	if p.LedgerKey != "" {
 		if s.node.LedgerKey, err = readLedgerKey(p.LedgerKey); err != nil {
--- /dev/null
+++ b/internal/connection/door/door.go
@@ -0,0 +1,248 @@
+// Package door takes in callers' requests that are passed on as they came.
+//
+// It finds the route by host and path and the account by API key, holds the
+// request against the account's limits, reads its body and hands it to a
+// pass.Passer. What it refuses has not run, and says so by its status.
+//
+// # Usage
+//
+//	d := &door.Door{Tree: tree, Labels: dialect.Labels, Serve: passer.Serve, Quota: keeper, Log: logger}
+//	server := d.Server()
+//	go server.Serve(listener)
+//	d.Leave() // connections are closed after their next answer
+package door
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"goldcrestwick/internal/process/meter"
+	"goldcrestwick/internal/process/quota"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/request/pass"
+	"goldcrestwick/internal/request/refuse"
+	"goldcrestwick/internal/version/config"
+)
+
+const (
+	// headerTimeout bounds a caller's header before any settings are known;
+	// callers that are slower than the settings' limit are few.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than callers keep a connection idle, so that a
+	// request seldom crosses the close.
+	idleTimeout = 90 * time.Second
+	headerBytes = 64 << 10
+	// notReadyRetry is when a node without settings is worth another try.
+	notReadyRetry = 500 * time.Millisecond
+)
+
+// Door serves callers. Set the exported fields before use; it is safe for
+// concurrent use.
+type Door struct {
+	// Tree returns the settings in force, nil before there are any.
+	Tree   func() *config.Tree
+	Labels func(http.Header) (pass.Labels, error)
+	Serve  func(context.Context, *pass.Request, http.ResponseWriter) pass.Result
+	Quota  *quota.Keeper
+	Meter  *meter.Meter
+	Log    *log.Logger
+
+	leaving atomic.Bool
+	open    sync.WaitGroup
+	number  atomic.Uint64
+	// inUse holds the identifiers of open requests: callers may use one twice.
+	inUse sync.Map
+}
+
+// Server returns the HTTP server for callers.
+func (d *Door) Server() *http.Server {
+	return &http.Server{
+		Handler: d, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: d.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+}
+
+// Leave makes every answer from now on the last of its connection.
+func (d *Door) Leave() { d.leaving.Store(true) }
+
+// Wait returns when every request has ended.
+func (d *Door) Wait() { d.open.Wait() }
+
+// ServeHTTP serves one request.
+func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.open.Add(1)
+	defer d.open.Done()
+	if d.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	arrived := time.Now()
+	tree := d.Tree()
+	if tree == nil {
+		refusal := refuse.New(refuse.NotReady, "this node has no settings yet")
+		refusal.RetryAfter = notReadyRetry
+		d.refuse(w, r, &pass.Request{Arrived: arrived, Method: r.Method}, refusal)
+		return
+	}
+	req, refusal := d.read(w, r, tree, arrived)
+	if refusal != nil {
+		d.refuse(w, r, req, refusal)
+		return
+	}
+	release, refusal := d.admit(req)
+	if refusal != nil {
+		d.refuse(w, r, req, refusal)
+		return
+	}
+	defer release()
+	defer d.inUse.Delete(req.ID)
+	result := d.Serve(r.Context(), req, w)
+	d.note(req, result)
+	switch {
+	case result.Refusal != nil:
+		d.refuse(w, r, req, result.Refusal)
+	case result.Cut:
+		// net/http closes the connection without the end of the answer.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// read finds the request's route and account and reads its body.
+func (d *Door) read(w http.ResponseWriter, r *http.Request, tree *config.Tree, arrived time.Time) (*pass.Request, *refuse.Refusal) {
+	req := &pass.Request{
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header,
+		Arrived: arrived, Version: tree.Version,
+	}
+	labels, err := d.Labels(r.Header)
+	req.Labels = labels
+	req.ID = d.identify(labels.ID)
+	if err != nil {
+		return req, refuse.New(refuse.BadRequest, err.Error())
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	req.Route = tree.RouteFor(hostOf(r.Host), path)
+	if req.Route == nil {
+		return req, refuse.New(refuse.NotFound, "no route for this host and path")
+	}
+	if !req.Route.Public {
+		req.Account = tree.AccountByKey(sha256.Sum256([]byte(labels.Key)))
+		if req.Account == nil {
+			return req, refuse.New(refuse.NoAccount, "the API key is not known")
+		}
+	}
+	req.Pool = req.Route.PoolAt(rand.Float64())
+	req.Deadline = arrived.Add(req.Route.Timeout)
+	if labels.Timeout > 0 && labels.Timeout < req.Route.Timeout {
+		req.Deadline = arrived.Add(labels.Timeout)
+	}
+	return req, d.readBody(w, r, req, tree.Limits)
+}
+
+// readBody holds the whole body, so that it can be sent a second time.
+func (d *Door) readBody(w http.ResponseWriter, r *http.Request, req *pass.Request, limits config.Limits) *refuse.Refusal {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		if r.Header.Get("Content-Length") != "" {
+			req.Body = []byte{}
+		}
+		return nil
+	}
+	controller := http.NewResponseController(w)
+	controller.SetReadDeadline(req.Deadline) //nolint:errcheck // not every writer has one.
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limits.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refuse.New(refuse.BodyTooLarge, "the body is longer than "+strconv.FormatInt(limits.BodyBytes, 10)+" bytes")
+	case err != nil:
+		w.Header().Set("Connection", "close")
+		return refuse.New(refuse.BodyTooSlow, "the body did not come whole: "+err.Error())
+	}
+	controller.SetReadDeadline(time.Time{}) //nolint:errcheck // not every writer has one.
+	req.Body = body
+	return nil
+}
+
+// identify makes a caller's identifier unique among the open requests.
+func (d *Door) identify(id string) ident.RequestID {
+	unique := ident.RequestID(id)
+	if id == "" {
+		unique = ident.NewRequestID()
+	}
+	for {
+		if _, taken := d.inUse.LoadOrStore(unique, true); !taken {
+			return unique
+		}
+		unique = ident.RequestID(id + "~" + strconv.FormatUint(d.number.Add(1), 10))
+	}
+}
+
+// admit holds the request against its account's limits.
+func (d *Door) admit(req *pass.Request) (release func(), refusal *refuse.Refusal) {
+	if req.Account == nil {
+		return func() {}, nil
+	}
+	tokens := req.Account.PlainTokens
+	if req.Labels.HasTokens {
+		tokens = req.Labels.Prompt + req.Labels.Output
+	}
+	release, verdict, retry := d.Quota.Admit(req.Account, tokens, time.Now())
+	if verdict == quota.Admitted {
+		return release, nil
+	}
+	refusal = refuse.New(refuse.AccountLimit, "the account is over its limit "+string(verdict))
+	refusal.RetryAfter = retry
+	return nil, refusal
+}
+
+// refuse answers a request that gets no endpoint's answer.
+func (d *Door) refuse(w http.ResponseWriter, r *http.Request, req *pass.Request, refusal *refuse.Refusal) {
+	defer d.inUse.Delete(req.ID)
+	status := refusal.Status()
+	if refusal.Run == refuse.NotRun && status >= http.StatusInternalServerError {
+		status = http.StatusServiceUnavailable
+	}
+	d.Meter.Refused("", string(refusal.Reason), string(refusal.Run))
+	d.Log.Info("request_refused", "request_id", string(req.ID), "reason", refusal.Reason, "run", refusal.Run,
+		"status", status, "retry_after", refusal.RetryAfter, "message", refusal.Message,
+		"route", routeName(req.Route), "caller_gone", r.Context().Err() != nil,
+		"took", time.Since(req.Arrived), "settings_version", uint64(req.Version))
+	w.Header().Set("Content-Type", "application/json")
+	if refusal.RetryAfter > 0 && refusal.Run == refuse.NotRun {
+		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 2, 64))
+	}
+	w.WriteHeader(status)
+	w.Write(append(refusal.JSON(req.ID), '\n')) //nolint:errcheck // the caller may be gone.
+}
+
+func (d *Door) note(req *pass.Request, result pass.Result) {
+	d.Log.Info("request_ended", "request_id", string(req.ID), "route", req.Route.Name, "pool", req.Pool.ID,
+		"endpoint", result.Endpoint, "status", result.Status, "attempts", result.Attempts, "cut", result.Cut,
+		"reason", result.Reason, "first_answer", result.FirstAnswer, "took", time.Since(req.Arrived),
+		"settings_version", uint64(req.Version))
+}
+
+func routeName(r *config.Route) string {
+	if r == nil {
+		return ""
+	}
+	return r.Name
+}
+
+// hostOf returns a host in lower case and without its port.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
--- a/internal/connection/link/certs.go
+++ b/internal/connection/link/certs.go
@@ -20,8 +20,13 @@
 const (
 	// rereadInterval is how often the key files are looked at for rotation.
 	rereadInterval = 10 * time.Second
-	testCertLife   = 24 * time.Hour
-	serialBits     = 128
+	// CertLife is that of a node's certificate, authorityLife that of the
+	// authority.
+	CertLife      = 24 * time.Hour
+	authorityLife = 20 * 365 * 24 * time.Hour
+	// clockSlack is how far clocks may be apart.
+	clockSlack = time.Hour
+	serialBits = 128
 )
 
 // Files reads the certificates of a node from files and reads them anew when
@@ -82,8 +87,7 @@
 	}
 }
 
-// Authority issues short-lived certificates in memory, for the try command and
-// for tests.
+// Authority issues the certificates of nodes.
 type Authority struct {
 	cert *x509.Certificate
 	key  *ecdsa.PrivateKey
@@ -96,7 +100,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "make a CA key")
 	}
-	template := certTemplate("goldcrestwick try")
+	template := certTemplate("goldcrestwick", authorityLife)
 	template.IsCA = true
 	template.BasicConstraintsValid = true
 	template.KeyUsage = x509.KeyUsageCertSign
@@ -104,22 +108,59 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "make a CA")
 	}
+	return newAuthority(raw, key)
+}
+
+func newAuthority(raw []byte, key *ecdsa.PrivateKey) (*Authority, error) {
 	cert, err := x509.ParseCertificate(raw)
 	if err != nil {
-		return nil, eris.Wrap(err, "make a CA")
+		return nil, eris.Wrap(err, "read the CA certificate")
 	}
 	pool := x509.NewCertPool()
 	pool.AddCert(cert)
 	return &Authority{cert, key, pool}, nil
 }
 
+// The PEM blocks of an encoded authority.
+const (
+	certBlock = "CERTIFICATE"
+	keyBlock  = "PRIVATE KEY"
+)
+
+// Encode returns the authority with its key as two PEM blocks.
+func (a *Authority) Encode() ([]byte, error) {
+	raw, err := x509.MarshalPKCS8PrivateKey(a.key)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode the CA key")
+	}
+	return append(a.PEM(), pem.EncodeToMemory(&pem.Block{Type: keyBlock, Bytes: raw})...), nil
+}
+
+// ParseAuthority reads what Encode returned.
+func ParseAuthority(text []byte) (*Authority, error) {
+	cert, rest := pem.Decode(text)
+	key, _ := pem.Decode(rest)
+	if cert == nil || key == nil || cert.Type != certBlock || key.Type != keyBlock {
+		return nil, eris.New("the CA is not a certificate and a key in PEM")
+	}
+	parsed, err := x509.ParsePKCS8PrivateKey(key.Bytes)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the CA key")
+	}
+	private, ok := parsed.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, eris.New("the CA key is not an ECDSA key")
+	}
+	return newAuthority(cert.Bytes, private)
+}
+
 // Issue returns the TLS settings of a node at an IP address.
 func (a *Authority) Issue(name string, ip net.IP) (*tls.Config, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, eris.Wrap(err, "make a node key")
 	}
-	template := certTemplate(name)
+	template := certTemplate(name, CertLife)
 	template.IPAddresses = []net.IP{ip}
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
 	raw, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
@@ -131,7 +172,7 @@
 
 // PEM returns the authority's certificate in the form that Files reads.
 func (a *Authority) PEM() []byte {
-	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw})
+	return pem.EncodeToMemory(&pem.Block{Type: certBlock, Bytes: a.cert.Raw})
 }
 
 // PEMOf returns a node's issued certificate and key in the form that Files
@@ -141,12 +182,12 @@
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "encode a node key")
 	}
-	cert = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: c.Certificates[0].Certificate[0]})
-	key = pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: raw})
+	cert = pem.EncodeToMemory(&pem.Block{Type: certBlock, Bytes: c.Certificates[0].Certificate[0]})
+	key = pem.EncodeToMemory(&pem.Block{Type: keyBlock, Bytes: raw})
 	return cert, key, nil
 }
 
-func certTemplate(name string) *x509.Certificate {
+func certTemplate(name string, life time.Duration) *x509.Certificate {
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
 	if err != nil {
 		panic(err) // crypto/rand.Reader never fails.
@@ -154,8 +195,8 @@
 	return &x509.Certificate{
 		SerialNumber: serial,
 		Subject:      pkix.Name{CommonName: name},
-		NotBefore:    time.Now().Add(-time.Hour),
-		NotAfter:     time.Now().Add(testCertLife),
+		NotBefore:    time.Now().Add(-clockSlack),
+		NotAfter:     time.Now().Add(life),
 		KeyUsage:     x509.KeyUsageDigitalSignature,
 	}
 }
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -90,6 +90,9 @@
 	Cell     int      `cbor:"11,keyasint"`
 	Settings uint64   `cbor:"12,keyasint"`
 	Clock    uint64   `cbor:"13,keyasint,omitempty"`
+	First    int64    `cbor:"14,keyasint,omitempty"` // nanoseconds to the first token
+	Zone     string   `cbor:"15,keyasint,omitempty"`
+	Avoid    []string `cbor:"16,keyasint,omitempty"`
 }
 
 // FromBid maps a bid for a cell.
@@ -103,9 +106,26 @@
 		Account: string(b.Account), Weight: b.Weight, Prompt: int64(b.Prompt),
 		Output: int64(b.Output), Left: int64(b.Deadline.Sub(now)), Prefix: prints,
 		Pool: string(cell.Pool), Cell: cell.Index, Settings: uint64(version),
+		First: int64(b.FirstToken), Zone: string(b.Zone), Avoid: toStrings(b.Avoid),
 	}
 }
 
+func toStrings(ids []ident.Endpoint) []string {
+	all := make([]string, len(ids))
+	for i, id := range ids {
+		all[i] = string(id)
+	}
+	return all
+}
+
+func toEndpoints(names []string) []ident.Endpoint {
+	all := make([]ident.Endpoint, len(names))
+	for i, name := range names {
+		all[i] = ident.Endpoint(name)
+	}
+	return all
+}
+
 // ToBid maps a received bid. A tier out of range becomes the lowest.
 func (m Bid) ToBid(now time.Time) *sched.Bid {
 	prints := make([]ident.Fingerprint, len(m.Prefix))
@@ -117,6 +137,7 @@
 		Tier: ident.Tier(min(m.Tier, ident.MaxTiers-1)), Account: ident.ClientAccount(m.Account),
 		Weight: m.Weight, Prompt: max(ident.Tokens(m.Prompt), 0), Output: max(ident.Tokens(m.Output), 0),
 		Deadline: now.Add(time.Duration(m.Left)), Prefix: prints,
+		FirstToken: time.Duration(m.First), Zone: ident.AvailabilityZone(m.Zone), Avoid: toEndpoints(m.Avoid),
 	}
 }
 
@@ -179,6 +200,9 @@
 	Request  string `cbor:"8,keyasint,omitempty"`
 	Pool     string `cbor:"9,keyasint,omitempty"`
 	Cell     int    `cbor:"10,keyasint,omitempty"`
+	Refused  bool   `cbor:"11,keyasint,omitempty"`
+	Erred    bool   `cbor:"12,keyasint,omitempty"`
+	Left     bool   `cbor:"13,keyasint,omitempty"`
 }
 
 // FromEnding maps how a request went.
@@ -186,6 +210,7 @@
 	return Ended{
 		Failed: e.Failed, Unused: e.Unused, First: int64(e.FirstToken), Between: int64(e.BetweenTokens),
 		Uncached: int64(e.Uncached), Cached: int64(e.Cached), Output: int64(e.Output),
+		Refused: e.Refused, Erred: e.Erred, Left: e.Cancelled,
 	}
 }
 
@@ -195,6 +220,7 @@
 		Failed: m.Failed, Unused: m.Unused, FirstToken: time.Duration(m.First),
 		BetweenTokens: time.Duration(m.Between), Uncached: ident.Tokens(m.Uncached),
 		Cached: ident.Tokens(m.Cached), Output: ident.Tokens(m.Output),
+		Refused: m.Refused, Erred: m.Erred, Cancelled: m.Left,
 	}
 }
 
--- /dev/null
+++ b/internal/process/budget/budget.go
@@ -0,0 +1,113 @@
+// Package budget bounds how many requests are sent to a second endpoint.
+//
+// The bound holds over the whole fleet: in any window, repeats may be a share
+// of the requests plus a fixed number. Each node keeps to its own requests'
+// share and its part of the fixed number, so that nodes need not ask each
+// other.
+//
+// # Usage
+//
+//	b := &budget.Budget{Limit: limit, Nodes: nodes}
+//	b.Request(pool, now)
+//	if b.Repeat(pool, now) {
+//		// send it once more
+//	}
+package budget
+
+import (
+	"sync"
+	"time"
+
+	"goldcrestwick/internal/request/ident"
+)
+
+const (
+	// buckets divide the window, so that it slides.
+	buckets = 20
+	// margin is the part of the limit in use: nodes count the same request at
+	// different moments, and a restarted node has forgotten its repeats.
+	margin = 0.7
+)
+
+// Limit is the bound of the fleet.
+type Limit struct {
+	Ratio  float64
+	Extra  float64
+	Window time.Duration
+}
+
+// Budget counts one node's requests and repeats. Set the exported fields
+// before use; it is safe for concurrent use.
+type Budget struct {
+	Limit Limit
+	// Nodes returns the number of nodes that share the limit.
+	Nodes func() int
+
+	mu    sync.Mutex
+	pools map[ident.PoolID]*counts
+}
+
+type counts struct {
+	requests, repeats window
+}
+
+// window counts events of the last Limit.Window.
+type window struct {
+	counts [buckets]int
+	last   int64
+}
+
+func (w *window) advance(now int64) {
+	if now-w.last >= buckets {
+		*w = window{last: now}
+		return
+	}
+	for w.last < now {
+		w.last++
+		w.counts[w.last%buckets] = 0
+	}
+}
+
+func (w *window) sum() int {
+	n := 0
+	for _, c := range w.counts {
+		n += c
+	}
+	return n
+}
+
+func (b *Budget) counts(pool ident.PoolID, now time.Time) (c *counts, at int64) {
+	if b.pools == nil {
+		b.pools = map[ident.PoolID]*counts{}
+	}
+	c = b.pools[pool]
+	if c == nil {
+		c = &counts{}
+		b.pools[pool] = c
+	}
+	at = now.UnixNano() / int64(max(b.Limit.Window/buckets, time.Millisecond))
+	c.requests.advance(at)
+	c.repeats.advance(at)
+	return c, at
+}
+
+// Request counts a caller's request.
+func (b *Budget) Request(pool ident.PoolID, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c, at := b.counts(pool, now)
+	c.requests.counts[at%buckets]++
+}
+
+// Repeat takes one repeat from the budget and reports whether there was one.
+func (b *Budget) Repeat(pool ident.PoolID, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c, at := b.counts(pool, now)
+	allowed := margin * (b.Limit.Ratio*float64(c.requests.sum()) + b.Limit.Extra/float64(max(b.Nodes(), 1)))
+	if float64(c.repeats.sum()+1) > allowed {
+		return false
+	}
+	c.repeats.counts[at%buckets]++
+	return true
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -19,9 +19,12 @@
 
 	"github.com/charmbracelet/log"
 
+	"goldcrestwick/internal/connection/conn"
+	"goldcrestwick/internal/connection/door"
 	"goldcrestwick/internal/connection/front"
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/outlet"
+	"goldcrestwick/internal/process/budget"
 	"goldcrestwick/internal/process/cells"
 	"goldcrestwick/internal/process/claims"
 	"goldcrestwick/internal/process/clock"
@@ -37,6 +40,7 @@
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/entry"
 	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/request/pass"
 	"goldcrestwick/internal/version/config"
 	"goldcrestwick/internal/version/follow"
 	"goldcrestwick/internal/version/repo"
@@ -63,6 +67,9 @@
 	// their changes.
 	Tree  *config.Tree
 	Store *store.Client
+	// Platform, when set, makes the node take settings and endpoints from the
+	// store's tables and pass callers' requests on as they come.
+	Platform *Platform
 	// Open reaches the other nodes, Forget drops the connection to one that
 	// is gone; nil is allowed.
 	Open   link.Opener
@@ -97,6 +104,11 @@
 	instances atomic.Pointer[[]roster.Instance]
 	tenure    atomic.Pointer[tenure]
 	repo      repo.Repo
+	conns     conn.Pool
+	budget    budget.Budget
+	passer    pass.Passer
+	door      door.Door
+	watched   watched
 
 	claimHomes atomic.Pointer[claimHomes]
 	follower   follow.Follower
@@ -126,7 +138,7 @@
 		n.tree.Store(&config.Tree{})
 	}
 	n.repo = repo.Repo{Transact: n.Store.Transact, Get: n.Store.Get}
-	n.follower = follow.Follower{Repo: &n.repo, Apply: n.useTree, Announce: n.announce}
+	n.follower = follow.Follower{Repo: &n.repo, Parse: n.parser(), Apply: n.useTree, Announce: n.announce}
 	n.resumeKey = resumeKey
 	if n.Outlet == nil {
 		n.Outlet = &outlet.Outlet{}
@@ -136,9 +148,12 @@
 	}
 	n.cells = cells.Manager{
 		Self: n.members.Self, Members: n.members.View, Tree: n.tree.Load, Open: n.Open,
-		Held: n.entry.Held, Poll: n.poll, Events: n.cacheEvents, Policy: n.Policy, Observe: n.observe,
+		Held: n.entry.Held, Policy: n.Policy, Observe: n.observe,
 		Clock: &n.clock,
 	}
+	if n.Platform == nil {
+		n.cells.Poll, n.cells.Events = n.poll, n.cacheEvents
+	}
 	n.home = claims.Home{Transact: n.Store.Transact, WriteRate: n.writeRate, Tenure: n.homeSince}
 	n.keys = entry.Keys{
 		Self: n.Process.Name, HomeOf: n.homeOf, Home: &n.home, Open: n.Open,
@@ -146,7 +161,7 @@
 	}
 	n.quota = quota.Keeper{Even: n.evenShare}
 	n.entry = entry.Entry{
-		Self: n.Process.Name, Cells: &n.cells, Open: n.Open, Keys: &n.keys, Quota: &n.quota,
+		Self: n.Process.Name, Zone: n.Process.Zone, Cells: &n.cells, Open: n.Open, Keys: &n.keys, Quota: &n.quota,
 		Outlet: n.Outlet, Clock: &n.clock, Record: n.record, Finished: n.finished,
 	}
 	n.front = front.Front{
@@ -155,6 +170,7 @@
 		IsFull: n.isLedgerFull,
 	}
 	n.gate = gate.Gate{Limits: n.gateLimits, MayShed: n.cells.MayShedEverywhere, Press: n.cells.PressEverywhere}
+	n.preparePassing()
 	n.prepareLedger(mux)
 	n.cells.Register(mux)
 	n.keys.Register(mux)
@@ -188,6 +204,10 @@
 	n.tasks.Go(func() { n.home.Run(ctx) })
 	n.tasks.Go(func() { n.drainDecisions(ctx) })
 	n.startLedger(ctx)
+	if n.Platform != nil {
+		n.startWatched(ctx)
+		return
+	}
 	joining, cancel := context.WithTimeout(ctx, joinTime)
 	n.refreshList(joining)
 	n.members.Seed(joining)
@@ -196,9 +216,14 @@
 		n.firstTree(ctx)
 		n.tasks.Go(func() { tick.Every(ctx, settingsInterval, n.followSettings) })
 	}
+	n.tasks.Go(func() { tick.Every(ctx, listInterval, n.refreshList) })
+	n.join(ctx)
+}
+
+// join makes the node one that takes work.
+func (n *Node) join(ctx context.Context) {
 	n.members.SetSelf(func(m *member.Member) { m.State = member.Ready })
 	n.tasks.Go(func() { n.members.Run(ctx) })
-	n.tasks.Go(func() { tick.Every(ctx, listInterval, n.refreshList) })
 	n.tasks.Go(func() { tick.Every(ctx, lendInterval, n.askShares) })
 	n.Log.Info("node_ready", "node", n.Process.Name, "availability_zone", n.Process.Zone,
 		"members", len(n.members.View().Members), "settings_version", n.tree.Load().Version)
@@ -221,6 +246,7 @@
 	n.cancel()
 	n.tasks.Wait()
 	n.Outlet.CloseIdle()
+	n.conns.Close()
 }
 
 func (n *Node) gateLimits() gate.Limits {
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -152,18 +152,25 @@
 		k.accounts[a.ID] = at
 	}
 	share := k.shareOf(at)
-	at.requests = limited(at.requests, a.Requests, share, now)
-	at.tokens = limited(at.tokens, a.Tokens, share, now)
+	at.requests = limited(at.requests, a.Requests, a.Requests*burstTime.Seconds(), share, now)
+	at.tokens = limited(at.tokens, a.Tokens, burstOf(a), share, now)
 	return at
 }
 
-// limited returns the limiter for a share of a rate. A new one starts with a
-// full bucket.
-func limited(l *rate.Limiter, perSecond, share float64, now time.Time) *rate.Limiter {
+func burstOf(a *config.Account) float64 {
+	if a.BurstTokens > 0 {
+		return a.BurstTokens
+	}
+	return a.Tokens * burstTime.Seconds()
+}
+
+// limited returns the limiter for a share of a rate and its burst. A new one
+// starts with a full bucket.
+func limited(l *rate.Limiter, perSecond, atOnce, share float64, now time.Time) *rate.Limiter {
 	limit, burst := rate.Inf, 1
 	if perSecond > 0 {
 		limit = rate.Limit(perSecond * share)
-		burst = max(int(perSecond*share*burstTime.Seconds()), 1)
+		burst = max(int(atOnce*share), 1)
 	}
 	if l == nil || l.Limit() == rate.Inf {
 		return rate.NewLimiter(limit, burst)
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -38,6 +38,12 @@
 	Endpoint   ident.Endpoint
 	Pool       ident.PoolID
 	Generation string
+	// Slots is the number of requests that the endpoint runs at once; 0 is not
+	// known.
+	Slots int
+	// Started is the Unix millisecond of the endpoint's start, which tells two
+	// lives under one identifier apart; 0 is not known.
+	Started int64
 }
 
 // Cell is one cell with its endpoints.
@@ -95,11 +101,20 @@
 		}
 		specs[pool.ID] = append(specs[pool.ID], sched.EndpointSpec{
 			ID: id, Address: in.Address, Kind: pool.Kind, Generation: in.Generation, Leaving: in.Leaving,
+			Zone: in.Zone, Slots: slotsOf(in, pool), Started: in.Started, CacheTokens: pool.CacheTokens,
 		})
 	}
 	return divide(tree, specs)
 }
 
+// slotsOf prefers what the settings say of the pool to the endpoint's own word.
+func slotsOf(in Instance, pool *config.Pool) int {
+	if pool.Slots > 0 {
+		return pool.Slots
+	}
+	return in.Slots
+}
+
 // fromSettings prefers the listed address, since an endpoint may have been
 // replaced; an endpoint that is in neither place cannot be used.
 func fromSettings(e *config.Endpoint, listed map[ident.Endpoint]Instance) (sched.EndpointSpec, bool) {
--- a/internal/process/sched/bid.go
+++ b/internal/process/sched/bid.go
@@ -21,6 +21,13 @@
 	Output ident.Tokens
 	// Deadline is when the whole answer is due, on this node's clock.
 	Deadline time.Time
+	// FirstToken is the request's own target for its first token; 0 takes the
+	// pool's.
+	FirstToken time.Duration
+	// Zone is where the entry node is.
+	Zone ident.AvailabilityZone
+	// Avoid lists endpoints that this request has already failed at.
+	Avoid []ident.Endpoint
 	// Prefix holds the chained fingerprints of the prompt's blocks.
 	Prefix []ident.Fingerprint
 	// Wake is called once, with the cell's lock held, when a bid that had to
@@ -99,6 +106,14 @@
 	Failed bool
 	// Unused is set when the request was never sent.
 	Unused bool
+	// Refused is set when the endpoint had no room for the request.
+	Refused bool
+	// Erred is set when the endpoint ran the request and answered with a
+	// failure of its own.
+	Erred bool
+	// Cancelled is set when the caller left or the deadline passed while the
+	// endpoint was at work.
+	Cancelled bool
 	// FirstToken is the time from dispatch to the first token; 0 if none came.
 	FirstToken time.Duration
 	// BetweenTokens is the mean time between output tokens; 0 if unknown.
@@ -120,6 +135,13 @@
 	// a generation.
 	Generation string
 	Leaving    bool
+	Zone       ident.AvailabilityZone
+	// Slots is the number of requests that the endpoint runs at once; 0 is not
+	// known, and then the window alone bounds them.
+	Slots int
+	// Started is the Unix millisecond of the endpoint's start. A new start
+	// holds nothing of before.
+	Started int64
 	// CacheTokens is the size of the prefix cache; 0 takes a default.
 	CacheTokens ident.Tokens
 }
--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -135,12 +135,21 @@
 	if e.running == 0 {
 		return true
 	}
-	if e.health != healthy || e.used+charge > e.window {
+	if e.health != healthy || !e.hasRoom(charge) {
 		return false
 	}
 	return e.backlog == 0 || e.prefillTime(e.backlog+uncached) <= firstToken
 }
 
+// hasRoom compares with the slots and the memory where they are known, and
+// else with the window.
+func (e *endpoint) hasRoom(charge ident.Tokens) bool {
+	if e.Slots == 0 {
+		return e.used+charge <= e.window
+	}
+	return e.running < e.Slots && (e.CacheTokens == 0 || e.used+charge <= e.CacheTokens)
+}
+
 func (e *endpoint) prefillTime(tokens ident.Tokens) time.Duration {
 	return time.Duration(float64(tokens) / e.prefillRate * float64(time.Second))
 }
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"goldcrestwick/internal/process/prefix"
@@ -32,15 +33,19 @@
 
 func (c *Cell) learn(g *grant, end Ending, now time.Time) {
 	slot := g.endpoint.slot
+	isKnown := end.Cached+end.Uncached > 0
 	switch {
-	case end.Unused || end.Failed:
+	case end.Unused || end.Failed || end.Refused:
 		c.prefixes.Trim(g.prefix, slot, 0)
+	case !isKnown:
+		// The endpoint does not tell its cache hits: what was expected counts.
+		end.Cached, end.Uncached = g.cached, g.uncached
 	case end.Cached+prefix.BlockTokens < g.cached:
 		c.prefixes.Narrow(slot)
 	case g.cached > 0:
 		c.prefixes.Widen(slot)
 	}
-	if end.Unused {
+	if end.Unused || end.Cancelled || end.Refused && !end.Failed {
 		return
 	}
 	g.endpoint.observe(end, g.backlog, c.targets(), now)
@@ -97,11 +102,11 @@
 	c.considered = c.considered[:0]
 	left := b.Deadline.Sub(now)
 	for _, e := range c.endpoints {
-		if e.reserved == c.round || !e.isOpen(now) {
+		if e.reserved == c.round || !e.isOpen(now) || slices.Contains(b.Avoid, e.ID) {
 			continue
 		}
 		uncached := c.uncached(b, e)
-		if !e.fits(b.charge, uncached, c.Pool.FirstToken) {
+		if !e.fits(b.charge, uncached, c.firstToken(b)) {
 			if soonest == nil || e.window-e.used > soonest.window-soonest.used {
 				soonest = e
 			}
@@ -122,6 +127,13 @@
 	return true
 }
 
+func (c *Cell) firstToken(b *Bid) time.Duration {
+	if b.FirstToken > 0 {
+		return b.FirstToken
+	}
+	return c.Pool.FirstToken
+}
+
 func (c *Cell) uncached(b *Bid, e *endpoint) ident.Tokens {
 	return max(b.Prompt-c.cached(e), 0)
 }
--- a/internal/process/sched/members.go
+++ b/internal/process/sched/members.go
@@ -26,7 +26,7 @@
 		if e == nil {
 			e = newEndpoint(spec, -1, c.Pool.Window)
 		}
-		if e.Address != spec.Address && e.slot >= 0 {
+		if e.slot >= 0 && (e.Address != spec.Address || e.Started != spec.Started) {
 			c.prefixes.Forget(e.slot)
 		}
 		e.EndpointSpec = spec
--- a/internal/process/trace/trace.go
+++ b/internal/process/trace/trace.go
@@ -39,6 +39,7 @@
 	Shed       Event = "shed"
 	Moved      Event = "moved"
 	Dispatched Event = "dispatched"
+	Repeated   Event = "repeated"
 	NotSent    Event = "not_sent"
 	Finished   Event = "finished"
 	Refused    Event = "refused"
@@ -94,6 +95,8 @@
 		return at + fmt.Sprintf("cell %s moved to another node; it bids again", r.Cell)
 	case Dispatched:
 		return at + "dispatched to endpoint " + string(r.Endpoint)
+	case Repeated:
+		return at + fmt.Sprintf("endpoint %s did not answer it and it is sent to another: %s", r.Endpoint, r.Reason)
 	case NotSent:
 		return at + fmt.Sprintf("endpoint %s could not be reached and nothing was sent: %s", r.Endpoint, r.Reason)
 	case Finished:
--- a/internal/request/entry/bid.go
+++ b/internal/request/entry/bid.go
@@ -16,14 +16,18 @@
 	"goldcrestwick/internal/request/refuse"
 )
 
-// session is one answered bid; a granted one is ended once.
-type session struct {
-	cell     ident.CellID
-	answer   sched.Answer
-	received time.Time
-	started  func()
-	progress func(between time.Duration)
-	end      func(sched.Ending)
+// Grant is one answered bid. Only a granted one has the functions, and it is
+// ended once.
+type Grant struct {
+	Cell   ident.CellID
+	Answer sched.Answer
+	// Received is when the answer came, from which its life counts.
+	Received time.Time
+	// Started tells the cell that the first token came, Progress the time
+	// between tokens of late, End how the request went.
+	Started  func()
+	Progress func(between time.Duration)
+	End      func(sched.Ending)
 }
 
 // upload marks a streamed body as touched when any of it was read.
@@ -37,9 +41,9 @@
 	return u.Reader.Read(b)
 }
 
-// bid asks the request's cell until it is granted or refused. While no node
+// Bid asks the request's cell until it is granted or refused. While no node
 // runs the cell, it tries again until the deadline.
-func (e *Entry) bid(ctx context.Context, j *Job) (*session, *refuse.Refusal) {
+func (e *Entry) Bid(ctx context.Context, j *Job) (*Grant, *refuse.Refusal) {
 	if j.Request.Upload != nil {
 		if _, ok := j.Request.Upload.(*upload); !ok {
 			j.Request.Upload = &upload{Reader: j.Request.Upload}
@@ -50,12 +54,12 @@
 		if ok {
 			e.note(j, trace.Record{Event: trace.Bidding, Cell: cell.String()})
 			s := e.bidAt(ctx, j, cell)
-			switch s.answer.Outcome {
+			switch s.Answer.Outcome {
 			case sched.Granted:
-				e.note(j, trace.Record{Event: trace.GrantTaken, Endpoint: s.answer.Endpoint})
+				e.note(j, trace.Record{Event: trace.GrantTaken, Endpoint: s.Answer.Endpoint})
 				return s, nil
 			case sched.Shed:
-				return nil, shedRefusal(s.answer)
+				return nil, shedRefusal(s.Answer)
 			}
 			e.note(j, trace.Record{Event: trace.Moved, Cell: cell.String()})
 		}
@@ -127,24 +131,25 @@
 	return string(b[:])
 }
 
-func (e *Entry) bidAt(ctx context.Context, j *Job, cell ident.CellID) *session {
+func (e *Entry) bidAt(ctx context.Context, j *Job, cell ident.CellID) *Grant {
 	b := &sched.Bid{
 		Request: j.Request.ID, Node: e.Self, Tier: j.Tier.Rank, Account: j.Account.ID,
 		Weight: j.Account.Weight, Prompt: j.Request.Prompt, Output: j.Request.Output,
 		Deadline: j.Request.Deadline, Prefix: j.Request.Prefix,
+		FirstToken: j.FirstToken, Zone: e.Zone, Avoid: j.Avoid,
 	}
 	if local := e.Cells.Local(cell); local != nil {
 		return e.bidLocally(ctx, b, local)
 	}
 	owner, ok := e.Cells.Owner(cell)
 	if !ok || owner.ID == e.Self {
-		return &session{answer: sched.Answer{Outcome: sched.Moved}}
+		return &Grant{Answer: sched.Answer{Outcome: sched.Moved}}
 	}
 	return e.bidRemotely(ctx, b, cell, owner, j.Version)
 }
 
 // bidLocally bids at a cell of this node, without any message.
-func (e *Entry) bidLocally(ctx context.Context, b *sched.Bid, cell *sched.Cell) *session {
+func (e *Entry) bidLocally(ctx context.Context, b *sched.Bid, cell *sched.Cell) *Grant {
 	woken := make(chan struct{}, 1)
 	b.Wake = func() { woken <- struct{}{} }
 	if !cell.Submit(b) {
@@ -152,28 +157,28 @@
 		case <-woken:
 		case <-ctx.Done():
 			if cell.Cancel(b) {
-				return &session{answer: sched.Answer{Outcome: sched.Moved}}
+				return &Grant{Answer: sched.Answer{Outcome: sched.Moved}}
 			}
 			<-woken
 		}
 	}
-	s := &session{cell: cell.ID, answer: b.Answer, received: time.Now()}
+	s := &Grant{Cell: cell.ID, Answer: b.Answer, Received: time.Now()}
 	if b.Answer.Outcome != sched.Granted {
 		return s
 	}
 	e.hold(cell.ID, heldOf(b, s))
-	s.started = func() { cell.FirstToken(b.Request) }
-	s.progress = func(between time.Duration) { cell.Progress(b.Request, between) }
-	s.end = func(end sched.Ending) {
+	s.Started = func() { cell.FirstToken(b.Request) }
+	s.Progress = func(between time.Duration) { cell.Progress(b.Request, between) }
+	s.End = func(end sched.Ending) {
 		e.unhold(cell.ID, b.Request)
 		cell.Done(b.Request, end)
 	}
 	return s
 }
 
-func heldOf(b *sched.Bid, s *session) sched.Held {
+func heldOf(b *sched.Bid, s *Grant) sched.Held {
 	return sched.Held{
-		Request: b.Request, Node: b.Node, Endpoint: s.answer.Endpoint,
+		Request: b.Request, Node: b.Node, Endpoint: s.Answer.Endpoint,
 		Charge: b.Prompt + b.Output,
 	}
 }
@@ -181,8 +186,8 @@
 // bidRemotely bids at another node. The stream stays open while the granted
 // request runs; when it breaks before the answer, nothing has been dispatched
 // and the bid can be repeated.
-func (e *Entry) bidRemotely(ctx context.Context, b *sched.Bid, cell ident.CellID, owner member.Member, version ident.Version) *session {
-	moved := &session{answer: sched.Answer{Outcome: sched.Moved}}
+func (e *Entry) bidRemotely(ctx context.Context, b *sched.Bid, cell ident.CellID, owner member.Member, version ident.Version) *Grant {
+	moved := &Grant{Answer: sched.Answer{Outcome: sched.Moved}}
 	stream, err := e.Open(ctx, owner.PeerAddress)
 	if err != nil {
 		return moved
@@ -202,17 +207,17 @@
 	}
 	message, err := link.Decode[wire.Answer](body)
 	e.Clock.Observe(clock.Time(message.Clock))
-	s := &session{cell: cell, answer: message.ToAnswer(), received: time.Now()}
-	if err != nil || s.answer.Outcome != sched.Granted {
+	s := &Grant{Cell: cell, Answer: message.ToAnswer(), Received: time.Now()}
+	if err != nil || s.Answer.Outcome != sched.Granted {
 		stream.Close() //nolint:errcheck // the bid is over.
 		return s
 	}
 	e.hold(cell, heldOf(b, s))
-	s.started = func() { stream.Send(wire.KindStarted, wire.Started{}) } //nolint:errcheck // the end is told again.
-	s.progress = func(between time.Duration) {
+	s.Started = func() { stream.Send(wire.KindStarted, wire.Started{}) } //nolint:errcheck // the end is told again.
+	s.Progress = func(between time.Duration) {
 		stream.Send(wire.KindProgress, wire.Progress{Between: int64(between)}) //nolint:errcheck // the end is told again.
 	}
-	s.end = func(end sched.Ending) {
+	s.End = func(end sched.Ending) {
 		e.unhold(cell, b.Request)
 		e.endRemotely(stream, b.Request, cell, end)
 	}
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -51,7 +51,12 @@
 	// Version is the settings version by which the request is judged from
 	// start to end.
 	Version ident.Version
-	Sink    answer.Sink
+	// FirstToken is the request's own target for its first token; 0 takes the
+	// pool's.
+	FirstToken time.Duration
+	// Avoid lists endpoints that the request has already failed at.
+	Avoid []ident.Endpoint
+	Sink  answer.Sink
 	// Run, when set, learns the identifier of the run whose answer the caller
 	// gets: an earlier request's when the caller joined it.
 	Run func(ident.RequestID)
@@ -60,6 +65,7 @@
 // Entry serves requests. Set the exported fields before use.
 type Entry struct {
 	Self   ident.NodeID
+	Zone   ident.AvailabilityZone
 	Cells  *cells.Manager
 	Open   link.Opener
 	Keys   *Keys
@@ -123,7 +129,7 @@
 // Sent reports whether anything left for an endpoint.
 func (e *Entry) run(ctx context.Context, j *Job, sink answer.Sink) (sent bool, refusal *refuse.Refusal) {
 	for attempt := 1; ; attempt++ {
-		s, refusal := e.bid(ctx, j)
+		s, refusal := e.Bid(ctx, j)
 		if refusal != nil {
 			return false, refusal
 		}
@@ -147,22 +153,22 @@
 
 // dispatch uses a grant. Used is false when the grant's life was over or the
 // endpoint is leaving; then nothing was sent.
-func (e *Entry) dispatch(ctx context.Context, j *Job, s *session, sink answer.Sink) (result relay.Result, used bool) {
-	if time.Since(s.received) > s.answer.Life || e.Cells.IsLeaving(s.cell, s.answer.Endpoint) || ctx.Err() != nil {
-		s.end(sched.Ending{Unused: true})
+func (e *Entry) dispatch(ctx context.Context, j *Job, s *Grant, sink answer.Sink) (result relay.Result, used bool) {
+	if time.Since(s.Received) > s.Answer.Life || e.Cells.IsLeaving(s.Cell, s.Answer.Endpoint) || ctx.Err() != nil {
+		s.End(sched.Ending{Unused: true})
 		return relay.Result{Refusal: refuse.New(refuse.NoEndpoint, "the grant could not be used in time")}, false
 	}
-	e.note(j, trace.Record{Event: trace.Dispatched, Endpoint: s.answer.Endpoint})
+	e.note(j, trace.Record{Event: trace.Dispatched, Endpoint: s.Answer.Endpoint})
 	run := &relay.Run{
-		Outlet: e.Outlet, Address: s.answer.Address, Endpoint: s.answer.Endpoint,
-		Request: j.Request, Sink: sink, Started: s.started, Progress: s.progress, Timeout: j.Pool.CallTimeout,
+		Outlet: e.Outlet, Address: s.Answer.Address, Endpoint: s.Answer.Endpoint,
+		Request: j.Request, Sink: sink, Started: s.Started, Progress: s.Progress, Timeout: j.Pool.CallTimeout,
 	}
 	if j.Pool.Kind == ident.ApplicationRunner {
 		result = run.Service(ctx)
 	} else {
 		result = run.Model(ctx)
 	}
-	s.end(result.Ending)
+	s.End(result.Ending)
 	if e.Finished != nil {
 		e.Finished(j, result)
 	}
@@ -170,8 +176,8 @@
 	return result, true
 }
 
-func (e *Entry) noteResult(j *Job, s *session, result relay.Result) {
-	r := trace.Record{Endpoint: s.answer.Endpoint}
+func (e *Entry) noteResult(j *Job, s *Grant, result relay.Result) {
+	r := trace.Record{Endpoint: s.Answer.Endpoint}
 	switch {
 	case !result.Sent:
 		r.Event = trace.NotSent
--- /dev/null
+++ b/internal/request/pass/pass.go
@@ -0,0 +1,307 @@
+// Package pass carries a caller's request to an endpoint as it came, and the
+// endpoint's answer back as it is.
+//
+// Unlike package entry's own requests, the body and the answer are opaque: what
+// decides is the route, and labels that the caller put into the header. An
+// answer reaches the caller whole or visibly cut, and only if it belongs to the
+// request. A request is sent again only where its route allows it and the
+// attempts, the deadline and the fleet's budget for repeats leave room; one
+// that is not idempotent only when its endpoint said that it did not run it.
+//
+// # Usage
+//
+//	p := &pass.Passer{Bid: entry.Bid, Conns: &conn.Pool{}, Budget: budget, Dialect: dialect}
+//	result := p.Serve(ctx, request, w)
+//	switch {
+//	case result.Refusal != nil: // nothing was written yet
+//	case result.Cut: // the connection must be closed
+//	}
+package pass
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"goldcrestwick/internal/connection/conn"
+	"goldcrestwick/internal/process/budget"
+	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/process/trace"
+	"goldcrestwick/internal/request/entry"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/request/intake"
+	"goldcrestwick/internal/request/refuse"
+	"goldcrestwick/internal/version/config"
+)
+
+const (
+	// unsentTries bounds the endpoints tried while nothing was sent.
+	unsentTries = 4
+	// minLeft is the least time that a repeat is worth trying for.
+	minLeft = 100 * time.Millisecond
+	// defaultOutput is expected where the caller gives no token counts.
+	defaultOutput ident.Tokens = 256
+)
+
+// Part is one part of a prompt, in order. Prompts share their leading parts.
+type Part struct {
+	ID     uint64
+	Tokens ident.Tokens
+}
+
+// Labels are what a caller says of a request in its header.
+type Labels struct {
+	// ID is the caller's own identifier of this attempt.
+	ID string
+	// Timeout is how long the caller waits; 0 is not said.
+	Timeout time.Duration
+	// Key is the API key.
+	Key string
+	// Prompt and Output are token counts; HasTokens is false without them.
+	Prompt, Output ident.Tokens
+	HasTokens      bool
+	Parts          []Part
+	// After is the last event that the caller has of this answer; HasAfter is
+	// false when it begins anew.
+	After    int
+	HasAfter bool
+}
+
+// Outgoing is what a request says to its endpoint beyond what the caller said.
+type Outgoing struct {
+	// Left is the time until the deadline.
+	Left     time.Duration
+	Endpoint ident.Endpoint
+	Account  *config.Account
+	// After asks to go on after an event; HasAfter is false without.
+	After    int
+	HasAfter bool
+}
+
+// Said is what an endpoint's answer says in its header.
+type Said struct {
+	// ID is the attempt that the answer belongs to; "" is not said.
+	ID string
+	// NotRun is the endpoint's word that it did not run the request.
+	NotRun bool
+	// IsSigned is set on answers of a run.
+	IsSigned bool
+}
+
+// Dialect maps headers between the product and one platform.
+type Dialect struct {
+	Labels func(http.Header) (Labels, error)
+	// Outgoing changes a copy of the caller's header.
+	Outgoing func(http.Header, Outgoing)
+	Said     func(http.Header) Said
+}
+
+// Request is one request on its way.
+type Request struct {
+	// ID identifies the request in cells and logs.
+	ID     ident.RequestID
+	Method string
+	// Target is the path and query as they came.
+	Target string
+	Host   string
+	Header http.Header
+	// Body is nil where the request has none.
+	Body    []byte
+	Labels  Labels
+	Arrived time.Time
+	// Deadline is the earlier of the caller's and the route's.
+	Deadline time.Time
+	Route    *config.Route
+	Pool     *config.Pool
+	// Account is nil on public routes.
+	Account *config.Account
+	Version ident.Version
+}
+
+// Result says how a request ended.
+type Result struct {
+	// Refusal is set when nothing of an answer was written.
+	Refusal *refuse.Refusal
+	// Cut is set when a part of an answer was written and the rest will not
+	// come: the connection must be closed.
+	Cut bool
+	// Status is that of the answer, 0 without one.
+	Status   int
+	Attempts int
+	Endpoint ident.Endpoint
+	// FirstAnswer is the time to the first event or to the whole answer.
+	FirstAnswer time.Duration
+	Reason      string
+}
+
+// Passer passes requests on. Set the exported fields before use; it is safe for
+// concurrent use.
+type Passer struct {
+	Bid       func(context.Context, *entry.Job) (*entry.Grant, *refuse.Refusal)
+	IsLeaving func(ident.CellID, ident.Endpoint) bool
+	Conns     *conn.Pool
+	Budget    *budget.Budget
+	Dialect   Dialect
+	// Record gets each step; nil is allowed.
+	Record func(trace.Record)
+}
+
+// try is a request with what its attempts have brought so far.
+type try struct {
+	*Request
+	w   http.ResponseWriter
+	job *entry.Job
+	// parent is the caller's context, without the deadline.
+	parent context.Context
+	// attempts counts the endpoints that the request was sent to.
+	attempts int
+	unsent   int
+	// mayHaveRun is set once an endpoint may have run the request.
+	mayHaveRun bool
+	stream     stream
+	// kept is an endpoint's failure that the caller gets if no repeat does
+	// better.
+	kept   *whole
+	result Result
+}
+
+// Serve passes a request on and writes the answer.
+func (p *Passer) Serve(ctx context.Context, r *Request, w http.ResponseWriter) Result {
+	t := &try{Request: r, w: w, parent: ctx, job: jobOf(r)}
+	t.stream.start(r)
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	p.Budget.Request(r.Pool.ID, time.Now())
+	for {
+		grant, refusal := p.Bid(ctx, t.job)
+		if refusal != nil {
+			return p.giveUp(ctx, t, refusal)
+		}
+		out := p.attempt(ctx, t, grant)
+		grant.End(out.ending)
+		if out.verdict == done || !p.mayRepeat(ctx, t, out) {
+			return p.finish(ctx, t, out)
+		}
+		t.job.Avoid = append(t.job.Avoid, grant.Answer.Endpoint)
+		p.note(t, trace.Record{Event: trace.Repeated, Endpoint: grant.Answer.Endpoint, Reason: out.reason})
+	}
+}
+
+func jobOf(r *Request) *entry.Job {
+	prompt, output := r.Labels.Prompt, r.Labels.Output
+	if !r.Labels.HasTokens && r.Pool.Kind == ident.ModelRunner {
+		output = defaultOutput
+	}
+	rank := r.Route.Rank
+	account := r.Account
+	if account == nil {
+		account = &config.Account{Weight: 1}
+	}
+	if account.Tier != nil {
+		rank = account.Tier.Rank
+	}
+	return &entry.Job{
+		Request: &intake.Request{
+			ID: r.ID, Kind: r.Pool.Kind, Arrived: r.Arrived, Deadline: r.Deadline,
+			Prompt: prompt, Output: output, Prefix: fingerprints(r.Labels.Parts),
+		},
+		Account: account, Pool: r.Pool, Tier: &config.Tier{Rank: rank}, Version: r.Version,
+		FirstToken: r.Route.FirstAnswer,
+	}
+}
+
+// verdict is how one attempt ended.
+type verdict uint8
+
+const (
+	// done: the caller has the answer, or a part of it that cannot go on.
+	done verdict = iota
+	// unsent: nothing left this process.
+	unsent
+	// refused: the endpoint said that it did not run the request.
+	refused
+	// failed: the endpoint's own answer is a failure of its run.
+	failed
+	// broken: the request may have run and there is no whole answer.
+	broken
+)
+
+type outcome struct {
+	verdict verdict
+	reason  string
+	ending  sched.Ending
+}
+
+// mayRepeat decides whether the request is sent once more.
+func (p *Passer) mayRepeat(ctx context.Context, t *try, out outcome) bool {
+	if ctx.Err() != nil || time.Until(t.Deadline) < minLeft {
+		return false
+	}
+	switch out.verdict {
+	case unsent:
+		t.unsent++
+		return t.unsent < unsentTries
+	case refused:
+	case failed, broken:
+		if !t.Route.IsRepeatable() {
+			return false
+		}
+	default:
+		return false
+	}
+	return t.attempts < t.Route.Attempts && p.Budget.Repeat(t.Pool.ID, time.Now())
+}
+
+// finish ends a request after its last attempt.
+func (p *Passer) finish(ctx context.Context, t *try, out outcome) Result {
+	t.result.Attempts = t.attempts
+	if out.reason != "" {
+		t.result.Reason = out.reason
+	}
+	switch {
+	case out.verdict == done:
+	case t.stream.started:
+		t.result.Cut = true
+	case t.kept != nil:
+		t.kept.write(t.w)
+		t.result.Status = t.kept.status
+	case t.parent.Err() != nil:
+		t.result.Refusal = refuse.Uncertain(refuse.CallerGone, "the caller went away")
+	case !t.mayHaveRun:
+		t.result.Refusal = notRun(out)
+	case ctx.Err() != nil:
+		t.result.Refusal = refuse.Uncertain(refuse.DeadlinePassed, "no whole answer came by the deadline")
+	default:
+		t.result.Refusal = refuse.Uncertain(refuse.EndpointFailed, out.reason)
+	}
+	return t.result
+}
+
+// retryAfterRefusal is when an endpoint that had no room is worth another try.
+const retryAfterRefusal = 300 * time.Millisecond
+
+func notRun(out outcome) *refuse.Refusal {
+	r := refuse.New(refuse.NoEndpoint, "no endpoint took the request: "+out.reason)
+	r.RetryAfter = retryAfterRefusal
+	return r
+}
+
+// giveUp ends a request that gets no grant.
+func (p *Passer) giveUp(ctx context.Context, t *try, refusal *refuse.Refusal) Result {
+	if t.mayHaveRun || t.kept != nil || t.stream.started {
+		return p.finish(ctx, t, outcome{verdict: broken, reason: "no endpoint for a repeat: " + string(refusal.Reason)})
+	}
+	t.result.Attempts = t.attempts
+	t.result.Reason = string(refusal.Reason)
+	t.result.Refusal = refusal
+	return t.result
+}
+
+func (p *Passer) note(t *try, r trace.Record) {
+	if p.Record == nil {
+		return
+	}
+	r.Time, r.Request, r.Pool, r.Settings = time.Now(), t.ID, t.Pool.ID, t.Version
+	r.Account = t.job.Account.ID
+	p.Record(r)
+}
--- a/internal/request/refuse/refuse.go
+++ b/internal/request/refuse/refuse.go
@@ -63,6 +63,7 @@
 	LedgerFull          Reason = "ledger_full"
 	CallerGone          Reason = "caller_gone"
 	HeaderTooLarge      Reason = "header_too_large"
+	NotReady            Reason = "node_not_ready"
 )
 
 var statuses = map[Reason]int{
@@ -80,6 +81,7 @@
 	OutcomeGone: http.StatusConflict, EndpointFailed: http.StatusBadGateway,
 	AnswerBroken: http.StatusBadGateway, LedgerFull: http.StatusServiceUnavailable,
 	CallerGone: http.StatusRequestTimeout, HeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
+	NotReady: http.StatusServiceUnavailable,
 }
 
 // Refusal is one refused or failed request.
--- a/internal/request/relay/service.go
+++ b/internal/request/relay/service.go
@@ -5,12 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"goldcrestwick/internal/connection/conn"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/request/answer"
 	"goldcrestwick/internal/request/intake"
@@ -22,11 +22,9 @@
 // buffers holds the room through which answers pass; a sink keeps none of it.
 var buffers sync.Pool
 
-// dropped are the headers that do not pass from the caller to the endpoint or
-// back: those of one hop (RFC 9110, section 7.6.1), and our own.
+// dropped are our own headers, which do not pass from the caller to the
+// endpoint or back.
 var dropped = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 	"Authorization", intake.KeyHeader, intake.KeyCreatedHeader, intake.DeadlineHeader, RequestIDHeader,
 }
 
@@ -79,12 +77,7 @@
 }
 
 func passed(header http.Header) http.Header {
-	kept := header.Clone()
-	for _, named := range header.Values("Connection") {
-		for name := range strings.SplitSeq(named, ",") {
-			kept.Del(strings.TrimSpace(name))
-		}
-	}
+	kept := conn.EndToEnd(header)
 	for _, name := range dropped {
 		kept.Del(name)
 	}
--- a/internal/tool/fleet/fleet.go
+++ b/internal/tool/fleet/fleet.go
@@ -277,7 +277,9 @@
 
 func (f *Fleet) storeFrom(host string) *store.Client {
 	transport := &http.Transport{DialContext: f.network.Dial(host), DisableKeepAlives: true}
-	return &store.Client{Table: f.platform, Objects: f.platform, Instances: f.platform, HTTP: &http.Client{Transport: transport}}
+	return &store.Client{Service: store.HTTP{
+		Table: f.platform, Objects: f.platform, Instances: f.platform, Client: &http.Client{Transport: transport},
+	}.Service()}
 }
 
 func (f *Fleet) logger(name string) *log.Logger {
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -42,6 +42,8 @@
 	services map[string][]*Pool
 	// operators holds the operators by the hashes of their keys.
 	operators map[[hashBytes]byte]*Operator
+	// routes holds each host's routes, the longest prefix first.
+	routes map[string][]*Route
 }
 
 // Operator may change one file of the tree.
@@ -127,8 +129,12 @@
 	Tokens   float64
 	// Concurrent bounds the requests in flight; 0 is without limit.
 	Concurrent int
-	Team       *Team
-	tierName   string
+	// BurstTokens may come at once; 0 takes a second's worth of Tokens.
+	BurstTokens float64
+	// PlainTokens is what a request without token counts counts for.
+	PlainTokens ident.Tokens
+	Team        *Team
+	tierName    string
 }
 
 // Pool is a model or a service with the endpoints that can run it.
@@ -149,6 +155,17 @@
 	BetweenTokens time.Duration
 	// Window is the first token window of each endpoint.
 	Window ident.Tokens
+	// Slots is the number of requests that an endpoint runs at once; 0 is not
+	// known.
+	Slots int
+	// CacheTokens is the memory of an endpoint for prompts and answers; 0 is
+	// not known.
+	CacheTokens ident.Tokens
+	// EventTokens is the number of tokens in one event of a stream.
+	EventTokens int
+	// MaxConns bounds the connections to an endpoint from all nodes together;
+	// 0 is without limit.
+	MaxConns int
 	// CallTimeout bounds one call to an application runner.
 	CallTimeout time.Duration
 	// NonIdempotent lists operations that must not run twice.
--- a/internal/version/config/process.go
+++ b/internal/version/config/process.go
@@ -5,6 +5,8 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -38,11 +40,38 @@
 	ResumeKey string
 	// LedgerKey is the file of the fleet's ed25519 key; empty keeps no ledger.
 	LedgerKey string
+	// DirectoryAddress and ReadyAddress are the IP and TCP ports for callers
+	// that ask where to connect and for the platform's checks; empty where the
+	// callers' own interface has both.
+	DirectoryAddress string
+	ReadyAddress     string
+	// MetricsAddress is the IP and TCP port for metrics; empty leaves them to
+	// the operators' address alone.
+	MetricsAddress string
+	// StoreAddress is the IP and port of the platform's store, for nodes that
+	// take settings, endpoints and certificates from there.
+	StoreAddress string
+	// Zones gives the region of each availability zone.
+	Zones map[ident.AvailabilityZone]ident.Region
+	// Memory is what this process may use, in bytes; 0 is not said.
+	Memory int64
+	// Grace is the time between the signal to stop and the end.
+	Grace time.Duration
+	// Repeats bounds what the fleet sends to a second endpoint.
+	Repeats Repeats
 	// LogLevel is debug, info, warn or error.
 	LogLevel  string
 	LogFormat string
 }
 
+// Repeats bounds repeats in any window to a share of the requests plus a fixed
+// number.
+type Repeats struct {
+	Ratio  float64
+	Extra  float64
+	Window time.Duration
+}
+
 var processSections = map[string][]field[Process]{
 	"node": {
 		{"name", true, text(func(p *Process) *ident.NodeID { return &p.Name })},
@@ -57,6 +86,20 @@
 		{"objects", true, address(func(p *Process) *string { return &p.ObjectURL })},
 		{"instances", true, address(func(p *Process) *string { return &p.InstancesURL })},
 	},
+	"entry": {
+		{"directory_address", true, ipPort(func(p *Process) *string { return &p.DirectoryAddress })},
+		{"ready_address", true, ipPort(func(p *Process) *string { return &p.ReadyAddress })},
+		{"metrics_address", false, ipPort(func(p *Process) *string { return &p.MetricsAddress })},
+		{"store_address", true, ipPort(func(p *Process) *string { return &p.StoreAddress })},
+		{"zones", false, zones},
+		{"memory", false, size(func(p *Process) *int64 { return &p.Memory })},
+		{"grace", true, span(func(p *Process) *time.Duration { return &p.Grace })},
+	},
+	"repeats": {
+		{"ratio", true, rate(func(p *Process) *float64 { return &p.Repeats.Ratio })},
+		{"extra", true, rate(func(p *Process) *float64 { return &p.Repeats.Extra })},
+		{"window", true, span(func(p *Process) *time.Duration { return &p.Repeats.Window })},
+	},
 	"tls": {
 		{"ca_file", true, text(func(p *Process) *string { return &p.CAFile })},
 		{"cert_file", true, text(func(p *Process) *string { return &p.CertFile })},
@@ -81,7 +124,25 @@
 	},
 }
 
-var requiredSections = []string{"node", "platform", "tls", "resume"}
+// A node takes certificates and settings from the platform's store, or its
+// keys from files.
+var (
+	requiredSections      = []string{"node", "platform", "tls", "resume"}
+	requiredStoreSections = []string{"node", "entry", "repeats"}
+)
+
+// zones reads pairs of a zone and its region, such as a:north, b:north.
+func zones(p *Process, v string) error {
+	p.Zones = map[ident.AvailabilityZone]ident.Region{}
+	for pair := range strings.SplitSeq(v, ",") {
+		zone, region, ok := strings.Cut(strings.TrimSpace(pair), ":")
+		if !ok || zone == "" || region == "" {
+			return eris.Errorf("%q is not ZONE:REGION", pair)
+		}
+		p.Zones[ident.AvailabilityZone(zone)] = ident.Region(region)
+	}
+	return nil
+}
 
 // LoadProcess reads the settings of one process from a file. Paths inside it
 // are relative to the file. The error is of type Findings when the file is at
@@ -116,7 +177,11 @@
 		}
 		fill(d, section, &p, fields)
 	}
-	for _, section := range requiredSections {
+	required := requiredSections
+	if slices.Contains(d.sections, "entry") {
+		required = requiredStoreSections
+	}
+	for _, section := range required {
 		if !slices.Contains(d.sections, section) {
 			d.findings = append(d.findings, Finding{File: file, Problem: "the section [" + section + "] is missing"})
 		}
--- a/internal/version/follow/follow.go
+++ b/internal/version/follow/follow.go
@@ -35,6 +35,8 @@
 // it is safe for concurrent use.
 type Follower struct {
 	Repo *repo.Repo
+	// Parse reads a version's files; nil takes config.Parse.
+	Parse func(files map[string][]byte, version ident.Version) (*config.Tree, error)
 	// Apply puts a tree in force. It is called for rising versions, one at a
 	// time.
 	Apply func(*config.Tree)
@@ -137,7 +139,11 @@
 	if v, _ := f.Version(); head.Version <= v {
 		return nil
 	}
-	tree, err := config.Parse(files, head.Version)
+	parse := f.Parse
+	if parse == nil {
+		parse = config.Parse
+	}
+	tree, err := parse(files, head.Version)
 	if err != nil {
 		return eris.Wrapf(err, "version %d", head.Version)
 	}
