--- a/internal/connection/door/door.go
+++ b/internal/connection/door/door.go
@@ -141,6 +141,7 @@
 			return req, refuse.New(refuse.NoAccount, "the API key is not known")
 		}
 	}
+	req.Tier = tree.TierFor(req.Account, req.Route)
 	req.Pool = req.Route.PoolAt(rand.Float64())
 	req.Deadline = arrived.Add(req.Route.Timeout)
 	if labels.Timeout > 0 && labels.Timeout < req.Route.Timeout {
--- a/internal/process/sched/refuse.go
+++ b/internal/process/sched/refuse.go
@@ -156,8 +156,9 @@
 			continue
 		}
 		open = true
-		// Half of the expected time leaves room for estimates that are off.
-		if time.Duration(b.Output)*e.between/2 < left {
+		// Half of the expected time leaves room for estimates that are off; an
+		// endpoint without samples has no estimate at all.
+		if e.samples == 0 && e.Slots > 0 || time.Duration(b.Output)*e.between/2 < left {
 			return false
 		}
 	}
--- a/internal/request/pass/pass.go
+++ b/internal/request/pass/pass.go
@@ -39,8 +39,6 @@
 	unsentTries = 4
 	// minLeft is the least time that a repeat is worth trying for.
 	minLeft = 100 * time.Millisecond
-	// defaultOutput is expected where the caller gives no token counts.
-	defaultOutput ident.Tokens = 256
 )
 
 // Part is one part of a prompt, in order. Prompts share their leading parts.
@@ -57,8 +55,11 @@
 	Timeout time.Duration
 	// Key is the API key.
 	Key string
-	// Prompt and Output are token counts; HasTokens is false without them.
+	// Prompt counts the prompt's tokens and Output the most that the answer may
+	// have; HasTokens is false without them. Hint is the caller's guess of the
+	// answer's length, 0 without one.
 	Prompt, Output ident.Tokens
+	Hint           ident.Tokens
 	HasTokens      bool
 	Parts          []Part
 	// After is the last event that the caller has of this answer; HasAfter is
@@ -115,6 +116,7 @@
 	Pool     *config.Pool
 	// Account is nil on public routes.
 	Account *config.Account
+	Tier    *config.Tier
 	Version ident.Version
 }
 
@@ -144,6 +146,8 @@
 	Dialect   Dialect
 	// Record gets each step; nil is allowed.
 	Record func(trace.Record)
+
+	lengths lengths
 }
 
 // try is a request with what its attempts have brought so far.
@@ -167,7 +171,7 @@
 
 // Serve passes a request on and writes the answer.
 func (p *Passer) Serve(ctx context.Context, r *Request, w http.ResponseWriter) Result {
-	t := &try{Request: r, w: w, parent: ctx, job: jobOf(r)}
+	t := &try{Request: r, w: w, parent: ctx, job: p.jobOf(r)}
 	t.stream.start(r)
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
@@ -187,25 +191,17 @@
 	}
 }
 
-func jobOf(r *Request) *entry.Job {
-	prompt, output := r.Labels.Prompt, r.Labels.Output
-	if !r.Labels.HasTokens && r.Pool.Kind == ident.ModelRunner {
-		output = defaultOutput
-	}
-	rank := r.Route.Rank
+func (p *Passer) jobOf(r *Request) *entry.Job {
 	account := r.Account
 	if account == nil {
 		account = &config.Account{Weight: 1}
 	}
-	if account.Tier != nil {
-		rank = account.Tier.Rank
-	}
 	return &entry.Job{
 		Request: &intake.Request{
 			ID: r.ID, Kind: r.Pool.Kind, Arrived: r.Arrived, Deadline: r.Deadline,
-			Prompt: prompt, Output: output, Prefix: fingerprints(r.Labels.Parts),
+			Prompt: r.Labels.Prompt, Output: p.lengths.expect(r), Prefix: fingerprints(r.Labels.Parts),
 		},
-		Account: account, Pool: r.Pool, Tier: &config.Tier{Rank: rank}, Version: r.Version,
+		Account: account, Pool: r.Pool, Tier: r.Tier, Version: r.Version,
 		FirstToken: r.Route.FirstAnswer,
 	}
 }
--- a/internal/request/pass/stream.go
+++ b/internal/request/pass/stream.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/version/config"
 )
 
@@ -91,6 +92,7 @@
 		buffer = e.raw
 		if errors.Is(err, io.EOF) {
 			x.begin(resp)
+			x.passer.lengths.learn(t.Request, ident.Tokens(p.count*p.eventTokens))
 			return outcome{ending: p.ending()}
 		}
 		if err != nil {
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -44,6 +44,7 @@
 	operators map[[hashBytes]byte]*Operator
 	// routes holds each host's routes, the longest prefix first.
 	routes map[string][]*Route
+	tiers  map[ranks]*Tier
 }
 
 // Operator may change one file of the tree.
--- a/internal/version/config/route.go
+++ b/internal/version/config/route.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"fmt"
 	"slices"
@@ -49,7 +50,8 @@
 	Pause time.Duration
 	// Attempts bounds the endpoints that one request may be sent to.
 	Attempts int
-	// Rank is the tier of requests whose account sets none.
+	// Rank orders the requests of accounts of one rank, and of accounts without
+	// a rank.
 	Rank ident.Tier
 	// Public routes need no account.
 	Public bool
@@ -94,6 +96,48 @@
 	return nil
 }
 
+// ranks is the order of a request: the account's comes before the route's.
+type ranks struct{ account, route ident.Tier }
+
+func ranksOf(a *Account, r *Route) ranks {
+	if a == nil || a.Tier == nil {
+		return ranks{r.Rank, r.Rank}
+	}
+	return ranks{a.Tier.Rank, r.Rank}
+}
+
+// TierFor returns the tier of an account's requests on a route; the account is
+// nil on public routes.
+func (t *Tree) TierFor(a *Account, r *Route) *Tier { return t.tiers[ranksOf(a, r)] }
+
+// rankTiers makes one tier of each pair of ranks in use. Pairs past the last
+// tier share it.
+func rankTiers(p Parts) (map[ranks]*Tier, []*Tier) {
+	accounts := append([]*Account{nil}, p.Team.Accounts...)
+	used := map[ranks]*Tier{}
+	var order []ranks
+	for _, r := range p.Routes {
+		for _, a := range accounts {
+			pair := ranksOf(a, r)
+			if _, ok := used[pair]; !ok {
+				used[pair] = nil
+				order = append(order, pair)
+			}
+		}
+	}
+	slices.SortFunc(order, func(a, b ranks) int {
+		return cmp.Or(cmp.Compare(a.account, b.account), cmp.Compare(a.route, b.route))
+	})
+	var tiers []*Tier
+	for i, pair := range order {
+		if i < ident.MaxTiers {
+			tiers = append(tiers, &Tier{Name: fmt.Sprintf("rank_%d_%d", pair.account, pair.route), Rank: ident.Tier(i)})
+		}
+		used[pair] = tiers[len(tiers)-1]
+	}
+	return used, tiers
+}
+
 // Parts are one version of the settings that does not come as INI files.
 type Parts struct {
 	Version ident.Version
@@ -131,6 +175,7 @@
 		}
 		t.routes[r.Host] = append(t.routes[r.Host], r)
 	}
+	t.tiers, p.Team.Tiers = rankTiers(p)
 	for _, routes := range t.routes {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
