Draw account limits from one bucket at the account's home

Cause: a ninth of a rate holds no large request, so 782 tries were refused at the entry nodes while the fleet's limit was not reached. Change: one bucket at the home, shares as the fallback, a part of the limits while members are missing.

--- a/internal/connection/door/door.go
+++ b/internal/connection/door/door.go
@@ -100,7 +100,7 @@
 		d.refuse(w, r, req, refusal)
 		return
 	}
-	release, refusal := d.admit(req)
+	release, refusal := d.admit(r.Context(), req)
 	if refusal != nil {
 		d.refuse(w, r, req, refusal)
 		return
@@ -189,7 +189,7 @@
 }
 
 // admit holds the request against its account's limits.
-func (d *Door) admit(req *pass.Request) (release func(), refusal *refuse.Refusal) {
+func (d *Door) admit(ctx context.Context, req *pass.Request) (release func(), refusal *refuse.Refusal) {
 	if req.Account == nil {
 		return func() {}, nil
 	}
@@ -197,7 +197,7 @@
 	if req.Labels.HasTokens {
 		tokens = req.Labels.Prompt + req.Labels.Output
 	}
-	release, verdict, retry := d.Quota.Admit(req.Account, tokens, time.Now())
+	release, verdict, retry := d.Quota.Admit(ctx, req.Account, tokens, time.Now())
 	if verdict == quota.Admitted {
 		return release, nil
 	}
--- a/internal/connection/wire/claim.go
+++ b/internal/connection/wire/claim.go
@@ -249,6 +249,19 @@
 	return all
 }
 
+// Draw asks the home of an account to take a request from its limits.
+type Draw struct {
+	Account string `cbor:"1,keyasint"`
+	Tokens  int64  `cbor:"2,keyasint"`
+}
+
+// Drawn answers Draw. Known is false where the home does not know the account.
+type Drawn struct {
+	Known   bool   `cbor:"1,keyasint,omitempty"`
+	Verdict string `cbor:"2,keyasint,omitempty"`
+	Retry   int64  `cbor:"3,keyasint,omitempty"` // nanoseconds
+}
+
 // Lend asks the home of some accounts for shares of their limits.
 type Lend struct {
 	Node   string             `cbor:"1,keyasint"`
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -64,6 +64,11 @@
 	KindCopy
 	// KindDone is an answer without content.
 	KindDone
+	// KindDraw is a call to the home of an account to take a request from its
+	// limits.
+	KindDraw
+	// KindQueued says that a bid waits in its cell, again and again.
+	KindQueued
 )
 
 // Done is an answer without content.
--- a/internal/process/member/list.go
+++ b/internal/process/member/list.go
@@ -40,6 +40,8 @@
 	since time.Time
 	// sent counts how often the last update was passed on.
 	sent int
+	// left is set on a dead member that had said it was leaving.
+	left bool
 }
 
 // Start sets this node's own entry. The incarnation should be higher than in
@@ -110,7 +112,8 @@
 	if old != nil && !m.supersedes(old.Member) {
 		return false
 	}
-	l.all[m.ID] = &record{Member: m, since: time.Now()}
+	left := old != nil && m.State == Dead && (old.State == Leaving || old.left)
+	l.all[m.ID] = &record{Member: m, since: time.Now(), left: left}
 	return true
 }
 
@@ -174,6 +177,20 @@
 	}
 }
 
+// Missed returns how many members died without leaving in so long a time. They
+// may be cut off rather than dead.
+func (l *List) Missed(within time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	missed := 0
+	for _, r := range l.all {
+		if r.State == Dead && !r.left && time.Since(r.since) < within {
+			missed++
+		}
+	}
+	return missed
+}
+
 // Run probes until the context ends.
 func (l *List) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
@@ -306,7 +323,7 @@
 		case r.State != Dead && r.Suspect && now.Sub(r.since) > SuspectTime:
 			dead := r.Member
 			dead.State = Dead
-			l.all[id] = &record{Member: dead, since: now}
+			l.all[id] = &record{Member: dead, since: now, left: r.State == Leaving}
 			dirty = true
 		}
 	}
--- /dev/null
+++ b/internal/process/node/limits.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/quota"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/version/config"
+)
+
+const (
+	// drawTimeout is how long a request waits for its account's home before
+	// this node's own share decides.
+	drawTimeout = 150 * time.Millisecond
+	// missedTime is how long a node that is gone still counts for the limits:
+	// it may be cut off and serve on.
+	missedTime = time.Minute
+)
+
+func accountKey(id ident.ClientAccount) string { return "account/" + string(id) }
+
+// draw takes a request from the bucket at the account's home.
+func (n *Node) draw(ctx context.Context, a *config.Account, tokens ident.Tokens) (quota.Verdict, time.Duration, bool) {
+	home, ok := member.Owner(n.members.View().Ready(""), accountKey(a.ID))
+	if !ok {
+		return "", 0, false
+	}
+	if home.ID == n.Process.Name {
+		verdict, retry := n.central.Take(a, tokens, time.Now())
+		return verdict, retry, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
+	defer cancel()
+	message := wire.Draw{Account: string(a.ID), Tokens: int64(tokens)}
+	reply, err := link.Call[wire.Draw, wire.Drawn](ctx, n.Open, home.PeerAddress, wire.KindDraw, message)
+	if err != nil || !reply.Known {
+		n.Log.Debug("limit_not_drawn", "account", a.ID, "home", home.ID, "error", err)
+		return "", 0, false
+	}
+	return quota.Verdict(reply.Verdict), time.Duration(reply.Retry), true
+}
+
+func (n *Node) serveDraw(_ context.Context, s *link.Stream, m wire.Draw) {
+	reply := wire.Drawn{}
+	if a := n.tree.Load().Account(ident.ClientAccount(m.Account)); a != nil {
+		verdict, retry := n.central.Take(a, max(ident.Tokens(m.Tokens), 0), time.Now())
+		reply = wire.Drawn{Known: true, Verdict: string(verdict), Retry: int64(retry)}
+	}
+	s.Send(wire.KindDraw, reply) //nolint:errcheck // the node falls back to its share.
+}
+
+// limitsPart is the part of the fleet that this node reaches. A node that is
+// cut off with a few others must not give out the limits of the whole.
+func (n *Node) limitsPart() float64 {
+	here := len(n.members.View().Ready(""))
+	missed := n.members.Missed(missedTime)
+	return float64(max(here, 1)) / float64(max(here+missed, 1))
+}
+
+// viewSince is when this node's picture of the fleet last changed.
+func (n *Node) viewSince() time.Time {
+	if t := n.viewChanged.Load(); t != nil {
+		return *t
+	}
+	return time.Now()
+}
+
+func (n *Node) evenShare() float64 {
+	return 1 / float64(max(len(n.members.View().Ready("")), 1))
+}
+
+// askShares asks the home of every account in use for this node's share.
+func (n *Node) askShares(ctx context.Context) {
+	ready := n.members.View().Ready("")
+	byHome := map[ident.NodeID]map[string]float64{}
+	homes := map[ident.NodeID]member.Member{}
+	for account, demand := range n.quota.Demand() {
+		home, ok := member.Owner(ready, accountKey(account))
+		if !ok {
+			continue
+		}
+		homes[home.ID] = home
+		if byHome[home.ID] == nil {
+			byHome[home.ID] = map[string]float64{}
+		}
+		byHome[home.ID][string(account)] = demand
+	}
+	for id, demands := range byHome {
+		message := wire.Lend{Node: string(n.Process.Name), Demand: demands}
+		if id == n.Process.Name {
+			n.setShares(n.lend(message))
+			continue
+		}
+		n.tasks.Go(func() { n.askHome(ctx, homes[id], message) })
+	}
+}
+
+func (n *Node) askHome(ctx context.Context, home member.Member, message wire.Lend) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	shares, err := link.Call[wire.Lend, wire.Shares](ctx, n.Open, home.PeerAddress, wire.KindLend, message)
+	if err == nil {
+		n.setShares(shares)
+	}
+}
+
+func (n *Node) setShares(s wire.Shares) {
+	for account, share := range s.Shares {
+		n.quota.SetShare(ident.ClientAccount(account), share)
+	}
+}
+
+func (n *Node) lend(m wire.Lend) wire.Shares {
+	shares := wire.Shares{Shares: map[string]float64{}}
+	nodes := len(n.members.View().Ready(""))
+	for account, demand := range m.Demand {
+		shares.Shares[account] = n.lender.Lend(ident.ClientAccount(account), ident.NodeID(m.Node), demand, nodes, time.Now())
+	}
+	return shares
+}
+
+func (n *Node) serveLend(_ context.Context, s *link.Stream, m wire.Lend) {
+	s.Send(wire.KindLend, n.lend(m)) //nolint:errcheck // the last share is kept.
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -93,6 +93,7 @@
 	home      claims.Home
 	quota     quota.Keeper
 	lender    quota.Lender
+	central   quota.Central
 	trace     trace.Memory
 	meter     meter.Meter
 	front     front.Front
@@ -103,12 +104,14 @@
 	copies    ledger.Holder
 	instances atomic.Pointer[[]roster.Instance]
 	tenure    atomic.Pointer[tenure]
-	repo      repo.Repo
-	conns     conn.Pool
-	budget    budget.Budget
-	passer    pass.Passer
-	door      door.Door
-	watched   watched
+	// viewChanged is when the members last changed.
+	viewChanged atomic.Pointer[time.Time]
+	repo        repo.Repo
+	conns       conn.Pool
+	budget      budget.Budget
+	passer      pass.Passer
+	door        door.Door
+	watched     watched
 
 	claimHomes atomic.Pointer[claimHomes]
 	follower   follow.Follower
@@ -159,7 +162,8 @@
 		Self: n.Process.Name, HomeOf: n.homeOf, Home: &n.home, Open: n.Open,
 		Find: func(id ident.NodeID) (member.Member, bool) { return n.members.View().Find(id) },
 	}
-	n.quota = quota.Keeper{Even: n.evenShare}
+	n.quota = quota.Keeper{Even: n.evenShare, Draw: n.draw}
+	n.central = quota.Central{Part: n.limitsPart, Since: n.viewSince}
 	n.entry = entry.Entry{
 		Self: n.Process.Name, Zone: n.Process.Zone, Cells: &n.cells, Open: n.Open, Keys: &n.keys, Quota: &n.quota,
 		Outlet: n.Outlet, Clock: &n.clock, Record: n.record, Finished: n.finished,
@@ -258,6 +262,8 @@
 
 // membersChanged reacts to a new picture of the fleet.
 func (n *Node) membersChanged(v *member.View) {
+	now := time.Now()
+	n.viewChanged.Store(&now)
 	n.cells.Reconcile()
 	homes := homesKey(n.homes(v))
 	if old := n.tenure.Load(); old == nil || old.homes != homes {
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -21,6 +21,7 @@
 	link.Handle(mux, wire.KindProbeVia, n.serveProbeVia)
 	link.Handle(mux, wire.KindSync, n.serveSync)
 	link.Handle(mux, wire.KindLend, n.serveLend)
+	link.Handle(mux, wire.KindDraw, n.serveDraw)
 	link.Handle(mux, wire.KindExplain, n.serveExplain)
 	link.Handle(mux, wire.KindTree, n.serveTree)
 	link.Handle(mux, wire.KindNews, n.serveNews)
@@ -162,64 +163,6 @@
 	return time.Time{}
 }
 
-func (n *Node) evenShare() float64 {
-	return 1 / float64(max(len(n.members.View().Ready("")), 1))
-}
-
-// askShares asks the home of every account in use for this node's share.
-func (n *Node) askShares(ctx context.Context) {
-	ready := n.members.View().Ready("")
-	byHome := map[ident.NodeID]map[string]float64{}
-	homes := map[ident.NodeID]member.Member{}
-	for account, demand := range n.quota.Demand() {
-		home, ok := member.Owner(ready, "account/"+string(account))
-		if !ok {
-			continue
-		}
-		homes[home.ID] = home
-		if byHome[home.ID] == nil {
-			byHome[home.ID] = map[string]float64{}
-		}
-		byHome[home.ID][string(account)] = demand
-	}
-	for id, demands := range byHome {
-		message := wire.Lend{Node: string(n.Process.Name), Demand: demands}
-		if id == n.Process.Name {
-			n.setShares(n.lend(message))
-			continue
-		}
-		n.tasks.Go(func() { n.askHome(ctx, homes[id], message) })
-	}
-}
-
-func (n *Node) askHome(ctx context.Context, home member.Member, message wire.Lend) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	shares, err := link.Call[wire.Lend, wire.Shares](ctx, n.Open, home.PeerAddress, wire.KindLend, message)
-	if err == nil {
-		n.setShares(shares)
-	}
-}
-
-func (n *Node) setShares(s wire.Shares) {
-	for account, share := range s.Shares {
-		n.quota.SetShare(ident.ClientAccount(account), share)
-	}
-}
-
-func (n *Node) lend(m wire.Lend) wire.Shares {
-	shares := wire.Shares{Shares: map[string]float64{}}
-	nodes := len(n.members.View().Ready(""))
-	for account, demand := range m.Demand {
-		shares.Shares[account] = n.lender.Lend(ident.ClientAccount(account), ident.NodeID(m.Node), demand, nodes, time.Now())
-	}
-	return shares
-}
-
-func (n *Node) serveLend(_ context.Context, s *link.Stream, m wire.Lend) {
-	s.Send(wire.KindLend, n.lend(m)) //nolint:errcheck // the last share is kept.
-}
-
 func (n *Node) serveExplain(_ context.Context, s *link.Stream, m wire.Explain) {
 	s.Send(wire.KindExplain, wire.FromRecords(n.trace.Find(ident.RequestID(m.Request)))) //nolint:errcheck // the asker does without.
 }
--- /dev/null
+++ b/internal/process/quota/central.go
@@ -0,0 +1,76 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/version/config"
+)
+
+// firstFill is the part of a bucket that a new home counts as full. The home
+// before it may have just given out the whole.
+const firstFill = 0.25
+
+// Central holds the buckets of the accounts whose home is this node: each
+// request of the whole fleet is taken from one bucket. The zero value is ready
+// for use and safe for concurrent use.
+type Central struct {
+	// Part is the part of the limits that this node may give out, less than 1
+	// while it cannot reach the whole fleet; nil is 1.
+	Part func() float64
+	// Since is since when this node has been home; nil is always.
+	Since func() time.Time
+
+	mu      sync.Mutex
+	buckets map[ident.ClientAccount]*buckets
+}
+
+type buckets struct{ requests, tokens *rate.Limiter }
+
+// Take takes one request of so many tokens from an account's buckets, and says
+// which limit stopped it and when there will be room.
+func (c *Central) Take(a *config.Account, tokens ident.Tokens, now time.Time) (verdict Verdict, retry time.Duration) {
+	part := 1.0
+	if c.Part != nil {
+		part = c.Part()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.buckets == nil {
+		c.buckets = map[ident.ClientAccount]*buckets{}
+	}
+	b := c.buckets[a.ID]
+	isNew := b == nil
+	if isNew {
+		b = &buckets{}
+		c.buckets[a.ID] = b
+	}
+	b.requests = limited(b.requests, a.Requests, a.Requests*burstTime.Seconds(), part, now)
+	b.tokens = limited(b.tokens, a.Tokens, burstOf(a), part, now)
+	if isNew {
+		c.drain(b.requests, now)
+		c.drain(b.tokens, now)
+	}
+	if retry, ok := take(b.requests, now, 1); !ok {
+		return RequestsLimit, retry
+	}
+	if retry, ok := take(b.tokens, now, int(tokens)); !ok {
+		return TokensLimit, retry
+	}
+	return Admitted, 0
+}
+
+// drain empties a new bucket to what has surely come in since this node became
+// home.
+func (c *Central) drain(l *rate.Limiter, now time.Time) {
+	if c.Since == nil || l.Limit() == rate.Inf {
+		return
+	}
+	filled := firstFill*float64(l.Burst()) + float64(l.Limit())*now.Sub(c.Since()).Seconds()
+	if missing := float64(l.Burst()) - filled; missing >= 1 {
+		l.AllowN(now, int(missing))
+	}
+}
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -1,22 +1,24 @@
 // Package quota holds the limits of client accounts over the whole fleet.
 //
-// Each entry node keeps a share of each account's rates. The account's home
-// node, found by rendezvous hashing, divides the whole among the nodes by what
-// each was lately asked for. A node that cannot reach the home keeps its last
-// share.
+// The account's home node, found by rendezvous hashing, has one bucket for the
+// whole fleet, from which the entry nodes draw each request. A node that cannot
+// reach the home falls back to a share of the rates, which the home divides
+// among the nodes by what each was lately asked for.
 //
 // # Usage
 //
 //	k := &quota.Keeper{}
-//	release, ok := k.Admit(account, tokens, now)
-//	if ok {
+//	release, verdict, retry := k.Admit(ctx, account, tokens, now)
+//	if verdict == quota.Admitted {
 //		defer release()
 //	}
+//	verdict, retry := central.Take(account, tokens, now)  // on the home
 //	share := lender.Lend(accountID, node, demand, nodes, now) // on the home
 //	k.SetShare(accountID, share)
 package quota
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -44,6 +46,9 @@
 	// Even is the share of an account before its home has said another: one
 	// over the number of nodes. Zero counts as 1.
 	Even func() float64
+	// Draw takes a request from the account's bucket at its home; ok is false
+	// when the home could not be asked. Nil draws from the shares alone.
+	Draw func(ctx context.Context, a *config.Account, tokens ident.Tokens) (verdict Verdict, retry time.Duration, ok bool)
 
 	mu       sync.Mutex
 	accounts map[ident.ClientAccount]*account
@@ -72,26 +77,53 @@
 	ConcurrentLimit Verdict = "concurrent_requests"
 )
 
-// Admit takes a request of so many tokens from the account's share. When it is
+// Admit takes a request of so many tokens from the account's limits. When it is
 // admitted, release must be called at its end. Otherwise retry is when there
 // will be room by rate.
-func (k *Keeper) Admit(a *config.Account, tokens ident.Tokens, now time.Time) (release func(), verdict Verdict, retry time.Duration) {
+func (k *Keeper) Admit(ctx context.Context, a *config.Account, tokens ident.Tokens, now time.Time) (release func(), verdict Verdict, retry time.Duration) {
+	at, ok := k.enter(a, tokens, now)
+	if !ok {
+		return nil, ConcurrentLimit, time.Second
+	}
+	verdict, retry, drawn := Admitted, time.Duration(0), a.Requests <= 0 && a.Tokens <= 0
+	if !drawn && k.Draw != nil {
+		verdict, retry, drawn = k.Draw(ctx, a, tokens)
+	}
+	if !drawn {
+		verdict, retry = k.takeShare(at, tokens, now)
+	}
+	if verdict != Admitted {
+		k.release(at)
+		return nil, verdict, retry
+	}
+	var once sync.Once
+	return func() { once.Do(func() { k.release(at) }) }, Admitted, 0
+}
+
+// enter counts a request in flight.
+func (k *Keeper) enter(a *config.Account, tokens ident.Tokens, now time.Time) (*account, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	at := k.account(a, now)
 	at.asked += part(a, tokens)
 	if a.Concurrent > 0 && at.running >= k.concurrent(a, at) {
-		return nil, ConcurrentLimit, time.Second
+		return nil, false
 	}
+	at.running++
+	return at, true
+}
+
+// takeShare takes a request from this node's own share.
+func (k *Keeper) takeShare(at *account, tokens ident.Tokens, now time.Time) (Verdict, time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	if retry, ok := take(at.requests, now, 1); !ok {
-		return nil, RequestsLimit, retry
+		return RequestsLimit, retry
 	}
 	if retry, ok := take(at.tokens, now, int(tokens)); !ok {
-		return nil, TokensLimit, retry
+		return TokensLimit, retry
 	}
-	at.running++
-	var once sync.Once
-	return func() { once.Do(func() { k.release(at) }) }, Admitted, 0
+	return Admitted, 0
 }
 
 // part is what a request takes of the account's limits, by the limit that it
--- a/internal/process/quota/quota_test.go
+++ b/internal/process/quota/quota_test.go
@@ -23,13 +23,13 @@
 	k := &Keeper{Even: func() float64 { return 0.25 }}
 	a := &config.Account{ID: "team/a", Requests: 40, Tokens: 4000}
 	for range 10 {
-		_, verdict, _ := k.Admit(a, 100, start)
+		_, verdict, _ := k.Admit(t.Context(), a, 100, start)
 		qt.Assert(t, verdict, qt.Equals, Admitted)
 	}
-	_, verdict, retry := k.Admit(a, 100, start)
+	_, verdict, retry := k.Admit(t.Context(), a, 100, start)
 	qt.Assert(t, verdict, qt.Equals, RequestsLimit)
 	qt.Assert(t, retry, qt.Equals, 100*time.Millisecond)
-	_, verdict, _ = k.Admit(a, 100, start.Add(100*time.Millisecond))
+	_, verdict, _ = k.Admit(t.Context(), a, 100, start.Add(100*time.Millisecond))
 	qt.Assert(t, verdict, qt.Equals, Admitted)
 }
 
@@ -38,11 +38,11 @@
 func TestLargeRequest(t *testing.T) {
 	k := &Keeper{}
 	a := &config.Account{ID: "team/a", Tokens: 1000}
-	_, verdict, _ := k.Admit(a, 3000, start)
+	_, verdict, _ := k.Admit(t.Context(), a, 3000, start)
 	qt.Assert(t, verdict, qt.Equals, Admitted)
-	_, verdict, _ = k.Admit(a, 1, start.Add(1900*time.Millisecond))
+	_, verdict, _ = k.Admit(t.Context(), a, 1, start.Add(1900*time.Millisecond))
 	qt.Assert(t, verdict, qt.Equals, TokensLimit)
-	_, verdict, _ = k.Admit(a, 1, start.Add(2100*time.Millisecond))
+	_, verdict, _ = k.Admit(t.Context(), a, 1, start.Add(2100*time.Millisecond))
 	qt.Assert(t, verdict, qt.Equals, Admitted)
 }
 
@@ -50,15 +50,15 @@
 func TestConcurrent(t *testing.T) {
 	k := &Keeper{}
 	a := &config.Account{ID: "team/a", Concurrent: 2}
-	leave, _, _ := k.Admit(a, 1, start)
-	k.Admit(a, 1, start)
-	_, verdict, _ := k.Admit(a, 1, start)
+	leave, _, _ := k.Admit(t.Context(), a, 1, start)
+	k.Admit(t.Context(), a, 1, start)
+	_, verdict, _ := k.Admit(t.Context(), a, 1, start)
 	qt.Assert(t, verdict, qt.Equals, ConcurrentLimit)
 	leave()
 	leave()
-	_, verdict, _ = k.Admit(a, 1, start)
+	_, verdict, _ = k.Admit(t.Context(), a, 1, start)
 	qt.Assert(t, verdict, qt.Equals, Admitted)
-	_, verdict, _ = k.Admit(a, 1, start)
+	_, verdict, _ = k.Admit(t.Context(), a, 1, start)
 	qt.Assert(t, verdict, qt.Equals, ConcurrentLimit)
 }
 
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -104,7 +104,7 @@
 	if j.Pool.Kind == ident.ApplicationRunner && !j.Pool.IsIdempotent(j.Request.Method, j.Request.Path) {
 		return refuse.New(refuse.MissingKey, "this operation is not idempotent and needs the header "+intake.KeyHeader)
 	}
-	release, refusal := e.admit(j)
+	release, refusal := e.admit(ctx, j)
 	if refusal != nil {
 		return refusal
 	}
@@ -114,9 +114,9 @@
 }
 
 // admit holds the request against its account's limits.
-func (e *Entry) admit(j *Job) (func(), *refuse.Refusal) {
+func (e *Entry) admit(ctx context.Context, j *Job) (func(), *refuse.Refusal) {
 	tokens := j.Request.Prompt + j.Request.Output
-	release, verdict, retry := e.Quota.Admit(j.Account, tokens, time.Now())
+	release, verdict, retry := e.Quota.Admit(ctx, j.Account, tokens, time.Now())
 	if verdict == quota.Admitted {
 		return release, nil
 	}
--- a/internal/request/entry/keyed.go
+++ b/internal/request/entry/keyed.go
@@ -82,7 +82,7 @@
 
 // runClaimed runs a request whose key it holds, apart from its caller.
 func (e *Entry) runClaimed(ctx context.Context, j *Job, claim claims.Claim) *refuse.Refusal {
-	release, refusal := e.admit(j)
+	release, refusal := e.admit(ctx, j)
 	if refusal != nil {
 		e.finish(func(ctx context.Context) { e.Keys.release(ctx, claim) })
 		return refusal
