Decide alone while a cell's node is silent, and share service among the routes of a tier

Bids of cut-off nodes hung until the owner was declared dead, and the floor protocol kept a single-cell pool from shedding while any member was missing.

--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -21,6 +21,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +52,15 @@
 	// stream broke.
 	auditInterval = 2 * time.Second
 	firstAudit    = 100 * time.Millisecond
+	// queuedInterval is the time between two words to a bidder whose bid
+	// waits.
+	queuedInterval = 100 * time.Millisecond
+	// BidPatience is how long a bidder waits for any word of a cell's node
+	// before it decides without it: several round trips and the node's own
+	// pauses.
+	BidPatience = 300 * time.Millisecond
+	// silentTime is how long a node that did not answer a bid is passed over.
+	silentTime = 700 * time.Millisecond
 )
 
 // Manager runs cells. Set the exported fields before use.
@@ -80,6 +91,10 @@
 	local   map[ident.CellID]*owned
 	retired map[ident.CellID]*sched.Cell
 	members map[ident.NodeID]bool
+	// standby holds the cells that decide while their node is silent, silent
+	// until when a node is passed over.
+	standby map[ident.CellID]*sched.Cell
+	silent  map[ident.NodeID]time.Time
 	tasks   sync.WaitGroup
 	ctx     context.Context
 }
@@ -149,6 +164,62 @@
 	return nil
 }
 
+// Silent notes that a node did not answer a bid.
+func (m *Manager) Silent(id ident.NodeID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.silent == nil {
+		m.silent = map[ident.NodeID]time.Time{}
+	}
+	m.silent[id] = time.Now().Add(silentTime)
+}
+
+// IsSilent reports whether a node lately did not answer a bid.
+func (m *Manager) IsSilent(id ident.NodeID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Now().Before(m.silent[id])
+}
+
+// Standby returns a cell of this node's own that stands in for one whose node
+// is silent. It knows only what this node has in flight, so the endpoints may
+// get more work than their windows say; nothing else follows.
+func (m *Manager) Standby(id ident.CellID) *sched.Cell {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c := m.standby[id]; c != nil {
+		return c
+	}
+	pool := m.Tree().Pool(id.Pool)
+	if pool == nil {
+		return nil
+	}
+	if m.standby == nil {
+		m.standby = map[ident.CellID]*sched.Cell{}
+	}
+	c := m.newCell(id, pool, &owned{})
+	m.standby[id] = c
+	m.configureStandby()
+	return c
+}
+
+// configureStandby gives the standby cells their present endpoints.
+func (m *Manager) configureStandby() {
+	for id, c := range m.standby {
+		pool := m.Tree().Pool(id.Pool)
+		if pool == nil {
+			delete(m.standby, id)
+			c.Close()
+			continue
+		}
+		for _, cell := range m.Roster().Cells(id.Pool) {
+			if cell.ID == id {
+				c.Configure(pool, cell.Endpoints)
+			}
+		}
+	}
+}
+
 // find returns a cell that this node runs or lately ran.
 func (m *Manager) find(id ident.CellID) *sched.Cell {
 	if c := m.Local(id); c != nil {
@@ -180,6 +251,7 @@
 	for id, cell := range wanted {
 		m.configure(id, cell)
 	}
+	m.configureStandby()
 	m.dropGone()
 }
 
@@ -294,6 +366,12 @@
 	for _, o := range m.cells() {
 		o.cell.Tick()
 	}
+	m.mu.Lock()
+	standby := slices.Collect(maps.Values(m.standby))
+	m.mu.Unlock()
+	for _, c := range standby {
+		c.Tick()
+	}
 }
 
 // pollAll asks every endpoint of the cells here for its load.
--- a/internal/process/cells/floors.go
+++ b/internal/process/cells/floors.go
@@ -20,7 +20,12 @@
 	for _, t := range p.Team.Tiers {
 		lowest = max(lowest, t.Rank)
 	}
-	return m.floors.MayShed(pool, tier, lowest, m.regionMembers(), time.Now())
+	members := m.regionMembers()
+	if len(m.Roster().Cells(pool)) <= 1 {
+		// What waits in the pool waits in this one cell.
+		members = []ident.NodeID{m.Self().ID}
+	}
+	return m.floors.MayShed(pool, tier, lowest, members, time.Now())
 }
 
 // MayShedEverywhere reports whether a tier may be shed in every pool, for a
--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -34,15 +34,11 @@
 	b := message.ToBid(time.Now())
 	b.Wake = func() { woken <- struct{}{} }
 	frames := readFrames(s)
-	if !cell.Submit(b) {
-		select {
-		case <-woken:
-		case <-frames:
-			if !cell.Cancel(b) && b.Answer.Outcome == sched.Granted {
-				cell.Done(b.Request, sched.Ending{Unused: true})
-			}
-			return
+	if !cell.Submit(b) && !waitFor(s, woken, frames) {
+		if !cell.Cancel(b) && b.Answer.Outcome == sched.Granted {
+			cell.Done(b.Request, sched.Ending{Unused: true})
 		}
+		return
 	}
 	answer := wire.FromAnswer(b.Answer)
 	answer.Clock = uint64(m.Clock.Now())
@@ -55,6 +51,25 @@
 	}
 }
 
+// waitFor waits for a bid's answer and tells the bidder now and then that this
+// node is there. It reports false when the bidder went away.
+func waitFor(s *link.Stream, woken <-chan struct{}, frames <-chan frame) bool {
+	ticker := time.NewTicker(queuedInterval)
+	defer ticker.Stop()
+	for {
+		if s.Send(wire.KindQueued, wire.Done{}) != nil {
+			return false
+		}
+		select {
+		case <-woken:
+			return true
+		case <-frames:
+			return false
+		case <-ticker.C:
+		}
+	}
+}
+
 // readFrames reads a stream until it ends, which closes the channel.
 func readFrames(s *link.Stream) <-chan frame {
 	frames := make(chan frame, 2)
@@ -171,7 +186,12 @@
 			cell.Resume(floor.Open)
 			return
 		}
-		cell.Resume(0)
+		lowest := ident.Tier(0)
+		if len(m.Roster().Cells(cell.ID.Pool)) <= 1 {
+			// No other cell can have closed the pool's lower tiers.
+			lowest = floor.Open
+		}
+		cell.Resume(lowest)
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -54,6 +54,10 @@
 	// stayDecay is what a request still counts after the next one ended.
 	stayDecay = 0.99
 
+	// leastRatio is the least served part that a time to come back is taken
+	// from.
+	leastRatio = 0.1
+
 	minRetryAfter = time.Second
 	maxRetryAfter = time.Minute
 )
@@ -107,6 +111,9 @@
 	closed   bool
 	paused   bool
 	stay     stay
+	service  [ident.MaxTiers]service
+	// last holds, for each lane, the last lane that shares its service.
+	last [ident.MaxTiers]ident.Tier
 	// lowest is the lowest tier granted; Pause and Resume set it.
 	lowest ident.Tier
 	// limited is set while lowest counts.
@@ -130,6 +137,11 @@
 	b.charge = c.chargeOf(b)
 	c.arrivals++
 	b.lane, b.sharer, b.order, b.number = b.Tier, b.Account, b.Deadline, c.arrivals
+	if b.FirstToken > 0 {
+		b.order = now.Add(b.FirstToken)
+	}
+	c.service[b.lane].advance(now)
+	c.service[b.lane].arrived++
 	b.Answer = Answer{}
 	// An answer that is there on return is not announced as well.
 	wake := b.Wake
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -74,18 +74,19 @@
 	}
 	c.round++
 	skipped := 0
-	for tier := range c.queues {
-		if c.limited && ident.Tier(tier) > c.lowest {
+	for first := ident.Tier(0); first < ident.MaxTiers; first = c.last[first] + 1 {
+		if c.limited && first > c.lowest {
 			return
 		}
-		q := &c.queues[tier]
-		for q.length > 0 && skipped < maxSkipped {
-			s := q.first(c.round)
-			if s == nil {
+		for skipped < maxSkipped {
+			lane, s, ok := c.next(first, c.last[first])
+			if !ok {
 				break
 			}
 			if c.tryGrant(s.heap[0], now) {
-				q.take(s)
+				c.queues[lane].take(s)
+				c.service[lane].advance(now)
+				c.service[lane].granted++
 				continue
 			}
 			s.skipped = c.round
--- a/internal/process/sched/members.go
+++ b/internal/process/sched/members.go
@@ -15,6 +15,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.Pool = pool
+	c.setLanes()
 	if c.byID == nil {
 		c.byID = map[ident.Endpoint]*endpoint{}
 	}
--- a/internal/process/sched/refuse.go
+++ b/internal/process/sched/refuse.go
@@ -21,8 +21,8 @@
 // past the bound and the pool is asked to close those tiers.
 func (c *Cell) trim() {
 	for {
-		tier := c.lowestWaiting()
-		if !c.isOverfull() && !c.isHopeless(tier) {
+		tier, ok := c.toShed()
+		if !ok {
 			return
 		}
 		if !c.mayShed(tier) {
@@ -37,6 +37,22 @@
 	}
 }
 
+// toShed returns the lane that has to shed a bid: among the lowest ones that
+// share service, the lowest that is hopeless or, when the queue is over its
+// bounds, the lowest with a bid.
+func (c *Cell) toShed() (lane ident.Tier, ok bool) {
+	lowest := c.lowestWaiting()
+	if c.isOverfull() {
+		return lowest, true
+	}
+	for lane := int(lowest); lane >= 0 && c.last[lane] == c.last[lowest]; lane-- {
+		if c.isHopeless(ident.Tier(lane)) {
+			return ident.Tier(lane), true
+		}
+	}
+	return 0, false
+}
+
 func (c *Cell) isOverfull() bool {
 	requests, tokens := 0, ident.Tokens(0)
 	for tier := range c.queues {
@@ -57,6 +73,9 @@
 	if b == nil {
 		return false
 	}
+	if b.FirstToken > 0 {
+		return c.laneWait(tier, c.now()) > b.patience()
+	}
 	return c.waitOf(tier) > time.Duration(hopelessFactor*float64(b.Deadline.Sub(c.now())))
 }
 
@@ -93,6 +112,8 @@
 	return time.Duration(s.seconds / s.tokens * float64(time.Second))
 }
 
+func (c *Cell) knowsSlots() bool { return len(c.endpoints) > 0 && c.endpoints[0].Slots > 0 }
+
 func (c *Cell) lowestWaiting() ident.Tier {
 	for tier := len(c.queues) - 1; tier > 0; tier-- {
 		if c.queues[tier].length > 0 {
@@ -102,11 +123,13 @@
 	return 0
 }
 
-func (c *Cell) mayShed(tier ident.Tier) bool { return c.MayShed == nil || c.MayShed(tier) }
+// mayShed and press ask about the last lane that shares service with a lane:
+// lanes of one group are not closed in favour of each other.
+func (c *Cell) mayShed(lane ident.Tier) bool { return c.MayShed == nil || c.MayShed(c.last[lane]) }
 
-func (c *Cell) press(tier ident.Tier) {
+func (c *Cell) press(lane ident.Tier) {
 	if c.Press != nil {
-		c.Press(tier)
+		c.Press(c.last[lane])
 	}
 }
 
@@ -118,7 +141,7 @@
 		pressed := false
 		c.queues[tier].each(func(b *Bid) bool {
 			switch {
-			case !now.Before(b.Deadline) || c.isUnreachable(b, now):
+			case !now.Before(b.Deadline) || c.isUnreachable(b, now) || c.isPastPatience(b, now):
 				late = append(late, b)
 			case !pressed && isPressing(b, now):
 				pressed = true
@@ -129,12 +152,24 @@
 	}
 	for _, b := range late {
 		c.queues[b.lane].remove(b)
-		reason := ReasonDeadlineUnreachable
-		if !now.Before(b.Deadline) {
-			reason = ReasonDeadlinePassed
-		}
-		c.refuse(b, reason)
+		c.refuse(b, c.lateReason(b, now))
+	}
+}
+
+func (c *Cell) lateReason(b *Bid, now time.Time) Reason {
+	switch {
+	case !now.Before(b.Deadline):
+		return ReasonDeadlinePassed
+	case c.isPastPatience(b, now):
+		return ReasonOverload
 	}
+	return ReasonDeadlineUnreachable
+}
+
+// isPastPatience reports whether a bid has waited for as long as it is worth,
+// and no lower lane waits that would have to go first.
+func (c *Cell) isPastPatience(b *Bid, now time.Time) bool {
+	return b.FirstToken > 0 && now.Sub(b.arrived) > b.patience() && c.last[b.lane] >= c.last[c.lowestWaiting()]
 }
 
 func isPressing(b *Bid, now time.Time) bool {
@@ -167,5 +202,9 @@
 
 // retryAfter estimates when the queue ahead of a tier will have been served.
 func (c *Cell) retryAfter(tier ident.Tier) time.Duration {
+	if s := &c.service[tier]; s.arrived >= minArrivals && c.knowsSlots() {
+		// The smaller the part that is served, the longer until there is room.
+		return min(time.Duration(float64(minRetryAfter)/max(s.ratio(), leastRatio)), maxRetryAfter)
+	}
 	return min(max(c.waitOf(tier), minRetryAfter), maxRetryAfter)
 }
--- a/internal/process/trace/trace.go
+++ b/internal/process/trace/trace.go
@@ -38,6 +38,7 @@
 	Granted    Event = "granted"
 	Shed       Event = "shed"
 	Moved      Event = "moved"
+	Silent     Event = "cell_silent"
 	Dispatched Event = "dispatched"
 	Repeated   Event = "repeated"
 	NotSent    Event = "not_sent"
@@ -93,6 +94,8 @@
 		return at + fmt.Sprintf("cell %s refused it after %s; reason: %s; %d still waited", r.Cell, r.Waited.Round(time.Microsecond), r.Reason, r.Waiting)
 	case Moved:
 		return at + fmt.Sprintf("cell %s moved to another node; it bids again", r.Cell)
+	case Silent:
+		return at + fmt.Sprintf("node %s of cell %s did not answer; this node decides alone", r.Reason, r.Cell)
 	case Dispatched:
 		return at + "dispatched to endpoint " + string(r.Endpoint)
 	case Repeated:
--- a/internal/request/entry/bid.go
+++ b/internal/request/entry/bid.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"os"
 	"sync/atomic"
 	"time"
 
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/cells"
 	"goldcrestwick/internal/process/clock"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/sched"
@@ -145,7 +148,17 @@
 	if !ok || owner.ID == e.Self {
 		return &Grant{Answer: sched.Answer{Outcome: sched.Moved}}
 	}
-	return e.bidRemotely(ctx, b, cell, owner, j.Version)
+	if !e.Cells.IsSilent(owner.ID) {
+		if g, heard := e.bidRemotely(ctx, b, cell, owner, j.Version); heard || ctx.Err() != nil {
+			return g
+		}
+		e.Cells.Silent(owner.ID)
+		e.note(j, trace.Record{Event: trace.Silent, Cell: cell.String(), Reason: string(owner.ID)})
+	}
+	if standby := e.Cells.Standby(cell); standby != nil {
+		return e.bidLocally(ctx, b, standby)
+	}
+	return &Grant{Answer: sched.Answer{Outcome: sched.Moved}}
 }
 
 // bidLocally bids at a cell of this node, without any message.
@@ -185,32 +198,35 @@
 
 // bidRemotely bids at another node. The stream stays open while the granted
 // request runs; when it breaks before the answer, nothing has been dispatched
-// and the bid can be repeated.
-func (e *Entry) bidRemotely(ctx context.Context, b *sched.Bid, cell ident.CellID, owner member.Member, version ident.Version) *Grant {
+// and the bid can be repeated. Heard is false when the node gave no sign of
+// life for longer than patience allows.
+func (e *Entry) bidRemotely(ctx context.Context, b *sched.Bid, cell ident.CellID, owner member.Member, version ident.Version) (g *Grant, heard bool) {
 	moved := &Grant{Answer: sched.Answer{Outcome: sched.Moved}}
-	stream, err := e.Open(ctx, owner.PeerAddress)
+	opening, cancel := context.WithTimeout(ctx, cells.BidPatience)
+	stream, err := e.Open(opening, owner.PeerAddress)
+	cancel()
 	if err != nil {
-		return moved
+		return moved, false
 	}
 	bid := wire.FromBid(b, cell, version, time.Now())
 	bid.Clock = uint64(e.Clock.Now())
 	if stream.Send(wire.KindBid, bid) != nil {
 		stream.Close() //nolint:errcheck // broken already.
-		return moved
+		return moved, false
 	}
 	stop := context.AfterFunc(ctx, func() { stream.Close() }) //nolint:errcheck // unblocks Receive.
-	_, body, err := stream.Receive()
+	body, err := receiveAnswer(stream)
 	stop()
 	if err != nil {
 		stream.Close() //nolint:errcheck // broken already.
-		return moved
+		return moved, !errors.Is(err, os.ErrDeadlineExceeded)
 	}
 	message, err := link.Decode[wire.Answer](body)
 	e.Clock.Observe(clock.Time(message.Clock))
 	s := &Grant{Cell: cell, Answer: message.ToAnswer(), Received: time.Now()}
 	if err != nil || s.Answer.Outcome != sched.Granted {
 		stream.Close() //nolint:errcheck // the bid is over.
-		return s
+		return s, true
 	}
 	e.hold(cell, heldOf(b, s))
 	s.Started = func() { stream.Send(wire.KindStarted, wire.Started{}) } //nolint:errcheck // the end is told again.
@@ -221,7 +237,24 @@
 		e.unhold(cell, b.Request)
 		e.endRemotely(stream, b.Request, cell, end)
 	}
-	return s
+	return s, true
+}
+
+// receiveAnswer reads up to the answer of a bid. While the bid waits, its
+// cell's node says so again and again.
+func receiveAnswer(stream *link.Stream) (body []byte, err error) {
+	for {
+		if err := stream.SetReadDeadline(time.Now().Add(cells.BidPatience)); err != nil {
+			return nil, err
+		}
+		kind, body, err := stream.Receive()
+		if err != nil {
+			return nil, err
+		}
+		if kind != wire.KindQueued {
+			return body, stream.SetReadDeadline(time.Time{})
+		}
+	}
 }
 
 // endRemotely tells the cell's node the end on the bid's stream. When the
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -112,6 +112,10 @@
 	Name string
 	// Rank orders tiers: 0 is the highest.
 	Rank ident.Tier
+	// Last is the lowest tier that shares service with this one: while not all
+	// can be served, each gets a part of what it asks for, higher ones more. A
+	// Last that is not below Rank is none.
+	Last ident.Tier
 	// Deadline applies to requests of the tier that give none; 0 leaves it
 	// to Limits.Deadline.
 	Deadline time.Duration
--- a/internal/version/config/route.go
+++ b/internal/version/config/route.go
@@ -110,8 +110,9 @@
 // nil on public routes.
 func (t *Tree) TierFor(a *Account, r *Route) *Tier { return t.tiers[ranksOf(a, r)] }
 
-// rankTiers makes one tier of each pair of ranks in use. Pairs past the last
-// tier share it.
+// rankTiers makes one tier of each pair of ranks in use. Those of one account
+// rank share service, since the account's rank is what the operator orders by.
+// Pairs past the last tier share it.
 func rankTiers(p Parts) (map[ranks]*Tier, []*Tier) {
 	accounts := append([]*Account{nil}, p.Team.Accounts...)
 	used := map[ranks]*Tier{}
@@ -135,6 +136,11 @@
 		}
 		used[pair] = tiers[len(tiers)-1]
 	}
+	for i, pair := range order[:len(tiers)] {
+		for j := i; j < len(tiers) && order[j].account == pair.account; j++ {
+			tiers[i].Last = ident.Tier(j)
+		}
+	}
 	return used, tiers
 }
 
