Use the newest connection to a peer, follow adopted requests, log members

Cause: after a restart at the same address the others kept the dead QUIC connection for 30 s, so the node was suspected again and again and cells had several owners; a new owner never learned the end of requests it had adopted and counted their room as taken; slow endpoints of mixed fleets were suspended as stragglers, failing ones for up to 30 s. Ruled out: the cut itself, which ended 5 s before the bad seconds.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -115,7 +115,7 @@
 	client := &store.Client{Service: platform.NewStore(e.process.StoreAddress).Service()}
 	e.link = &link.Link{Mux: &link.Mux{}}
 	e.node = &node.Node{
-		Process: e.process, Store: client, Open: e.link.Open, Forget: e.link.Forget, Log: e.log,
+		Process: e.process, Store: client, Open: e.link.Open, Forget: e.link.Forget, Redial: e.link.Redial, Log: e.log,
 		Platform: &node.Platform{
 			SettingsTable: platform.OperatorTable, SettingsKey: platform.SettingsKey,
 			EndpointTable: platform.EndpointTable, SettingsVersion: platform.SettingsVersion,
--- a/cmd/goldcrestwick/serve.go
+++ b/cmd/goldcrestwick/serve.go
@@ -136,7 +136,7 @@
 	p.CallerAddress = callers.Addr().String()
 	s.callerAddress, s.operatorAddress = p.CallerAddress, operators.Addr().String()
 	s.node = &node.Node{
-		Process: p, Tree: tree, Open: s.link.Open, Forget: s.link.Forget, Log: s.log,
+		Process: p, Tree: tree, Open: s.link.Open, Forget: s.link.Forget, Redial: s.link.Redial, Log: s.log,
 		Store: &store.Client{Service: store.HTTP{Table: p.TableURL, Objects: p.ObjectURL, Instances: p.InstancesURL}.Service()},
 	}
 	if p.LedgerKey != "" {
--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -218,9 +218,9 @@
 		return
 	}
 	defer p.mu.Unlock()
-	if p.conn == nil || p.conn.Context().Err() != nil {
-		p.conn = conn
-	}
+	// A peer that dials anew may have lost the connection of before, as after
+	// a restart. Streams that still work there go on.
+	p.conn = conn
 }
 
 func (l *Link) acceptStreams(ctx context.Context, conn *quic.Conn) {
@@ -288,6 +288,18 @@
 	return nil
 }
 
+// Redial makes the next stream to an address use a new connection, as when the
+// present one seems to have gone silent. Its streams go on.
+func (l *Link) Redial(address string) {
+	p := l.peer(address)
+	if !p.mu.TryLock() {
+		// It is being dialled already.
+		return
+	}
+	defer p.mu.Unlock()
+	p.conn = nil
+}
+
 // Forget closes the connection to an address, as after the node there died.
 func (l *Link) Forget(address string) {
 	l.mu.Lock()
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -52,6 +52,8 @@
 	// stream broke.
 	auditInterval = 2 * time.Second
 	firstAudit    = 100 * time.Millisecond
+	// adoptedInterval is the time between questions about adopted requests.
+	adoptedInterval = time.Second
 	// queuedInterval is the time between two words to a bidder whose bid
 	// waits.
 	queuedInterval = 100 * time.Millisecond
--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -11,6 +11,7 @@
 	"goldcrestwick/internal/process/floor"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/request/ident"
 )
 
@@ -176,6 +177,7 @@
 // every member has answered or left the view, since a member that did not
 // answer may have closed them.
 func (m *Manager) takeOver(ctx context.Context, cell *sched.Cell) {
+	defer m.followAdopted(ctx, cell)
 	answered := map[ident.NodeID]bool{m.Self().ID: true}
 	for _, h := range m.Held(cell.ID) {
 		cell.Adopt(h)
@@ -203,6 +205,47 @@
 	}
 }
 
+// followAdopted asks the nodes that hold adopted requests now and then which
+// of them are still there, since their ends may be told to the cell's node of
+// before.
+func (m *Manager) followAdopted(ctx context.Context, cell *sched.Cell) {
+	for m.Local(cell.ID) == cell {
+		nodes := cell.Adopters()
+		if len(nodes) == 0 {
+			return
+		}
+		for _, node := range nodes {
+			if held, ok := m.heldBy(ctx, node, cell.ID); ok {
+				cell.KeepAdopted(node, held)
+			}
+		}
+		if !tick.Sleep(ctx, adoptedInterval) {
+			return
+		}
+	}
+}
+
+// heldBy returns the requests of a cell that a node holds; ok is false when the
+// node does not answer. A node that is no member holds none.
+func (m *Manager) heldBy(ctx context.Context, node ident.NodeID, id ident.CellID) (held map[ident.RequestID]bool, ok bool) {
+	held = map[ident.RequestID]bool{}
+	if node == m.Self().ID {
+		for _, h := range m.Held(id) {
+			held[h.Request] = true
+		}
+		return held, true
+	}
+	other, known := m.Members().Find(node)
+	if !known {
+		return held, true
+	}
+	reply, err := m.callHeld(ctx, other, id)
+	for _, h := range reply.Held {
+		held[ident.RequestID(h.Request)] = true
+	}
+	return held, err == nil
+}
+
 // askHeld asks the members that have not answered yet, all at once, and
 // returns how many are still missing.
 func (m *Manager) askHeld(ctx context.Context, cell *sched.Cell, answered map[ident.NodeID]bool) int {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -70,10 +70,11 @@
 	// Platform, when set, makes the node take settings and endpoints from the
 	// store's tables and pass callers' requests on as they come.
 	Platform *Platform
-	// Open reaches the other nodes, Forget drops the connection to one that
-	// is gone; nil is allowed.
+	// Open reaches the other nodes. Forget drops the connection to one that is
+	// gone, Redial replaces one that gives no sign of life; nil is allowed.
 	Open   link.Opener
 	Forget func(address string)
+	Redial func(address string)
 	Outlet *outlet.Outlet
 	Policy sched.Policy
 	Log    *log.Logger
@@ -106,12 +107,14 @@
 	tenure    atomic.Pointer[tenure]
 	// viewChanged is when the members last changed.
 	viewChanged atomic.Pointer[time.Time]
-	repo        repo.Repo
-	conns       conn.Pool
-	budget      budget.Budget
-	passer      pass.Passer
-	door        door.Door
-	watched     watched
+	// lastView is the view that was logged last.
+	lastView atomic.Pointer[member.View]
+	repo     repo.Repo
+	conns    conn.Pool
+	budget   budget.Budget
+	passer   pass.Passer
+	door     door.Door
+	watched  watched
 
 	claimHomes atomic.Pointer[claimHomes]
 	follower   follow.Follower
@@ -264,6 +267,7 @@
 func (n *Node) membersChanged(v *member.View) {
 	now := time.Now()
 	n.viewChanged.Store(&now)
+	n.logMembers(v)
 	n.cells.Reconcile()
 	homes := homesKey(n.homes(v))
 	if old := n.tenure.Load(); old == nil || old.homes != homes {
@@ -272,6 +276,27 @@
 	n.forgetGone(v)
 }
 
+// logMembers logs each member that came, went or changed its state.
+func (n *Node) logMembers(v *member.View) {
+	old := n.lastView.Swap(v)
+	if old == nil {
+		old = &member.View{}
+	}
+	for _, m := range v.Members {
+		before, known := old.Find(m.ID)
+		if known && before.State == m.State && before.Suspect == m.Suspect {
+			continue
+		}
+		n.Log.Info("member_changed", "member", m.ID, "state", m.State, "suspect", m.Suspect, "known_before", known,
+			"incarnation", m.Incarnation, "members", len(v.Members))
+	}
+	for _, m := range old.Members {
+		if _, still := v.Find(m.ID); !still {
+			n.Log.Info("member_gone", "member", m.ID, "incarnation", m.Incarnation, "members", len(v.Members))
+		}
+	}
+}
+
 // refreshList reads the platform's list and rebuilds the picture of the
 // endpoints. While the list cannot be read, the last one counts.
 func (n *Node) refreshList(ctx context.Context) {
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -29,7 +29,11 @@
 }
 
 func (n *Node) probe(ctx context.Context, to member.Member, updates []member.Member) ([]member.Member, error) {
-	return n.gossip(ctx, to, wire.KindProbe, updates)
+	reply, err := n.gossip(ctx, to, wire.KindProbe, updates)
+	if err != nil && n.Redial != nil {
+		n.Redial(to.PeerAddress)
+	}
+	return reply, err
 }
 
 func (n *Node) syncList(ctx context.Context, to member.Member, all []member.Member) ([]member.Member, error) {
--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -36,7 +36,9 @@
 
 	failuresToSuspend = 3
 	firstSuspension   = time.Second
-	maxSuspension     = 30 * time.Second
+	// maxSuspension is short, since a probe costs one request a second try at
+	// most, and an endpoint that is gone leaves the list.
+	maxSuspension = 4 * time.Second
 	// slowFactor suspends an endpoint that is this much slower than the median
 	// of its generation; recoveredFactor takes it back.
 	slowFactor      = 3.0
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -17,7 +17,10 @@
 	backlog  ident.Tokens
 	granted  time.Time
 	started  bool
-	prefix   []ident.Fingerprint
+	// adopted is set on requests that another cell granted: their ends may be
+	// told elsewhere.
+	adopted bool
+	prefix  []ident.Fingerprint
 }
 
 type targets struct{ firstToken, betweenTokens time.Duration }
--- a/internal/process/sched/members.go
+++ b/internal/process/sched/members.go
@@ -93,7 +93,33 @@
 		return
 	}
 	e.admit(h.Charge, 0)
-	c.hold(h.Request, &grant{node: h.Node, endpoint: e, charge: h.Charge, granted: c.now(), started: true})
+	c.hold(h.Request, &grant{node: h.Node, endpoint: e, charge: h.Charge, granted: c.now(), started: true, adopted: true})
+}
+
+// Adopters returns the nodes that hold requests which this cell adopted.
+func (c *Cell) Adopters() []ident.NodeID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var nodes []ident.NodeID
+	for _, g := range c.inflight {
+		if g.adopted && !slices.Contains(nodes, g.node) {
+			nodes = append(nodes, g.node)
+		}
+	}
+	return nodes
+}
+
+// KeepAdopted ends the adopted requests of a node that it no longer holds.
+func (c *Cell) KeepAdopted(node ident.NodeID, held map[ident.RequestID]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, g := range c.inflight {
+		if g.adopted && g.node == node && !held[id] {
+			g.endpoint.release(g.charge)
+			delete(c.inflight, id)
+		}
+	}
+	c.pump(c.now())
 }
 
 // IsInFlight reports whether a request was granted and has not ended.
@@ -197,7 +223,15 @@
 // needs a large gap and return a small one, so that an endpoint does not swing
 // in and out on noise.
 func (c *Cell) judge(e *endpoint, now time.Time) {
-	if e.Kind == ident.ApplicationRunner || e.health == healthy && e.samples%slowSamples != 0 {
+	if e.Kind == ident.ApplicationRunner || e.Slots > 0 {
+		// The platform says nothing of generations: endpoints of one pool may
+		// differ in speed by design, and their cost tells them apart.
+		if e.health == probing {
+			e.recover()
+		}
+		return
+	}
+	if e.health == healthy && e.samples%slowSamples != 0 {
 		return
 	}
 	median, peers := c.medianBetween(e)
