Speak one protocol to the platform's store, with one client and one stand-in

The client of the earlier platform (transactions, rows, objects and a list of instances, each at its own address) goes; its outcomes and its breaker stay. The stand-in speaks rows and objects; the instance list of the project's own deployments is a table.

--- a/cmd/goldcrestwick/audit.go
+++ b/cmd/goldcrestwick/audit.go
@@ -7,12 +7,8 @@
 	"encoding/json"
 	"encoding/pem"
 	"fmt"
-	"io"
-	"net/http"
-	"net/url"
 	"os"
 	"slices"
-	"strings"
 
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
@@ -20,19 +16,19 @@
 	"goldcrestwick/internal/process/ledger"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/platform"
 )
 
 const (
-	maxLedgerObject = 64 << 20
-	exportMode      = 0o644
+	exportMode = 0o644
 	// servedBefore is how many grants before a request's own are told.
 	servedBefore = 5
 )
 
 func auditCommand() *cli.Command {
 	from := []cli.Flag{
-		&cli.StringFlag{Name: "objects", Usage: "`URL` of the platform's object store"},
-		&cli.StringFlag{Name: "file", Usage: "an exported `FILE`, in place of --objects"},
+		&cli.StringFlag{Name: "store", Usage: "`ADDRESS` of the platform's store, as IP:PORT"},
+		&cli.StringFlag{Name: "file", Usage: "an exported `FILE`, in place of --store"},
 	}
 	key := &cli.StringFlag{Name: "key", Usage: "`FILE` with the ledger's public key, as PEM", Required: true}
 	return &cli.Command{
@@ -65,23 +61,18 @@
 		}
 		return ledger.Decode(raw)
 	}
-	base := strings.TrimSuffix(c.String("objects"), "/")
-	if base == "" {
-		return nil, usageError{eris.New("--objects or --file is needed")}
+	address := c.String("store")
+	if address == "" {
+		return nil, usageError{eris.New("--store or --file is needed")}
 	}
-	raw, err := fetch(ctx, base+"/objects?prefix="+url.QueryEscape(ledger.Prefix))
+	objects := platform.NewStore(address).Service()
+	names, err := objects.Names(ctx, ledger.Prefix)
 	if err != nil {
 		return nil, err
 	}
-	var list struct {
-		Names []string `json:"names"`
-	}
-	if err := json.Unmarshal(raw, &list); err != nil {
-		return nil, eris.Wrap(err, "list of objects")
-	}
 	var all []ledger.Block
-	for _, name := range list.Names {
-		raw, err := fetch(ctx, base+"/objects/"+name)
+	for _, name := range names {
+		raw, err := objects.Fetch(ctx, name)
 		if err != nil {
 			return nil, err
 		}
@@ -94,26 +85,6 @@
 	return all, nil
 }
 
-func fetch(ctx context.Context, address string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return nil, usageError{err}
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, eris.Wrap(err, "read the object store")
-	}
-	defer resp.Body.Close() //nolint:errcheck // read to its end.
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxLedgerObject))
-	if err != nil {
-		return nil, eris.Wrap(err, "read the object store")
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, eris.Errorf("%s answered %d", address, resp.StatusCode)
-	}
-	return raw, nil
-}
-
 func auditVerify(ctx context.Context, c *cli.Command) error {
 	key, err := readPublicKey(c.String("key"))
 	if err != nil {
--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	if p.StoreAddress == "" {
+	if p.Grace == 0 {
 		return usageError{eris.Errorf("%s has no section [entry]", file)}
 	}
 	if p.Memory > 0 {
--- a/cmd/goldcrestwick/platform.go
+++ b/cmd/goldcrestwick/platform.go
@@ -22,6 +22,7 @@
 	"goldcrestwick/internal/process/store"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/version/repo"
+	"goldcrestwick/platform"
 )
 
 const (
@@ -39,7 +40,7 @@
 		{
 			Name: "init", Usage: "write the first settings from a directory", ArgsUsage: "DIR",
 			Flags: []cli.Flag{
-				&cli.StringFlag{Name: "table", Usage: "`URL` of the platform's table service", Required: true},
+				&cli.StringFlag{Name: "store", Usage: "`ADDRESS` of the platform's store, as IP:PORT", Required: true},
 				&cli.StringFlag{Name: "operator", Usage: "`NAME` for the history", Value: rootName},
 			},
 			Action: initSettings,
@@ -89,7 +90,7 @@
 	if err != nil {
 		return usageError{err}
 	}
-	client := &store.Client{Service: store.HTTP{Table: strings.TrimSuffix(c.String("table"), "/")}.Service()}
+	client := &store.Client{Service: platform.NewStore(c.String("store")).Service()}
 	r := &repo.Repo{Transact: client.Transact, Get: client.Get}
 	if err := r.Init(ctx, files, c.String("operator")); err != nil {
 		return err
--- a/cmd/goldcrestwick/serve.go
+++ b/cmd/goldcrestwick/serve.go
@@ -20,6 +20,7 @@
 	"goldcrestwick/internal/process/node"
 	"goldcrestwick/internal/process/store"
 	"goldcrestwick/internal/version/config"
+	"goldcrestwick/platform"
 )
 
 const (
@@ -137,7 +138,7 @@
 	s.callerAddress, s.operatorAddress = p.CallerAddress, operators.Addr().String()
 	s.node = &node.Node{
 		Process: p, Tree: tree, Open: s.link.Open, Forget: s.link.Forget, Redial: s.link.Redial, Log: s.log,
-		Store: &store.Client{Service: store.HTTP{Table: p.TableURL, Objects: p.ObjectURL, Instances: p.InstancesURL}.Service()},
+		Store: &store.Client{Service: platform.NewStore(p.StoreAddress).Service()},
 	}
 	if p.LedgerKey != "" {
 		if s.node.LedgerKey, err = readLedgerKey(p.LedgerKey); err != nil {
--- a/cmd/goldcrestwick/serve_test.go
+++ b/cmd/goldcrestwick/serve_test.go
@@ -82,9 +82,7 @@
 peer_address = 127.0.0.1:0
 operator_address = 127.0.0.1:0
 [platform]
-table = %[2]s
-objects = %[2]s
-instances = %[2]s
+store = %[2]s
 [tls]
 ca_file = ca.pem
 cert_file = %[1]s.pem
@@ -120,16 +118,16 @@
 	defer server.Close()
 	bikes := httptest.NewServer(&apprun.Runner{})
 	defer bikes.Close()
-	p.url = server.URL
+	p.url = strings.TrimPrefix(server.URL, "http://")
 	var err error
 	p.authority, err = link.NewAuthority()
 	qt.Assert(t, err, qt.IsNil)
 	p.listed = []cloud.Instance{{ID: "s1", Kind: "application_runner", State: "live", Region: "r", Address: bikes.URL, Endpoint: "team/s1", Pool: "team/bikes"}}
 	p.write("tree/root.ini", serveRoot)
 	p.write("tree/teams/team.ini", serveTeam)
-	code, out := p.command("", "settings", "init", "--table", p.url, filepath.Join(p.dir, "tree"))
+	code, out := p.command("", "settings", "init", "--store", p.url, filepath.Join(p.dir, "tree"))
 	qt.Assert(t, code, qt.Equals, 0, qt.Commentf(out))
-	code, _ = p.command("", "settings", "init", "--table", p.url, filepath.Join(p.dir, "tree"))
+	code, _ = p.command("", "settings", "init", "--store", p.url, filepath.Join(p.dir, "tree"))
 	qt.Assert(t, code, qt.Equals, exitFailed, qt.Commentf("a second init"))
 
 	first, second := p.start("entry-1"), p.start("entry-2")
@@ -150,15 +148,15 @@
 // audit checks the ledger after all nodes are gone, and after a change.
 func (p *place) audit(id string) {
 	key, export := filepath.Join(p.dir, "ledger.pub"), filepath.Join(p.dir, "export")
-	code, out := p.command("", "audit", "verify", "--objects", p.url, "--key", key)
+	code, out := p.command("", "audit", "verify", "--store", p.url, "--key", key)
 	qt.Assert(p, code, qt.Equals, 0, qt.Commentf(out))
 	qt.Assert(p, out, qt.Contains, "no fault: 2 chains")
-	code, out = p.command("", "audit", "explain", "--objects", p.url, id)
+	code, out = p.command("", "audit", "explain", "--store", p.url, id)
 	qt.Assert(p, code, qt.Equals, 0, qt.Commentf(out))
 	for _, want := range []string{"accepted for account team/a", "granted endpoint team/s1", "the whole answer was delivered", "served before it: "} {
 		qt.Assert(p, out, qt.Contains, want)
 	}
-	code, out = p.command("", "audit", "export", "--objects", p.url, export)
+	code, out = p.command("", "audit", "export", "--store", p.url, export)
 	qt.Assert(p, code, qt.Equals, 0, qt.Commentf(out))
 	code, _ = p.command("", "audit", "verify", "--file", export, "--key", key)
 	qt.Assert(p, code, qt.Equals, 0)
--- /dev/null
+++ b/internal/process/store/list.go
@@ -0,0 +1,69 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"reflect"
+
+	"github.com/rotisserie/eris"
+
+	"goldcrestwick/internal/process/roster"
+	"goldcrestwick/internal/request/ident"
+)
+
+// instanceTable lists the instances of the project's own deployments.
+const instanceTable = "instances"
+
+type instanceRow struct {
+	ID         string `json:"id"`
+	Kind       string `json:"kind"`
+	State      string `json:"state"`
+	Region     string `json:"region"`
+	Zone       string `json:"availability_zone"`
+	Address    string `json:"address"`
+	Peer       string `json:"peer_address"`
+	Endpoint   string `json:"endpoint"`
+	Pool       string `json:"pool"`
+	Generation string `json:"generation"`
+}
+
+const (
+	kindEntry    = "entry"
+	stateLeaving = "leaving"
+)
+
+func (r instanceRow) instance() roster.Instance {
+	return roster.Instance{
+		ID: r.ID, IsNode: r.Kind == kindEntry, Leaving: r.State == stateLeaving,
+		Region: ident.Region(r.Region), Zone: ident.AvailabilityZone(r.Zone),
+		Address: r.Address, PeerAddress: r.Peer, Endpoint: ident.Endpoint(r.Endpoint),
+		Pool: ident.PoolID(r.Pool), Generation: r.Generation,
+	}
+}
+
+// List returns the entry instances of all regions and the endpoints of one.
+// Changed is false when they are those of the last call.
+func (c *Client) List(ctx context.Context, region ident.Region) (list []roster.Instance, changed bool, err error) {
+	var rows []Row
+	err = guarded(&c.listings, func() error {
+		rows, _, err = c.Service.Scan(ctx, instanceTable)
+		return err
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		return c.list, false, err
+	}
+	for _, r := range rows {
+		var in instanceRow
+		if err := json.Unmarshal(r.Value, &in); err != nil {
+			return c.list, false, eris.Wrapf(err, "instance %s", r.Key)
+		}
+		if in.Kind == kindEntry || in.Region == string(region) {
+			list = append(list, in.instance())
+		}
+	}
+	changed = c.list == nil || !reflect.DeepEqual(list, c.list)
+	c.list = list
+	return list, changed, nil
+}
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	c := &store.Client{Service: store.HTTP{Table: "http://10.0.0.5:8000"}.Service()}
+//	c := &store.Client{Service: platform.NewStore("10.0.0.5:8000").Service()}
 //	result, err := c.Transact(ctx, checks, writes)
 //	switch {
 //	case err != nil: // unknown: perhaps applied
@@ -26,11 +26,9 @@
 	"github.com/rotisserie/eris"
 
 	"goldcrestwick/internal/process/roster"
-	"goldcrestwick/internal/request/ident"
 )
 
 const (
-	callTimeout = 3 * time.Second
 	// openAfter failures in a row open the breaker for a pause that doubles.
 	openAfter  = 3
 	firstPause = 250 * time.Millisecond
@@ -46,8 +44,7 @@
 	ErrHistoryGone = eris.New("the history after this version is gone")
 )
 
-// Service is how one platform is called. A function that a platform does not
-// have is nil, and nothing that needs it runs there.
+// Service is how the platform is called.
 type Service struct {
 	// Transact applies all writes when all checks hold. An error means that
 	// the outcome is unknown.
@@ -59,11 +56,12 @@
 	// Feed returns what changed in a table after a version. It waits for a
 	// change for at most so long.
 	Feed func(ctx context.Context, table string, after int64, wait time.Duration) (rows []Row, version int64, err error)
-	// List returns the instances of a region; changed is false when they are
-	// those of the last call.
-	List func(ctx context.Context, region ident.Region) (list []roster.Instance, changed bool, err error)
-	// Put writes an object whole.
-	Put func(ctx context.Context, name string, body []byte) error
+	// Put writes an object whole, Fetch reads one, Names lists those with a
+	// prefix and Drop removes one.
+	Put   func(ctx context.Context, name string, body []byte) error
+	Fetch func(ctx context.Context, name string) ([]byte, error)
+	Names func(ctx context.Context, prefix string) ([]string, error)
+	Drop  func(ctx context.Context, name string) error
 }
 
 // Client is the one way to the platform. It is safe for concurrent use.
@@ -73,6 +71,9 @@
 	table    breaker
 	listings breaker
 	objects  breaker
+
+	mu   sync.Mutex
+	list []roster.Instance
 }
 
 // Check is a condition of a transaction: the version of a row, 0 for none.
@@ -131,15 +132,6 @@
 	return row, found, err
 }
 
-// List returns the platform's list of the instances of a region.
-func (c *Client) List(ctx context.Context, region ident.Region) (list []roster.Instance, changed bool, err error) {
-	err = guarded(&c.listings, func() error {
-		list, changed, err = c.Service.List(ctx, region)
-		return err
-	})
-	return list, changed, err
-}
-
 // PutObject writes an object whole.
 func (c *Client) PutObject(ctx context.Context, name string, body []byte) error {
 	return guarded(&c.objects, func() error { return c.Service.Put(ctx, name, body) })
--- a/internal/stand/cloud/cloud.go
+++ b/internal/stand/cloud/cloud.go
@@ -1,30 +1,30 @@
-// Package cloud is a stand-in for the platform: a transactional table service,
-// an object store and a lagging list of instances, with their faults.
+// Package cloud is a stand-in for the platform's store: tables with atomic
+// transactions and a feed of their changes, and an object store, with their
+// faults.
+//
+// It speaks the users' platform's protocol. The list of instances of the
+// project's own deployments is a table in it.
 //
 // # Usage
 //
 //	p := &cloud.Platform{}
 //	p.SetInstances(list)
 //	server := httptest.NewServer(p)
-//	p.Fault = func(op cloud.Op) cloud.Fault { return cloud.Fault{Down: true} }
+//	p.SetFault(func(op cloud.Op) cloud.Fault { return cloud.Fault{Down: true} })
 package cloud
 
 import (
+	"cmp"
 	"encoding/json"
-	"io"
 	"maps"
 	"net/http"
-	"net/url"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/go-chi/chi/v5"
 )
 
-const maxObject = 64 << 20
+// InstanceTable holds the list of instances.
+const InstanceTable = "instances"
 
 // Platform is the stand-in. The zero value is empty and ready for use; it is
 // safe for concurrent use.
@@ -38,7 +38,12 @@
 	mu      sync.Mutex
 	rows    map[rowKey]Row
 	objects map[string][]byte
-	lists   []dated
+	// version counts the transactions; changes are the latest ones in order,
+	// kept is the version up to which they are forgotten.
+	version int64
+	changes []change
+	kept    int64
+	changed chan struct{}
 	writes  int
 	reads   int
 	once    sync.Once
@@ -50,56 +55,66 @@
 	// Write tells transactions and object writes from reads.
 	Write bool
 	Path  string
+	// Table is that of a read, "" for other operations.
+	Table string
 }
 
 // Fault is what goes wrong with one operation.
 type Fault struct {
 	// Down answers 503 without effect.
 	Down bool
+	// Busy answers 429 without effect.
+	Busy bool
 	// LoseAnswer takes effect and then closes the connection.
 	LoseAnswer bool
 	Delay      time.Duration
 }
 
-type rowKey struct{ table, key string }
+type rowKey struct{ table, part, key string }
+
+type change struct {
+	at      rowKey
+	version int64
+	deleted bool
+}
 
-// Row is one row of a table; versions count from 1.
+// Row is one row of a table; its version is that of the transaction that wrote
+// it last.
 type Row struct {
-	Version int64           `json:"version"`
-	Value   json.RawMessage `json:"value"`
+	Version int64
+	Value   []byte
 }
 
 // Check is a condition of a transaction: the row's version, 0 for none.
 type Check struct {
-	Table   string `json:"table"`
-	Key     string `json:"key"`
-	Version int64  `json:"version"`
+	Table, Key string
+	Version    int64
 }
 
-// Write is a change in a transaction.
+// Write is a change in a transaction; a nil value removes the row.
 type Write struct {
-	Table string          `json:"table"`
-	Key   string          `json:"key"`
-	Value json.RawMessage `json:"value"`
+	Table, Key string
+	Value      []byte
 }
 
 // Transaction is a list of checks and the writes that follow when all hold.
 type Transaction struct {
-	Checks []Check `json:"checks"`
-	Writes []Write `json:"writes"`
+	// Part is the part of all rows.
+	Part   string
+	Checks []Check
+	Writes []Write
 }
 
 // Conflict is a check that did not hold, with the row as it is.
 type Conflict struct {
-	Table string `json:"table"`
-	Key   string `json:"key"`
+	Table, Key string
 	Row
 }
 
 // Result is the answer to a transaction.
 type Result struct {
-	Applied   bool       `json:"applied"`
-	Conflicts []Conflict `json:"conflicts,omitempty"`
+	Applied   bool
+	Conflicts []Conflict
 }
 
 // Instance is one entry of the instance list.
@@ -116,11 +131,6 @@
 	Hardware string `json:"generation,omitempty"`
 }
 
-type dated struct {
-	at   time.Time
-	list []Instance
-}
-
 // SetFault changes the faults while the platform is in use.
 func (p *Platform) SetFault(f func(Op) Fault) {
 	p.mu.Lock()
@@ -130,9 +140,44 @@
 
 // SetInstances replaces the list; readers see it after the lag.
 func (p *Platform) SetInstances(list []Instance) {
+	if p.Lag > 0 {
+		time.AfterFunc(p.Lag, func() { p.setInstances(list) })
+		return
+	}
+	p.setInstances(list)
+}
+
+func (p *Platform) setInstances(list []Instance) {
+	t := Transaction{}
+	listed := map[string]bool{}
+	for _, in := range list {
+		value, err := json.Marshal(in)
+		if err != nil {
+			panic(err) // strings always encode.
+		}
+		listed[in.ID] = true
+		t.Writes = append(t.Writes, Write{InstanceTable, in.ID, value})
+	}
+	for _, key := range p.Keys(InstanceTable) {
+		if !listed[key] {
+			t.Writes = append(t.Writes, Write{Table: InstanceTable, Key: key})
+		}
+	}
+	p.Apply(t)
+}
+
+// Keys returns the keys of a table's rows in order.
+func (p *Platform) Keys(table string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lists = append(p.lists, dated{time.Now(), list})
+	var keys []string
+	for at := range p.rows {
+		if at.table == table {
+			keys = append(keys, at.key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
 }
 
 // Objects returns the objects by name.
@@ -149,65 +194,11 @@
 	return p.writes, p.reads
 }
 
-// ServeHTTP serves the platform's protocol.
-func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	p.once.Do(func() { p.router = p.routes() })
-	op := Op{Write: r.Method != http.MethodGet, Path: r.URL.Path}
+// DropHistory forgets which rows changed up to now.
+func (p *Platform) DropHistory() {
 	p.mu.Lock()
-	var fault Fault
-	if p.Fault != nil {
-		fault = p.Fault(op)
-	}
-	if op.Write {
-		p.writes++
-	} else {
-		p.reads++
-	}
-	p.mu.Unlock()
-	time.Sleep(fault.Delay)
-	if fault.Down {
-		http.Error(w, "unavailable", http.StatusServiceUnavailable)
-		return
-	}
-	if fault.LoseAnswer {
-		w = lost{w}
-	}
-	p.router.ServeHTTP(w, r)
-	if fault.LoseAnswer {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// lost throws an answer away.
-type lost struct{ http.ResponseWriter }
-
-func (lost) Write(b []byte) (int, error) { return len(b), nil }
-func (lost) WriteHeader(int)             {}
-
-func (p *Platform) routes() http.Handler {
-	r := chi.NewRouter()
-	r.Post("/transactions", p.transact)
-	r.Get("/rows/{table}/*", p.row)
-	r.Get("/rows/{table}", p.table)
-	r.Put("/objects/*", p.putObject)
-	r.Get("/objects/*", p.object)
-	r.Get("/objects", p.list)
-	r.Get("/instances", p.instances)
-	return r
-}
-
-func (p *Platform) transact(w http.ResponseWriter, r *http.Request) {
-	var t Transaction
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	result := p.Apply(t)
-	status := http.StatusOK
-	if !result.Applied {
-		status = http.StatusConflict
-	}
-	writeJSON(w, status, result)
+	defer p.mu.Unlock()
+	p.changes, p.kept = nil, p.version
 }
 
 // Apply runs a transaction.
@@ -216,7 +207,7 @@
 	defer p.mu.Unlock()
 	var result Result
 	for _, c := range t.Checks {
-		if row := p.rows[rowKey{c.Table, c.Key}]; row.Version != c.Version {
+		if row := p.rows[rowKey{c.Table, t.Part, c.Key}]; row.Version != c.Version {
 			result.Conflicts = append(result.Conflicts, Conflict{c.Table, c.Key, row})
 		}
 	}
@@ -226,103 +217,64 @@
 	if p.rows == nil {
 		p.rows = map[rowKey]Row{}
 	}
-	for _, change := range t.Writes {
-		at := rowKey{change.Table, change.Key}
-		p.rows[at] = Row{p.rows[at].Version + 1, change.Value}
+	p.version++
+	for _, w := range t.Writes {
+		at := rowKey{w.Table, t.Part, w.Key}
+		if w.Value == nil {
+			delete(p.rows, at)
+		} else {
+			p.rows[at] = Row{p.version, w.Value}
+		}
+		p.changes = append(p.changes, change{at, p.version, w.Value == nil})
 	}
 	result.Applied = true
+	if p.changed != nil {
+		close(p.changed)
+		p.changed = nil
+	}
 	return result
 }
 
-func (p *Platform) row(w http.ResponseWriter, r *http.Request) {
-	key, err := url.PathUnescape(chi.URLParam(r, "*"))
-	p.mu.Lock()
-	row, ok := p.rows[rowKey{chi.URLParam(r, "table"), key}]
-	p.mu.Unlock()
-	if err != nil || !ok {
-		http.Error(w, "no such row", http.StatusNotFound)
-		return
-	}
-	writeJSON(w, http.StatusOK, row)
+// found is a row with its place.
+type found struct {
+	rowKey
+	Row
+	deleted bool
 }
 
-func (p *Platform) table(w http.ResponseWriter, r *http.Request) {
+// scan returns the rows of a part of a table in the order of their keys.
+func (p *Platform) scan(table, part, from, to string) (rows []found, version int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	found := map[string]Row{}
 	for at, row := range p.rows {
-		if at.table == chi.URLParam(r, "table") && strings.HasPrefix(at.key, r.URL.Query().Get("prefix")) {
-			found[at.key] = row
+		if at.table == table && at.part == part && at.key >= from && (to == "" || at.key < to) {
+			rows = append(rows, found{at, row, false})
 		}
 	}
-	writeJSON(w, http.StatusOK, found)
+	slices.SortFunc(rows, func(a, b found) int { return cmp.Compare(a.key, b.key) })
+	return rows, p.version
 }
 
-func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxObject))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
+// since returns the last change of each row of a table after a version. Next is
+// closed at the next change of any table; ok is false when the history is gone.
+func (p *Platform) since(table string, after int64) (rows []found, version int64, next <-chan struct{}, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.objects == nil {
-		p.objects = map[string][]byte{}
+	if after < p.kept {
+		return nil, p.version, nil, false
 	}
-	p.objects[chi.URLParam(r, "*")] = body
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func (p *Platform) object(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	body, ok := p.objects[chi.URLParam(r, "*")]
-	p.mu.Unlock()
-	if !ok {
-		http.Error(w, "no such object", http.StatusNotFound)
-		return
-	}
-	w.Write(body) //nolint:errcheck // the caller may be gone.
-}
-
-func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	names := []string{}
-	for name := range p.objects {
-		if strings.HasPrefix(name, r.URL.Query().Get("prefix")) {
-			names = append(names, name)
+	last := map[rowKey]change{}
+	for _, c := range p.changes {
+		if c.at.table == table && c.version > after {
+			last[c.at] = c
 		}
 	}
-	slices.Sort(names)
-	writeJSON(w, http.StatusOK, map[string]any{"names": names})
-}
-
-func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := []Instance{}
-	var at time.Time
-	region := r.URL.Query().Get("region")
-	tag := `"0"`
-	for n, d := range p.lists {
-		if time.Since(d.at) < p.Lag {
-			break
-		}
-		at, tag = d.at, strconv.Quote(strconv.Itoa(n+1))
-		list = slices.DeleteFunc(slices.Clone(d.list), func(in Instance) bool {
-			return region != "" && in.Region != region && in.Kind != "entry"
-		})
+	for at, c := range last {
+		rows = append(rows, found{at, Row{c.version, p.rows[at].Value}, c.deleted})
 	}
-	w.Header().Set("ETag", tag)
-	if r.Header.Get("If-None-Match") == tag {
-		w.WriteHeader(http.StatusNotModified)
-		return
+	slices.SortFunc(rows, func(a, b found) int { return cmp.Compare(a.Version, b.Version) })
+	if p.changed == nil {
+		p.changed = make(chan struct{})
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"as_of_unix_ms": at.UnixMilli(), "instances": list})
-}
-
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(body) //nolint:errcheck // the caller may be gone.
+	return rows, p.version, p.changed, true
 }
--- a/internal/tool/fleet/case_test.go
+++ b/internal/tool/fleet/case_test.go
@@ -426,7 +426,7 @@
 // platformFault sets a fault of the platform for a while.
 func (c *testCase) platformFault(f cloud.Fault) {
 	c.fleet.Platform.SetFault(func(op cloud.Op) cloud.Fault {
-		if op.Path == "/instances" && !f.Down {
+		if op.Table == cloud.InstanceTable && !f.Down {
 			return cloud.Fault{}
 		}
 		return f
--- a/internal/tool/fleet/fleet.go
+++ b/internal/tool/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -34,6 +35,7 @@
 	"goldcrestwick/internal/stand/runner"
 	"goldcrestwick/internal/version/config"
 	"goldcrestwick/internal/version/repo"
+	"goldcrestwick/platform"
 )
 
 const (
@@ -277,9 +279,8 @@
 
 func (f *Fleet) storeFrom(host string) *store.Client {
 	transport := &http.Transport{DialContext: f.network.Dial(host), DisableKeepAlives: true}
-	return &store.Client{Service: store.HTTP{
-		Table: f.platform, Objects: f.platform, Instances: f.platform, Client: &http.Client{Transport: transport},
-	}.Service()}
+	calls := &platform.Store{Address: strings.TrimPrefix(f.platform, "http://"), Transport: transport}
+	return &store.Client{Service: calls.Service()}
 }
 
 func (f *Fleet) logger(name string) *log.Logger {
--- a/internal/tool/fleet/ledger_test.go
+++ b/internal/tool/fleet/ledger_test.go
@@ -57,7 +57,7 @@
 			c.kill(c.cellNode())
 		},
 		"store_away": func(c *testCase) {
-			c.fleet.Platform.SetFault(func(op cloud.Op) cloud.Fault { return cloud.Fault{Down: op.Path != "/instances"} })
+			c.fleet.Platform.SetFault(func(op cloud.Op) cloud.Fault { return cloud.Fault{Down: op.Table != cloud.InstanceTable} })
 			c.after(10*time.Minute, func() { c.fleet.Platform.SetFault(nil) })
 			time.Sleep(10 * time.Minute)
 		},
--- a/internal/tool/fleet/settings_test.go
+++ b/internal/tool/fleet/settings_test.go
@@ -148,7 +148,7 @@
 		v, err := c.put(c.fleet.Nodes[0], 5, 1, "t1")
 		qt.Assert(c, err, qt.IsNil)
 		c.inForce(v, c.fleet.Nodes...)
-		c.fleet.Platform.SetFault(func(op cloud.Op) cloud.Fault { return cloud.Fault{Down: op.Path != "/instances"} })
+		c.fleet.Platform.SetFault(func(op cloud.Op) cloud.Fault { return cloud.Fault{Down: op.Table != cloud.InstanceTable} })
 		n, err := c.fleet.AddNode("z1")
 		qt.Assert(c, err, qt.IsNil)
 		qt.Assert(c, n.Settings().Version, qt.Equals, v)
--- a/internal/version/config/process.go
+++ b/internal/version/config/process.go
@@ -28,10 +28,8 @@
 	// Tree is the directory of the settings tree; empty takes the tree from
 	// the platform and follows its changes.
 	Tree string
-	// TableURL, ObjectURL and InstancesURL are those of the platform.
-	TableURL     string
-	ObjectURL    string
-	InstancesURL string
+	// StoreAddress is the IP and port of the platform's store.
+	StoreAddress string
 	// CAFile, CertFile and KeyFile authenticate the nodes to each other.
 	CAFile   string
 	CertFile string
@@ -48,9 +46,6 @@
 	// MetricsAddress is the IP and TCP port for metrics; empty leaves them to
 	// the operators' address alone.
 	MetricsAddress string
-	// StoreAddress is the IP and port of the platform's store, for nodes that
-	// take settings, endpoints and certificates from there.
-	StoreAddress string
 	// Zones gives the region of each availability zone.
 	Zones map[ident.AvailabilityZone]ident.Region
 	// Memory is what this process may use, in bytes; 0 is not said.
@@ -82,15 +77,12 @@
 		{"operator_address", true, ipPort(func(p *Process) *string { return &p.OperatorAddress })},
 	},
 	"platform": {
-		{"table", true, address(func(p *Process) *string { return &p.TableURL })},
-		{"objects", true, address(func(p *Process) *string { return &p.ObjectURL })},
-		{"instances", true, address(func(p *Process) *string { return &p.InstancesURL })},
+		{"store", true, ipPort(func(p *Process) *string { return &p.StoreAddress })},
 	},
 	"entry": {
 		{"directory_address", true, ipPort(func(p *Process) *string { return &p.DirectoryAddress })},
 		{"ready_address", true, ipPort(func(p *Process) *string { return &p.ReadyAddress })},
 		{"metrics_address", false, ipPort(func(p *Process) *string { return &p.MetricsAddress })},
-		{"store_address", true, ipPort(func(p *Process) *string { return &p.StoreAddress })},
 		{"zones", false, zones},
 		{"memory", false, size(func(p *Process) *int64 { return &p.Memory })},
 		{"grace", true, span(func(p *Process) *time.Duration { return &p.Grace })},
@@ -128,7 +120,7 @@
 // keys from files.
 var (
 	requiredSections      = []string{"node", "platform", "tls", "resume"}
-	requiredStoreSections = []string{"node", "entry", "repeats"}
+	requiredEntrySections = []string{"node", "platform", "entry", "repeats"}
 )
 
 // zones reads pairs of a zone and its region, such as a:north, b:north.
@@ -179,7 +171,7 @@
 	}
 	required := requiredSections
 	if slices.Contains(d.sections, "entry") {
-		required = requiredStoreSections
+		required = requiredEntrySections
 	}
 	for _, section := range required {
 		if !slices.Contains(d.sections, section) {
