Keep the grace for lapsed entries to outages of the store for all

Nodes now tell each other when they last read the store. Joining nodes count as homes, a node that is not home declines, and buckets start at a tenth.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -308,6 +308,9 @@
 	// Settings is the version in force at the sender, From its peer address.
 	Settings uint64 `cbor:"2,keyasint,omitempty"`
 	From     string `cbor:"3,keyasint,omitempty"`
+	// Read is how long ago the sender last read the store, in nanoseconds; 0 is
+	// not said.
+	Read int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // ProbeVia asks a node to probe another.
--- a/internal/process/node/limits.go
+++ b/internal/process/node/limits.go
@@ -23,9 +23,21 @@
 
 func accountKey(id ident.ClientAccount) string { return "account/" + string(id) }
 
+// homeOfAccount returns the node that holds an account's bucket. Nodes that are
+// still joining count, so that nodes which start together agree at once.
+func (n *Node) homeOfAccount(id ident.ClientAccount) (member.Member, bool) {
+	var homes []member.Member
+	for _, m := range n.members.View().Members {
+		if m.State == member.Ready || m.State == member.Joining {
+			homes = append(homes, m)
+		}
+	}
+	return member.Owner(homes, accountKey(id))
+}
+
 // draw takes a request from the bucket at the account's home.
 func (n *Node) draw(ctx context.Context, a *config.Account, tokens ident.Tokens) (quota.Verdict, time.Duration, bool) {
-	home, ok := member.Owner(n.members.View().Ready(""), accountKey(a.ID))
+	home, ok := n.homeOfAccount(a.ID)
 	if !ok {
 		return "", 0, false
 	}
@@ -46,7 +58,9 @@
 
 func (n *Node) serveDraw(_ context.Context, s *link.Stream, m wire.Draw) {
 	reply := wire.Drawn{}
-	if a := n.tree.Load().Account(ident.ClientAccount(m.Account)); a != nil {
+	home, _ := n.homeOfAccount(ident.ClientAccount(m.Account))
+	// Two nodes that both hold a bucket would give out the limit twice.
+	if a := n.tree.Load().Account(ident.ClientAccount(m.Account)); a != nil && home.ID == n.Process.Name {
 		verdict, retry := n.central.Take(a, max(ident.Tokens(m.Tokens), 0), time.Now())
 		reply = wire.Drawn{Known: true, Verdict: string(verdict), Retry: int64(retry)}
 	}
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -43,6 +43,7 @@
 func (n *Node) gossip(ctx context.Context, to member.Member, kind link.Kind, updates []member.Member) ([]member.Member, error) {
 	reply, err := link.Call[wire.Gossip, wire.Gossip](ctx, n.Open, to.PeerAddress, kind, n.gossipOf(updates))
 	n.hearOf(reply)
+	n.hearOfStore(reply)
 	return reply.ToMembers(), err
 }
 
@@ -50,6 +51,9 @@
 func (n *Node) gossipOf(updates []member.Member) wire.Gossip {
 	g := wire.FromMembers(updates)
 	g.Settings, g.From = uint64(n.tree.Load().Version), n.Process.PeerAddress
+	if at := n.watched.readAt(); !at.IsZero() {
+		g.Read = int64(max(time.Since(at), 1))
+	}
 	return g
 }
 
@@ -75,12 +79,14 @@
 
 func (n *Node) serveProbe(_ context.Context, s *link.Stream, m wire.Gossip) {
 	n.hearOf(m)
+	n.hearOfStore(m)
 	reply := n.members.Merge(m.ToMembers())
 	s.Send(wire.KindProbe, n.gossipOf(reply)) //nolint:errcheck // the prober asks others.
 }
 
 func (n *Node) serveSync(_ context.Context, s *link.Stream, m wire.Gossip) {
 	n.hearOf(m)
+	n.hearOfStore(m)
 	n.members.Merge(m.ToMembers())
 	s.Send(wire.KindSync, n.gossipOf(n.members.All())) //nolint:errcheck // the other asks again.
 }
--- a/internal/process/node/watched.go
+++ b/internal/process/node/watched.go
@@ -6,11 +6,13 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"goldcrestwick/internal/connection/door"
+	"goldcrestwick/internal/connection/wire"
 	"goldcrestwick/internal/process/budget"
 	"goldcrestwick/internal/process/roster"
 	"goldcrestwick/internal/process/store"
@@ -64,6 +66,31 @@
 	nodes     map[string]roster.Instance
 	// haveEndpoints and haveNodes are set after the first reading.
 	haveEndpoints, haveNodes bool
+	// table is the one of the endpoints, peerRead when another node last read
+	// it, in Unix nanoseconds.
+	table    atomic.Pointer[watch.Table]
+	peerRead atomic.Int64
+}
+
+func (w *watched) readAt() time.Time {
+	if t := w.table.Load(); t != nil {
+		return t.ReadAt()
+	}
+	return time.Time{}
+}
+
+// hearOfStore notes when another node last read the store.
+func (n *Node) hearOfStore(g wire.Gossip) {
+	if g.Read <= 0 {
+		return
+	}
+	at := time.Now().Add(-time.Duration(g.Read)).UnixNano()
+	for {
+		known := n.watched.peerRead.Load()
+		if at <= known || n.watched.peerRead.CompareAndSwap(known, at) {
+			return
+		}
+	}
 }
 
 // parser reads settings that came from the operator or from another node.
@@ -117,12 +144,16 @@
 // startWatched follows the store's tables and joins when settings and
 // endpoints are known. It returns when the node has joined.
 func (n *Node) startWatched(ctx context.Context) {
-	follow := func(name string, wait, interval time.Duration, changed func([]store.Row)) {
-		t := &watch.Table{Name: name, Store: n.Store, Wait: wait, Interval: interval, Changed: changed, Log: n.Log}
+	follow := func(name string, wait, interval time.Duration, changed func([]store.Row)) *watch.Table {
+		t := &watch.Table{
+			Name: name, Store: n.Store, Wait: wait, Interval: interval, Changed: changed, Log: n.Log,
+			PeerRead: func() time.Time { return time.Unix(0, n.watched.peerRead.Load()) },
+		}
 		n.tasks.Go(func() { t.Run(ctx) })
+		return t
 	}
 	follow(n.Platform.SettingsTable, settingsWait, 0, n.settingsRows)
-	follow(n.Platform.EndpointTable, 0, endpointsInterval, n.endpointRows)
+	n.watched.table.Store(follow(n.Platform.EndpointTable, 0, endpointsInterval, n.endpointRows))
 	follow(nodeTable, nodesWait, nodesInterval, n.nodeRows)
 	n.tasks.Go(func() { n.enrol(ctx) })
 	n.tasks.Go(func() { tick.Every(ctx, sweepInterval, func(context.Context) { n.conns.Sweep() }) })
--- a/internal/process/quota/central.go
+++ b/internal/process/quota/central.go
@@ -10,9 +10,10 @@
 	"goldcrestwick/internal/version/config"
 )
 
-// firstFill is the part of a bucket that a new home counts as full. The home
-// before it may have just given out the whole.
-const firstFill = 0.25
+// firstFill is the part of a bucket that counts as full when it is new: the
+// home before, or this node before a restart, may have just given out the
+// whole.
+const firstFill = 0.1
 
 // Central holds the buckets of the accounts whose home is this node: each
 // request of the whole fleet is taken from one bucket. The zero value is ready
@@ -51,8 +52,12 @@
 	b.requests = limited(b.requests, a.Requests, a.Requests*burstTime.Seconds(), part, now)
 	b.tokens = limited(b.tokens, a.Tokens, burstOf(a), part, now)
 	if isNew {
-		c.drain(b.requests, now)
-		c.drain(b.tokens, now)
+		var age time.Duration
+		if c.Since != nil {
+			age = now.Sub(c.Since())
+		}
+		drain(b.requests, age, now)
+		drain(b.tokens, age, now)
 	}
 	if retry, ok := take(b.requests, now, 1); !ok {
 		return RequestsLimit, retry
@@ -63,13 +68,12 @@
 	return Admitted, 0
 }
 
-// drain empties a new bucket to what has surely come in since this node became
-// home.
-func (c *Central) drain(l *rate.Limiter, now time.Time) {
-	if c.Since == nil || l.Limit() == rate.Inf {
+// drain empties a new bucket to what has surely come in at an age.
+func drain(l *rate.Limiter, age time.Duration, now time.Time) {
+	if l.Limit() == rate.Inf {
 		return
 	}
-	filled := firstFill*float64(l.Burst()) + float64(l.Limit())*now.Sub(c.Since()).Seconds()
+	filled := firstFill*float64(l.Burst()) + float64(l.Limit())*age.Seconds()
 	if missing := float64(l.Burst()) - filled; missing >= 1 {
 		l.AllowN(now, int(missing))
 	}
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -179,13 +179,18 @@
 		k.accounts = map[ident.ClientAccount]*account{}
 	}
 	at := k.accounts[a.ID]
-	if at == nil {
+	isNew := at == nil
+	if isNew {
 		at = &account{share: 1}
 		k.accounts[a.ID] = at
 	}
 	share := k.shareOf(at)
 	at.requests = limited(at.requests, a.Requests, a.Requests*burstTime.Seconds(), share, now)
 	at.tokens = limited(at.tokens, a.Tokens, burstOf(a), share, now)
+	if isNew && k.Draw != nil {
+		drain(at.requests, 0, now)
+		drain(at.tokens, 0, now)
+	}
 	return at
 }
 
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -2,9 +2,10 @@
 //
 // A Table reads the table whole once and then what changed since. When the
 // store's history is gone it reads the table whole again. While the store
-// cannot be reached, what was read last counts; rows that are missing when it
-// is back are believed gone only after a grace time, since their writers need
-// a moment to write them again.
+// cannot be reached, what was read last counts. Rows can lapse while the store
+// is away, and their writers need a moment to write them again: rows that are
+// missing when it is back are believed gone only after a grace time. That does
+// not hold where the store was away for this node alone.
 //
 // # Usage
 //
@@ -30,6 +31,9 @@
 	// graceTime is how long after the store's return a missing row may still
 	// come back.
 	graceTime = 2 * time.Second
+	// peerMargin is how much later than this node's last reading another's must
+	// be to tell that the store did not fail for all: two looks and a probe.
+	peerMargin = 1500 * time.Millisecond
 )
 
 // Table follows one table. Set the exported fields before Run.
@@ -44,7 +48,10 @@
 	// their changes. It is called once after the first reading even when the
 	// table is empty.
 	Changed func([]store.Row)
-	Log     *log.Logger
+	// PeerRead returns when another node last read the store, as far as known;
+	// nil is never.
+	PeerRead func() time.Time
+	Log      *log.Logger
 
 	rows    map[string]store.Row
 	version int64
@@ -52,7 +59,7 @@
 	// back.
 	missing map[string]time.Time
 	failed  int
-	// back is when the store was last back after an outage.
+	// back is when the store was last back after an outage of its own.
 	back time.Time
 	read atomic.Int64
 }
@@ -142,11 +149,16 @@
 	return nil
 }
 
-// returned notes when the store is back after an outage.
+// returned notes when the store is back after an outage. Where others read it
+// meanwhile, it lost nothing.
 func (t *Table) returned() {
-	if t.failed > 0 {
-		t.back = time.Now()
+	if t.failed == 0 {
+		return
+	}
+	if t.PeerRead != nil && t.PeerRead().After(t.ReadAt().Add(peerMargin)) {
+		return
 	}
+	t.back = time.Now()
 }
 
 // apply passes on the rows that say something new. A row that is deleted right
