Test what was found: scripts for passing on, the watch, slots, shared service, patience and adoption

Each fails without the change it stands for (TestRestart was run against the old adopt). Found while writing them: a kept connection that was closed before anything was sent cost the request its endpoint, spaces in Keep-Alive were not read, and an endpoint that begins a stream anew was joined to the first run.

--- a/internal/connection/conn/conn.go
+++ b/internal/connection/conn/conn.go
@@ -287,7 +287,7 @@
 func keepTime(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if !strings.EqualFold(name, "timeout") {
+		if !strings.EqualFold(strings.TrimSpace(name), "timeout") {
 			continue
 		}
 		if seconds, err := strconv.Atoi(strings.TrimSpace(value)); err == nil {
--- /dev/null
+++ b/internal/connection/conn/conn_test.go
@@ -0,0 +1,165 @@
+package conn
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// server answers each connection's requests with the given texts in turn, and
+// hands its end of the connection over first.
+func server(t *testing.T, answers ...string) (address string, ends <-chan net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { l.Close() }) //nolint:errcheck // the test is over.
+	conns := make(chan net.Conn, 8)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- c
+			go func() {
+				buffer := make([]byte, 4096)
+				for _, answer := range answers {
+					if _, err := c.Read(buffer); err != nil {
+						return
+					}
+					io.WriteString(c, answer) //nolint:errcheck // the test sees what is missing.
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+func exchange(t *testing.T, c *Conn) string {
+	qt.Assert(t, c.Send(Head(http.MethodGet, "/", "h", nil, -1), nil), qt.IsNil)
+	resp, err := c.Receive(http.MethodGet)
+	qt.Assert(t, err, qt.IsNil)
+	body, err := io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return string(body)
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// TestReuse checks that a connection is used again after a whole answer.
+func TestReuse(t *testing.T) {
+	address, _ := server(t, okAnswer, okAnswer)
+	p := &Pool{}
+	defer p.Close()
+	first, err := p.Get(t.Context(), address)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, exchange(t, first), qt.Equals, "ok")
+	p.Put(first)
+	second, err := p.Get(t.Context(), address)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, second, qt.Equals, first)
+	qt.Assert(t, second.Reused, qt.IsTrue)
+	qt.Assert(t, exchange(t, second), qt.Equals, "ok")
+	qt.Assert(t, p.Dialled(), qt.Equals, int64(1))
+}
+
+// TestNotReused checks the answers after which a connection is closed.
+func TestNotReused(t *testing.T) {
+	for name, answer := range map[string]string{
+		"says close":      "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+		"no idle time":    "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok",
+		"bytes after it":  okAnswer + "more",
+		"a second answer": okAnswer + okAnswer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := server(t, answer, okAnswer)
+			p := &Pool{}
+			defer p.Close()
+			first, err := p.Get(t.Context(), address)
+			qt.Assert(t, err, qt.IsNil)
+			exchange(t, first)
+			p.Put(first)
+			second, err := p.Get(t.Context(), address)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, second.Reused, qt.IsFalse)
+			p.Put(second)
+		})
+	}
+}
+
+// TestLateBytes checks that bytes which come on an idle connection, or its end,
+// keep it from being used.
+func TestLateBytes(t *testing.T) {
+	for name, disturb := range map[string]func(net.Conn){
+		"bytes": func(c net.Conn) { io.WriteString(c, okAnswer) }, //nolint:errcheck // the test sees what is missing.
+		"end":   func(c net.Conn) { c.Close() },                   //nolint:errcheck // the test sees what is missing.
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, ends := server(t, okAnswer)
+			p := &Pool{}
+			defer p.Close()
+			c, err := p.Get(t.Context(), address)
+			qt.Assert(t, err, qt.IsNil)
+			exchange(t, c)
+			p.Put(c)
+			disturb(<-ends)
+			// The disturbance has arrived when the kernel has something to read.
+			for c.isQuiet() {
+				continue
+			}
+			next, err := p.Get(t.Context(), address)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, next.Reused, qt.IsFalse)
+			p.Put(next)
+		})
+	}
+}
+
+// TestUnframed checks that an answer without a length ends with its connection,
+// and that informational answers are passed over.
+func TestUnframed(t *testing.T) {
+	address, ends := server(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\npart")
+	p := &Pool{}
+	defer p.Close()
+	c, err := p.Get(t.Context(), address)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.Send(Head(http.MethodGet, "/", "h", nil, -1), nil), qt.IsNil)
+	qt.Assert(t, c.Sent(), qt.IsTrue)
+	resp, err := c.Receive(http.MethodGet)
+	qt.Assert(t, err, qt.IsNil)
+	(<-ends).Close() //nolint:errcheck // the test sees what is missing.
+	body, err := io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(body), qt.Equals, "part")
+	p.Put(c)
+	qt.Assert(t, p.takeIdle(address) == nil, qt.IsTrue)
+}
+
+// TestHead checks what a request's head holds.
+func TestHead(t *testing.T) {
+	header := EndToEnd(http.Header{
+		"X-B": {"1", "2"}, "X-A": {"3"}, "Connection": {"x-hop, close"}, "X-Hop": {"4"},
+		"Transfer-Encoding": {"chunked"}, "Content-Length": {"7"},
+	})
+	got := string(Head(http.MethodPost, "/a?b", "h.example", header, 5))
+	want := strings.Join([]string{
+		"POST /a?b HTTP/1.1", "Host: h.example", "X-A: 3", "X-B: 1", "X-B: 2", "Content-Length: 5", "", "",
+	}, "\r\n")
+	qt.Assert(t, got, qt.Equals, want)
+}
+
+// TestKeepTime checks the idle time of a connection.
+func TestKeepTime(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"":                   idleTimeout,
+		"timeout=10":         10*time.Second - idleMargin,
+		"max=5, timeout = 3": 3*time.Second - idleMargin,
+		"timeout=x":          idleTimeout,
+	} {
+		qt.Check(t, keepTime(http.Header{"Keep-Alive": {value}}), qt.Equals, want, qt.Commentf(value))
+	}
+}
--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -16,14 +17,16 @@
 const kindNote Kind = 1
 
 // open opens a link on loopback with a certificate from an issuer.
-func open(t testing.TB, a *Authority) *Link {
+func open(t testing.TB, a *Authority) *Link { return openAt(t, a, "127.0.0.1:0") }
+
+func openAt(t testing.TB, a *Authority, address string) *Link {
 	certs, err := a.Issue("node", net.IPv4(127, 0, 0, 1))
 	qt.Assert(t, err, qt.IsNil)
 	l := &Link{TLS: Fixed(certs), Mux: &Mux{}}
 	Handle(l.Mux, kindNote, func(_ context.Context, s *Stream, n note) {
 		s.Send(kindNote, note{"echo " + n.Text}) //nolint:errcheck // the caller sees it.
 	})
-	qt.Assert(t, l.Listen("127.0.0.1:0"), qt.IsNil)
+	qt.Assert(t, l.Listen(address), qt.IsNil)
 	t.Cleanup(func() { l.Close() }) //nolint:errcheck // the test is over.
 	return l
 }
@@ -67,6 +70,48 @@
 	qt.Assert(t, a.dials.Load(), qt.Equals, int64(1))
 }
 
+// TestRestart checks that a peer which restarted at its address is reached over
+// the connection that it dialled, while the one of before still seems open.
+func TestRestart(t *testing.T) {
+	ca := authority(t)
+	a, b := open(t, ca), open(t, ca)
+	address := b.Address()
+	_, err := Call[note, note](t.Context(), a.Open, address, kindNote, note{"hello"})
+	qt.Assert(t, err, qt.IsNil)
+	// The process dies without a word: its socket is gone before it could send
+	// one.
+	qt.Assert(t, b.socket.Close(), qt.IsNil)
+	again := openAt(t, ca, address)
+	_, err = Call[note, note](t.Context(), again.Open, a.Address(), kindNote, note{"hello"})
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	reply, err := Call[note, note](ctx, a.Open, address, kindNote, note{"hello"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, reply.Text, qt.Equals, "echo hello")
+}
+
+// TestRedial checks that a new connection replaces one that went silent, and
+// that streams on the old one go on.
+func TestRedial(t *testing.T) {
+	ca := authority(t)
+	a, b := open(t, ca), open(t, ca)
+	Handle(b.Mux, 2, func(_ context.Context, s *Stream, _ note) {
+		s.Receive()              //nolint:errcheck // the test sees what is missing.
+		s.Send(2, note{"go on"}) //nolint:errcheck // the test sees what is missing.
+	})
+	old, err := a.Open(t.Context(), b.Address())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, old.Send(2, note{}), qt.IsNil)
+	a.Redial(b.Address())
+	_, err = Call[note, note](t.Context(), a.Open, b.Address(), kindNote, note{"hello"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, a.dials.Load(), qt.Equals, int64(2))
+	qt.Assert(t, old.Send(2, note{}), qt.IsNil)
+	_, _, err = old.Receive()
+	qt.Assert(t, err, qt.IsNil)
+}
+
 // TestEnd checks that closing a stream ends the other side's context and read.
 func TestEnd(t *testing.T) {
 	ca := authority(t)
--- /dev/null
+++ b/internal/process/budget/budget_test.go
@@ -0,0 +1,71 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"goldcrestwick/internal/stand/seeds"
+)
+
+func TestMain(m *testing.M) { seeds.Main(m) }
+
+// TestFleetLimit checks, for any course of requests and failures on any number
+// of nodes, that the repeats of the whole fleet stay within the limit in every
+// window.
+func TestFleetLimit(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		limit := Limit{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
+		nodes := rapid.IntRange(1, 9).Draw(rt, "nodes")
+		budgets := make([]Budget, nodes)
+		for i := range budgets {
+			budgets[i] = Budget{Limit: limit, Nodes: func() int { return nodes }}
+		}
+		start := time.Unix(1_000_000, 0)
+		var requests, repeats []time.Duration
+		at := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(rt, "requests") {
+			at += time.Duration(rapid.IntRange(0, 200).Draw(rt, "pause")) * time.Millisecond
+			b := &budgets[rapid.IntRange(0, nodes-1).Draw(rt, "node")]
+			b.Request("p", start.Add(at))
+			requests = append(requests, at)
+			if rapid.Bool().Draw(rt, "fails") && b.Repeat("p", start.Add(at)) {
+				repeats = append(repeats, at)
+			}
+		}
+		within := func(all []time.Duration, from, to time.Duration) int {
+			n := 0
+			for _, d := range all {
+				if d >= from && d < to {
+					n++
+				}
+			}
+			return n
+		}
+		for _, from := range repeats {
+			to := from + limit.Window
+			most := max(within(requests, from, to), within(requests, from-limit.Window, from))
+			allowed := limit.Ratio*float64(most) + limit.Extra
+			if n := within(repeats, from, to); float64(n) > allowed {
+				rt.Fatalf("%d repeats in the window from %s, allowed %.0f", n, from, allowed)
+			}
+		}
+	})
+}
+
+// TestNoRequests checks that the fixed part alone allows some repeats, and no
+// more.
+func TestNoRequests(t *testing.T) {
+	b := Budget{Limit: Limit{Extra: 10, Window: 10 * time.Second}, Nodes: func() int { return 1 }}
+	now := time.Unix(1_000_000, 0)
+	allowed := 0
+	for range 100 {
+		if b.Repeat("p", now) {
+			allowed++
+		}
+	}
+	qt.Assert(t, allowed, qt.Equals, int(margin*10))
+	qt.Assert(t, b.Repeat("p", now.Add(11*time.Second)), qt.IsTrue)
+}
--- a/internal/process/quota/quota_test.go
+++ b/internal/process/quota/quota_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -91,3 +92,59 @@
 		}
 	})
 }
+
+// TestCentralWindow checks, for any course of requests at homes that follow
+// each other, that no window holds more than the limit and its tolerance of a
+// tenth allow for one change of home.
+func TestCentralWindow(t *testing.T) {
+	const window = 8 * time.Second
+	rapid.Check(t, func(rt *rapid.T) {
+		a := &config.Account{ID: "team/a", Tokens: 1000, BurstTokens: 1000}
+		move := time.Duration(rapid.IntRange(0, 16000).Draw(rt, "move")) * time.Millisecond
+		first := &Central{Since: func() time.Time { return start.Add(-time.Hour) }}
+		second := &Central{Since: func() time.Time { return start.Add(move) }}
+		var at []time.Duration
+		var tokens []float64
+		now := time.Duration(0)
+		for now < 16*time.Second {
+			now += time.Duration(rapid.IntRange(1, 300).Draw(rt, "pause")) * time.Millisecond
+			home := first
+			if now >= move {
+				home = second
+			}
+			n := rapid.IntRange(1, 900).Draw(rt, "tokens")
+			if verdict, _ := home.Take(a, ident.Tokens(n), start.Add(now)); verdict == Admitted {
+				at, tokens = append(at, now), append(tokens, float64(n))
+			}
+		}
+		for i, from := range at {
+			sum := 0.0
+			for j := i; j < len(at) && at[j] < from+window; j++ {
+				sum += tokens[j]
+			}
+			if allowed := (a.Tokens*window.Seconds() + a.BurstTokens) * 1.1; sum > allowed {
+				rt.Fatalf("%.0f tokens in 8 s from %s, allowed %.0f", sum, from, allowed)
+			}
+		}
+	})
+}
+
+// TestDraw checks that the home decides, and the node's own share, which starts
+// almost empty, only where the home cannot be asked.
+func TestDraw(t *testing.T) {
+	a := &config.Account{ID: "team/a", Tokens: 1000}
+	known := true
+	k := &Keeper{Draw: func(context.Context, *config.Account, ident.Tokens) (Verdict, time.Duration, bool) {
+		return TokensLimit, time.Second, known
+	}}
+	_, verdict, retry := k.Admit(t.Context(), a, 100, start)
+	qt.Assert(t, verdict, qt.Equals, TokensLimit)
+	qt.Assert(t, retry, qt.Equals, time.Second)
+	known = false
+	_, verdict, _ = k.Admit(t.Context(), a, 100, start)
+	qt.Assert(t, verdict, qt.Equals, Admitted)
+	_, verdict, _ = k.Admit(t.Context(), a, 100, start)
+	qt.Assert(t, verdict, qt.Equals, TokensLimit)
+	_, verdict, _ = k.Admit(t.Context(), a, 100, start.Add(200*time.Millisecond))
+	qt.Assert(t, verdict, qt.Equals, Admitted)
+}
--- a/internal/process/sched/script_test.go
+++ b/internal/process/sched/script_test.go
@@ -86,6 +86,7 @@
 		"may_shed": s.mayShed, "granted": s.granted, "waiting": s.waiting, "refused": s.refused,
 		"pressed": s.pressed, "move": s.move, "pause": s.pause, "resume": s.resume, "window": s.window,
 		"adopt": s.adopt, "drop_node": s.dropNode, "report": s.report, "unreachable": s.unreachable,
+		"share_service": s.shareService, "held": s.held,
 	}
 	do, ok := commands[command]
 	qt.Assert(s.t, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", s.place, command))
@@ -119,7 +120,11 @@
 
 func (s *script) endpoint(names []string, given map[string]string) {
 	for _, name := range names {
-		s.specs = append(s.specs, EndpointSpec{ID: ident.Endpoint(name), Address: "http://" + name, Generation: given["generation"]})
+		s.specs = append(s.specs, EndpointSpec{
+			ID: ident.Endpoint(name), Address: "http://" + name, Generation: given["generation"],
+			Slots: s.number(given, "slots", 0), Started: int64(s.number(given, "started", 0)),
+			CacheTokens: ident.Tokens(s.number(given, "memory", 0)),
+		})
 	}
 	s.cell.Configure(s.cell.Pool, s.specs)
 }
@@ -141,7 +146,10 @@
 			Request: ident.RequestID(name), Node: ident.NodeID(given["node"]), Account: ident.ClientAccount(given["account"]),
 			Tier: ident.Tier(s.number(given, "tier", 0)), Weight: s.number(given, "weight", 1),
 			Prompt: ident.Tokens(s.number(given, "prompt", 100)), Output: ident.Tokens(s.number(given, "output", 100)),
-			Deadline: time.Now().Add(deadline),
+			Deadline: time.Now().Add(deadline), FirstToken: s.span(given["target"]),
+		}
+		for id := range strings.SplitSeq(given["avoid"], ",") {
+			b.Avoid = append(b.Avoid, ident.Endpoint(id))
 		}
 		for i := range s.number(given, "blocks", 0) {
 			b.Prefix = append(b.Prefix, ident.Fingerprint(s.number(given, "chat", 1)*1000+i))
@@ -168,6 +176,7 @@
 	for _, name := range names {
 		s.cell.Done(ident.RequestID(name), Ending{
 			Failed: given["failed"] == "yes", Unused: given["unused"] == "yes",
+			Refused: given["refused"] == "yes", Cancelled: given["cancelled"] == "yes",
 			FirstToken: s.span(given["first"]), BetweenTokens: s.span(given["between"]),
 			Cached:   ident.Tokens(s.number(given, "cached", 0)),
 			Uncached: ident.Tokens(s.number(given, "uncached", 0)),
@@ -273,3 +282,23 @@
 func (s *script) unreachable(names []string, _ map[string]string) {
 	s.cell.Unreachable(ident.Endpoint(names[0]))
 }
+
+// shareService makes the first tiers one group.
+func (s *script) shareService(_ []string, given map[string]string) {
+	team := &config.Team{}
+	last := s.number(given, "last", 0)
+	for i := range last + 1 {
+		team.Tiers = append(team.Tiers, &config.Tier{Rank: ident.Tier(i), Last: ident.Tier(last)})
+	}
+	s.cell.Pool.Team = team
+	s.cell.Configure(s.cell.Pool, s.specs)
+}
+
+// held is a node's word on which adopted requests it still has.
+func (s *script) held(names []string, given map[string]string) {
+	held := map[ident.RequestID]bool{}
+	for _, name := range names {
+		held[ident.RequestID(name)] = true
+	}
+	s.cell.KeepAdopted(ident.NodeID(given["node"]), held)
+}
--- a/internal/request/pass/attempt.go
+++ b/internal/request/pass/attempt.go
@@ -29,12 +29,24 @@
 	if time.Since(g.Received) > g.Answer.Life || p.IsLeaving(g.Cell, g.Answer.Endpoint) || ctx.Err() != nil {
 		return outcome{unsent, "the grant could not be used in time", sched.Ending{Unused: true}}
 	}
-	c, err := p.Conns.Get(ctx, g.Answer.Address)
-	if err != nil {
-		return outcome{unsent, err.Error(), sched.Ending{Failed: ctx.Err() == nil, Unused: ctx.Err() != nil}}
-	}
 	p.note(t, trace.Record{Event: trace.Dispatched, Endpoint: g.Answer.Endpoint})
 	t.result.Endpoint = g.Answer.Endpoint
+	for {
+		c, err := p.Conns.Get(ctx, g.Answer.Address)
+		if err != nil {
+			return outcome{unsent, err.Error(), sched.Ending{Failed: ctx.Err() == nil, Unused: ctx.Err() != nil}}
+		}
+		out := p.exchange(ctx, t, g, c)
+		// A kept connection that was closed before anything was sent says
+		// nothing of the endpoint.
+		if out.verdict != unsent || !c.Reused || ctx.Err() != nil {
+			return out
+		}
+	}
+}
+
+// exchange makes the attempt on a connection.
+func (p *Passer) exchange(ctx context.Context, t *try, g *entry.Grant, c *conn.Conn) outcome {
 	x := &exchange{Conn: c, passer: p, try: t, grant: g, sentAt: time.Now()}
 	stop := c.CloseWhenDone(ctx)
 	out := x.run(ctx)
@@ -99,7 +111,7 @@
 	header := conn.EndToEnd(t.Header)
 	x.passer.Dialect.Outgoing(header, Outgoing{
 		Left: time.Until(t.Deadline), Endpoint: x.grant.Answer.Endpoint, Account: t.Account,
-		After: t.stream.last, HasAfter: t.stream.hasLast,
+		After: t.stream.last,
 	})
 	length := -1
 	if t.Body != nil {
--- a/internal/request/pass/pass.go
+++ b/internal/request/pass/pass.go
@@ -62,10 +62,8 @@
 	Hint           ident.Tokens
 	HasTokens      bool
 	Parts          []Part
-	// After is the last event that the caller has of this answer; HasAfter is
-	// false when it begins anew.
-	After    int
-	HasAfter bool
+	// After is the last event that the caller has of this answer, 0 for none.
+	After int
 }
 
 // Outgoing is what a request says to its endpoint beyond what the caller said.
@@ -74,9 +72,8 @@
 	Left     time.Duration
 	Endpoint ident.Endpoint
 	Account  *config.Account
-	// After asks to go on after an event; HasAfter is false without.
-	After    int
-	HasAfter bool
+	// After asks to go on after an event; 0 asks for the whole answer.
+	After int
 }
 
 // Said is what an endpoint's answer says in its header.
--- /dev/null
+++ b/internal/request/pass/script_test.go
@@ -0,0 +1,343 @@
+package pass
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestwick/internal/connection/conn"
+	"goldcrestwick/internal/process/budget"
+	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/request/entry"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/request/refuse"
+	"goldcrestwick/internal/stand/engine"
+	"goldcrestwick/internal/version/config"
+)
+
+// TestScripts passes requests to engines that misbehave, by scripts of lines:
+//
+//	route KIND [resumable] [attempts N] [timeout T]
+//	request [after N] [body TEXT] [leave T]     the caller leaves after a time
+//	budget N                                    repeats that the budget has
+//	engine NAME WORDS...                        the answer of the next endpoint
+//	send
+//	want WORDS...                               what the caller got
+//	arrived NAME N [HEADER VALUE]               what reached an endpoint
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.script")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) > 0, qt.IsTrue)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".script"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runScript(t, file) })
+		})
+	}
+}
+
+// script is one running test.
+type script struct {
+	*testing.T
+	place    string
+	passer   Passer
+	request  *Request
+	leave    time.Duration
+	engines  map[string]*engine.Engine
+	order    []string
+	answers  map[string]engine.Behaviour
+	granted  int
+	endings  []sched.Ending
+	recorder *httptest.ResponseRecorder
+	result   Result
+	open     []net.Conn
+}
+
+func runScript(t *testing.T, file string) {
+	s := &script{T: t, engines: map[string]*engine.Engine{}, answers: map[string]engine.Behaviour{}}
+	s.passer = Passer{
+		Bid: s.bid, IsLeaving: func(ident.CellID, ident.Endpoint) bool { return false },
+		Conns: &conn.Pool{Dial: s.dial}, Dialect: testDialect(),
+		Budget: &budget.Budget{Limit: budget.Limit{Extra: 100, Window: time.Second}, Nodes: func() int { return 1 }},
+	}
+	pool := &config.Pool{ID: "team/pool", Kind: ident.ModelRunner, EventTokens: 1}
+	s.request = &Request{
+		ID: "r1", Method: http.MethodPost, Target: "/a/b?c=d", Host: "h.example", Pool: pool,
+		Header: http.Header{engine.AttemptHeader: {"r1"}, "X-Other": {"kept"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
+		Labels: Labels{ID: "r1"}, Tier: &config.Tier{}, Body: []byte("body"),
+	}
+	raw, err := os.Open(file)
+	qt.Assert(t, err, qt.IsNil)
+	defer raw.Close() //nolint:errcheck // only read.
+	lines := bufio.NewScanner(raw)
+	for n := 1; lines.Scan(); n++ {
+		s.place = fmt.Sprintf("%s:%d", file, n)
+		if words := strings.Fields(lines.Text()); len(words) > 0 && words[0] != "#" {
+			s.run(words[0], words[1:])
+		}
+	}
+	for _, c := range s.open {
+		c.Close() //nolint:errcheck // the test is over.
+	}
+	s.passer.Conns.Close()
+}
+
+func (s *script) run(command string, words []string) {
+	switch command {
+	case "route":
+		s.route(words)
+	case "request":
+		s.caller(words)
+	case "budget":
+		s.passer.Budget.Limit.Extra = float64(s.number(words[0])) / 0.7
+	case "engine":
+		s.engine(words[0], words[1:])
+	case "send":
+		s.send()
+	case "want":
+		s.want(words)
+	case "arrived":
+		s.arrived(words)
+	default:
+		s.Fatalf("%s: unknown command %s", s.place, command)
+	}
+}
+
+func (s *script) number(word string) int {
+	n, err := strconv.Atoi(word)
+	qt.Assert(s.T, err, qt.IsNil, qt.Commentf(s.place))
+	return n
+}
+
+func (s *script) span(word string) time.Duration {
+	d, err := time.ParseDuration(word)
+	qt.Assert(s.T, err, qt.IsNil, qt.Commentf(s.place))
+	return d
+}
+
+var kinds = map[string]config.Repeat{"once": config.Once, "idempotent": config.Idempotent, "stream": config.Stream}
+
+func (s *script) route(words []string) {
+	r := &config.Route{Repeat: kinds[words[0]], Attempts: 1, Timeout: 10 * time.Second, FirstAnswer: time.Second}
+	for i := 1; i < len(words); i++ {
+		switch words[i] {
+		case "resumable":
+			r.Resumable = true
+		case "attempts":
+			i++
+			r.Attempts = s.number(words[i])
+		case "timeout":
+			i++
+			r.Timeout = s.span(words[i])
+		default:
+			s.Fatalf("%s: unknown word %s", s.place, words[i])
+		}
+	}
+	s.request.Route = r
+}
+
+func (s *script) caller(words []string) {
+	for i := 0; i+1 < len(words); i += 2 {
+		switch words[i] {
+		case "after":
+			s.request.Labels.After = s.number(words[i+1])
+		case "body":
+			s.request.Body = []byte(strings.Repeat("x", s.number(words[i+1])))
+		case "leave":
+			s.leave = s.span(words[i+1])
+		default:
+			s.Fatalf("%s: unknown word %s", s.place, words[i])
+		}
+	}
+}
+
+// engine sets the answer of the endpoint that is granted next.
+func (s *script) engine(name string, words []string) {
+	var b engine.Behaviour
+	for i := 0; i < len(words); i++ {
+		switch word := words[i]; word {
+		case "status":
+			i++
+			b.Status = s.number(words[i])
+		case "body":
+			i++
+			b.Body = words[i]
+		case "events":
+			i++
+			first, last, _ := strings.Cut(words[i], "-")
+			b.First, b.Last = s.number(first), s.number(last)
+		case "stray":
+			i++
+			b.Stray = words[i]
+		case "encoded":
+			b.Encoding = "gzip"
+		case "not_run":
+			b.NotRun = true
+		case "unsigned":
+			b.Unsigned = true
+		case "unframed":
+			b.Unframed = true
+		case "extra":
+			b.Extra = true
+		case "early":
+			b.Early = true
+		case "drop":
+			b.Drop = true
+		case "whole", "cut", "torn", "silent":
+			b.Ending = engine.Ending(word)
+		case "unreachable", "other":
+		default:
+			s.Fatalf("%s: unknown word %s", s.place, word)
+		}
+	}
+	id := name
+	if strings.Contains(strings.Join(words, " "), "other") {
+		id = "another"
+	}
+	if !strings.Contains(strings.Join(words, " "), "unreachable") {
+		s.engines[name] = &engine.Engine{ID: id, Next: func() engine.Behaviour { return s.answers[name] }}
+	}
+	s.answers[name] = b
+	s.order = append(s.order, name)
+}
+
+func (s *script) bid(_ context.Context, j *entry.Job) (*entry.Grant, *refuse.Refusal) {
+	if s.granted >= len(s.order) {
+		return nil, refuse.New(refuse.Overload, "no more endpoints")
+	}
+	name := ident.Endpoint(s.order[s.granted])
+	s.granted++
+	return &entry.Grant{
+		Answer:   sched.Answer{Outcome: sched.Granted, Endpoint: name, Address: string(name), Life: time.Second},
+		Received: time.Now(), Started: func() {}, Progress: func(time.Duration) {},
+		End: func(e sched.Ending) { s.endings = append(s.endings, e) },
+	}, nil
+}
+
+var errUnreachable = errors.New("connection refused")
+
+func (s *script) dial(_ context.Context, address string) (net.Conn, error) {
+	e := s.engines[address]
+	if e == nil {
+		return nil, errUnreachable
+	}
+	here, there := net.Pipe()
+	s.open = append(s.open, here)
+	go e.Serve(there)
+	return here, nil
+}
+
+func testDialect() Dialect {
+	return Dialect{
+		Outgoing: func(h http.Header, o Outgoing) {
+			h.Set(engine.ExpectHeader, string(o.Endpoint))
+			h.Set("Left", strconv.FormatInt(o.Left.Milliseconds(), 10))
+			if o.After > 0 {
+				h.Set(engine.AfterHeader, strconv.Itoa(o.After))
+			}
+		},
+		Said: func(h http.Header) Said {
+			return Said{
+				ID: h.Get(engine.AttemptHeader), NotRun: h.Get(engine.NotRunHeader) != "",
+				IsSigned: h.Get(engine.StampHeader) != "",
+			}
+		},
+	}
+}
+
+func (s *script) send() {
+	s.granted, s.endings = 0, nil
+	s.recorder = httptest.NewRecorder()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if s.leave > 0 {
+		stop := time.AfterFunc(s.leave, cancel)
+		defer stop.Stop()
+	}
+	s.request.Arrived = time.Now()
+	s.request.Deadline = s.request.Arrived.Add(s.request.Route.Timeout)
+	s.result = s.passer.Serve(ctx, s.request, s.recorder)
+	s.order = nil
+}
+
+// want checks what the caller got: status N, body TEXT, events F-L, cut,
+// refused REASON not_run|unknown, signed NAME, ending WORD, took T.
+func (s *script) want(words []string) {
+	for i := 0; i < len(words); i++ {
+		at := qt.Commentf("%s: %+v", s.place, s.result)
+		switch words[i] {
+		case "status":
+			i++
+			qt.Check(s.T, s.result.Refusal == nil, qt.IsTrue, at)
+			qt.Check(s.T, s.recorder.Code, qt.Equals, s.number(words[i]), at)
+		case "body":
+			i++
+			qt.Check(s.T, s.recorder.Body.String(), qt.Equals, words[i], at)
+		case "events":
+			i++
+			first, last, _ := strings.Cut(words[i], "-")
+			qt.Check(s.T, s.recorder.Body.String(), qt.Equals, eventsOf(s.number(first), s.number(last)), at)
+		case "cut":
+			qt.Check(s.T, s.result.Cut, qt.IsTrue, at)
+		case "whole":
+			qt.Check(s.T, s.result.Cut, qt.IsFalse, at)
+			qt.Check(s.T, s.result.Refusal == nil, qt.IsTrue, at)
+		case "refused":
+			qt.Assert(s.T, s.result.Refusal != nil, qt.IsTrue, at)
+			qt.Check(s.T, string(s.result.Refusal.Reason), qt.Equals, words[i+1], at)
+			qt.Check(s.T, string(s.result.Refusal.Run), qt.Equals, words[i+2], at)
+			i += 2
+		case "signed":
+			i++
+			qt.Check(s.T, s.recorder.Header().Get(engine.StampHeader), qt.Equals, words[i]+".r1", at)
+		case "attempts":
+			i++
+			qt.Check(s.T, s.result.Attempts, qt.Equals, s.number(words[i]), at)
+		case "took":
+			i++
+			qt.Check(s.T, time.Since(s.request.Arrived), qt.Equals, s.span(words[i]), at)
+		default:
+			s.Fatalf("%s: unknown word %s", s.place, words[i])
+		}
+	}
+}
+
+func eventsOf(first, last int) string {
+	var b strings.Builder
+	for n := first; n <= last; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+// arrived checks how many requests reached an endpoint and a header of the
+// last one; every one has the caller's method, target, body and other headers.
+func (s *script) arrived(words []string) {
+	at := qt.Commentf(s.place)
+	e := s.engines[words[0]]
+	all := e.Arrivals()
+	qt.Assert(s.T, len(all), qt.Equals, s.number(words[1]), at)
+	for _, a := range all {
+		qt.Check(s.T, a.Method+" "+a.Target, qt.Equals, "POST /a/b?c=d", at)
+		qt.Check(s.T, a.Header.Get("X-Other"), qt.Equals, "kept", at)
+		qt.Check(s.T, a.Header.Get("X-Hop"), qt.Equals, "", at)
+		if a.Body != "" {
+			qt.Check(s.T, a.Body, qt.Equals, string(s.request.Body), at)
+		}
+	}
+	if len(words) == 4 {
+		qt.Check(s.T, all[len(all)-1].Header.Get(words[2]), qt.Equals, words[3], at)
+	}
+}
--- a/internal/request/pass/stream.go
+++ b/internal/request/pass/stream.go
@@ -30,13 +30,12 @@
 type stream struct {
 	// started is set once the caller has the head of the answer.
 	started bool
-	// last is the identifier of the last event that the caller has; hasLast is
-	// false before the first.
-	last    int
-	hasLast bool
+	// last is the identifier of the last event that the caller has. Events
+	// count from 1.
+	last int
 }
 
-func (s *stream) start(r *Request) { s.last, s.hasLast = r.Labels.After, r.Labels.HasAfter }
+func (s *stream) start(r *Request) { s.last = r.Labels.After }
 
 func (t *try) isStream() bool { return t.Route.Repeat == config.Stream }
 
@@ -96,17 +95,12 @@
 			return outcome{ending: p.ending()}
 		}
 		if err != nil {
-			out := x.fail(ctx, "the stream broke off: "+err.Error())
-			return out
+			return x.fail(ctx, "the stream broke off: "+err.Error())
 		}
-		isNews, err := t.stream.take(e, p.count > 0)
-		if err != nil {
+		if err := t.stream.take(e); err != nil {
 			return x.fail(ctx, err.Error())
 		}
 		x.tell(p)
-		if !isNews {
-			continue
-		}
 		x.begin(resp)
 		if err := t.deliver(e); err != nil {
 			x.Spoil()
@@ -118,23 +112,17 @@
 
 var errOrder = eris.New("an event is missing or out of order")
 
-// take checks an event's place. It reports false for an event that the caller
-// has already.
-func (s *stream) take(e event, follows bool) (isNews bool, err error) {
+// take checks an event's place. An endpoint that begins anew instead of going on
+// is another run, whose events must not be joined to those of the first.
+func (s *stream) take(e event) error {
 	if !e.hasID {
-		return true, nil
-	}
-	if s.hasLast && e.id <= s.last {
-		if follows && s.started {
-			return false, errOrder
-		}
-		return false, nil
+		return nil
 	}
-	if s.hasLast && e.id != s.last+1 {
-		return false, errOrder
+	if e.id != s.last+1 {
+		return errOrder
 	}
-	s.last, s.hasLast = e.id, true
-	return true, nil
+	s.last = e.id
+	return nil
 }
 
 // begin writes the head of the answer once. A stream that goes on at another
