--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,8 +77,10 @@
 	Forget func(address string)
 	Redial func(address string)
 	Outlet *outlet.Outlet
-	Policy sched.Policy
-	Log    *log.Logger
+	// DialEndpoint opens the connections of passed requests; nil takes TCP.
+	DialEndpoint func(ctx context.Context, address string) (net.Conn, error)
+	Policy       sched.Policy
+	Log          *log.Logger
 	// LedgerKey signs the ledger; nil keeps none.
 	LedgerKey ed25519.PrivateKey
 	// Step, when set, is called at each step of each request on this node.
--- a/internal/process/node/watched.go
+++ b/internal/process/node/watched.go
@@ -113,6 +113,7 @@
 		Limit: budget.Limit{Ratio: limits.Ratio, Extra: limits.Extra, Window: limits.Window},
 		Nodes: func() int { return len(n.members.View().Ready("")) },
 	}
+	n.conns.Dial = n.DialEndpoint
 	n.passer = pass.Passer{
 		Bid: n.entry.Bid, IsLeaving: n.cells.IsLeaving, Conns: &n.conns, Budget: &n.budget,
 		Dialect: n.Platform.Dialect, Record: n.record,
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -19,6 +19,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // The headers of the platform's protocol.
@@ -55,8 +56,10 @@
 	// 0 goes on after the caller's last event.
 	First, Last int
 	Ending      Ending
-	NotRun      bool
-	Unsigned    bool
+	// Pace is the time before the answer and before each further event.
+	Pace     time.Duration
+	NotRun   bool
+	Unsigned bool
 	// Encoding sets a content encoding.
 	Encoding string
 	// Stray is the identifier of another request whose answer comes first.
@@ -130,6 +133,7 @@
 	if b.Drop {
 		return false
 	}
+	time.Sleep(b.Pace)
 	return e.write(c, req, b)
 }
 
@@ -216,6 +220,9 @@
 		first = after + 1
 	}
 	for n := first; n <= b.Last; n++ {
+		if n > first {
+			time.Sleep(b.Pace)
+		}
 		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
 		if n == b.Last && b.Ending == Torn {
 			text = text[:len(text)/2]
--- a/internal/stand/pipes/pipes.go
+++ b/internal/stand/pipes/pipes.go
@@ -194,6 +194,9 @@
 	}
 }
 
+// Revive lets a killed host start again.
+func (n *Net) Revive(host string) { n.change(func() { delete(n.dead, host) }) }
+
 // conn is one end of a connection.
 type conn struct {
 	net.Conn
--- /dev/null
+++ b/internal/tool/fleet/passing_test.go
@@ -0,0 +1,490 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/process/node"
+	"goldcrestwick/internal/process/store"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/stand/cloud"
+	"goldcrestwick/internal/stand/engine"
+	"goldcrestwick/internal/stand/pipes"
+	"goldcrestwick/internal/version/config"
+	"goldcrestwick/platform"
+)
+
+// TestPassing runs whole nodes on the platform's stand-ins, by scripts of
+// lines; see testdata/passing/README.
+func TestPassing(t *testing.T) {
+	files, err := filepath.Glob("testdata/passing/*.script")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) > 0, qt.IsTrue)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".script"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runPassing(t, file) })
+		})
+	}
+}
+
+// passing is a fleet of nodes that pass requests on.
+type passing struct {
+	*testing.T
+	place   string
+	net     *pipes.Net
+	cloud   cloud.Platform
+	url     string
+	servers []*http.Server
+	nodes   map[string]*passNode
+	engines map[string]*passEngine
+	calls   map[string]*passCall
+	running sync.WaitGroup
+	routes  []map[string]any
+	tenants []map[string]any
+	version int
+}
+
+type passNode struct {
+	*node.Node
+	peers  *Peers
+	server *http.Server
+}
+
+type passEngine struct {
+	engine.Engine
+	listener net.Listener
+	entry    map[string]any
+	mu       sync.Mutex
+	next     engine.Behaviour
+}
+
+// passCall is one request of a caller and what it got.
+type passCall struct {
+	status  int
+	retry   string
+	body    string
+	whole   bool
+	took    time.Duration
+	err     error
+	settled bool
+}
+
+func runPassing(t *testing.T, file string) {
+	p := &passing{
+		T: t, net: &pipes.Net{}, nodes: map[string]*passNode{}, engines: map[string]*passEngine{},
+		calls: map[string]*passCall{},
+	}
+	l, err := p.net.Listen(PlatformHost + ":80")
+	qt.Assert(t, err, qt.IsNil)
+	p.url = PlatformHost + ":80"
+	p.serve(l, &p.cloud)
+	raw, err := os.Open(file)
+	qt.Assert(t, err, qt.IsNil)
+	defer raw.Close() //nolint:errcheck // only read.
+	lines := bufio.NewScanner(raw)
+	for n := 1; lines.Scan(); n++ {
+		p.place = fmt.Sprintf("%s:%d", file, n)
+		line, _, _ := strings.Cut(lines.Text(), "#")
+		if words := strings.Fields(line); len(words) > 0 {
+			p.run(words[0], words[1:])
+		}
+	}
+	p.stop()
+}
+
+func (p *passing) serve(l net.Listener, h http.Handler) *http.Server {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second, ErrorLog: quiet()}
+	p.servers = append(p.servers, s)
+	go s.Serve(l) //nolint:errcheck // it ends with Close.
+	return s
+}
+
+func (p *passing) stop() {
+	p.cloud.SetFault(nil)
+	p.net.Heal()
+	p.running.Wait()
+	for _, n := range p.nodes {
+		n.kill()
+	}
+	for _, s := range p.servers {
+		s.Close() //nolint:errcheck // the test is over.
+	}
+	for name, e := range p.engines {
+		e.listener.Close() //nolint:errcheck // the test is over.
+		p.net.Kill(name)
+	}
+	time.Sleep(lastTimeout)
+	synctest.Wait()
+}
+
+func (n *passNode) kill() {
+	n.server.Close() //nolint:errcheck // a crash.
+	n.Stop()
+	n.peers.Close()
+}
+
+func (p *passing) run(command string, args []string) {
+	given, names := map[string]string{}, []string{}
+	for _, a := range args {
+		if key, value, ok := strings.Cut(a, "="); ok {
+			given[key] = value
+			continue
+		}
+		names = append(names, a)
+	}
+	commands := map[string]func([]string, map[string]string){
+		"node": p.node, "engine": p.engine, "answers": p.answers, "route": p.route, "account": p.account,
+		"settings": p.settings, "state": p.state, "send": p.send, "want": p.want, "arrivals": p.arrivals,
+		"wait": p.wait, "freeze": p.freeze, "thaw": p.thaw, "kill": p.kill, "restart": p.restart,
+		"store": p.store, "leave": p.leave, "ready": p.ready, "cut": p.cut, "heal": p.heal, "odd_entry": p.oddEntry,
+	}
+	do, ok := commands[command]
+	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.place, command))
+	do(names, given)
+}
+
+func (p *passing) node(names []string, _ map[string]string) {
+	for _, name := range names {
+		p.startNode(name)
+	}
+}
+
+func (p *passing) startNode(name string) {
+	at := qt.Commentf("%s: %s", p.place, name)
+	mux := &link.Mux{}
+	listener, err := p.net.Listen(name + ":80")
+	qt.Assert(p.T, err, qt.IsNil, at)
+	peers, err := InMemory(p.net).Peers(name, mux)
+	qt.Assert(p.T, err, qt.IsNil, at)
+	dial := p.net.Dial(name)
+	calls := &platform.Store{Address: p.url, Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+	n := &passNode{peers: peers, Node: &node.Node{
+		Process: config.Process{
+			Name: ident.NodeID(name), Zone: "z", Region: "r", CallerAddress: name + ":80", PeerAddress: peers.Address,
+			Repeats: config.Repeats{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+		},
+		Store: &store.Client{Service: calls.Service()}, Open: peers.Open, Log: log.New(io.Discard),
+		Platform: &node.Platform{
+			SettingsTable: platform.OperatorTable, SettingsKey: platform.SettingsKey,
+			EndpointTable: platform.EndpointTable, SettingsVersion: platform.SettingsVersion,
+			ParseSettings: platform.ParseSettings, ParseEndpoint: platform.ParseEndpoint, Dialect: platform.Dialect(),
+		},
+		DialEndpoint: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
+	}}
+	n.Prepare(mux, resumeKey)
+	n.server = n.Door().Server()
+	n.server.ErrorLog = quiet()
+	go n.server.Serve(listener) //nolint:errcheck // it ends with Close.
+	p.nodes[name] = n
+	go n.Start(context.Background())
+}
+
+func (p *passing) engine(names []string, given map[string]string) {
+	for _, name := range names {
+		e := &passEngine{next: engine.Behaviour{Last: 3, Pace: 10 * time.Millisecond}}
+		e.ID = name
+		e.Next = func() engine.Behaviour {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.next
+		}
+		l, err := p.net.Listen(name + ":80")
+		qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.place))
+		e.listener = l
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go e.Serve(c)
+			}
+		}()
+		service := "llm"
+		if given["service"] != "" {
+			service = given["service"]
+		}
+		e.entry = map[string]any{"service": service, "address": name + ":80", "zone": "z", "slots": 4, "state": "ready", "seq": 1}
+		p.engines[name] = e
+		p.list(name)
+	}
+}
+
+func (p *passing) list(name string) { p.put("servers", name, p.engines[name].entry) }
+
+func (p *passing) put(table, key string, value any) {
+	raw, err := json.Marshal(value)
+	qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.place))
+	p.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: table, Key: key, Value: raw}}})
+}
+
+func (p *passing) answers(names []string, given map[string]string) {
+	for _, name := range names {
+		e := p.engines[name]
+		e.mu.Lock()
+		e.next = engine.Behaviour{
+			Status: p.number(given, "status", 0), Body: given["body"], Last: p.number(given, "events", 0),
+			Ending: engine.Ending(given["ending"]), Pace: p.span(given["pace"]), Drop: given["drop"] == "yes",
+			NotRun: given["not_run"] == "yes",
+		}
+		e.mu.Unlock()
+	}
+}
+
+func (p *passing) number(given map[string]string, key string, otherwise int) int {
+	if given[key] == "" {
+		return otherwise
+	}
+	n, err := strconv.Atoi(given[key])
+	qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.place))
+	return n
+}
+
+func (p *passing) span(text string) time.Duration {
+	if text == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(text)
+	qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.place))
+	return d
+}
+
+// route adds a route of the settings that are written next.
+func (p *passing) route(names []string, given map[string]string) {
+	kind := given["kind"]
+	if kind == "" {
+		kind = "stream"
+	}
+	service := given["service"]
+	if service == "" {
+		service = "llm"
+	}
+	p.routes = slices.DeleteFunc(p.routes, func(r map[string]any) bool { return r["name"] == names[0] })
+	if given["drop"] == "yes" {
+		return
+	}
+	p.routes = append(p.routes, map[string]any{
+		"name": names[0], "host": "h.example", "prefix": "/" + names[0] + "/", "kind": kind, "service": service,
+		"timeout_ms": p.number(given, "timeout_ms", 5000), "target_latency_ms": p.number(given, "target_ms", 1000),
+		"gap_aim_ms": 400, "attempts": p.number(given, "attempts", 1), "resumable": given["resumable"] == "yes",
+	})
+}
+
+func (p *passing) account(names []string, given map[string]string) {
+	p.tenants = slices.DeleteFunc(p.tenants, func(t map[string]any) bool { return t["name"] == names[0] })
+	p.tenants = append(p.tenants, map[string]any{
+		"name": names[0], "api_keys": strings.Split(given["keys"], ","), "unit": "token_stream", "plain_tokens": 100,
+		"rate_per_s": p.number(given, "rate", 0), "burst": p.number(given, "burst", 0), "priority": 1,
+	})
+}
+
+func (p *passing) settings([]string, map[string]string) {
+	p.version += 3
+	p.put("op", "config", map[string]any{
+		"version": p.version, "routes": p.routes, "tenants": p.tenants,
+		"services": []map[string]any{
+			{"name": "llm", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "increment": 1}},
+			{"name": "app"},
+		},
+	})
+}
+
+// state changes or removes an endpoint's entry.
+func (p *passing) state(names []string, given map[string]string) {
+	for _, name := range names {
+		if given["is"] == "gone" {
+			p.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: "servers", Key: name}}})
+			continue
+		}
+		p.engines[name].entry["state"] = given["is"]
+		p.list(name)
+	}
+}
+
+// oddEntry writes an endpoint's entry that is not as it should be.
+func (p *passing) oddEntry(names []string, given map[string]string) {
+	p.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: "servers", Key: names[0], Value: []byte(given["text"])}}})
+}
+
+// send starts a request; its outcome is looked at with want.
+func (p *passing) send(names []string, given map[string]string) {
+	for _, name := range names {
+		call := &passCall{}
+		p.calls[name] = call
+		req, err := http.NewRequest(http.MethodPost, "http://"+given["to"]+":80/"+given["route"]+"/x", strings.NewReader("body")) //nolint:noctx // it ends with the test.
+		qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.place))
+		req.Host = "h.example"
+		req.Header.Set(engine.AttemptHeader, name)
+		req.Header.Set("X-Api-Key", given["key"])
+		if given["tokens"] != "" {
+			req.Header.Set("Goldcrestwick-Token-Counts", given["tokens"])
+		}
+		if given["deadline_ms"] != "" {
+			req.Header.Set("Goldcrestwick-Deadline-Ms", given["deadline_ms"])
+		}
+		p.running.Go(func() { call.do(req, p.net) })
+	}
+	// What has been sent is at its node before the next line.
+	time.Sleep(time.Millisecond)
+	synctest.Wait()
+}
+
+func (c *passCall) do(req *http.Request, n *pipes.Net) {
+	began := time.Now()
+	client := http.Client{Transport: &http.Transport{DialContext: n.Dial(callerHost), DisableKeepAlives: true}}
+	defer func() { c.took, c.settled = time.Since(began), true }()
+	resp, err := client.Do(req)
+	if err != nil {
+		c.err = err
+		return
+	}
+	defer resp.Body.Close() //nolint:errcheck // read to its end.
+	c.status, c.retry = resp.StatusCode, resp.Header.Get("Retry-After")
+	raw, err := io.ReadAll(resp.Body)
+	c.body, c.whole = string(raw), err == nil
+}
+
+// want checks a request's outcome: status=, whole=, events=, retry=yes,
+// within=, open=yes.
+func (p *passing) want(names []string, given map[string]string) {
+	for _, name := range names {
+		c := p.calls[name]
+		at := qt.Commentf("%s: %s: %+v", p.place, name, c)
+		if given["open"] == "yes" {
+			qt.Check(p.T, c.settled, qt.IsFalse, at)
+			continue
+		}
+		qt.Assert(p.T, c.settled, qt.IsTrue, at)
+		if given["closed"] == "yes" {
+			qt.Check(p.T, c.err != nil, qt.IsTrue, at)
+			continue
+		}
+		qt.Check(p.T, c.err, qt.IsNil, at)
+		qt.Check(p.T, c.status, qt.Equals, p.number(given, "status", http.StatusOK), at)
+		qt.Check(p.T, c.whole, qt.Equals, given["whole"] != "no", at)
+		if given["events"] != "" {
+			qt.Check(p.T, strings.Count(c.body, "id: "), qt.Equals, p.number(given, "events", 0), at)
+		}
+		if given["retry"] == "yes" {
+			qt.Check(p.T, c.retry != "", qt.IsTrue, at)
+		}
+		if given["within"] != "" {
+			qt.Check(p.T, c.took <= p.span(given["within"]), qt.IsTrue, at)
+		}
+	}
+}
+
+func (p *passing) arrivals(names []string, given map[string]string) {
+	total := 0
+	for _, name := range names {
+		total += len(p.engines[name].Arrivals())
+	}
+	qt.Check(p.T, total, qt.Equals, p.number(given, "are", 0), qt.Commentf("%s: %v", p.place, names))
+}
+
+func (p *passing) wait(names []string, _ map[string]string) {
+	time.Sleep(p.span(names[0]))
+	synctest.Wait()
+}
+
+// hosts returns the machines that names stand for: owner=POOL is the node that
+// runs the pool's cell.
+func (p *passing) hosts(names []string, given map[string]string) []string {
+	if pool := given["owner"]; pool != "" {
+		for _, n := range p.nodes {
+			if owner, ok := n.Cells().Owner(ident.CellID{Pool: ident.PoolID("platform/" + pool)}); ok {
+				return append(names, string(owner.ID))
+			}
+		}
+	}
+	return names
+}
+
+func (p *passing) freeze(names []string, given map[string]string) {
+	for _, host := range p.hosts(names, given) {
+		p.net.Freeze(host, true)
+	}
+}
+
+func (p *passing) thaw([]string, map[string]string) { p.net.Heal() }
+func (p *passing) heal([]string, map[string]string) { p.net.Heal() }
+
+func (p *passing) cut(names []string, _ map[string]string) {
+	p.net.Cut(names[0], names[1], true)
+	p.net.Cut(names[1], names[0], true)
+}
+
+func (p *passing) kill(names []string, _ map[string]string) {
+	for _, name := range names {
+		p.nodes[name].kill()
+		delete(p.nodes, name)
+	}
+}
+
+func (p *passing) restart(names []string, _ map[string]string) {
+	for _, name := range names {
+		p.nodes[name].kill()
+		p.net.Revive(name)
+		p.startNode(name)
+	}
+}
+
+// leave stops a node gracefully, as the entry command does.
+func (p *passing) leave(names []string, _ map[string]string) {
+	n := p.nodes[names[0]]
+	p.running.Go(func() {
+		n.Door().Leave()
+		n.Leave()
+		time.Sleep(3 * time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		defer cancel()
+		if err := n.server.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			p.Errorf("shut down: %v", err)
+		}
+	})
+	synctest.Wait()
+}
+
+// ready checks which nodes say that they are ready.
+func (p *passing) ready(names []string, given map[string]string) {
+	for _, name := range names {
+		qt.Check(p.T, p.nodes[name].IsReady(), qt.Equals, given["is"] != "no", qt.Commentf("%s: %s", p.place, name))
+	}
+}
+
+var storeStates = map[string]cloud.Fault{
+	"down": {Down: true}, "busy": {Busy: true}, "slow": {Delay: 3 * time.Second}, "loses_answers": {LoseAnswer: true},
+}
+
+func (p *passing) store(names []string, _ map[string]string) {
+	if names[0] == "up" {
+		p.cloud.SetFault(nil)
+		return
+	}
+	if names[0] == "drop_history" {
+		p.cloud.DropHistory()
+		return
+	}
+	fault, ok := storeStates[names[0]]
+	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf(p.place))
+	p.cloud.SetFault(func(cloud.Op) cloud.Fault { return fault })
+}
