--- a/internal/connection/door/door.go
+++ b/internal/connection/door/door.go
@@ -216,7 +216,7 @@
 	d.Meter.Refused("", string(refusal.Reason), string(refusal.Run))
 	d.Log.Info("request_refused", "request_id", string(req.ID), "reason", refusal.Reason, "run", refusal.Run,
 		"status", status, "retry_after", refusal.RetryAfter, "message", refusal.Message,
-		"route", routeName(req.Route), "caller_gone", r.Context().Err() != nil,
+		"account", accountName(req.Account), "route", routeName(req.Route), "caller_gone", r.Context().Err() != nil,
 		"took", time.Since(req.Arrived), "settings_version", uint64(req.Version))
 	w.Header().Set("Content-Type", "application/json")
 	if refusal.RetryAfter > 0 && refusal.Run == refuse.NotRun {
@@ -227,12 +227,19 @@
 }
 
 func (d *Door) note(req *pass.Request, result pass.Result) {
-	d.Log.Info("request_ended", "request_id", string(req.ID), "route", req.Route.Name, "pool", req.Pool.ID,
+	d.Log.Info("request_ended", "request_id", string(req.ID), "account", accountName(req.Account), "route", req.Route.Name, "pool", req.Pool.ID,
 		"endpoint", result.Endpoint, "status", result.Status, "attempts", result.Attempts, "cut", result.Cut,
 		"reason", result.Reason, "first_answer", result.FirstAnswer, "took", time.Since(req.Arrived),
 		"settings_version", uint64(req.Version))
 }
 
+func accountName(a *config.Account) ident.ClientAccount {
+	if a == nil {
+		return ""
+	}
+	return a.ID
+}
+
 func routeName(r *config.Route) string {
 	if r == nil {
 		return ""
--- a/internal/request/pass/script_test.go
+++ b/internal/request/pass/script_test.go
@@ -213,7 +213,7 @@
 	s.order = append(s.order, name)
 }
 
-func (s *script) bid(_ context.Context, j *entry.Job) (*entry.Grant, *refuse.Refusal) {
+func (s *script) bid(context.Context, *entry.Job) (*entry.Grant, *refuse.Refusal) {
 	if s.granted >= len(s.order) {
 		return nil, refuse.New(refuse.Overload, "no more endpoints")
 	}
