Let the next nodes stand in for a silent cell node, and believe endpoints' own counts

Change: the next two nodes in the cell's order stand in, one bid at a time tries a silent node again, a node that reaches none keeps to its even part of the slots; an answer's count of running and waiting requests shows what other cells granted; a bid waits for its target less the time to the first token.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -98,6 +98,8 @@
 	First    int64    `cbor:"14,keyasint,omitempty"` // nanoseconds to the first token
 	Zone     string   `cbor:"15,keyasint,omitempty"`
 	Avoid    []string `cbor:"16,keyasint,omitempty"`
+	// Standby asks a node that does not run the cell to stand in.
+	Standby bool `cbor:"17,keyasint,omitempty"`
 }
 
 // FromBid maps a bid for a cell.
@@ -185,8 +187,21 @@
 	}
 }
 
-// Started says that a request left its prefill phase.
-type Started struct{}
+// Started says that a request left its prefill phase, and how many requests its
+// endpoint had; Known is false where it does not say.
+type Started struct {
+	Known   bool `cbor:"1,keyasint,omitempty"`
+	Running int  `cbor:"2,keyasint,omitempty"`
+	Waiting int  `cbor:"3,keyasint,omitempty"`
+}
+
+// FromOccupancy maps an endpoint's count, nil where it is not known.
+func FromOccupancy(o *sched.Occupancy) Started {
+	if o == nil {
+		return Started{}
+	}
+	return Started{true, o.Running, o.Waiting}
+}
 
 // Progress tells the mean time between tokens of late, in nanoseconds.
 type Progress struct {
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -21,8 +21,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,8 +59,6 @@
 	// before it decides without it: several round trips and the node's own
 	// pauses.
 	BidPatience = 300 * time.Millisecond
-	// silentTime is how long a node that did not answer a bid is passed over.
-	silentTime = 700 * time.Millisecond
 )
 
 // Manager runs cells. Set the exported fields before use.
@@ -70,6 +66,8 @@
 	Self    func() member.Member
 	Members func() *member.View
 	Tree    func() *config.Tree
+	// Missed returns how many members lately went missing; nil is none.
+	Missed func() int
 	// Open reaches the other nodes.
 	Open link.Opener
 	// Held returns the granted requests of a cell that this node's entry side
@@ -94,9 +92,9 @@
 	retired map[ident.CellID]*sched.Cell
 	members map[ident.NodeID]bool
 	// standby holds the cells that decide while their node is silent, silent
-	// until when a node is passed over.
-	standby map[ident.CellID]*sched.Cell
-	silent  map[ident.NodeID]time.Time
+	// the nodes that are passed over.
+	standby map[standbyKey]*sched.Cell
+	silent  map[ident.NodeID]*silence
 	tasks   sync.WaitGroup
 	ctx     context.Context
 }
@@ -147,6 +145,16 @@
 	return true
 }
 
+// Owners returns the ready nodes in the order in which they stand in for a
+// cell's node, which is the first.
+func (m *Manager) Owners(id ident.CellID) []member.Member {
+	self := m.Self()
+	if m.Policy != sched.Fair {
+		return []member.Member{self}
+	}
+	return member.Ranked(m.Members().Ready(self.Region), id.String())
+}
+
 // Owner returns the node that runs a cell by this node's view.
 func (m *Manager) Owner(id ident.CellID) (member.Member, bool) {
 	self := m.Self()
@@ -166,62 +174,6 @@
 	return nil
 }
 
-// Silent notes that a node did not answer a bid.
-func (m *Manager) Silent(id ident.NodeID) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.silent == nil {
-		m.silent = map[ident.NodeID]time.Time{}
-	}
-	m.silent[id] = time.Now().Add(silentTime)
-}
-
-// IsSilent reports whether a node lately did not answer a bid.
-func (m *Manager) IsSilent(id ident.NodeID) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return time.Now().Before(m.silent[id])
-}
-
-// Standby returns a cell of this node's own that stands in for one whose node
-// is silent. It knows only what this node has in flight, so the endpoints may
-// get more work than their windows say; nothing else follows.
-func (m *Manager) Standby(id ident.CellID) *sched.Cell {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if c := m.standby[id]; c != nil {
-		return c
-	}
-	pool := m.Tree().Pool(id.Pool)
-	if pool == nil {
-		return nil
-	}
-	if m.standby == nil {
-		m.standby = map[ident.CellID]*sched.Cell{}
-	}
-	c := m.newCell(id, pool, &owned{})
-	m.standby[id] = c
-	m.configureStandby()
-	return c
-}
-
-// configureStandby gives the standby cells their present endpoints.
-func (m *Manager) configureStandby() {
-	for id, c := range m.standby {
-		pool := m.Tree().Pool(id.Pool)
-		if pool == nil {
-			delete(m.standby, id)
-			c.Close()
-			continue
-		}
-		for _, cell := range m.Roster().Cells(id.Pool) {
-			if cell.ID == id {
-				c.Configure(pool, cell.Endpoints)
-			}
-		}
-	}
-}
-
 // find returns a cell that this node runs or lately ran.
 func (m *Manager) find(id ident.CellID) *sched.Cell {
 	if c := m.Local(id); c != nil {
@@ -368,10 +320,7 @@
 	for _, o := range m.cells() {
 		o.cell.Tick()
 	}
-	m.mu.Lock()
-	standby := slices.Collect(maps.Values(m.standby))
-	m.mu.Unlock()
-	for _, c := range standby {
+	for _, c := range m.standbyCells() {
 		c.Tick()
 	}
 }
--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -25,6 +25,9 @@
 // same stream until it ends.
 func (m *Manager) serveBid(_ context.Context, s *link.Stream, message wire.Bid) {
 	cell := m.Local(message.CellID())
+	if cell == nil && message.Standby {
+		cell = m.Standby(message.CellID(), false)
+	}
 	if cell == nil {
 		moved := sched.Answer{Outcome: sched.Moved, Reason: sched.ReasonCellMoved}
 		s.Send(wire.KindAnswer, wire.FromAnswer(moved)) //nolint:errcheck // the bidder sees the stream end.
@@ -92,6 +95,9 @@
 	for f := range frames {
 		switch f.kind {
 		case wire.KindStarted:
+			if started, err := link.Decode[wire.Started](f.body); err == nil && started.Known {
+				cell.Occupied(id, sched.Occupancy{Running: started.Running, Waiting: started.Waiting})
+			}
 			cell.FirstToken(id)
 		case wire.KindProgress:
 			if p, err := link.Decode[wire.Progress](f.body); err == nil {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -157,7 +157,8 @@
 	}
 	n.cells = cells.Manager{
 		Self: n.members.Self, Members: n.members.View, Tree: n.tree.Load, Open: n.Open,
-		Held: n.entry.Held, Policy: n.Policy, Observe: n.observe,
+		Missed: func() int { return n.members.Missed(missedTime) },
+		Held:   n.entry.Held, Policy: n.Policy, Observe: n.observe,
 		Clock: &n.clock,
 	}
 	if n.Platform == nil {
--- a/internal/process/sched/bid.go
+++ b/internal/process/sched/bid.go
@@ -157,6 +157,12 @@
 	Draining bool
 }
 
+// Occupancy is an endpoint's count of its requests, as it was when it began an
+// answer.
+type Occupancy struct {
+	Running, Waiting int
+}
+
 // Held is one granted request as an entry node announces it to a cell's new
 // node.
 type Held struct {
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -183,8 +183,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if g := c.inflight[id]; g != nil {
+		now := c.now()
+		if !g.started && !g.adopted {
+			s := &c.service[g.lane]
+			s.first = blend(s.first, now.Sub(g.granted))
+		}
 		c.start(g)
-		c.pump(c.now())
+		c.pump(now)
+	}
+}
+
+// Occupied records an endpoint's own count of its requests, told in the answer
+// to a granted one.
+func (c *Cell) Occupied(id ident.RequestID, o Occupancy) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if g := c.inflight[id]; g != nil {
+		g.endpoint.occupied(o, c.now())
 	}
 }
 
--- a/internal/process/sched/cell_test.go
+++ b/internal/process/sched/cell_test.go
@@ -47,7 +47,7 @@
 		for _, s := range k.cell.queues[tier].active {
 			b := s.heap[0]
 			for _, e := range k.cell.endpoints {
-				if e.reserved != k.cell.round && e.isOpen(now) && e.fits(b.charge, b.Prompt, k.cell.Pool.FirstToken) {
+				if e.reserved != k.cell.round && e.isOpen(now) && e.fits(b.charge, b.Prompt, k.cell.Pool.FirstToken, now) {
 					k.fault = fmt.Sprintf("%s of tier %d was granted while %s of tier %d fits %s", granted.Request, granted.Tier, b.Request, tier, e.ID)
 				}
 			}
--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -55,6 +55,9 @@
 	defaultCacheTokens ident.Tokens = 64 << 10
 	// reportLife is the age from which a load report counts for nothing.
 	reportLife = 5 * time.Second
+	// foreignLife is the age from which a count of foreign requests counts for
+	// nothing: about a mean answer.
+	foreignLife = 1500 * time.Millisecond
 )
 
 type health uint8
@@ -93,6 +96,10 @@
 	reported time.Time
 	// sinceReport counts the grants made since the report was true.
 	sinceReport int
+	// foreign is the number of requests there that this cell did not grant, by
+	// the endpoint's own count at foreignAt.
+	foreign   int
+	foreignAt time.Time
 	// reserved holds the round in which a waiting bid laid claim to the next
 	// free room.
 	reserved uint64
@@ -133,11 +140,12 @@
 
 // fits reports whether a request has room. An idle endpoint takes a request of
 // any length, so that none is too long for every window.
-func (e *endpoint) fits(charge, uncached ident.Tokens, firstToken time.Duration) bool {
-	if e.running == 0 {
+func (e *endpoint) fits(charge, uncached ident.Tokens, firstToken time.Duration, now time.Time) bool {
+	foreign := e.foreignNow(now)
+	if e.running+foreign == 0 {
 		return true
 	}
-	if e.health != healthy || !e.hasRoom(charge) {
+	if e.health != healthy || !e.hasRoom(charge, foreign) {
 		return false
 	}
 	return e.backlog == 0 || e.prefillTime(e.backlog+uncached) <= firstToken
@@ -145,11 +153,28 @@
 
 // hasRoom compares with the slots and the memory where they are known, and
 // else with the window.
-func (e *endpoint) hasRoom(charge ident.Tokens) bool {
+func (e *endpoint) hasRoom(charge ident.Tokens, foreign int) bool {
 	if e.Slots == 0 {
 		return e.used+charge <= e.window
 	}
-	return e.running < e.Slots && (e.CacheTokens == 0 || e.used+charge <= e.CacheTokens)
+	return e.running+foreign < e.Slots && (e.CacheTokens == 0 || e.used+charge <= e.CacheTokens)
+}
+
+// occupied takes the endpoint's count of its requests. What is granted and not
+// there yet makes the rest look smaller, never larger.
+func (e *endpoint) occupied(o Occupancy, now time.Time) {
+	e.foreign = max(o.Running+o.Waiting-e.running, 0)
+	e.foreignAt = now
+}
+
+// foreignNow is the number of foreign requests, which counts for less as the
+// word on it ages.
+func (e *endpoint) foreignNow(now time.Time) int {
+	if e.foreign == 0 {
+		return 0
+	}
+	left := 1 - float64(now.Sub(e.foreignAt))/float64(foreignLife)
+	return int(max(left, 0)*float64(e.foreign) + 0.5)
 }
 
 func (e *endpoint) prefillTime(tokens ident.Tokens) time.Duration {
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -10,6 +10,7 @@
 
 type grant struct {
 	node     ident.NodeID
+	lane     ident.Tier
 	endpoint *endpoint
 	charge   ident.Tokens
 	uncached ident.Tokens
@@ -110,7 +111,7 @@
 			continue
 		}
 		uncached := c.uncached(b, e)
-		if !e.fits(b.charge, uncached, c.firstToken(b)) {
+		if !e.fits(b.charge, uncached, c.firstToken(b), now) {
 			if soonest == nil || e.window-e.used > soonest.window-soonest.used {
 				soonest = e
 			}
@@ -162,7 +163,7 @@
 	}
 	g := c.newGrant()
 	*g = grant{
-		node: b.Node, endpoint: e, charge: b.charge, uncached: b.Prompt - cached,
+		node: b.Node, lane: b.lane, endpoint: e, charge: b.charge, uncached: b.Prompt - cached,
 		cached: cached, granted: now, backlog: e.backlog, prefix: b.Prefix,
 	}
 	e.admit(g.charge, g.uncached)
--- a/internal/process/sched/lane.go
+++ b/internal/process/sched/lane.go
@@ -17,6 +17,8 @@
 	// minArrivals is the weight of arrivals below which a lane's service is not
 	// judged.
 	minArrivals = 4.0
+	// leastPatience is the part of its target that a bid may wait in any case.
+	leastPatience = 0.25
 )
 
 // service counts the arrivals and grants of one lane, older ones less and
@@ -24,6 +26,8 @@
 type service struct {
 	arrived, granted float64
 	at               time.Time
+	// first is the mean time from a grant to the first token of late.
+	first time.Duration
 }
 
 func (s *service) advance(now time.Time) {
@@ -83,9 +87,12 @@
 	return lane, s, ok
 }
 
-// patience is how long a bid is worth waiting for: past its target the answer
-// is late in any case, and its room serves another in time.
-func (b *Bid) patience() time.Duration { return b.FirstToken }
+// patience is how long a bid is worth waiting for: its target less what its
+// first token takes once it is granted. Past it the answer is late in any case,
+// and its room serves another in time.
+func (c *Cell) patience(b *Bid) time.Duration {
+	return max(b.FirstToken-c.service[b.lane].first, time.Duration(leastPatience*float64(b.FirstToken)))
+}
 
 // laneWait estimates how long the last bid of a lane waits, from the lane's
 // own rate of grants.
--- a/internal/process/sched/refuse.go
+++ b/internal/process/sched/refuse.go
@@ -74,7 +74,7 @@
 		return false
 	}
 	if b.FirstToken > 0 {
-		return c.laneWait(tier, c.now()) > b.patience()
+		return c.laneWait(tier, c.now()) > c.patience(b)
 	}
 	return c.waitOf(tier) > time.Duration(hopelessFactor*float64(b.Deadline.Sub(c.now())))
 }
@@ -169,7 +169,7 @@
 // isPastPatience reports whether a bid has waited for as long as it is worth,
 // and no lower lane waits that would have to go first.
 func (c *Cell) isPastPatience(b *Bid, now time.Time) bool {
-	return b.FirstToken > 0 && now.Sub(b.arrived) > b.patience() && c.last[b.lane] >= c.last[c.lowestWaiting()]
+	return b.FirstToken > 0 && now.Sub(b.arrived) > c.patience(b) && c.last[b.lane] >= c.last[c.lowestWaiting()]
 }
 
 func isPressing(b *Bid, now time.Time) bool {
--- a/internal/request/entry/bid.go
+++ b/internal/request/entry/bid.go
@@ -26,9 +26,10 @@
 	Answer sched.Answer
 	// Received is when the answer came, from which its life counts.
 	Received time.Time
-	// Started tells the cell that the first token came, Progress the time
-	// between tokens of late, End how the request went.
-	Started  func()
+	// Started tells the cell that the first token came and how many requests
+	// the endpoint had, if known; Progress the time between tokens of late, End
+	// how the request went.
+	Started  func(*sched.Occupancy)
 	Progress func(between time.Duration)
 	End      func(sched.Ending)
 }
@@ -144,21 +145,61 @@
 	if local := e.Cells.Local(cell); local != nil {
 		return e.bidLocally(ctx, b, local)
 	}
-	owner, ok := e.Cells.Owner(cell)
-	if !ok || owner.ID == e.Self {
-		return &Grant{Answer: sched.Answer{Outcome: sched.Moved}}
-	}
-	if !e.Cells.IsSilent(owner.ID) {
-		if g, heard := e.bidRemotely(ctx, b, cell, owner, j.Version); heard || ctx.Err() != nil {
+	owners := e.Cells.Owners(cell)
+	for i, owner := range owners[:min(len(owners), maxOwners)] {
+		isStandby := i > 0
+		if owner.ID == e.Self {
+			if g, ok := e.bidHere(ctx, b, cell, isStandby); ok {
+				return g
+			}
+			break
+		}
+		if e.Cells.IsSilent(owner.ID) {
+			continue
+		}
+		g, heard := e.bidRemotely(ctx, b, remoteCell{cell, owner, isStandby, j.Version})
+		if heard {
+			e.Cells.Heard(owner.ID)
+		}
+		if heard || ctx.Err() != nil {
 			return g
 		}
 		e.Cells.Silent(owner.ID)
 		e.note(j, trace.Record{Event: trace.Silent, Cell: cell.String(), Reason: string(owner.ID)})
 	}
-	if standby := e.Cells.Standby(cell); standby != nil {
-		return e.bidLocally(ctx, b, standby)
+	if alone := e.Cells.Standby(cell, true); alone != nil {
+		return e.bidLocally(ctx, b, alone)
+	}
+	return moved()
+}
+
+// maxOwners bounds the nodes that stand in for a cell before a node decides
+// alone.
+const maxOwners = 3
+
+func moved() *Grant { return &Grant{Answer: sched.Answer{Outcome: sched.Moved}} }
+
+// bidHere bids where this node is the cell's own or stands in. It returns false
+// when the cell is not known here.
+func (e *Entry) bidHere(ctx context.Context, b *sched.Bid, cell ident.CellID, isStandby bool) (*Grant, bool) {
+	if !isStandby {
+		// The cell's node by this node's view, which has not begun yet.
+		return moved(), true
+	}
+	standby := e.Cells.Standby(cell, false)
+	if standby == nil {
+		return nil, false
 	}
-	return &Grant{Answer: sched.Answer{Outcome: sched.Moved}}
+	return e.bidLocally(ctx, b, standby), true
+}
+
+// remoteCell is a cell at another node.
+type remoteCell struct {
+	id    ident.CellID
+	owner member.Member
+	// isStandby is set when the node stands in for the cell's own.
+	isStandby bool
+	version   ident.Version
 }
 
 // bidLocally bids at a cell of this node, without any message.
@@ -170,7 +211,7 @@
 		case <-woken:
 		case <-ctx.Done():
 			if cell.Cancel(b) {
-				return &Grant{Answer: sched.Answer{Outcome: sched.Moved}}
+				return moved()
 			}
 			<-woken
 		}
@@ -180,7 +221,12 @@
 		return s
 	}
 	e.hold(cell.ID, heldOf(b, s))
-	s.Started = func() { cell.FirstToken(b.Request) }
+	s.Started = func(o *sched.Occupancy) {
+		if o != nil {
+			cell.Occupied(b.Request, *o)
+		}
+		cell.FirstToken(b.Request)
+	}
 	s.Progress = func(between time.Duration) { cell.Progress(b.Request, between) }
 	s.End = func(end sched.Ending) {
 		e.unhold(cell.ID, b.Request)
@@ -200,26 +246,27 @@
 // request runs; when it breaks before the answer, nothing has been dispatched
 // and the bid can be repeated. Heard is false when the node gave no sign of
 // life for longer than patience allows.
-func (e *Entry) bidRemotely(ctx context.Context, b *sched.Bid, cell ident.CellID, owner member.Member, version ident.Version) (g *Grant, heard bool) {
-	moved := &Grant{Answer: sched.Answer{Outcome: sched.Moved}}
+func (e *Entry) bidRemotely(ctx context.Context, b *sched.Bid, at remoteCell) (g *Grant, heard bool) {
+	cell := at.id
 	opening, cancel := context.WithTimeout(ctx, cells.BidPatience)
-	stream, err := e.Open(opening, owner.PeerAddress)
+	stream, err := e.Open(opening, at.owner.PeerAddress)
 	cancel()
 	if err != nil {
-		return moved, false
+		return moved(), false
 	}
-	bid := wire.FromBid(b, cell, version, time.Now())
+	bid := wire.FromBid(b, cell, at.version, time.Now())
+	bid.Standby = at.isStandby
 	bid.Clock = uint64(e.Clock.Now())
 	if stream.Send(wire.KindBid, bid) != nil {
 		stream.Close() //nolint:errcheck // broken already.
-		return moved, false
+		return moved(), false
 	}
 	stop := context.AfterFunc(ctx, func() { stream.Close() }) //nolint:errcheck // unblocks Receive.
 	body, err := receiveAnswer(stream)
 	stop()
 	if err != nil {
 		stream.Close() //nolint:errcheck // broken already.
-		return moved, !errors.Is(err, os.ErrDeadlineExceeded)
+		return moved(), !errors.Is(err, os.ErrDeadlineExceeded)
 	}
 	message, err := link.Decode[wire.Answer](body)
 	e.Clock.Observe(clock.Time(message.Clock))
@@ -229,7 +276,9 @@
 		return s, true
 	}
 	e.hold(cell, heldOf(b, s))
-	s.Started = func() { stream.Send(wire.KindStarted, wire.Started{}) } //nolint:errcheck // the end is told again.
+	s.Started = func(o *sched.Occupancy) {
+		stream.Send(wire.KindStarted, wire.FromOccupancy(o)) //nolint:errcheck // the end is told again.
+	}
 	s.Progress = func(between time.Duration) {
 		stream.Send(wire.KindProgress, wire.Progress{Between: int64(between)}) //nolint:errcheck // the end is told again.
 	}
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -161,7 +161,7 @@
 	e.note(j, trace.Record{Event: trace.Dispatched, Endpoint: s.Answer.Endpoint})
 	run := &relay.Run{
 		Outlet: e.Outlet, Address: s.Answer.Address, Endpoint: s.Answer.Endpoint,
-		Request: j.Request, Sink: sink, Started: s.Started, Progress: s.Progress, Timeout: j.Pool.CallTimeout,
+		Request: j.Request, Sink: sink, Started: func() { s.Started(nil) }, Progress: s.Progress, Timeout: j.Pool.CallTimeout,
 	}
 	if j.Pool.Kind == ident.ApplicationRunner {
 		result = run.Service(ctx)
--- a/internal/request/pass/attempt.go
+++ b/internal/request/pass/attempt.go
@@ -65,6 +65,8 @@
 	try    *try
 	grant  *entry.Grant
 	sentAt time.Time
+	// occupancy is the endpoint's count of its requests, nil if not said.
+	occupancy *sched.Occupancy
 	// sending is closed when the body has left, nil when it has already.
 	sending chan error
 }
@@ -88,6 +90,7 @@
 		return x.fail(ctx, "the endpoint refused without saying that it did not run the request")
 	}
 	x.try.mayHaveRun = true
+	x.occupancy = said.Occupancy
 	if isSuccess(resp.StatusCode) && x.try.isStream() {
 		return x.stream(ctx, resp)
 	}
@@ -225,6 +228,7 @@
 		return x.fail(ctx, "the answer broke off: "+err.Error())
 	}
 	took := time.Since(x.sentAt)
+	x.grant.Started(x.occupancy)
 	isFailure := resp.StatusCode >= http.StatusInternalServerError
 	out := outcome{ending: sched.Ending{FirstToken: took, Erred: isFailure}}
 	if len(body) > maxWhole {
--- a/internal/request/pass/pass.go
+++ b/internal/request/pass/pass.go
@@ -84,6 +84,8 @@
 	NotRun bool
 	// IsSigned is set on answers of a run.
 	IsSigned bool
+	// Occupancy is the endpoint's count of its requests; nil is not said.
+	Occupancy *sched.Occupancy
 }
 
 // Dialect maps headers between the product and one platform.
--- a/internal/request/pass/script_test.go
+++ b/internal/request/pass/script_test.go
@@ -221,7 +221,7 @@
 	s.granted++
 	return &entry.Grant{
 		Answer:   sched.Answer{Outcome: sched.Granted, Endpoint: name, Address: string(name), Life: time.Second},
-		Received: time.Now(), Started: func() {}, Progress: func(time.Duration) {},
+		Received: time.Now(), Started: func(*sched.Occupancy) {}, Progress: func(time.Duration) {},
 		End: func(e sched.Ending) { s.endings = append(s.endings, e) },
 	}, nil
 }
--- a/internal/request/pass/stream.go
+++ b/internal/request/pass/stream.go
@@ -165,7 +165,7 @@
 	p.count++
 	if p.count == 1 {
 		p.first, p.told, p.toldCount = now, now, 1
-		x.grant.Started()
+		x.grant.Started(x.occupancy)
 		return
 	}
 	if took := now.Sub(p.told); took >= progressTime {
