Tell callers to come back when the overload will likely be over

An overload that has lasted for a time is expected to last as long again; times are spread by a quarter.

--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -54,9 +54,13 @@
 	// stayDecay is what a request still counts after the next one ended.
 	stayDecay = 0.99
 
-	// leastRatio is the least served part that a time to come back is taken
-	// from.
-	leastRatio = 0.1
+	// overloadGap is the time without a refusal after which an overload is over.
+	overloadGap = 2 * time.Second
+	// maxReturn bounds the time to come back: callers honour up to a third of
+	// the time that they have left, about 5 s of the longest deadlines.
+	maxReturn = 5 * time.Second
+	// returnSpread is the part by which times to come back differ.
+	returnSpread = 0.25
 
 	minRetryAfter = time.Second
 	maxRetryAfter = time.Minute
@@ -111,7 +115,11 @@
 	closed   bool
 	paused   bool
 	stay     stay
-	service  [ident.MaxTiers]service
+	// overloadSince is when the present overload began, lastShed the latest
+	// refusal.
+	overloadSince, lastShed time.Time
+
+	service [ident.MaxTiers]service
 	// last holds, for each lane, the last lane that shares its service.
 	last [ident.MaxTiers]ident.Tier
 	// lowest is the lowest tier granted; Pause and Resume set it.
--- a/internal/process/sched/refuse.go
+++ b/internal/process/sched/refuse.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"goldcrestwick/internal/request/ident"
@@ -200,11 +201,20 @@
 	return open
 }
 
-// retryAfter estimates when the queue ahead of a tier will have been served.
+// retryAfter estimates when a refused request is worth another try: when the
+// queue ahead of its tier will have been served, or, where bids wait for their
+// targets only, when the overload will be over. One that has lasted for a time
+// is expected to last for about as long again. Times are spread, so that those
+// who come back do not come at once.
 func (c *Cell) retryAfter(tier ident.Tier) time.Duration {
-	if s := &c.service[tier]; s.arrived >= minArrivals && c.knowsSlots() {
-		// The smaller the part that is served, the longer until there is room.
-		return min(time.Duration(float64(minRetryAfter)/max(s.ratio(), leastRatio)), maxRetryAfter)
+	if !c.knowsSlots() {
+		return min(max(c.waitOf(tier), minRetryAfter), maxRetryAfter)
 	}
-	return min(max(c.waitOf(tier), minRetryAfter), maxRetryAfter)
+	now := c.now()
+	if now.Sub(c.lastShed) > overloadGap {
+		c.overloadSince = now
+	}
+	c.lastShed = now
+	expected := min(max(now.Sub(c.overloadSince), minRetryAfter), maxReturn)
+	return time.Duration(float64(expected) * (1 + returnSpread*(2*rand.Float64()-1)))
 }
