Tell prompts by their parts, and prefer endpoints of the own zone

Parts of 60 tokens are shorter than a block, so the prefix index saw only what no two requests share, and a bid carried up to 256 fingerprints.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -99,7 +99,8 @@
 	Zone     string   `cbor:"15,keyasint,omitempty"`
 	Avoid    []string `cbor:"16,keyasint,omitempty"`
 	// Standby asks a node that does not run the cell to stand in.
-	Standby bool `cbor:"17,keyasint,omitempty"`
+	Standby bool    `cbor:"17,keyasint,omitempty"`
+	Parts   []int64 `cbor:"18,keyasint,omitempty"` // tokens of each of Prefix
 }
 
 // FromBid maps a bid for a cell.
@@ -113,24 +114,33 @@
 		Account: string(b.Account), Weight: b.Weight, Prompt: int64(b.Prompt),
 		Output: int64(b.Output), Left: int64(b.Deadline.Sub(now)), Prefix: prints,
 		Pool: string(cell.Pool), Cell: cell.Index, Settings: uint64(version),
-		First: int64(b.FirstToken), Zone: string(b.Zone), Avoid: toStrings(b.Avoid),
+		First: int64(b.FirstToken), Zone: string(b.Zone), Avoid: rename[string](b.Avoid),
+		Parts: convert[int64](b.PartTokens),
 	}
 }
 
-func toStrings(ids []ident.Endpoint) []string {
-	all := make([]string, len(ids))
-	for i, id := range ids {
-		all[i] = string(id)
+// convert maps the elements of a list; an empty list becomes nil.
+func convert[To, From ~int64](from []From) []To {
+	if len(from) == 0 {
+		return nil
 	}
-	return all
+	to := make([]To, len(from))
+	for i, v := range from {
+		to[i] = To(v)
+	}
+	return to
 }
 
-func toEndpoints(names []string) []ident.Endpoint {
-	all := make([]ident.Endpoint, len(names))
-	for i, name := range names {
-		all[i] = ident.Endpoint(name)
+// rename maps a list of names.
+func rename[To, From ~string](from []From) []To {
+	if len(from) == 0 {
+		return nil
 	}
-	return all
+	to := make([]To, len(from))
+	for i, v := range from {
+		to[i] = To(v)
+	}
+	return to
 }
 
 // ToBid maps a received bid. A tier out of range becomes the lowest.
@@ -144,7 +154,8 @@
 		Tier: ident.Tier(min(m.Tier, ident.MaxTiers-1)), Account: ident.ClientAccount(m.Account),
 		Weight: m.Weight, Prompt: max(ident.Tokens(m.Prompt), 0), Output: max(ident.Tokens(m.Output), 0),
 		Deadline: now.Add(time.Duration(m.Left)), Prefix: prints,
-		FirstToken: time.Duration(m.First), Zone: ident.AvailabilityZone(m.Zone), Avoid: toEndpoints(m.Avoid),
+		FirstToken: time.Duration(m.First), Zone: ident.AvailabilityZone(m.Zone), Avoid: rename[ident.Endpoint](m.Avoid),
+		PartTokens: convert[ident.Tokens](m.Parts),
 	}
 }
 
--- a/internal/process/prefix/prefix.go
+++ b/internal/process/prefix/prefix.go
@@ -12,7 +12,7 @@
 //	prints := prefix.Fingerprints(prompt)
 //	var cached prefix.Match
 //	index.Find(prints, &cached)     // cached[slot] in blocks
-//	index.Insert(prints, slot)      // after the grant
+//	index.Insert(prints, nil, slot) // after the grant
 //	index.Trim(prints, slot, 2)     // the endpoint had only two blocks
 //
 // An Index is not safe for concurrent use; its cell's lock protects it.
@@ -68,8 +68,18 @@
 	return prints
 }
 
-// TokensOf returns the tokens in a number of blocks.
-func TokensOf(blocks int) ident.Tokens { return ident.Tokens(blocks) * BlockTokens }
+// TokensOf returns the tokens in a number of leading blocks of a prompt with
+// such sizes; nil sizes are of BlockTokens each.
+func TokensOf(blocks int, sizes []ident.Tokens) ident.Tokens {
+	if sizes == nil {
+		return ident.Tokens(blocks) * BlockTokens
+	}
+	sum := ident.Tokens(0)
+	for _, n := range sizes[:min(blocks, len(sizes))] {
+		sum += n
+	}
+	return sum
+}
 
 // Match holds the number of leading blocks that each slot has cached.
 type Match [MaxSlots]int16
@@ -118,17 +128,22 @@
 	}
 }
 
-// Insert records that a slot now holds all blocks of a prompt.
-func (x *Index) Insert(prints []ident.Fingerprint, slot int) {
+// Insert records that a slot now holds all blocks of a prompt. Sizes gives the
+// tokens of each where they are not of BlockTokens.
+func (x *Index) Insert(prints []ident.Fingerprint, sizes []ident.Tokens, slot int) {
 	if slot >= MaxSlots || x.capacity[slot] == 0 {
 		return
 	}
 	if x.entries == nil {
 		x.entries = map[ident.Fingerprint]entry{}
 	}
-	for _, print := range prints {
+	for i, print := range prints {
+		blocks := uint32(1)
+		if i < len(sizes) {
+			blocks = uint32(max((sizes[i]+BlockTokens-1)/BlockTokens, 1))
+		}
 		e := x.entries[print]
-		x.hold(&e, uint8(slot))
+		x.hold(&e, uint8(slot), blocks)
 		x.entries[print] = e
 	}
 	x.sweep(len(prints) * sweepPerInsert)
@@ -175,9 +190,9 @@
 }
 
 // hold refreshes the slot's place in an entry or takes the stalest place.
-// Only a new place moves the slot's clock, so a slot forgets what is older
-// than its capacity of new blocks.
-func (x *Index) hold(e *entry, slot uint8) {
+// Only a new place moves the slot's clock, by its blocks, so a slot forgets what
+// is older than its capacity of new blocks.
+func (x *Index) hold(e *entry, slot uint8, blocks uint32) {
 	stalest, age := 0, uint32(0)
 	for i := range e {
 		if e[i].used && e[i].slot == slot && x.isValid(e[i]) {
@@ -188,7 +203,7 @@
 			stalest, age = i, a
 		}
 	}
-	x.clock[slot]++
+	x.clock[slot] += blocks
 	e[stalest] = holder{stamp: x.clock[slot], slot: slot, used: true}
 }
 
--- a/internal/process/sched/bid.go
+++ b/internal/process/sched/bid.go
@@ -28,8 +28,10 @@
 	Zone ident.AvailabilityZone
 	// Avoid lists endpoints that this request has already failed at.
 	Avoid []ident.Endpoint
-	// Prefix holds the chained fingerprints of the prompt's blocks.
-	Prefix []ident.Fingerprint
+	// Prefix holds the chained fingerprints of the prompt's blocks, PartTokens
+	// their tokens where they are not of one size.
+	Prefix     []ident.Fingerprint
+	PartTokens []ident.Tokens
 	// Wake is called once, with the cell's lock held, when a bid that had to
 	// wait gets its Answer. It must not block or call the cell.
 	Wake func()
--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -55,6 +55,10 @@
 	defaultCacheTokens ident.Tokens = 64 << 10
 	// reportLife is the age from which a load report counts for nothing.
 	reportLife = 5 * time.Second
+	// zoneDistance is the time for which an endpoint in another zone counts as
+	// later: a few steps of an engine, so that a zone's own endpoints are taken
+	// first while they are about as fast.
+	zoneDistance = 15 * time.Millisecond
 	// foreignLife is the age from which a count of foreign requests counts for
 	// nothing: about a mean answer.
 	foreignLife = 1500 * time.Millisecond
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -118,7 +118,7 @@
 			continue
 		}
 		c.considered = append(c.considered, e.ID)
-		if t := e.cost(uncached, b.Output, left); best == nil || t < least {
+		if t := e.cost(uncached, b.Output, left) + distance(b, e); best == nil || t < least {
 			best, least = e, t
 		}
 	}
@@ -132,6 +132,16 @@
 	return true
 }
 
+// distance is what an endpoint in another availability zone counts for more:
+// its bytes cross a zone's border, which the platform prices, and its answers
+// come a little later. A zone that is not known is not far.
+func distance(b *Bid, e *endpoint) time.Duration {
+	if b.Zone == "" || e.Zone == "" || b.Zone == e.Zone {
+		return 0
+	}
+	return zoneDistance
+}
+
 func (c *Cell) firstToken(b *Bid) time.Duration {
 	if b.FirstToken > 0 {
 		return b.FirstToken
@@ -140,19 +150,19 @@
 }
 
 func (c *Cell) uncached(b *Bid, e *endpoint) ident.Tokens {
-	return max(b.Prompt-c.cached(e), 0)
+	return max(b.Prompt-c.cached(b, e), 0)
 }
 
-func (c *Cell) cached(e *endpoint) ident.Tokens {
+func (c *Cell) cached(b *Bid, e *endpoint) ident.Tokens {
 	if e.slot >= prefix.MaxSlots {
 		return 0
 	}
-	return prefix.TokensOf(int(c.match[e.slot]))
+	return prefix.TokensOf(int(c.match[e.slot]), b.PartTokens)
 }
 
 func (c *Cell) grant(b *Bid, e *endpoint, now time.Time) {
 	reason := ReasonLeastCost
-	cached := min(c.cached(e), b.Prompt)
+	cached := min(c.cached(b, e), b.Prompt)
 	switch {
 	case e.health != healthy:
 		reason = ReasonProbe
@@ -167,7 +177,7 @@
 		cached: cached, granted: now, backlog: e.backlog, prefix: b.Prefix,
 	}
 	e.admit(g.charge, g.uncached)
-	c.prefixes.Insert(b.Prefix, e.slot)
+	c.prefixes.Insert(b.Prefix, b.PartTokens, e.slot)
 	c.hold(b.Request, g)
 	c.sequence++
 	c.decide(b, Answer{
--- a/internal/request/entry/bid.go
+++ b/internal/request/entry/bid.go
@@ -140,7 +140,7 @@
 		Request: j.Request.ID, Node: e.Self, Tier: j.Tier.Rank, Account: j.Account.ID,
 		Weight: j.Account.Weight, Prompt: j.Request.Prompt, Output: j.Request.Output,
 		Deadline: j.Request.Deadline, Prefix: j.Request.Prefix,
-		FirstToken: j.FirstToken, Zone: e.Zone, Avoid: j.Avoid,
+		FirstToken: j.FirstToken, Zone: e.Zone, Avoid: j.Avoid, PartTokens: j.PartTokens,
 	}
 	if local := e.Cells.Local(cell); local != nil {
 		return e.bidLocally(ctx, b, local)
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -54,6 +54,9 @@
 	// FirstToken is the request's own target for its first token; 0 takes the
 	// pool's.
 	FirstToken time.Duration
+	// PartTokens are the tokens of the prompt's parts where they are not of one
+	// size.
+	PartTokens []ident.Tokens
 	// Avoid lists endpoints that the request has already failed at.
 	Avoid []ident.Endpoint
 	Sink  answer.Sink
--- a/internal/request/pass/pass.go
+++ b/internal/request/pass/pass.go
@@ -195,10 +195,12 @@
 	if account == nil {
 		account = &config.Account{Weight: 1}
 	}
+	prints, sizes := fingerprints(r.Labels.Parts)
 	return &entry.Job{
+		PartTokens: sizes,
 		Request: &intake.Request{
 			ID: r.ID, Kind: r.Pool.Kind, Arrived: r.Arrived, Deadline: r.Deadline,
-			Prompt: r.Labels.Prompt, Output: p.lengths.expect(r), Prefix: fingerprints(r.Labels.Parts),
+			Prompt: r.Labels.Prompt, Output: p.lengths.expect(r), Prefix: prints,
 		},
 		Account: account, Pool: r.Pool, Tier: r.Tier, Version: r.Version,
 		FirstToken: r.Route.FirstAnswer,
--- a/internal/stand/runner/holdings.go
+++ b/internal/stand/runner/holdings.go
@@ -35,7 +35,7 @@
 		}
 	}
 	first := len(prints) - int(uncached/prefix.BlockTokens)
-	h.wasted += prefix.TokensOf(max(held-max(first, 0), 0))
+	h.wasted += prefix.TokensOf(max(held-max(first, 0), 0), nil)
 }
 
 func (h *Holdings) change(e *Runner, inserted []ident.Fingerprint, dropped []block) {
--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -263,7 +263,7 @@
 		}
 		kv += s.size()
 		s.admitted = true
-		s.cached = min(prefix.TokensOf(e.cache.match(s.prints)), s.prompt-1)
+		s.cached = min(prefix.TokensOf(e.cache.match(s.prints), nil), s.prompt-1)
 		s.left = s.prompt - s.cached
 		if e.Holdings != nil {
 			e.Holdings.prefill(s.id, s.prints, s.left)
--- a/internal/stand/runner/serve.go
+++ b/internal/stand/runner/serve.go
@@ -240,7 +240,7 @@
 			e.events = append(e.events, cacheEvent{})
 			continue
 		}
-		e.events = append(e.events, cacheEvent{time.Now(), n, b.owner, prefix.TokensOf(b.index)})
+		e.events = append(e.events, cacheEvent{time.Now(), n, b.owner, prefix.TokensOf(b.index, nil)})
 	}
 }
 
