Learn first tokens by base and rate, and count slots by how few are free

Cause: the decode time of the whole answer decided where a request went, so the fastest endpoints filled first, also across zones, and rates learned from short prompts were a third of the true ones.

--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -29,10 +29,15 @@
 	shrinkAbove = 0.95
 	growBelow   = 0.85
 
-	firstPrefillRate   = 4000.0 // tokens a second
-	firstBetweenTokens = 30 * time.Millisecond
-	firstCallTime      = 50 * time.Millisecond
-	sampleShare        = 0.2
+	firstPrefillRate = 4000.0 // tokens a second
+	// firstEngineRate is of endpoints with known slots, whose platform runs
+	// present hardware.
+	firstEngineRate = 20000.0 // tokens a second
+	// longPrompt is the least prompt that shows an endpoint's rate.
+	longPrompt         ident.Tokens = 1024
+	firstBetweenTokens              = 30 * time.Millisecond
+	firstCallTime                   = 50 * time.Millisecond
+	sampleShare                     = 0.2
 
 	failuresToSuspend = 3
 	firstSuspension   = time.Second
@@ -93,7 +98,10 @@
 	lastCut    time.Time
 	lastGrowth time.Time
 
+	// prefillRate is in prompt tokens a second; firstBase is what a first token
+	// takes beyond its prompt.
 	prefillRate float64
+	firstBase   time.Duration
 	between     time.Duration
 
 	report   LoadReport
@@ -113,6 +121,9 @@
 	e := &endpoint{EndpointSpec: spec, slot: slot, window: max(window, minWindow)}
 	e.prefillRate = firstPrefillRate
 	e.between = firstBetweenTokens
+	if spec.Slots > 0 {
+		e.prefillRate = firstEngineRate
+	}
 	if spec.Kind == ident.ApplicationRunner {
 		e.between = firstCallTime
 	}
@@ -199,6 +210,13 @@
 // keep it within its target.
 func (e *endpoint) cost(uncached, output ident.Tokens, left time.Duration) time.Duration {
 	whole := e.expected(uncached, output)
+	if e.Slots > 0 && e.Kind == ident.ModelRunner && whole <= time.Duration(tightShare*float64(left)) {
+		// The first token is what the caller waits for. The rest only keeps a
+		// slot, which counts for more the fewer are free.
+		taken := float64(e.running+1) / float64(e.Slots)
+		return e.firstBase + e.prefillTime(e.backlog+uncached) + e.unreported() +
+			time.Duration(taken*float64(output)*float64(e.between)/decodeDivisor)
+	}
 	if e.Kind == ident.ApplicationRunner || whole > time.Duration(tightShare*float64(left)) {
 		return whole
 	}
@@ -251,16 +269,32 @@
 	if own := e.prefillTime(backlog + end.Uncached); end.FirstToken > t.firstToken && end.FirstToken-own > t.firstToken/2 {
 		e.shrink(now)
 	}
-	if end.FirstToken > 0 && backlog+end.Uncached > prefix.BlockTokens {
-		rate := float64(backlog+end.Uncached) / end.FirstToken.Seconds()
-		e.prefillRate += sampleShare * (rate - e.prefillRate)
-	}
+	e.learnFirst(end.FirstToken, backlog+end.Uncached)
 	if end.BetweenTokens > 0 {
 		e.samples++
 		e.pace(end.BetweenTokens, t, now)
 	}
 }
 
+// learnFirst learns from the time to a first token. Short prompts show what it
+// takes beyond the prompt, long ones the rate.
+func (e *endpoint) learnFirst(first time.Duration, tokens ident.Tokens) {
+	switch {
+	case first <= 0:
+	case e.Slots == 0:
+		if tokens > prefix.BlockTokens {
+			rate := float64(tokens) / first.Seconds()
+			e.prefillRate += sampleShare * (rate - e.prefillRate)
+		}
+	case tokens < longPrompt:
+		e.firstBase = blend(e.firstBase, max(first-e.prefillTime(tokens), 0))
+	default:
+		own := max(first-e.firstBase, first/4)
+		rate := float64(tokens) / own.Seconds()
+		e.prefillRate += sampleShare * (rate - e.prefillRate)
+	}
+}
+
 // pace learns from the time between tokens. It cuts the window near the target
 // and widens it well below when the window is in use.
 func (e *endpoint) pace(between time.Duration, t targets, now time.Time) {
