Let looks at the store wait for changes

An endpoint's heartbeat changes no row, so a look can wait there as well. While rows are missing the waits are short, so that the grace ends in time.

--- a/internal/process/node/watched.go
+++ b/internal/process/node/watched.go
@@ -26,16 +26,14 @@
 )
 
 const (
-	// settingsWait is how long the store may hold a look for new settings, and
-	// so about the longest that a silent connection goes unnoticed.
-	settingsWait = time.Second
-	// endpointsInterval is the time between looks at the endpoints. A leaving
-	// endpoint must get no new work 2 s after it said so.
-	endpointsInterval = 600 * time.Millisecond
-	// nodesWait and nodesInterval follow the table of nodes, which changes
-	// when one starts or leaves.
-	nodesWait     = 5 * time.Second
-	nodesInterval = 500 * time.Millisecond
+	// watchWait is how long the store may hold a look at the settings or the
+	// endpoints. It bounds how long a connection that went silent goes
+	// unnoticed; a change itself is told at once.
+	watchWait = 2 * time.Second
+	// watchPause gathers changes that follow each other closely into one call.
+	watchPause = 100 * time.Millisecond
+	// nodesWait is longer, since peers tell each other of members as well.
+	nodesWait = 10 * time.Second
 	// nodeTable has a row for each entry node.
 	nodeTable = "nodes"
 	// sweepInterval is the time between looks at idle connections.
@@ -153,9 +151,9 @@
 		n.tasks.Go(func() { t.Run(ctx) })
 		return t
 	}
-	follow(n.Platform.SettingsTable, settingsWait, 0, n.settingsRows)
-	n.watched.table.Store(follow(n.Platform.EndpointTable, 0, endpointsInterval, n.endpointRows))
-	follow(nodeTable, nodesWait, nodesInterval, n.nodeRows)
+	follow(n.Platform.SettingsTable, watchWait, watchPause, n.settingsRows)
+	n.watched.table.Store(follow(n.Platform.EndpointTable, watchWait, watchPause, n.endpointRows))
+	follow(nodeTable, nodesWait, watchPause, n.nodeRows)
 	n.tasks.Go(func() { n.enrol(ctx) })
 	n.tasks.Go(func() { tick.Every(ctx, sweepInterval, func(context.Context) { n.conns.Sweep() }) })
 	for !n.knowsEnough() {
--- a/internal/process/watch/script_test.go
+++ b/internal/process/watch/script_test.go
@@ -77,7 +77,7 @@
 	s := &script{T: t, rows: map[string]string{}}
 	calls := &platform.Store{Address: "store", Transport: direct{&s.cloud}}
 	table := &Table{
-		Name: "things", Store: &store.Client{Service: calls.Service()}, Interval: 500 * time.Millisecond,
+		Name: "things", Store: &store.Client{Service: calls.Service()}, Wait: 2 * time.Second, Interval: 100 * time.Millisecond,
 		Changed: s.changed, PeerRead: func() time.Time { return s.peer }, Log: log.New(io.Discard),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -27,13 +27,17 @@
 const (
 	// firstPause and maxPause bound the pause after a failed call.
 	firstPause = 100 * time.Millisecond
-	maxPause   = 800 * time.Millisecond
+	maxPause   = 600 * time.Millisecond
+	// missingWait is the wait at the store while rows are missing, so that they
+	// are let go in time.
+	missingWait = 200 * time.Millisecond
 	// graceTime is how long after the store's return a missing row may still
 	// come back.
 	graceTime = 2 * time.Second
 	// peerMargin is how much later than this node's last reading another's must
-	// be to tell that the store did not fail for all: two looks and a probe.
-	peerMargin = 1500 * time.Millisecond
+	// be to tell that the store did not fail for all: a call that was answered
+	// while this node's was under way, and a probe.
+	peerMargin = time.Second
 )
 
 // Table follows one table. Set the exported fields before Run.
@@ -132,7 +136,11 @@
 }
 
 func (t *Table) feed(ctx context.Context) error {
-	rows, version, err := t.Store.Feed(ctx, t.Name, t.version, t.Wait)
+	wait := t.Wait
+	if len(t.missing) > 0 {
+		wait = min(wait, missingWait)
+	}
+	rows, version, err := t.Store.Feed(ctx, t.Name, t.version, wait)
 	if err == store.ErrHistoryGone { //nolint:errorlint // the client returns it as it is.
 		t.Log.Info("table_history_gone", "table", t.Name, "version", t.version)
 		t.version = 0
@@ -155,7 +163,7 @@
 	if t.failed == 0 {
 		return
 	}
-	if t.PeerRead != nil && t.PeerRead().After(t.ReadAt().Add(peerMargin)) {
+	if t.PeerRead != nil && t.PeerRead().After(t.ReadAt().Add(t.Wait+peerMargin)) {
 		return
 	}
 	t.back = time.Now()
