--- a/cmd/goldcrestwick/audit.go
+++ b/cmd/goldcrestwick/audit.go
@@ -76,7 +76,7 @@
 		if err != nil {
 			return nil, err
 		}
-		blocks, err := ledger.Decode(raw)
+		blocks, err := ledger.Unpack(raw)
 		if err != nil {
 			return nil, eris.Wrap(err, name)
 		}
--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -34,8 +34,10 @@
 	// closeAfter is when a stopping node closes the connections of callers
 	// that still use it: by then their lists have expired.
 	closeAfter = 3*addressesTTL + 500*time.Millisecond
-	// graceMargin is left of the grace time for the end of the process.
-	graceMargin = 600 * time.Millisecond
+	// graceMargin is left of the grace time for the end of the process, stopTime
+	// of it for the node's own last work.
+	graceMargin = time.Second
+	stopTime    = 700 * time.Millisecond
 	// memoryShare is the part of the process's memory that the heap may fill
 	// before the collector works harder.
 	memoryShare = 0.6
@@ -199,6 +201,7 @@
 		}
 	}
 	e.link.TLS = keeper.Config
+	e.node.SetLedgerKey(keeper.LedgerKey())
 	if err := e.link.Listen(e.process.PeerAddress); err != nil {
 		return err
 	}
@@ -216,6 +219,16 @@
 	defer cancel()
 	tick.Sleep(ctx, closeAfter)
 	err := e.callers.Shutdown(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		e.node.Stop()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopTime):
+		e.log.Warn("ledger_may_be_unwritten", "reason", "the grace time is over")
+	}
 	e.log.Info("process_stopped", "took", time.Since(began), "requests_cut", err != nil)
 	return nil
 }
--- a/internal/connection/door/door.go
+++ b/internal/connection/door/door.go
@@ -30,6 +30,7 @@
 
 	"goldcrestwick/internal/process/meter"
 	"goldcrestwick/internal/process/quota"
+	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/pass"
 	"goldcrestwick/internal/request/refuse"
@@ -57,6 +58,8 @@
 	Serve  func(context.Context, *pass.Request, http.ResponseWriter) pass.Result
 	Quota  *quota.Keeper
 	Meter  *meter.Meter
+	// Record gets the first and the last step of each request.
+	Record func(trace.Record)
 	Log    *log.Logger
 
 	leaving atomic.Bool
@@ -107,6 +110,7 @@
 	}
 	defer release()
 	defer d.inUse.Delete(req.ID)
+	d.step(req, trace.Record{Event: trace.Accepted})
 	result := d.Serve(r.Context(), req, w)
 	d.note(req, result)
 	switch {
@@ -226,7 +230,24 @@
 	w.Write(append(refusal.JSON(req.ID), '\n')) //nolint:errcheck // the caller may be gone.
 }
 
+// step completes a record with what is known of a request.
+func (d *Door) step(req *pass.Request, r trace.Record) {
+	r.Time, r.Request, r.Pool, r.Settings = time.Now(), req.ID, req.Pool.ID, req.Version
+	r.Account, r.Tier = accountName(req.Account), req.Tier.Name
+	d.Record(r)
+}
+
 func (d *Door) note(req *pass.Request, result pass.Result) {
+	last := trace.Record{Event: trace.Finished, Endpoint: result.Endpoint}
+	switch {
+	case result.Refusal != nil:
+		last.Event = trace.Refused
+		last.Reason = string(result.Refusal.Reason) + "; " + string(result.Refusal.Run) + "; " + result.Refusal.Message
+	case result.Cut:
+		last.Event = trace.Broken
+		last.Reason = result.Reason
+	}
+	d.step(req, last)
 	d.Log.Info("request_ended", "request_id", string(req.ID), "account", accountName(req.Account), "route", req.Route.Name, "pool", req.Pool.ID,
 		"endpoint", result.Endpoint, "status", result.Status, "attempts", result.Attempts, "cut", result.Cut,
 		"reason", result.Reason, "first_answer", result.FirstAnswer, "took", time.Since(req.Arrived),
--- a/internal/connection/link/certs.go
+++ b/internal/connection/link/certs.go
@@ -3,7 +3,9 @@
 import (
 	"crypto/ecdsa"
 	"crypto/elliptic"
+	"crypto/hmac"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
@@ -154,6 +156,14 @@
 	return newAuthority(cert.Bytes, private)
 }
 
+// Derive returns a secret for a purpose, which everybody who has the authority
+// derives alike.
+func (a *Authority) Derive(purpose string) [sha256.Size]byte {
+	mac := hmac.New(sha256.New, a.key.D.Bytes()) //nolint:staticcheck // the scalar is the secret.
+	mac.Write([]byte(purpose))
+	return [sha256.Size]byte(mac.Sum(nil))
+}
+
 // Issue returns the TLS settings of a node at an IP address.
 func (a *Authority) Issue(name string, ip net.IP) (*tls.Config, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
--- a/internal/process/ledger/block.go
+++ b/internal/process/ledger/block.go
@@ -18,10 +18,13 @@
 package ledger
 
 import (
+	"bytes"
 	"cmp"
+	"compress/flate"
 	"crypto/ed25519"
 	"crypto/sha256"
 	"fmt"
+	"io"
 	"slices"
 	"time"
 
@@ -173,6 +176,31 @@
 	return blocks, nil
 }
 
+// Pack compresses an encoded list of blocks, for the object store and for
+// copies at other nodes.
+func Pack(encoded []byte) []byte {
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is valid.
+	}
+	w.Write(encoded) //nolint:errcheck // a buffer never fails.
+	w.Close()        //nolint:errcheck // a buffer never fails.
+	return packed.Bytes()
+}
+
+// maxUnpacked bounds what a packed list may grow to.
+const maxUnpacked = 64 << 20
+
+// Unpack reads what Pack returned and decodes it.
+func Unpack(packed []byte) ([]Block, error) {
+	encoded, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxUnpacked))
+	if err != nil {
+		return nil, eris.Wrap(err, "unpack a ledger object")
+	}
+	return Decode(encoded)
+}
+
 // Fault is one thing wrong with a ledger.
 type Fault struct {
 	Chain Chain
--- a/internal/process/ledger/writer.go
+++ b/internal/process/ledger/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/ed25519"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 	Key  ed25519.PrivateKey
 	// Clock gives the readings of the records.
 	Clock *clock.Clock
+	// Interval is the time between objects; 0 takes the default.
+	Interval time.Duration
 	// Put writes an object.
 	Put func(ctx context.Context, name string, body []byte) error
 	// Copy gives a block to a node in another zone, and says up to which
@@ -102,9 +105,13 @@
 	w.mu.Lock()
 	w.chain = Chain{w.Node, time.Now().UnixMilli()}
 	w.mu.Unlock()
+	interval := w.Interval
+	if interval == 0 {
+		interval = writeInterval
+	}
 	var tasks sync.WaitGroup
 	tasks.Go(func() { tick.Every(ctx, CutInterval, w.Cut) })
-	tasks.Go(func() { tick.Every(ctx, writeInterval, w.Write) })
+	tasks.Go(func() { tick.Every(ctx, interval, w.Write) })
 	tasks.Wait()
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), putTimeout)
 	defer cancel()
@@ -173,3 +180,17 @@
 	first, last := blocks[0], blocks[len(blocks)-1]
 	return fmt.Sprintf("%s%s/%d/%012d-%012d", Prefix, first.Chain.Node, first.Chain.Start, first.First, last.Last())
 }
+
+// Age orders objects by the time of their first record: the start of the chain
+// and the number in it, from the object's name. A name of another form is the
+// oldest.
+func Age(name string) string {
+	parts := strings.Split(strings.TrimPrefix(name, Prefix), "/")
+	if len(parts) != objectParts {
+		return ""
+	}
+	return parts[1] + "/" + parts[2]
+}
+
+// objectParts are the node, the chain's start and the records.
+const objectParts = 3
--- a/internal/process/node/ledger.go
+++ b/internal/process/node/ledger.go
@@ -1,13 +1,19 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"crypto/ed25519"
+	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/wire"
 	"goldcrestwick/internal/process/ledger"
 	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/store"
 	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/ident"
@@ -17,13 +23,59 @@
 // held here.
 const rescueInterval = 2 * time.Second
 
+const (
+	// platformWrite is the time between a node's ledger objects where calls to
+	// the store are dear.
+	platformWrite = 10 * time.Second
+	// dropAtOnce is how many of the oldest objects make room in a full store.
+	dropAtOnce = 16
+)
+
+// SetLedgerKey gives the key that signs the ledger, where it is known only after
+// Prepare. Call it before Start.
+func (n *Node) SetLedgerKey(key ed25519.PrivateKey) { n.ledger.Key = key }
+
+// putLedger writes an object, and makes room for it when the store is full.
+func (n *Node) putLedger(ctx context.Context, name string, body []byte) error {
+	packed := ledger.Pack(body)
+	err := n.Store.PutObject(ctx, name, packed)
+	if eris.Is(err, store.ErrFull) {
+		if err = n.dropOldest(ctx); err == nil {
+			err = n.Store.PutObject(ctx, name, packed)
+		}
+	}
+	if err != nil {
+		n.Log.Warn("ledger_not_written", "object", name, "bytes", len(packed), "error", err)
+	}
+	return err
+}
+
+// dropOldest removes the oldest ledger objects.
+func (n *Node) dropOldest(ctx context.Context) error {
+	names, err := n.Store.Names(ctx, ledger.Prefix)
+	if err != nil {
+		return err
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(ledger.Age(a), ledger.Age(b)) })
+	for _, name := range names[:min(len(names), dropAtOnce)] {
+		n.Log.Warn("ledger_object_dropped", "object", name, "reason", "the store is full")
+		if err := n.Store.Drop(ctx, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (n *Node) prepareLedger(mux *link.Mux) {
 	link.Handle(mux, wire.KindCopy, n.serveCopy)
-	if n.LedgerKey == nil {
+	if n.LedgerKey == nil && n.Platform == nil {
 		return
 	}
 	n.ledger = &ledger.Writer{
-		Node: n.Process.Name, Key: n.LedgerKey, Clock: &n.clock, Put: n.Store.PutObject, Copy: n.copyBlock,
+		Node: n.Process.Name, Key: n.LedgerKey, Clock: &n.clock, Put: n.putLedger, Copy: n.copyBlock,
+	}
+	if n.Platform != nil {
+		n.ledger.Interval = platformWrite
 	}
 	n.meter.Gauge("goldcrestwick_ledger_records_kept", func() float64 { return float64(n.ledger.Kept()) })
 	n.meter.Gauge("goldcrestwick_ledger_blocks_held", func() float64 { return float64(n.copies.Held()) })
@@ -53,7 +105,7 @@
 	if !ok {
 		return errNotReached
 	}
-	message := wire.Copy{Block: ledger.Encode([]ledger.Block{b}), Written: written}
+	message := wire.Copy{Block: ledger.Pack(ledger.Encode([]ledger.Block{b})), Written: written}
 	_, err := link.Call[wire.Copy, wire.Done](ctx, n.Open, to.PeerAddress, wire.KindCopy, message)
 	return err
 }
@@ -76,7 +128,7 @@
 }
 
 func (n *Node) serveCopy(_ context.Context, s *link.Stream, m wire.Copy) {
-	blocks, err := ledger.Decode(m.Block)
+	blocks, err := ledger.Unpack(m.Block)
 	if err != nil {
 		return
 	}
@@ -95,5 +147,5 @@
 		_, ok := view.Find(id)
 		return ok
 	}
-	n.copies.Rescue(ctx, alive, n.Store.PutObject)
+	n.copies.Rescue(ctx, alive, n.putLedger)
 }
--- a/internal/process/node/watched.go
+++ b/internal/process/node/watched.go
@@ -17,6 +17,7 @@
 	"goldcrestwick/internal/process/roster"
 	"goldcrestwick/internal/process/store"
 	"goldcrestwick/internal/process/tick"
+	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/process/watch"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/pass"
@@ -114,15 +115,21 @@
 	n.conns.Dial = n.DialEndpoint
 	n.passer = pass.Passer{
 		Bid: n.entry.Bid, IsLeaving: n.cells.IsLeaving, Conns: &n.conns, Budget: &n.budget,
-		Dialect: n.Platform.Dialect, Record: n.record,
+		Dialect: n.Platform.Dialect, Record: n.recordHere,
 	}
 	n.door = door.Door{
 		Tree: n.settingsOrNil, Labels: n.Platform.Dialect.Labels, Serve: n.servePassed,
-		Quota: &n.quota, Meter: &n.meter, Log: n.Log,
+		Quota: &n.quota, Meter: &n.meter, Record: n.recordHere, Log: n.Log,
 	}
 	n.meter.Gauge("goldcrestwick_endpoint_connections_opened", func() float64 { return float64(n.conns.Dialled()) })
 }
 
+// recordHere records a step that this node took.
+func (n *Node) recordHere(r trace.Record) {
+	r.Node = n.Process.Name
+	n.record(r)
+}
+
 func (n *Node) servePassed(ctx context.Context, r *pass.Request, w http.ResponseWriter) pass.Result {
 	return n.passer.Serve(ctx, r, w)
 }
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -39,6 +39,8 @@
 var (
 	// ErrUnavailable is returned without a call while the breaker is open.
 	ErrUnavailable = eris.New("the platform's store is unavailable")
+	// ErrFull says that the object store takes no more.
+	ErrFull = eris.New("the object store is full")
 	// ErrHistoryGone says that a feed cannot go on from a version: the table
 	// has to be read anew.
 	ErrHistoryGone = eris.New("the history after this version is gone")
@@ -109,7 +111,7 @@
 		return ErrUnavailable
 	}
 	err := call()
-	b.note(time.Now(), err == nil || eris.Is(err, ErrHistoryGone))
+	b.note(time.Now(), err == nil || eris.Is(err, ErrHistoryGone) || eris.Is(err, ErrFull))
 	return err
 }
 
@@ -190,3 +192,11 @@
 func (c *Client) Feed(ctx context.Context, table string, after int64, wait time.Duration) (rows []Row, version int64, err error) {
 	return c.Service.Feed(ctx, table, after, wait)
 }
+
+// Names lists the objects with a prefix.
+func (c *Client) Names(ctx context.Context, prefix string) ([]string, error) {
+	return c.Service.Names(ctx, prefix)
+}
+
+// Drop removes an object; one that is not there is no error.
+func (c *Client) Drop(ctx context.Context, name string) error { return c.Service.Drop(ctx, name) }
--- a/internal/process/trace/trace.go
+++ b/internal/process/trace/trace.go
@@ -44,6 +44,7 @@
 	NotSent    Event = "not_sent"
 	Finished   Event = "finished"
 	Refused    Event = "refused"
+	Broken     Event = "answer_broken"
 	CallerGone Event = "caller_gone"
 	// LeftOut and Settings are of no request: records that a full ledger left
 	// out, and a settings version that came into force.
@@ -98,6 +99,8 @@
 		return at + fmt.Sprintf("node %s of cell %s did not answer; this node decides alone", r.Reason, r.Cell)
 	case Dispatched:
 		return at + "dispatched to endpoint " + string(r.Endpoint)
+	case Broken:
+		return at + fmt.Sprintf("the answer from endpoint %s broke off before its end: %s", r.Endpoint, r.Reason)
 	case Repeated:
 		return at + fmt.Sprintf("endpoint %s did not answer it and it is sent to another: %s", r.Endpoint, r.Reason)
 	case NotSent:
--- a/internal/process/trust/trust.go
+++ b/internal/process/trust/trust.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"crypto/ed25519"
 	"crypto/tls"
 	"net"
 	"sync"
@@ -95,6 +96,15 @@
 	return store.Row{}, eris.New("the store refused the authority and shows no other")
 }
 
+// LedgerKey returns the key that signs the fleet's ledger, which follows from
+// the authority's.
+func (k *Keeper) LedgerKey() ed25519.PrivateKey {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	seed := k.authority.Derive("ledger")
+	return ed25519.NewKeyFromSeed(seed[:])
+}
+
 func (k *Keeper) issue() error {
 	config, err := k.authority.Issue(k.Name, k.IP)
 	if err != nil {
--- a/internal/tool/fleet/ledger_test.go
+++ b/internal/tool/fleet/ledger_test.go
@@ -20,7 +20,7 @@
 	var all []ledger.Block
 	for name, raw := range c.fleet.Platform.Objects() {
 		if strings.HasPrefix(name, ledger.Prefix) {
-			blocks, err := ledger.Decode(raw)
+			blocks, err := ledger.Unpack(raw)
 			qt.Assert(c.t, err, qt.IsNil)
 			all = append(all, blocks...)
 		}
--- a/internal/tool/fleet/passing_test.go
+++ b/internal/tool/fleet/passing_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/ed25519"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -191,6 +192,7 @@
 		DialEndpoint: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
 	}}
 	n.Prepare(mux, resumeKey)
+	n.SetLedgerKey(ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)))
 	n.server = n.Door().Server()
 	n.server.ErrorLog = quiet()
 	go n.server.Serve(listener) //nolint:errcheck // it ends with Close.
--- /dev/null
+++ b/internal/version/config/route_test.go
@@ -0,0 +1,81 @@
+package config
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestwick/internal/request/ident"
+)
+
+func routeTo(name, host, prefix string, pool *Pool) *Route {
+	return &Route{Name: name, Host: host, Prefix: prefix, Timeout: time.Second, Shares: []PoolShare{{pool, 1}}}
+}
+
+// TestRouteFor checks that the longest prefix of the host's routes counts.
+func TestRouteFor(t *testing.T) {
+	team := &Team{ID: "t"}
+	pool := NewPool("t/p", team)
+	tree, err := Assemble(Parts{Version: 3, Team: team, Routes: []*Route{
+		routeTo("short", "a", "/x/", pool), routeTo("long", "a", "/x/y/", pool), routeTo("other", "b", "/", pool),
+	}})
+	qt.Assert(t, err, qt.IsNil)
+	for path, want := range map[string]string{
+		"/x/1": "short", "/x/y/1": "long", "/x/y": "short", "/x": "", "/z/": "",
+	} {
+		got := ""
+		if r := tree.RouteFor("a", path); r != nil {
+			got = r.Name
+		}
+		qt.Check(t, got, qt.Equals, want, qt.Commentf(path))
+	}
+	qt.Check(t, tree.RouteFor("b", "/any").Name, qt.Equals, "other")
+	qt.Check(t, tree.RouteFor("c", "/x/1") == nil, qt.IsTrue)
+}
+
+// TestAssembleFindings checks that every bad route is found, with its place.
+func TestAssembleFindings(t *testing.T) {
+	team := &Team{ID: "t"}
+	pool := NewPool("t/p", team)
+	_, err := Assemble(Parts{File: "f", Team: team, Routes: []*Route{
+		routeTo("host", "", "/x/", pool), routeTo("prefix", "a", "/x", pool), routeTo("pool", "a", "/x/", nil),
+		{Name: "timeout", Host: "a", Prefix: "/", Shares: []PoolShare{{pool, 1}}},
+		{Name: "shares", Host: "a", Prefix: "/", Timeout: time.Second},
+	}})
+	qt.Assert(t, err, qt.ErrorMatches, `(?s)f:0: \[route.host\]: the host is empty
+.*prefix "/x" does not begin and end.*names no known pool.*timeout is missing.*has no pool`)
+}
+
+// TestPoolAt checks that a split follows its weights.
+func TestPoolAt(t *testing.T) {
+	a, b := &Pool{ID: "a"}, &Pool{ID: "b"}
+	r := &Route{Shares: []PoolShare{{a, 90}, {b, 10}}}
+	for point, want := range map[float64]*Pool{0: a, 0.5: a, 0.899: a, 0.901: b, 0.999: b} {
+		qt.Check(t, r.PoolAt(point), qt.Equals, want, qt.Commentf("%v", point))
+	}
+	r.Shares[1].Weight = 0
+	qt.Check(t, r.PoolAt(0.999), qt.Equals, a)
+}
+
+// TestTierFor checks that the account's rank comes before the route's, and that
+// routes share service within one account rank only.
+func TestTierFor(t *testing.T) {
+	team := &Team{ID: "t"}
+	pool := NewPool("t/p", team)
+	high := &Account{ID: "t/high", Tier: &Tier{Rank: 0}}
+	low := &Account{ID: "t/low", Tier: &Tier{Rank: 1}}
+	team.Accounts = []*Account{high, low}
+	urgent, relaxed := routeTo("urgent", "a", "/u/", pool), routeTo("relaxed", "a", "/r/", pool)
+	relaxed.Rank = 2
+	tree, err := Assemble(Parts{Team: team, Routes: []*Route{urgent, relaxed}})
+	qt.Assert(t, err, qt.IsNil)
+	order := []ident.Tier{
+		tree.TierFor(high, urgent).Rank, tree.TierFor(high, relaxed).Rank,
+		tree.TierFor(low, urgent).Rank, tree.TierFor(low, relaxed).Rank,
+	}
+	qt.Assert(t, order, qt.DeepEquals, []ident.Tier{0, 1, 2, 3})
+	qt.Check(t, tree.TierFor(high, urgent).Last, qt.Equals, ident.Tier(1))
+	qt.Check(t, tree.TierFor(low, urgent).Last, qt.Equals, ident.Tier(3))
+	qt.Check(t, tree.TierFor(nil, relaxed).Rank, qt.Equals, ident.Tier(4))
+}
