Tell one's own state with every membership message, and at once when ready

Change: every probe and answer carries the sender's own state; a node that becomes ready tells all at once; a bid that was moved four times turns to the nodes that stand in. TestLostUpdate fails without it.

--- a/internal/process/member/list.go
+++ b/internal/process/member/list.go
@@ -138,23 +138,25 @@
 	return all
 }
 
-// updates picks the least often sent entries that have turns left.
+// updates picks the least often sent entries that have turns left, and this
+// node's own in any case: whoever talks to a node knows its state, also when
+// the update that told it was lost.
 func (l *List) updates() []Member {
 	limit := spreadFactor * bits.Len(uint(len(l.all)))
 	var fresh []*record
 	for _, r := range l.all {
-		if r.sent < limit {
+		if r.sent < limit && r.ID != l.self.ID {
 			fresh = append(fresh, r)
 		}
 	}
 	slices.SortFunc(fresh, func(a, b *record) int {
 		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.ID, b.ID))
 	})
-	fresh = fresh[:min(len(fresh), maxUpdates)]
-	picked := make([]Member, len(fresh))
-	for i, r := range fresh {
+	fresh = fresh[:min(len(fresh), maxUpdates-1)]
+	picked := []Member{l.self}
+	for _, r := range fresh {
 		r.sent++
-		picked[i] = r.Member
+		picked = append(picked, r.Member)
 	}
 	return picked
 }
--- a/internal/process/member/list_test.go
+++ b/internal/process/member/list_test.go
@@ -203,3 +203,28 @@
 	qt.Assert(t, moved, qt.Equals, own)
 	qt.Assert(t, own > keys/size/2 && own < keys/size*2, qt.IsTrue, qt.Commentf("%d of %d keys", own, keys))
 }
+
+// TestLostUpdate checks that a member whose change was told as often as updates
+// are passed on, and missed by one other, is known to it after one probe
+// between the two, in either direction.
+func TestLostUpdate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, probe := range []func(told, other *List) []Member{
+			func(told, other *List) []Member { return other.Merge(told.Merge(nil)) },
+			func(told, other *List) []Member { return told.Merge(other.Merge(nil)) },
+		} {
+			told, other := &List{}, &List{}
+			told.Start(Member{ID: "told", State: Joining, Incarnation: 1})
+			other.Start(Member{ID: "other", State: Ready, Incarnation: 1})
+			other.Merge([]Member{told.Self()})
+			told.SetSelf(func(m *Member) { m.State = Ready })
+			for range 100 {
+				told.Merge(nil) // its answers go to others, or are lost.
+			}
+			other.Merge(probe(told, other))
+			m, ok := other.View().Find("told")
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, m.State, qt.Equals, Ready)
+		}
+	})
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -234,6 +234,7 @@
 // join makes the node one that takes work.
 func (n *Node) join(ctx context.Context) {
 	n.members.SetSelf(func(m *member.Member) { m.State = member.Ready })
+	n.tasks.Go(n.tellState)
 	n.tasks.Go(func() { n.members.Run(ctx) })
 	n.tasks.Go(func() { tick.Every(ctx, lendInterval, n.askShares) })
 	n.Log.Info("node_ready", "node", n.Process.Name, "availability_zone", n.Process.Zone,
@@ -244,7 +245,7 @@
 // until Stop.
 func (n *Node) Leave() {
 	n.members.SetSelf(func(m *member.Member) { m.State = member.Leaving })
-	n.sayGoodbye()
+	n.tellState()
 	n.Log.Info("node_leaving", "node", n.Process.Name, "open_requests", n.gate.Open())
 }
 
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -57,9 +57,9 @@
 	return g
 }
 
-// sayGoodbye tells every member of the region at once that this node leaves,
-// so that no bid or caller is sent here that gossip would have spared.
-func (n *Node) sayGoodbye() {
+// tellState tells every member of the region at once of this node's state, so
+// that cells and callers come and go without waiting for gossip.
+func (n *Node) tellState() {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	self := n.members.Self()
@@ -70,7 +70,7 @@
 		}
 		told.Go(func() {
 			if _, err := n.probe(ctx, m, []member.Member{self}); err != nil {
-				n.Log.Debug("goodbye_not_delivered", "peer", m.ID, "error", err)
+				n.Log.Debug("state_not_delivered", "peer", m.ID, "error", err)
 			}
 		})
 	}
--- a/internal/request/entry/bid.go
+++ b/internal/request/entry/bid.go
@@ -53,11 +53,11 @@
 			j.Request.Upload = &upload{Reader: j.Request.Upload}
 		}
 	}
-	for {
+	for moves := 0; ; moves++ {
 		cell, ok := e.chooseCell(j)
 		if ok {
 			e.note(j, trace.Record{Event: trace.Bidding, Cell: cell.String()})
-			s := e.bidAt(ctx, j, cell)
+			s := e.bidAt(ctx, j, cell, moves)
 			switch s.Answer.Outcome {
 			case sched.Granted:
 				e.note(j, trace.Record{Event: trace.GrantTaken, Endpoint: s.Answer.Endpoint})
@@ -135,7 +135,10 @@
 	return string(b[:])
 }
 
-func (e *Entry) bidAt(ctx context.Context, j *Job, cell ident.CellID) *Grant {
+// bidAt bids at a cell's node, or at those that stand in for it. After several
+// moves the views of this node and of the cell's differ for longer than a change
+// takes, and the next nodes stand in.
+func (e *Entry) bidAt(ctx context.Context, j *Job, cell ident.CellID, moves int) *Grant {
 	b := &sched.Bid{
 		Request: j.Request.ID, Node: e.Self, Tier: j.Tier.Rank, Account: j.Account.ID,
 		Weight: j.Account.Weight, Prompt: j.Request.Prompt, Output: j.Request.Output,
@@ -148,6 +151,9 @@
 	owners := e.Cells.Owners(cell)
 	for i, owner := range owners[:min(len(owners), maxOwners)] {
 		isStandby := i > 0
+		if !isStandby && moves > maxMoves && len(owners) > 1 {
+			continue
+		}
 		if owner.ID == e.Self {
 			if g, ok := e.bidHere(ctx, b, cell, isStandby); ok {
 				return g
@@ -177,6 +183,10 @@
 // alone.
 const maxOwners = 3
 
+// maxMoves is how often a bid is told that its cell moved before it turns to
+// the nodes that stand in.
+const maxMoves = 3
+
 func moved() *Grant { return &Grant{Answer: sched.Answer{Outcome: sched.Moved}} }
 
 // bidHere bids where this node is the cell's own or stands in. It returns false
