Bound whom a starting node contacts, and log the age of the endpoints with each decision

Cause: at 100 nodes each contacted all others when it started and when it became ready; after a kill of all they served again after 9.0 s. Change: 12 seeds a look, 24 members told of a state, gossip does the rest.

--- a/internal/process/member/list.go
+++ b/internal/process/member/list.go
@@ -202,16 +202,19 @@
 	tasks.Go(func() { tick.Every(ctx, SeedInterval, l.Seed) })
 }
 
-// Seed exchanges lists with every listed node that is not known to live.
+// Seed exchanges lists with listed nodes that are not known to live: with all
+// of a few, and with some of many, who tell of the others.
 func (l *List) Seed(ctx context.Context) {
 	if l.Seeds == nil {
 		return
 	}
+	unknown := slices.DeleteFunc(slices.Clone(l.Seeds(ctx)), func(m Member) bool {
+		known, ok := l.View().Find(m.ID)
+		return ok && !known.Suspect || m.ID == l.self.ID
+	})
+	rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
 	var tasks sync.WaitGroup
-	for _, m := range l.Seeds(ctx) {
-		if known, ok := l.View().Find(m.ID); ok && !known.Suspect || m.ID == l.self.ID {
-			continue
-		}
+	for _, m := range unknown[:min(len(unknown), seedsAtOnce)] {
 		tasks.Go(func() { l.syncWith(ctx, m) })
 	}
 	tasks.Wait()
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -163,6 +163,10 @@
 	syncMembers = 64
 	// SeedInterval is the time between looks at the platform's list.
 	SeedInterval = 5 * time.Second
+	// seedsAtOnce bounds the listed nodes that one look contacts: when all nodes
+	// of a fleet start together, contacts between all of them cost more than the
+	// rounds of gossip that they save.
+	seedsAtOnce = 12
 	// tombstoneTime keeps the dead in mind, so that late gossip does not
 	// bring them back.
 	tombstoneTime  = 2 * time.Minute
--- a/internal/process/node/observe.go
+++ b/internal/process/node/observe.go
@@ -98,10 +98,21 @@
 		n.Log.Info("routing_decision", "request_id", r.Request, "account", r.Account, "tier", r.Tier,
 			"pool", r.Pool, "cell", r.Cell, "decision", r.Event, "reason", r.Reason, "endpoint", r.Endpoint,
 			"endpoints_considered", r.Considered, "cached_tokens", int64(r.Cached), "waited", r.Waited,
-			"still_waiting", r.Waiting, "sequence", r.Sequence, "settings_version", r.Settings)
+			"still_waiting", r.Waiting, "sequence", r.Sequence, "settings_version", uint64(r.Settings),
+			"endpoints_age", n.endpointsAge(r.Time))
 	}
 }
 
+// endpointsAge is how old the picture of the endpoints was at a time; 0 is not
+// known.
+func (n *Node) endpointsAge(at time.Time) time.Duration {
+	read := n.watched.readAt()
+	if read.IsZero() {
+		return 0
+	}
+	return max(at.Sub(read), 0)
+}
+
 // record remembers and logs a step that this node's entry side took.
 func (n *Node) record(r trace.Record) {
 	n.prove(r)
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -57,15 +57,19 @@
 	return g
 }
 
-// tellState tells every member of the region at once of this node's state, so
-// that cells and callers come and go without waiting for gossip.
+// toldAtOnce bounds the members that a node tells of its state itself.
+const toldAtOnce = 24
+
+// tellState tells the members of the region at once of this node's state, so
+// that cells and callers come and go without waiting for gossip. Of many members
+// some are told, and gossip tells the rest.
 func (n *Node) tellState() {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	self := n.members.Self()
 	var told sync.WaitGroup
-	for _, m := range n.members.View().Members {
-		if m.ID == self.ID || m.Region != self.Region {
+	for _, m := range n.someOthers(toldAtOnce) {
+		if m.Region != self.Region {
 			continue
 		}
 		told.Go(func() {
