--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -181,6 +181,9 @@
 		MaxIncomingStreams:             maxStreams,
 		InitialStreamReceiveWindow:     streamWindow,
 		InitialConnectionReceiveWindow: connectionWindow,
+		// Messages are short; probing for larger packets costs several kB for
+		// each connection.
+		DisablePathMTUDiscovery: true,
 	}
 }
 
