--- a/internal/process/spool/spool.go
+++ b/internal/process/spool/spool.go
@@ -12,6 +12,7 @@
 package spool
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -21,6 +22,9 @@
 const (
 	// maxWaiting bounds the bytes that wait for the reader.
 	maxWaiting = 1 << 20
+	// pieceBytes is what a pipe takes at once without other writers in between
+	// (PIPE_BUF of Linux).
+	pieceBytes = 4096
 	// closeTime is how long Close waits for the reader.
 	closeTime = 500 * time.Millisecond
 )
@@ -78,8 +82,10 @@
 		batch, w.waiting = w.waiting, batch[:0]
 		closed := w.closed
 		w.mu.Unlock()
-		if len(batch) > 0 {
-			w.to.Write(batch) //nolint:errcheck // there is nowhere to tell it.
+		for rest := batch; len(rest) > 0; {
+			n := piece(rest)
+			w.to.Write(rest[:n]) //nolint:errcheck // there is nowhere to tell it.
+			rest = rest[n:]
 		}
 		if closed {
 			return
@@ -87,6 +93,21 @@
 	}
 }
 
+// piece returns how much of some lines to write at once: whole lines of up to
+// pieceBytes, or one longer line.
+func piece(lines []byte) int {
+	if len(lines) <= pieceBytes {
+		return len(lines)
+	}
+	if n := bytes.LastIndexByte(lines[:pieceBytes], '\n'); n >= 0 {
+		return n + 1
+	}
+	if n := bytes.IndexByte(lines, '\n'); n >= 0 {
+		return n + 1
+	}
+	return len(lines)
+}
+
 // Close writes what waits, for a bounded time.
 func (w *Writer) Close() {
 	w.mu.Lock()
