--- a/internal/connection/door/door.go
+++ b/internal/connection/door/door.go
@@ -16,6 +16,7 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -111,6 +112,7 @@
 	defer release()
 	defer d.inUse.Delete(req.ID)
 	d.step(req, trace.Record{Event: trace.Accepted})
+	d.Meter.Accepted(req.Tier.Name, string(req.Pool.ID))
 	result := d.Serve(r.Context(), req, w)
 	d.note(req, result)
 	switch {
@@ -205,7 +207,9 @@
 	if verdict == quota.Admitted {
 		return release, nil
 	}
-	refusal = refuse.New(refuse.AccountLimit, "the account is over its limit "+string(verdict))
+	refusal = refuse.New(refuse.AccountLimit, fmt.Sprintf(
+		"the account is over its limit %s: %d tokens asked, limits %.0f tokens and %.0f requests a second",
+		verdict, tokens, req.Account.Tokens, req.Account.Requests))
 	refusal.RetryAfter = retry
 	return nil, refusal
 }
@@ -217,7 +221,11 @@
 	if refusal.Run == refuse.NotRun && status >= http.StatusInternalServerError {
 		status = http.StatusServiceUnavailable
 	}
-	d.Meter.Refused("", string(refusal.Reason), string(refusal.Run))
+	tier := ""
+	if req.Tier != nil {
+		tier = req.Tier.Name
+	}
+	d.Meter.Refused(tier, string(refusal.Reason), string(refusal.Run))
 	d.Log.Info("request_refused", "request_id", string(req.ID), "reason", refusal.Reason, "run", refusal.Run,
 		"status", status, "retry_after", refusal.RetryAfter, "message", refusal.Message,
 		"account", accountName(req.Account), "route", routeName(req.Route), "caller_gone", r.Context().Err() != nil,
@@ -248,6 +256,10 @@
 		last.Reason = result.Reason
 	}
 	d.step(req, last)
+	if last.Event == trace.Finished {
+		d.Meter.Answered(req.Tier.Name, string(req.Pool.ID), result.FirstAnswer <= req.Route.FirstAnswer)
+		d.Meter.FirstToken(req.Tier.Name, string(req.Pool.ID), result.FirstAnswer)
+	}
 	d.Log.Info("request_ended", "request_id", string(req.ID), "account", accountName(req.Account), "route", req.Route.Name, "pool", req.Pool.ID,
 		"endpoint", result.Endpoint, "status", result.Status, "attempts", result.Attempts, "cut", result.Cut,
 		"reason", result.Reason, "first_answer", result.FirstAnswer, "took", time.Since(req.Arrived),
--- a/internal/request/pass/attempt.go
+++ b/internal/request/pass/attempt.go
@@ -181,8 +181,11 @@
 // fail ends an exchange without a whole answer.
 func (x *exchange) fail(ctx context.Context, reason string) outcome {
 	ending := sched.Ending{Failed: true}
-	if ctx.Err() != nil {
-		ending = sched.Ending{Cancelled: true}
+	switch {
+	case x.try.parent.Err() != nil:
+		ending, reason = sched.Ending{Cancelled: true}, "the caller went away"
+	case ctx.Err() != nil:
+		ending, reason = sched.Ending{Cancelled: true}, "the deadline passed"
 	}
 	if !x.Sent() && x.sending == nil {
 		return outcome{unsent, reason, ending}
