--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -63,7 +63,7 @@
 	// zoneDistance is the time for which an endpoint in another zone counts as
 	// later: a few steps of an engine, so that a zone's own endpoints are taken
 	// first while they are about as fast.
-	zoneDistance = 15 * time.Millisecond
+	zoneDistance = 40 * time.Millisecond
 	// foreignLife is the age from which a count of foreign requests counts for
 	// nothing: about a mean answer.
 	foreignLife = 1500 * time.Millisecond
