--- a/internal/process/sched/script_test.go
+++ b/internal/process/sched/script_test.go
@@ -1,37 +1,25 @@
 package sched
 
 import (
-	"bufio"
-	"fmt"
-	"os"
-	"path/filepath"
+	"iter"
 	"strconv"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/stand/script"
 	"goldcrestwick/internal/version/config"
 )
 
 // TestScripts runs the scripts in testdata. Each line is a command with
 // key=value arguments; see testdata/README.
-func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.script")
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, len(files) > 0, qt.IsTrue)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".script"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runScript(t, file) })
-		})
-	}
-}
+func TestScripts(t *testing.T) { script.Run(t, "testdata/*.script", play) }
 
-// script is the state of one running script.
-type script struct {
+// player is the state of one running script.
+type player struct {
 	t      *testing.T
 	place  string
 	cell   *Cell
@@ -43,24 +31,17 @@
 	press  []ident.Tier
 }
 
-func runScript(t *testing.T, file string) {
-	f, err := os.Open(file)
-	qt.Assert(t, err, qt.IsNil)
-	defer f.Close() //nolint:errcheck // only read.
-	s := &script{t: t, bids: map[string]*Bid{}, woken: map[string]bool{}, closed: ident.MaxTiers, may: true}
+func play(t *testing.T, lines iter.Seq[script.Line]) {
+	s := &player{t: t, bids: map[string]*Bid{}, woken: map[string]bool{}, closed: ident.MaxTiers, may: true}
 	s.cell = &Cell{
 		ID: ident.CellID{Pool: "team/pool"}, Pool: pool(),
 		Admits:  func(tier ident.Tier) bool { return tier < s.closed },
 		MayShed: func(ident.Tier) bool { return s.may },
 		Press:   func(tier ident.Tier) { s.press = append(s.press, tier) },
 	}
-	lines := bufio.NewScanner(f)
-	for n := 1; lines.Scan(); n++ {
-		s.place = fmt.Sprintf("%s:%d", file, n)
-		line, _, _ := strings.Cut(lines.Text(), "#")
-		if words := strings.Fields(line); len(words) > 0 {
-			s.run(words[0], words[1:])
-		}
+	for line := range lines {
+		s.place = line.Place
+		s.run(line.Command, line.Names, line.Given)
 	}
 }
 
@@ -71,15 +52,7 @@
 	}
 }
 
-func (s *script) run(command string, args []string) {
-	given, names := map[string]string{}, []string{}
-	for _, a := range args {
-		if key, value, ok := strings.Cut(a, "="); ok {
-			given[key] = value
-			continue
-		}
-		names = append(names, a)
-	}
+func (s *player) run(command string, names []string, given map[string]string) {
 	commands := map[string]func([]string, map[string]string){
 		"queue": s.queue, "endpoint": s.endpoint, "leave": s.leave, "bid": s.bid, "first": s.first,
 		"done": s.done, "progress": s.progress, "cancel": s.cancel, "wait": s.wait, "close_below": s.closeBelow,
@@ -93,7 +66,7 @@
 	do(names, given)
 }
 
-func (s *script) number(given map[string]string, key string, otherwise int) int {
+func (s *player) number(given map[string]string, key string, otherwise int) int {
 	text, ok := given[key]
 	if !ok {
 		return otherwise
@@ -103,7 +76,7 @@
 	return n
 }
 
-func (s *script) span(text string) time.Duration {
+func (s *player) span(text string) time.Duration {
 	if text == "" {
 		return 0
 	}
@@ -112,13 +85,13 @@
 	return d
 }
 
-func (s *script) queue(_ []string, given map[string]string) {
+func (s *player) queue(_ []string, given map[string]string) {
 	s.cell.Pool.QueueRequests = s.number(given, "requests", s.cell.Pool.QueueRequests)
 	s.cell.Pool.QueueTokens = ident.Tokens(s.number(given, "tokens", int(s.cell.Pool.QueueTokens)))
 	s.cell.Pool.Window = ident.Tokens(s.number(given, "window", int(s.cell.Pool.Window)))
 }
 
-func (s *script) endpoint(names []string, given map[string]string) {
+func (s *player) endpoint(names []string, given map[string]string) {
 	for _, name := range names {
 		s.specs = append(s.specs, EndpointSpec{
 			ID: ident.Endpoint(name), Address: "http://" + name, Generation: given["generation"],
@@ -129,14 +102,14 @@
 	s.cell.Configure(s.cell.Pool, s.specs)
 }
 
-func (s *script) leave(names []string, _ map[string]string) {
+func (s *player) leave(names []string, _ map[string]string) {
 	for i := range s.specs {
 		s.specs[i].Leaving = s.specs[i].Leaving || string(s.specs[i].ID) == names[0]
 	}
 	s.cell.Configure(s.cell.Pool, s.specs)
 }
 
-func (s *script) bid(names []string, given map[string]string) {
+func (s *player) bid(names []string, given map[string]string) {
 	for _, name := range names {
 		deadline := s.span(given["deadline"])
 		if deadline == 0 {
@@ -166,13 +139,13 @@
 	}
 }
 
-func (s *script) first(names []string, _ map[string]string) {
+func (s *player) first(names []string, _ map[string]string) {
 	for _, name := range names {
 		s.cell.FirstToken(ident.RequestID(name))
 	}
 }
 
-func (s *script) done(names []string, given map[string]string) {
+func (s *player) done(names []string, given map[string]string) {
 	for _, name := range names {
 		s.cell.Done(ident.RequestID(name), Ending{
 			Failed: given["failed"] == "yes", Unused: given["unused"] == "yes",
@@ -184,32 +157,32 @@
 	}
 }
 
-func (s *script) progress(names []string, given map[string]string) {
+func (s *player) progress(names []string, given map[string]string) {
 	s.cell.Progress(ident.RequestID(names[0]), s.span(given["between"]))
 }
 
-func (s *script) cancel(names []string, _ map[string]string) {
+func (s *player) cancel(names []string, _ map[string]string) {
 	qt.Assert(s.t, s.cell.Cancel(s.bids[names[0]]), qt.IsTrue, qt.Commentf(s.place))
 }
 
-func (s *script) wait(names []string, _ map[string]string) {
+func (s *player) wait(names []string, _ map[string]string) {
 	for end := time.Now().Add(s.span(names[0])); time.Now().Before(end); {
 		time.Sleep(100 * time.Millisecond)
 		s.cell.Tick()
 	}
 }
 
-func (s *script) closeBelow(_ []string, given map[string]string) {
+func (s *player) closeBelow(_ []string, given map[string]string) {
 	s.closed = ident.Tier(s.number(given, "tier", 0)) + 1
 	s.cell.Enforce()
 }
 
-func (s *script) mayShed(names []string, _ map[string]string) {
+func (s *player) mayShed(names []string, _ map[string]string) {
 	s.may = names[0] == "yes"
 	s.cell.Tick()
 }
 
-func (s *script) granted(names []string, given map[string]string) {
+func (s *player) granted(names []string, given map[string]string) {
 	for _, name := range names {
 		a := s.bids[name].Answer
 		qt.Assert(s.t, a.Outcome, qt.Equals, Granted, qt.Commentf("%s: %s: %s", s.place, name, a.Reason))
@@ -225,13 +198,13 @@
 	}
 }
 
-func (s *script) waiting(names []string, _ map[string]string) {
+func (s *player) waiting(names []string, _ map[string]string) {
 	for _, name := range names {
 		qt.Assert(s.t, s.bids[name].Answer.Outcome, qt.Equals, Waiting, qt.Commentf("%s: %s", s.place, name))
 	}
 }
 
-func (s *script) refused(names []string, given map[string]string) {
+func (s *player) refused(names []string, given map[string]string) {
 	for _, name := range names {
 		a := s.bids[name].Answer
 		qt.Assert(s.t, a.Outcome == Shed || a.Outcome == Moved, qt.IsTrue, qt.Commentf("%s: %s is not refused", s.place, name))
@@ -239,19 +212,19 @@
 	}
 }
 
-func (s *script) pressed(_ []string, given map[string]string) {
+func (s *player) pressed(_ []string, given map[string]string) {
 	want := ident.Tier(s.number(given, "tier", 0))
 	qt.Assert(s.t, s.press, qt.Contains, want, qt.Commentf(s.place))
 }
 
-func (s *script) move([]string, map[string]string)  { s.cell.Close() }
-func (s *script) pause([]string, map[string]string) { s.cell.Pause() }
+func (s *player) move([]string, map[string]string)  { s.cell.Close() }
+func (s *player) pause([]string, map[string]string) { s.cell.Pause() }
 
-func (s *script) resume(_ []string, given map[string]string) {
+func (s *player) resume(_ []string, given map[string]string) {
 	s.cell.Resume(ident.Tier(s.number(given, "lowest", ident.MaxTiers-1)))
 }
 
-func (s *script) window(names []string, given map[string]string) {
+func (s *player) window(names []string, given map[string]string) {
 	for _, l := range s.cell.Learned() {
 		if string(l.Endpoint) != names[0] {
 			continue
@@ -261,30 +234,30 @@
 	}
 }
 
-func (s *script) adopt(names []string, given map[string]string) {
+func (s *player) adopt(names []string, given map[string]string) {
 	s.cell.Adopt(Held{
 		Request: ident.RequestID(names[0]), Node: ident.NodeID(given["node"]),
 		Endpoint: ident.Endpoint(given["on"]), Charge: ident.Tokens(s.number(given, "charge", 0)),
 	})
 }
 
-func (s *script) dropNode(names []string, _ map[string]string) {
+func (s *player) dropNode(names []string, _ map[string]string) {
 	s.cell.DropNode(ident.NodeID(names[0]))
 }
 
-func (s *script) report(names []string, given map[string]string) {
+func (s *player) report(names []string, given map[string]string) {
 	s.cell.Report(LoadReport{
 		Endpoint: ident.Endpoint(names[0]), Age: s.span(given["age"]), Running: s.number(given, "running", 0),
 		Waiting: s.number(given, "waiting", 0), Draining: given["draining"] == "yes",
 	})
 }
 
-func (s *script) unreachable(names []string, _ map[string]string) {
+func (s *player) unreachable(names []string, _ map[string]string) {
 	s.cell.Unreachable(ident.Endpoint(names[0]))
 }
 
 // shareService makes the first tiers one group.
-func (s *script) shareService(_ []string, given map[string]string) {
+func (s *player) shareService(_ []string, given map[string]string) {
 	team := &config.Team{}
 	last := s.number(given, "last", 0)
 	for i := range last + 1 {
@@ -295,7 +268,7 @@
 }
 
 // held is a node's word on which adopted requests it still has.
-func (s *script) held(names []string, given map[string]string) {
+func (s *player) held(names []string, given map[string]string) {
 	held := map[ident.RequestID]bool{}
 	for _, name := range names {
 		held[ident.RequestID(name)] = true
--- a/internal/process/watch/script_test.go
+++ b/internal/process/watch/script_test.go
@@ -1,14 +1,11 @@
 package watch
 
 import (
-	"bufio"
 	"context"
-	"fmt"
 	"io"
+	"iter"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -20,6 +17,7 @@
 
 	"goldcrestwick/internal/process/store"
 	"goldcrestwick/internal/stand/cloud"
+	"goldcrestwick/internal/stand/script"
 	"goldcrestwick/platform"
 )
 
@@ -32,16 +30,7 @@
 //	wait T
 //	want KEY=VALUE...                 the rows as the follower knows them
 //	calls_at_most N                   since the last such line
-func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.script")
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, len(files) > 0, qt.IsTrue)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".script"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runScript(t, file) })
-		})
-	}
-}
+func TestScripts(t *testing.T) { script.Run(t, "testdata/*.script", play) }
 
 // slowTime is how long a slow store holds a call.
 const slowTime = 5 * time.Second
@@ -64,17 +53,17 @@
 	}
 }
 
-type script struct {
+type player struct {
 	*testing.T
-	place string
+	script.Line
 	cloud cloud.Platform
 	rows  map[string]string
 	peer  time.Time
 	calls int
 }
 
-func runScript(t *testing.T, file string) {
-	s := &script{T: t, rows: map[string]string{}}
+func play(t *testing.T, lines iter.Seq[script.Line]) {
+	s := &player{T: t, rows: map[string]string{}}
 	calls := &platform.Store{Address: "store", Transport: direct{&s.cloud}}
 	table := &Table{
 		Name: "things", Store: &store.Client{Service: calls.Service()}, Wait: 2 * time.Second, Interval: 100 * time.Millisecond,
@@ -83,15 +72,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); table.Run(ctx) }()
-	raw, err := os.Open(file)
-	qt.Assert(t, err, qt.IsNil)
-	defer raw.Close() //nolint:errcheck // only read.
-	lines := bufio.NewScanner(raw)
-	for n := 1; lines.Scan(); n++ {
-		s.place = fmt.Sprintf("%s:%d", file, n)
-		if words := strings.Fields(lines.Text()); len(words) > 0 && words[0] != "#" {
-			s.run(words[0], words[1:])
-		}
+	for s.Line = range lines {
+		s.run(s.Command, s.Args)
 	}
 	cancel()
 	<-done
@@ -99,7 +81,7 @@
 	time.Sleep(slowTime)
 }
 
-func (s *script) changed(rows []store.Row) {
+func (s *player) changed(rows []store.Row) {
 	for _, r := range rows {
 		if r.Deleted {
 			delete(s.rows, r.Key)
@@ -109,7 +91,7 @@
 	}
 }
 
-func (s *script) run(command string, words []string) {
+func (s *player) run(command string, words []string) {
 	switch command {
 	case "put":
 		s.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: "things", Key: words[0], Value: []byte(words[1])}}})
@@ -128,9 +110,7 @@
 	case "peer_reads":
 		s.peer = time.Now()
 	case "wait":
-		d, err := time.ParseDuration(words[0])
-		qt.Assert(s.T, err, qt.IsNil, qt.Commentf(s.place))
-		time.Sleep(d)
+		time.Sleep(s.Span(words[0]))
 		synctest.Wait()
 	case "want":
 		var got []string
@@ -138,14 +118,12 @@
 			got = append(got, key+"="+value)
 		}
 		slices.Sort(got)
-		qt.Check(s.T, strings.Join(got, " "), qt.Equals, strings.Join(words, " "), qt.Commentf(s.place))
+		qt.Check(s.T, strings.Join(got, " "), qt.Equals, strings.Join(words, " "), qt.Commentf(s.Place))
 	case "calls_at_most":
 		_, reads := s.cloud.Counts()
-		var most int
-		fmt.Sscan(words[0], &most) //nolint:errcheck // a bad number is 0.
-		qt.Check(s.T, reads-s.calls <= most, qt.IsTrue, qt.Commentf("%s: %d calls", s.place, reads-s.calls))
+		qt.Check(s.T, reads-s.calls <= s.Number(words[0]), qt.IsTrue, qt.Commentf("%s: %d calls", s.Place, reads-s.calls))
 		s.calls = reads
 	default:
-		s.Fatalf("%s: unknown command %s", s.place, command)
+		s.Fatalf("%s: unknown command %s", s.Place, command)
 	}
 }
--- a/internal/request/pass/script_test.go
+++ b/internal/request/pass/script_test.go
@@ -1,19 +1,16 @@
 package pass
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"iter"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -25,6 +22,7 @@
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/refuse"
 	"goldcrestwick/internal/stand/engine"
+	"goldcrestwick/internal/stand/script"
 	"goldcrestwick/internal/version/config"
 )
 
@@ -37,21 +35,12 @@
 //	send
 //	want WORDS...                               what the caller got
 //	arrived NAME N [HEADER VALUE]               what reached an endpoint
-func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.script")
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, len(files) > 0, qt.IsTrue)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".script"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runScript(t, file) })
-		})
-	}
-}
+func TestScripts(t *testing.T) { script.Run(t, "testdata/*.script", play) }
 
-// script is one running test.
-type script struct {
+// player is one running test.
+type player struct {
 	*testing.T
-	place    string
+	script.Line
 	passer   Passer
 	request  *Request
 	leave    time.Duration
@@ -65,8 +54,8 @@
 	open     []net.Conn
 }
 
-func runScript(t *testing.T, file string) {
-	s := &script{T: t, engines: map[string]*engine.Engine{}, answers: map[string]engine.Behaviour{}}
+func play(t *testing.T, lines iter.Seq[script.Line]) {
+	s := &player{T: t, engines: map[string]*engine.Engine{}, answers: map[string]engine.Behaviour{}}
 	s.passer = Passer{
 		Bid: s.bid, IsLeaving: func(ident.CellID, ident.Endpoint) bool { return false },
 		Conns: &conn.Pool{Dial: s.dial}, Dialect: testDialect(),
@@ -78,15 +67,8 @@
 		Header: http.Header{engine.AttemptHeader: {"r1"}, "X-Other": {"kept"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
 		Labels: Labels{ID: "r1"}, Tier: &config.Tier{}, Body: []byte("body"),
 	}
-	raw, err := os.Open(file)
-	qt.Assert(t, err, qt.IsNil)
-	defer raw.Close() //nolint:errcheck // only read.
-	lines := bufio.NewScanner(raw)
-	for n := 1; lines.Scan(); n++ {
-		s.place = fmt.Sprintf("%s:%d", file, n)
-		if words := strings.Fields(lines.Text()); len(words) > 0 && words[0] != "#" {
-			s.run(words[0], words[1:])
-		}
+	for s.Line = range lines {
+		s.run(s.Command, s.Args)
 	}
 	for _, c := range s.open {
 		c.Close() //nolint:errcheck // the test is over.
@@ -94,14 +76,14 @@
 	s.passer.Conns.Close()
 }
 
-func (s *script) run(command string, words []string) {
+func (s *player) run(command string, words []string) {
 	switch command {
 	case "route":
 		s.route(words)
 	case "request":
 		s.caller(words)
 	case "budget":
-		s.passer.Budget.Limit.Extra = float64(s.number(words[0])) / 0.7
+		s.passer.Budget.Limit.Extra = float64(s.Number(words[0])) / 0.7
 	case "engine":
 		s.engine(words[0], words[1:])
 	case "send":
@@ -111,25 +93,13 @@
 	case "arrived":
 		s.arrived(words)
 	default:
-		s.Fatalf("%s: unknown command %s", s.place, command)
+		s.Fatalf("%s: unknown command %s", s.Place, command)
 	}
 }
 
-func (s *script) number(word string) int {
-	n, err := strconv.Atoi(word)
-	qt.Assert(s.T, err, qt.IsNil, qt.Commentf(s.place))
-	return n
-}
-
-func (s *script) span(word string) time.Duration {
-	d, err := time.ParseDuration(word)
-	qt.Assert(s.T, err, qt.IsNil, qt.Commentf(s.place))
-	return d
-}
-
 var kinds = map[string]config.Repeat{"once": config.Once, "idempotent": config.Idempotent, "stream": config.Stream}
 
-func (s *script) route(words []string) {
+func (s *player) route(words []string) {
 	r := &config.Route{Repeat: kinds[words[0]], Attempts: 1, Timeout: 10 * time.Second, FirstAnswer: time.Second}
 	for i := 1; i < len(words); i++ {
 		switch words[i] {
@@ -137,47 +107,47 @@
 			r.Resumable = true
 		case "attempts":
 			i++
-			r.Attempts = s.number(words[i])
+			r.Attempts = s.Number(words[i])
 		case "timeout":
 			i++
-			r.Timeout = s.span(words[i])
+			r.Timeout = s.Span(words[i])
 		default:
-			s.Fatalf("%s: unknown word %s", s.place, words[i])
+			s.Fatalf("%s: unknown word %s", s.Place, words[i])
 		}
 	}
 	s.request.Route = r
 }
 
-func (s *script) caller(words []string) {
+func (s *player) caller(words []string) {
 	for i := 0; i+1 < len(words); i += 2 {
 		switch words[i] {
 		case "after":
-			s.request.Labels.After = s.number(words[i+1])
+			s.request.Labels.After = s.Number(words[i+1])
 		case "body":
-			s.request.Body = []byte(strings.Repeat("x", s.number(words[i+1])))
+			s.request.Body = []byte(strings.Repeat("x", s.Number(words[i+1])))
 		case "leave":
-			s.leave = s.span(words[i+1])
+			s.leave = s.Span(words[i+1])
 		default:
-			s.Fatalf("%s: unknown word %s", s.place, words[i])
+			s.Fatalf("%s: unknown word %s", s.Place, words[i])
 		}
 	}
 }
 
 // engine sets the answer of the endpoint that is granted next.
-func (s *script) engine(name string, words []string) {
+func (s *player) engine(name string, words []string) {
 	var b engine.Behaviour
 	for i := 0; i < len(words); i++ {
 		switch word := words[i]; word {
 		case "status":
 			i++
-			b.Status = s.number(words[i])
+			b.Status = s.Number(words[i])
 		case "body":
 			i++
 			b.Body = words[i]
 		case "events":
 			i++
 			first, last, _ := strings.Cut(words[i], "-")
-			b.First, b.Last = s.number(first), s.number(last)
+			b.First, b.Last = s.Number(first), s.Number(last)
 		case "stray":
 			i++
 			b.Stray = words[i]
@@ -199,7 +169,7 @@
 			b.Ending = engine.Ending(word)
 		case "unreachable", "other":
 		default:
-			s.Fatalf("%s: unknown word %s", s.place, word)
+			s.Fatalf("%s: unknown word %s", s.Place, word)
 		}
 	}
 	id := name
@@ -213,7 +183,7 @@
 	s.order = append(s.order, name)
 }
 
-func (s *script) bid(context.Context, *entry.Job) (*entry.Grant, *refuse.Refusal) {
+func (s *player) bid(context.Context, *entry.Job) (*entry.Grant, *refuse.Refusal) {
 	if s.granted >= len(s.order) {
 		return nil, refuse.New(refuse.Overload, "no more endpoints")
 	}
@@ -228,7 +198,7 @@
 
 var errUnreachable = errors.New("connection refused")
 
-func (s *script) dial(_ context.Context, address string) (net.Conn, error) {
+func (s *player) dial(_ context.Context, address string) (net.Conn, error) {
 	e := s.engines[address]
 	if e == nil {
 		return nil, errUnreachable
@@ -257,7 +227,7 @@
 	}
 }
 
-func (s *script) send() {
+func (s *player) send() {
 	s.granted, s.endings = 0, nil
 	s.recorder = httptest.NewRecorder()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -274,21 +244,21 @@
 
 // want checks what the caller got: status N, body TEXT, events F-L, cut,
 // refused REASON not_run|unknown, signed NAME, ending WORD, took T.
-func (s *script) want(words []string) {
+func (s *player) want(words []string) {
 	for i := 0; i < len(words); i++ {
-		at := qt.Commentf("%s: %+v", s.place, s.result)
+		at := qt.Commentf("%s: %+v", s.Place, s.result)
 		switch words[i] {
 		case "status":
 			i++
 			qt.Check(s.T, s.result.Refusal == nil, qt.IsTrue, at)
-			qt.Check(s.T, s.recorder.Code, qt.Equals, s.number(words[i]), at)
+			qt.Check(s.T, s.recorder.Code, qt.Equals, s.Number(words[i]), at)
 		case "body":
 			i++
 			qt.Check(s.T, s.recorder.Body.String(), qt.Equals, words[i], at)
 		case "events":
 			i++
 			first, last, _ := strings.Cut(words[i], "-")
-			qt.Check(s.T, s.recorder.Body.String(), qt.Equals, eventsOf(s.number(first), s.number(last)), at)
+			qt.Check(s.T, s.recorder.Body.String(), qt.Equals, eventsOf(s.Number(first), s.Number(last)), at)
 		case "cut":
 			qt.Check(s.T, s.result.Cut, qt.IsTrue, at)
 		case "whole":
@@ -304,12 +274,12 @@
 			qt.Check(s.T, s.recorder.Header().Get(engine.StampHeader), qt.Equals, words[i]+".r1", at)
 		case "attempts":
 			i++
-			qt.Check(s.T, s.result.Attempts, qt.Equals, s.number(words[i]), at)
+			qt.Check(s.T, s.result.Attempts, qt.Equals, s.Number(words[i]), at)
 		case "took":
 			i++
-			qt.Check(s.T, time.Since(s.request.Arrived), qt.Equals, s.span(words[i]), at)
+			qt.Check(s.T, time.Since(s.request.Arrived), qt.Equals, s.Span(words[i]), at)
 		default:
-			s.Fatalf("%s: unknown word %s", s.place, words[i])
+			s.Fatalf("%s: unknown word %s", s.Place, words[i])
 		}
 	}
 }
@@ -324,11 +294,11 @@
 
 // arrived checks how many requests reached an endpoint and a header of the
 // last one; every one has the caller's method, target, body and other headers.
-func (s *script) arrived(words []string) {
-	at := qt.Commentf(s.place)
+func (s *player) arrived(words []string) {
+	at := qt.Commentf(s.Place)
 	e := s.engines[words[0]]
 	all := e.Arrivals()
-	qt.Assert(s.T, len(all), qt.Equals, s.number(words[1]), at)
+	qt.Assert(s.T, len(all), qt.Equals, s.Number(words[1]), at)
 	for _, a := range all {
 		qt.Check(s.T, a.Method+" "+a.Target, qt.Equals, "POST /a/b?c=d", at)
 		qt.Check(s.T, a.Header.Get("X-Other"), qt.Equals, "kept", at)
--- a/internal/tool/fleet/passing_test.go
+++ b/internal/tool/fleet/passing_test.go
@@ -1,19 +1,15 @@
 package fleet
 
 import (
-	"bufio"
 	"context"
 	"crypto/ed25519"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
+	"iter"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -30,27 +26,19 @@
 	"goldcrestwick/internal/stand/cloud"
 	"goldcrestwick/internal/stand/engine"
 	"goldcrestwick/internal/stand/pipes"
+	"goldcrestwick/internal/stand/script"
 	"goldcrestwick/internal/version/config"
 	"goldcrestwick/platform"
 )
 
 // TestPassing runs whole nodes on the platform's stand-ins, by scripts of
 // lines; see testdata/passing/README.
-func TestPassing(t *testing.T) {
-	files, err := filepath.Glob("testdata/passing/*.script")
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, len(files) > 0, qt.IsTrue)
-	for _, file := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".script"), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runPassing(t, file) })
-		})
-	}
-}
+func TestPassing(t *testing.T) { script.Run(t, "testdata/passing/*.script", playPassing) }
 
 // passing is a fleet of nodes that pass requests on.
 type passing struct {
 	*testing.T
-	place   string
+	script.Line
 	net     *pipes.Net
 	cloud   cloud.Platform
 	url     string
@@ -89,7 +77,7 @@
 	settled bool
 }
 
-func runPassing(t *testing.T, file string) {
+func playPassing(t *testing.T, lines iter.Seq[script.Line]) {
 	p := &passing{
 		T: t, net: &pipes.Net{}, nodes: map[string]*passNode{}, engines: map[string]*passEngine{},
 		calls: map[string]*passCall{},
@@ -98,16 +86,8 @@
 	qt.Assert(t, err, qt.IsNil)
 	p.url = PlatformHost + ":80"
 	p.serve(l, &p.cloud)
-	raw, err := os.Open(file)
-	qt.Assert(t, err, qt.IsNil)
-	defer raw.Close() //nolint:errcheck // only read.
-	lines := bufio.NewScanner(raw)
-	for n := 1; lines.Scan(); n++ {
-		p.place = fmt.Sprintf("%s:%d", file, n)
-		line, _, _ := strings.Cut(lines.Text(), "#")
-		if words := strings.Fields(line); len(words) > 0 {
-			p.run(words[0], words[1:])
-		}
+	for p.Line = range lines {
+		p.run(p.Command, p.Names, p.Given)
 	}
 	p.stop()
 }
@@ -143,15 +123,7 @@
 	n.peers.Close()
 }
 
-func (p *passing) run(command string, args []string) {
-	given, names := map[string]string{}, []string{}
-	for _, a := range args {
-		if key, value, ok := strings.Cut(a, "="); ok {
-			given[key] = value
-			continue
-		}
-		names = append(names, a)
-	}
+func (p *passing) run(command string, names []string, given map[string]string) {
 	commands := map[string]func([]string, map[string]string){
 		"node": p.node, "engine": p.engine, "answers": p.answers, "route": p.route, "account": p.account,
 		"settings": p.settings, "state": p.state, "send": p.send, "want": p.want, "arrivals": p.arrivals,
@@ -159,7 +131,7 @@
 		"store": p.store, "leave": p.leave, "ready": p.ready, "cut": p.cut, "heal": p.heal, "odd_entry": p.oddEntry,
 	}
 	do, ok := commands[command]
-	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.place, command))
+	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.Place, command))
 	do(names, given)
 }
 
@@ -170,7 +142,7 @@
 }
 
 func (p *passing) startNode(name string) {
-	at := qt.Commentf("%s: %s", p.place, name)
+	at := qt.Commentf("%s: %s", p.Place, name)
 	mux := &link.Mux{}
 	listener, err := p.net.Listen(name + ":80")
 	qt.Assert(p.T, err, qt.IsNil, at)
@@ -210,7 +182,7 @@
 			return e.next
 		}
 		l, err := p.net.Listen(name + ":80")
-		qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.place))
+		qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.Place))
 		e.listener = l
 		go func() {
 			for {
@@ -235,7 +207,7 @@
 
 func (p *passing) put(table, key string, value any) {
 	raw, err := json.Marshal(value)
-	qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.place))
+	qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.Place))
 	p.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: table, Key: key, Value: raw}}})
 }
 
@@ -244,32 +216,14 @@
 		e := p.engines[name]
 		e.mu.Lock()
 		e.next = engine.Behaviour{
-			Status: p.number(given, "status", 0), Body: given["body"], Last: p.number(given, "events", 0),
-			Ending: engine.Ending(given["ending"]), Pace: p.span(given["pace"]), Drop: given["drop"] == "yes",
+			Status: p.Int("status", 0), Body: given["body"], Last: p.Int("events", 0),
+			Ending: engine.Ending(given["ending"]), Pace: p.Span(given["pace"]), Drop: given["drop"] == "yes",
 			NotRun: given["not_run"] == "yes",
 		}
 		e.mu.Unlock()
 	}
 }
 
-func (p *passing) number(given map[string]string, key string, otherwise int) int {
-	if given[key] == "" {
-		return otherwise
-	}
-	n, err := strconv.Atoi(given[key])
-	qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.place))
-	return n
-}
-
-func (p *passing) span(text string) time.Duration {
-	if text == "" {
-		return 0
-	}
-	d, err := time.ParseDuration(text)
-	qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.place))
-	return d
-}
-
 // route adds a route of the settings that are written next.
 func (p *passing) route(names []string, given map[string]string) {
 	kind := given["kind"]
@@ -286,8 +240,8 @@
 	}
 	p.routes = append(p.routes, map[string]any{
 		"name": names[0], "host": "h.example", "prefix": "/" + names[0] + "/", "kind": kind, "service": service,
-		"timeout_ms": p.number(given, "timeout_ms", 5000), "target_latency_ms": p.number(given, "target_ms", 1000),
-		"gap_aim_ms": 400, "attempts": p.number(given, "attempts", 1), "resumable": given["resumable"] == "yes",
+		"timeout_ms": p.Int("timeout_ms", 5000), "target_latency_ms": p.Int("target_ms", 1000),
+		"gap_aim_ms": 400, "attempts": p.Int("attempts", 1), "resumable": given["resumable"] == "yes",
 	})
 }
 
@@ -295,7 +249,7 @@
 	p.tenants = slices.DeleteFunc(p.tenants, func(t map[string]any) bool { return t["name"] == names[0] })
 	p.tenants = append(p.tenants, map[string]any{
 		"name": names[0], "api_keys": strings.Split(given["keys"], ","), "unit": "token_stream", "plain_tokens": 100,
-		"rate_per_s": p.number(given, "rate", 0), "burst": p.number(given, "burst", 0), "priority": 1,
+		"rate_per_s": p.Int("rate", 0), "burst": p.Int("burst", 0), "priority": 1,
 	})
 }
 
@@ -333,7 +287,7 @@
 		call := &passCall{}
 		p.calls[name] = call
 		req, err := http.NewRequest(http.MethodPost, "http://"+given["to"]+":80/"+given["route"]+"/x", strings.NewReader("body")) //nolint:noctx // it ends with the test.
-		qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.place))
+		qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.Place))
 		req.Host = "h.example"
 		req.Header.Set(engine.AttemptHeader, name)
 		req.Header.Set("X-Api-Key", given["key"])
@@ -370,7 +324,7 @@
 func (p *passing) want(names []string, given map[string]string) {
 	for _, name := range names {
 		c := p.calls[name]
-		at := qt.Commentf("%s: %s: %+v", p.place, name, c)
+		at := qt.Commentf("%s: %s: %+v", p.Place, name, c)
 		if given["open"] == "yes" {
 			qt.Check(p.T, c.settled, qt.IsFalse, at)
 			continue
@@ -381,30 +335,30 @@
 			continue
 		}
 		qt.Check(p.T, c.err, qt.IsNil, at)
-		qt.Check(p.T, c.status, qt.Equals, p.number(given, "status", http.StatusOK), at)
+		qt.Check(p.T, c.status, qt.Equals, p.Int("status", http.StatusOK), at)
 		qt.Check(p.T, c.whole, qt.Equals, given["whole"] != "no", at)
 		if given["events"] != "" {
-			qt.Check(p.T, strings.Count(c.body, "id: "), qt.Equals, p.number(given, "events", 0), at)
+			qt.Check(p.T, strings.Count(c.body, "id: "), qt.Equals, p.Int("events", 0), at)
 		}
 		if given["retry"] == "yes" {
 			qt.Check(p.T, c.retry != "", qt.IsTrue, at)
 		}
 		if given["within"] != "" {
-			qt.Check(p.T, c.took <= p.span(given["within"]), qt.IsTrue, at)
+			qt.Check(p.T, c.took <= p.Span(given["within"]), qt.IsTrue, at)
 		}
 	}
 }
 
-func (p *passing) arrivals(names []string, given map[string]string) {
+func (p *passing) arrivals(names []string, _ map[string]string) {
 	total := 0
 	for _, name := range names {
 		total += len(p.engines[name].Arrivals())
 	}
-	qt.Check(p.T, total, qt.Equals, p.number(given, "are", 0), qt.Commentf("%s: %v", p.place, names))
+	qt.Check(p.T, total, qt.Equals, p.Int("are", 0), qt.Commentf("%s: %v", p.Place, names))
 }
 
 func (p *passing) wait(names []string, _ map[string]string) {
-	time.Sleep(p.span(names[0]))
+	time.Sleep(p.Span(names[0]))
 	synctest.Wait()
 }
 
@@ -469,7 +423,7 @@
 // ready checks which nodes say that they are ready.
 func (p *passing) ready(names []string, given map[string]string) {
 	for _, name := range names {
-		qt.Check(p.T, p.nodes[name].IsReady(), qt.Equals, given["is"] != "no", qt.Commentf("%s: %s", p.place, name))
+		qt.Check(p.T, p.nodes[name].IsReady(), qt.Equals, given["is"] != "no", qt.Commentf("%s: %s", p.Place, name))
 	}
 }
 
@@ -487,6 +441,6 @@
 		return
 	}
 	fault, ok := storeStates[names[0]]
-	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf(p.place))
+	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf(p.Place))
 	p.cloud.SetFault(func(cloud.Op) cloud.Fault { return fault })
 }
