Count an endpoint's failures of late in the choice of an endpoint

Cause: endpoints that fail part of their requests while their health is good got as many as before; three failures in a row are rare at a half. Change: each outcome moves a part that fails, which is forgotten in seconds and counts up to a first token's target.

--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"goldcrestwick/internal/process/prefix"
@@ -60,6 +61,11 @@
 	defaultCacheTokens ident.Tokens = 64 << 10
 	// reportLife is the age from which a load report counts for nothing.
 	reportLife = 5 * time.Second
+	// errorLife is the time constant with which failures are forgotten.
+	errorLife = 4 * time.Second
+	// errorCost is what a certain failure counts for: about the target of a
+	// first token, which is lost with it.
+	errorCost = 500 * time.Millisecond
 	// zoneDistance is the time for which an endpoint in another zone counts as
 	// later: a few steps of an engine, so that a zone's own endpoints are taken
 	// first while they are about as fast.
@@ -108,6 +114,10 @@
 	reported time.Time
 	// sinceReport counts the grants made since the report was true.
 	sinceReport int
+	// errors is the part of the latest requests that failed there, as of
+	// erredAt.
+	errors  float64
+	erredAt time.Time
 	// foreign is the number of requests there that this cell did not grant, by
 	// the endpoint's own count at foreignAt.
 	foreign   int
@@ -175,6 +185,31 @@
 	return e.running+foreign < e.Slots && (e.CacheTokens == 0 || e.used+charge <= e.CacheTokens)
 }
 
+// noteOutcome learns how often requests fail there.
+func (e *endpoint) noteOutcome(failed bool, now time.Time) {
+	e.errors = e.errorsNow(now)
+	e.erredAt = now
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	e.errors += sampleShare * (sample - e.errors)
+}
+
+// errorsNow is the part of requests that fail, which is forgotten with time, so
+// that an endpoint which is well again is tried.
+func (e *endpoint) errorsNow(now time.Time) float64 {
+	if e.errors == 0 {
+		return 0
+	}
+	return e.errors * math.Exp(-now.Sub(e.erredAt).Seconds()/errorLife.Seconds())
+}
+
+// risk is what the failures of late count for in the choice of an endpoint.
+func (e *endpoint) risk(now time.Time) time.Duration {
+	return time.Duration(e.errorsNow(now) * float64(errorCost))
+}
+
 // occupied takes the endpoint's count of its requests. What is granted and not
 // there yet makes the rest look smaller, never larger.
 func (e *endpoint) occupied(o Occupancy, now time.Time) {
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -52,6 +52,7 @@
 	if end.Unused || end.Cancelled || end.Refused && !end.Failed {
 		return
 	}
+	g.endpoint.noteOutcome(end.Failed || end.Erred, now)
 	g.endpoint.observe(end, g.backlog, c.targets(), now)
 	c.judge(g.endpoint, now)
 }
@@ -118,7 +119,7 @@
 			continue
 		}
 		c.considered = append(c.considered, e.ID)
-		if t := e.cost(uncached, b.Output, left) + distance(b, e); best == nil || t < least {
+		if t := e.cost(uncached, b.Output, left) + distance(b, e) + e.risk(now); best == nil || t < least {
 			best, least = e, t
 		}
 	}
--- a/internal/process/sched/script_test.go
+++ b/internal/process/sched/script_test.go
@@ -149,7 +149,7 @@
 	for _, name := range names {
 		s.cell.Done(ident.RequestID(name), Ending{
 			Failed: given["failed"] == "yes", Unused: given["unused"] == "yes",
-			Refused: given["refused"] == "yes", Cancelled: given["cancelled"] == "yes",
+			Refused: given["refused"] == "yes", Erred: given["erred"] == "yes", Cancelled: given["cancelled"] == "yes",
 			FirstToken: s.span(given["first"]), BetweenTokens: s.span(given["between"]),
 			Cached:   ident.Tokens(s.number(given, "cached", 0)),
 			Uncached: ident.Tokens(s.number(given, "uncached", 0)),
