Run the entry program on loopback before the stand-ins

Two nodes with real sockets and QUIC find and trust each other through the store, resume a stream that breaks, explain it and write the ledger. Listeners are opened before the node is put together, so that port 0 works.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -41,9 +41,11 @@
 	// memoryShare is the part of the process's memory that the heap may fill
 	// before the collector works harder.
 	memoryShare = 0.6
-	trustPause  = 200 * time.Millisecond
-	trustTime   = 2 * time.Second
-	readTimeout = 5 * time.Second
+	// maxListeners bounds the listeners that can fail.
+	maxListeners = 8
+	trustPause   = 200 * time.Millisecond
+	trustTime    = 2 * time.Second
+	readTimeout  = 5 * time.Second
 )
 
 func entryCommand() *cli.Command {
@@ -61,12 +63,17 @@
 
 // entryNode is an entry node on the platform with its listeners.
 type entryNode struct {
-	process config.Process
-	node    *node.Node
-	link    *link.Link
-	callers *http.Server
-	log     *log.Logger
-	failed  chan error
+	process   config.Process
+	node      *node.Node
+	link      *link.Link
+	callers   *http.Server
+	listeners map[string]net.Listener
+	log       *log.Logger
+	failed    chan error
+	// linger is how long a stopping node serves callers that still come.
+	linger time.Duration
+	// ready is closed when the addresses in use are known.
+	ready chan struct{}
 }
 
 func runEntry(ctx context.Context, c *cli.Command) error {
@@ -89,7 +96,7 @@
 	}
 	lines := spool.New(c.Root().Writer)
 	defer lines.Close()
-	e := &entryNode{process: p, log: newLogger(p, lines), failed: make(chan error, 8)}
+	e := newEntryNode(p, newLogger(p, lines))
 	e.log.Info("process_started", "node", p.Name, "availability_zone", p.Zone, "callers", p.CallerAddress)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
@@ -97,6 +104,13 @@
 	return e.run(ctx)
 }
 
+func newEntryNode(p config.Process, logger *log.Logger) *entryNode {
+	return &entryNode{
+		process: p, log: logger, listeners: map[string]net.Listener{},
+		failed: make(chan error, maxListeners), ready: make(chan struct{}), linger: closeAfter,
+	}
+}
+
 // reload checks the settings file again when it has changed. What it holds
 // beyond the log level takes a new process.
 func (e *entryNode) reload(file string, signals <-chan os.Signal) {
@@ -114,6 +128,9 @@
 }
 
 func (e *entryNode) run(ctx context.Context) error {
+	if err := e.open(); err != nil {
+		return err
+	}
 	client := &store.Client{Service: platform.NewStore(e.process.StoreAddress).Service()}
 	e.link = &link.Link{Mux: &link.Mux{}}
 	e.node = &node.Node{
@@ -128,9 +145,8 @@
 	resumeKey := make([]byte, minResumeKey)
 	rand.Read(resumeKey) //nolint:errcheck // crypto/rand.Read never fails.
 	e.node.Prepare(e.link.Mux, resumeKey)
-	if err := e.listen(); err != nil {
-		return err
-	}
+	e.serve()
+	close(e.ready)
 	starting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -146,35 +162,44 @@
 	}
 }
 
-// listen opens the addresses for callers, which get a truthful refusal until
-// the node has joined.
-func (e *entryNode) listen() error {
-	e.callers = e.node.Door().Server()
-	servers := []struct {
-		address string
-		server  *http.Server
-	}{
-		{e.process.CallerAddress, e.callers},
-		{e.process.ReadyAddress, plainServer(platform.Readiness(e.node.IsReady))},
-		{e.process.DirectoryAddress, plainServer(platform.Directory(e.node.EntryAddresses, addressesTTL))},
-		{e.process.OperatorAddress, plainServer(e.node.Operators().Handler())},
-		{e.process.MetricsAddress, plainServer(e.node.Operators().Handler())},
-	}
-	for _, s := range servers {
-		if s.address == "" {
+// open opens the TCP addresses. Port 0 lets the system choose.
+func (e *entryNode) open() error {
+	p := &e.process
+	for _, at := range []*string{&p.CallerAddress, &p.ReadyAddress, &p.DirectoryAddress, &p.OperatorAddress, &p.MetricsAddress} {
+		if *at == "" {
 			continue
 		}
-		l, err := net.Listen("tcp", s.address)
+		l, err := net.Listen("tcp", *at)
 		if err != nil {
-			return eris.Wrapf(err, "listen at %s", s.address)
+			return eris.Wrapf(err, "listen at %s", *at)
+		}
+		*at = l.Addr().String()
+		e.listeners[*at] = l
+	}
+	return nil
+}
+
+// serve answers callers, who get a truthful refusal until the node has joined.
+func (e *entryNode) serve() {
+	e.callers = e.node.Door().Server()
+	operators := e.node.Operators().Handler()
+	for address, server := range map[string]*http.Server{
+		e.process.CallerAddress:    e.callers,
+		e.process.ReadyAddress:     plainServer(platform.Readiness(e.node.IsReady)),
+		e.process.DirectoryAddress: plainServer(platform.Directory(e.node.EntryAddresses, addressesTTL)),
+		e.process.OperatorAddress:  plainServer(operators),
+		e.process.MetricsAddress:   plainServer(operators),
+	} {
+		l := e.listeners[address]
+		if l == nil {
+			continue
 		}
 		go func() {
-			if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-				e.failed <- eris.Wrapf(err, "serve at %s", s.address)
+			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				e.failed <- eris.Wrapf(err, "serve at %s", address)
 			}
 		}()
 	}
-	return nil
 }
 
 func plainServer(h http.Handler) *http.Server {
@@ -205,6 +230,7 @@
 	if err := e.link.Listen(e.process.PeerAddress); err != nil {
 		return err
 	}
+	e.node.Process.PeerAddress = e.link.Address()
 	e.node.Start(ctx)
 	return nil
 }
@@ -217,7 +243,7 @@
 	e.node.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), e.process.Grace-graceMargin)
 	defer cancel()
-	tick.Sleep(ctx, closeAfter)
+	tick.Sleep(ctx, e.linger)
 	err := e.callers.Shutdown(ctx)
 	stopped := make(chan struct{})
 	go func() {
--- /dev/null
+++ b/cmd/goldcrestwick/entry_test.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestwick/internal/stand/cloud"
+	"goldcrestwick/internal/stand/engine"
+	"goldcrestwick/internal/version/config"
+)
+
+const entrySettings = `[node]
+name = %s
+availability_zone = z
+region = r
+caller_address = 127.0.0.1:0
+peer_address = 127.0.0.1:0
+operator_address = 127.0.0.1:0
+[platform]
+store = %s
+[entry]
+directory_address = 127.0.0.1:0
+ready_address = 127.0.0.1:0
+metrics_address = 127.0.0.1:0
+zones = z:r
+memory = 284MiB
+grace = 8s
+[repeats]
+ratio = 0.2
+extra = 58
+window = 10s
+`
+
+// operatorSettings is the row that the operator writes.
+const operatorSettings = `{"version":3,
+ "routes":[{"name":"chat","host":"h.example","prefix":"/chat/","kind":"stream","timeout_ms":5000,
+  "target_latency_ms":1000,"service":"llm","attempts":2,"resumable":true}],
+ "services":[{"name":"llm","engine":{"slots":4,"kv_capacity":100000,"increment":6}}],
+ "tenants":[{"name":"a1","api_keys":["k1"],"unit":"token_stream","plain_tokens":200}]}`
+
+// startEntry runs one node from its settings and waits until it is ready.
+func startEntry(t *testing.T, name, store string) (e *entryNode, stop func() error) {
+	p, err := config.ParseProcess("node.ini", fmt.Appendf(nil, entrySettings, name, store))
+	qt.Assert(t, err, qt.IsNil)
+	e = newEntryNode(p, log.New(io.Discard))
+	e.linger = 0 // nobody keeps a list of this node's addresses.
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.run(ctx) }()
+	select {
+	case <-e.ready:
+	case err := <-done:
+		t.Fatal(err)
+	}
+	for fetchStatus(t, e.process.ReadyAddress, "/api/readyz") != http.StatusOK {
+		continue
+	}
+	return e, func() error {
+		cancel()
+		return <-done
+	}
+}
+
+func fetchStatus(t *testing.T, address, path string) int {
+	status, _ := fetchFrom(t, address, path)
+	return status
+}
+
+func fetchFrom(t *testing.T, address, path string) (int, string) {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+path, nil)
+	qt.Assert(t, err, qt.IsNil)
+	resp, err := http.DefaultClient.Do(req)
+	qt.Assert(t, err, qt.IsNil)
+	defer resp.Body.Close() //nolint:errcheck // read to its end.
+	raw, err := io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return resp.StatusCode, string(raw)
+}
+
+// TestEntry runs two nodes on loopback before the platform's stand-ins: over
+// real sockets they find and trust each other through the store, serve a stream
+// that breaks at its first endpoint, count it, and stop without an error.
+func TestEntry(t *testing.T) {
+	var store cloud.Platform
+	server := httptest.NewServer(&store)
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	engines := map[string]*engine.Engine{}
+	writes := []cloud.Write{{Table: "op", Key: "config", Value: []byte(operatorSettings)}}
+	for _, id := range []string{"e1", "e2"} {
+		e := &engine.Engine{ID: id}
+		e.Next = func() engine.Behaviour {
+			if len(engines["e1"].Arrivals())+len(engines["e2"].Arrivals()) == 0 {
+				return engine.Behaviour{Last: 2, Ending: engine.Cut}
+			}
+			return engine.Behaviour{Last: 5}
+		}
+		engines[id] = e
+		entry, err := json.Marshal(map[string]any{
+			"service": "llm", "address": serveEngine(t, e), "zone": "z", "slots": 4, "state": "ready", "seq": 1,
+		})
+		qt.Assert(t, err, qt.IsNil)
+		writes = append(writes, cloud.Write{Table: "servers", Key: id, Value: entry})
+	}
+	store.Apply(cloud.Transaction{Writes: writes})
+
+	first, stopFirst := startEntry(t, "n1", address)
+	second, stopSecond := startEntry(t, "n2", address)
+	for {
+		_, text := fetchFrom(t, first.process.DirectoryAddress, "/api/resolve?name=h.example&region=r&zone=z")
+		if strings.Contains(text, first.process.CallerAddress) && strings.Contains(text, second.process.CallerAddress) {
+			break
+		}
+	}
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+second.process.CallerAddress+"/chat/x", strings.NewReader("hello"))
+	qt.Assert(t, err, qt.IsNil)
+	req.Host = "h.example"
+	req.Header.Set(engine.AttemptHeader, "r1")
+	req.Header.Set("X-Api-Key", "k1")
+	resp, err := http.DefaultClient.Do(req)
+	qt.Assert(t, err, qt.IsNil)
+	body, err := io.ReadAll(resp.Body)
+	qt.Assert(t, err, qt.IsNil)
+	resp.Body.Close() //nolint:errcheck // read to its end.
+	qt.Assert(t, resp.StatusCode, qt.Equals, http.StatusOK)
+	qt.Assert(t, strings.Count(string(body), "id: "), qt.Equals, 5)
+	qt.Assert(t, len(engines["e1"].Arrivals()), qt.Equals, 1)
+	qt.Assert(t, len(engines["e2"].Arrivals()), qt.Equals, 1)
+
+	_, metrics := fetchFrom(t, second.process.MetricsAddress, "/metrics")
+	qt.Assert(t, metrics, qt.Contains, `goldcrestwick_answers_total{tier="rank_0_0",pool="platform/llm",in_time="true"} 1`)
+	_, explained := fetchFrom(t, first.process.OperatorAddress, "/v1/explain/r1")
+	for _, want := range []string{"accepted for account platform/a1", "it is sent to another", "the whole answer was delivered"} {
+		qt.Assert(t, explained, qt.Contains, want)
+	}
+	qt.Assert(t, stopFirst(), qt.IsNil)
+	qt.Assert(t, stopSecond(), qt.IsNil)
+	qt.Assert(t, len(store.Objects()) > 0, qt.IsTrue, qt.Commentf("the ledger was written"))
+}
+
+// serveEngine serves an engine on loopback.
+func serveEngine(t *testing.T, e *engine.Engine) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { l.Close() }) //nolint:errcheck // the test is over.
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.Serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestEntryUsage checks that bad settings are told with their place.
+func TestEntryUsage(t *testing.T) {
+	var out, errs strings.Builder
+	t.Setenv("GOLDCRESTWICK_CONFIG", "")
+	qt.Check(t, run([]string{"goldcrestwick", "entry"}, &out, &errs), qt.Equals, exitUsage)
+	qt.Check(t, errs.String(), qt.Contains, "no settings file is given")
+}
