--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -92,9 +92,9 @@
 	retired map[ident.CellID]*sched.Cell
 	members map[ident.NodeID]bool
 	// standby holds the cells that decide while their node is silent, silent
-	// the nodes that are passed over.
+	// until when a node is passed over.
 	standby map[standbyKey]*sched.Cell
-	silent  map[ident.NodeID]*silence
+	silent  map[ident.NodeID]time.Time
 	tasks   sync.WaitGroup
 	ctx     context.Context
 }
--- a/internal/process/cells/standby.go
+++ b/internal/process/cells/standby.go
@@ -21,17 +21,14 @@
 	alone bool
 }
 
-// silence is a node that did not answer a bid.
-type silence struct{ until time.Time }
-
 // Silent notes that a node did not answer a bid.
 func (m *Manager) Silent(id ident.NodeID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.silent == nil {
-		m.silent = map[ident.NodeID]*silence{}
+		m.silent = map[ident.NodeID]time.Time{}
 	}
-	m.silent[id] = &silence{time.Now().Add(silentTime)}
+	m.silent[id] = time.Now().Add(silentTime)
 }
 
 // Heard notes that a node answered.
@@ -46,15 +43,15 @@
 func (m *Manager) IsSilent(id ident.NodeID) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := m.silent[id]
-	if s == nil {
+	until, ok := m.silent[id]
+	if !ok {
 		return false
 	}
 	now := time.Now()
-	if now.Before(s.until) {
+	if now.Before(until) {
 		return true
 	}
-	s.until = now.Add(silentTime)
+	m.silent[id] = now.Add(silentTime)
 	return false
 }
 
--- a/internal/process/ledger/ledger_test.go
+++ b/internal/process/ledger/ledger_test.go
@@ -1,10 +1,13 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"crypto/ed25519"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -196,3 +199,44 @@
 	qt.Assert(t, h.Held(), qt.Equals, 0)
 	qt.Assert(t, Verify(append(written, blocks[:2]...), public), qt.HasLen, 0)
 }
+
+// TestPack checks that packing loses nothing, and reports how small records of
+// passed requests become.
+func TestPack(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2)) //nolint:gosec // a fixed seed.
+	w := &Writer{Node: "front-konya-a-1", Clock: &clock.Clock{}}
+	w.Key = private
+	events := []trace.Event{trace.Accepted, trace.Bidding, trace.GrantTaken, trace.Granted, trace.Dispatched, trace.Finished}
+	for range 100 {
+		id := ident.RequestID(fmt.Sprintf("%016x", random.Uint64()))
+		for _, event := range events {
+			w.Add(trace.Record{
+				Time: time.Now(), Node: w.Node, Request: id, Event: event, Account: "platform/rany240", Tier: "rank_1_0",
+				Pool: "platform/kawu25a", Cell: "platform/kawu25a#0", Endpoint: ident.Endpoint(fmt.Sprintf("i-%010x", random.IntN(18))),
+				Reason: "least_expected_time", Waited: time.Duration(random.IntN(1000)) * time.Microsecond, Settings: 7,
+			})
+		}
+	}
+	w.Cut(t.Context())
+	blocks := w.blocks
+	packed := Pack(Encode(blocks))
+	got, err := Unpack(packed)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, Encode(got), qt.DeepEquals, Encode(blocks))
+	_, err = Unpack(packed[:len(packed)/2])
+	qt.Assert(t, err, qt.IsNotNil)
+	t.Logf("%d records: %d bytes each, %d packed", len(blocks[0].Records), len(Encode(blocks))/len(blocks[0].Records), len(packed)/len(blocks[0].Records))
+}
+
+// TestAge checks the order in which objects are dropped from a full store.
+func TestAge(t *testing.T) {
+	names := []string{
+		"ledger/b/1700000000200/000000000001-000000000009", "ledger/a/1700000000100/000000000010-000000000019",
+		"ledger/c/1700000000100/000000000001-000000000009", "ledger/odd",
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(Age(a), Age(b)) })
+	qt.Assert(t, names[0], qt.Equals, "ledger/odd")
+	qt.Assert(t, names[1], qt.Contains, "/c/")
+	qt.Assert(t, names[2], qt.Contains, "/a/")
+	qt.Assert(t, names[3], qt.Contains, "/b/")
+}
--- /dev/null
+++ b/internal/process/node/passing.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+
+	"goldcrestwick/internal/connection/door"
+	"goldcrestwick/internal/process/budget"
+	"goldcrestwick/internal/process/roster"
+	"goldcrestwick/internal/process/trace"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/request/pass"
+	"goldcrestwick/internal/version/config"
+)
+
+// Platform says where the store has the settings and the endpoints, and how
+// they and the headers of requests are read.
+type Platform struct {
+	SettingsTable, SettingsKey, EndpointTable string
+
+	SettingsVersion func(text []byte) (ident.Version, error)
+	ParseSettings   func(text []byte) (*config.Tree, error)
+	ParseEndpoint   func(id string, value []byte) (roster.Instance, error)
+	Dialect         pass.Dialect
+}
+
+// preparePassing connects the parts that pass requests on.
+func (n *Node) preparePassing() {
+	if n.Platform == nil {
+		return
+	}
+	limits := n.Process.Repeats
+	n.budget = budget.Budget{
+		Limit: budget.Limit{Ratio: limits.Ratio, Extra: limits.Extra, Window: limits.Window},
+		Nodes: func() int { return len(n.members.View().Ready("")) },
+	}
+	n.conns.Dial = n.DialEndpoint
+	n.passer = pass.Passer{
+		Bid: n.entry.Bid, IsLeaving: n.cells.IsLeaving, Conns: &n.conns, Budget: &n.budget,
+		Dialect: n.Platform.Dialect, Record: n.recordHere,
+	}
+	n.door = door.Door{
+		Tree: n.settingsOrNil, Labels: n.Platform.Dialect.Labels, Serve: n.servePassed,
+		Quota: &n.quota, Meter: &n.meter, Record: n.recordHere, Log: n.Log,
+	}
+	n.meter.Gauge("goldcrestwick_endpoint_connections_opened", func() float64 { return float64(n.conns.Dialled()) })
+}
+
+// recordHere records a step that this node took.
+func (n *Node) recordHere(r trace.Record) {
+	r.Node = n.Process.Name
+	n.record(r)
+}
+
+func (n *Node) servePassed(ctx context.Context, r *pass.Request, w http.ResponseWriter) pass.Result {
+	return n.passer.Serve(ctx, r, w)
+}
+
+// Door returns the part that serves callers whose requests are passed on.
+func (n *Node) Door() *door.Door { return &n.door }
+
+// IsReady reports whether the node takes work.
+func (n *Node) IsReady() bool { return n.isReady() }
+
+func (n *Node) settingsOrNil() *config.Tree {
+	if t := n.tree.Load(); t != nil && t.Version > 0 {
+		return t
+	}
+	return nil
+}
+
+// EntryAddresses returns where callers can connect, in an order that differs
+// between calls.
+func (n *Node) EntryAddresses(ident.AvailabilityZone) []string {
+	var list []string
+	for _, m := range n.members.View().Ready(n.Process.Region) {
+		if !m.Suspect {
+			list = append(list, m.CallerAddress)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -168,9 +168,6 @@
 	CacheTokens ident.Tokens
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int
-	// MaxConns bounds the connections to an endpoint from all nodes together;
-	// 0 is without limit.
-	MaxConns int
 	// CallTimeout bounds one call to an application runner.
 	CallTimeout time.Duration
 	// NonIdempotent lists operations that must not run twice.
--- a/internal/version/config/route.go
+++ b/internal/version/config/route.go
@@ -45,9 +45,6 @@
 	// FirstAnswer is the latency objective: the time to the first event of a
 	// stream, or to the whole answer.
 	FirstAnswer time.Duration
-	// Pause is the longest gap between the events of a stream that is still
-	// on time; 0 for other routes.
-	Pause time.Duration
 	// Attempts bounds the endpoints that one request may be sent to.
 	Attempts int
 	// Rank orders the requests of accounts of one rank, and of accounts without
