Remove what nothing calls, list a caller that loses the answer 413

Door.Wait had no caller, and its counting stood on every request's path. One function makes the store's client for three commands. No behaviour changes.

Cause as read, not proved by a trace: the front end refuses by Content-Length with the body unread, net/http closes a connection that is not kept without a half-close, and the caller's write fails before it reads the answer. Likely for any early refusal. To mend: http.MaxBytesReader or a bounded drain, with a test.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -131,7 +131,7 @@
 	if err := e.open(); err != nil {
 		return err
 	}
-	client := &store.Client{Service: platform.NewStore(e.process.StoreAddress).Service()}
+	client := newStoreClient(e.process.StoreAddress)
 	e.link = &link.Link{Mux: &link.Mux{}}
 	e.node = &node.Node{
 		Process: e.process, Store: client, Open: e.link.Open, Forget: e.link.Forget, Redial: e.link.Redial, Log: e.log,
--- a/cmd/goldcrestwick/platform.go
+++ b/cmd/goldcrestwick/platform.go
@@ -19,10 +19,8 @@
 	"github.com/urfave/cli/v3"
 
 	"goldcrestwick/internal/connection/front"
-	"goldcrestwick/internal/process/store"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/version/repo"
-	"goldcrestwick/platform"
 )
 
 const (
@@ -90,7 +88,7 @@
 	if err != nil {
 		return usageError{err}
 	}
-	client := &store.Client{Service: platform.NewStore(c.String("store")).Service()}
+	client := newStoreClient(c.String("store"))
 	r := &repo.Repo{Transact: client.Transact, Get: client.Get}
 	if err := r.Init(ctx, files, c.String("operator")); err != nil {
 		return err
--- a/cmd/goldcrestwick/serve.go
+++ b/cmd/goldcrestwick/serve.go
@@ -116,6 +116,11 @@
 	return key, nil
 }
 
+// newStoreClient calls the platform's store at an address of the form IP:PORT.
+func newStoreClient(address string) *store.Client {
+	return &store.Client{Service: platform.NewStore(address).Service()}
+}
+
 func newLogger(p config.Process, to io.Writer) *log.Logger {
 	formats := map[string]log.Formatter{"text": log.TextFormatter, "json": log.JSONFormatter, "logfmt": log.LogfmtFormatter}
 	level, err := log.ParseLevel(p.LogLevel)
@@ -138,7 +143,7 @@
 	s.callerAddress, s.operatorAddress = p.CallerAddress, operators.Addr().String()
 	s.node = &node.Node{
 		Process: p, Tree: tree, Open: s.link.Open, Forget: s.link.Forget, Redial: s.link.Redial, Log: s.log,
-		Store: &store.Client{Service: platform.NewStore(p.StoreAddress).Service()},
+		Store: newStoreClient(p.StoreAddress),
 	}
 	if p.LedgerKey != "" {
 		if s.node.LedgerKey, err = readLedgerKey(p.LedgerKey); err != nil {
--- a/internal/connection/door/door.go
+++ b/internal/connection/door/door.go
@@ -64,7 +64,6 @@
 	Log    *log.Logger
 
 	leaving atomic.Bool
-	open    sync.WaitGroup
 	number  atomic.Uint64
 	// inUse holds the identifiers of open requests: callers may use one twice.
 	inUse sync.Map
@@ -81,13 +80,8 @@
 // Leave makes every answer from now on the last of its connection.
 func (d *Door) Leave() { d.leaving.Store(true) }
 
-// Wait returns when every request has ended.
-func (d *Door) Wait() { d.open.Wait() }
-
 // ServeHTTP serves one request.
 func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	d.open.Add(1)
-	defer d.open.Done()
 	if d.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/request/pass/attempt.go
+++ b/internal/request/pass/attempt.go
@@ -67,7 +67,8 @@
 	sentAt time.Time
 	// occupancy is the endpoint's count of its requests, nil if not said.
 	occupancy *sched.Occupancy
-	// sending is closed when the body has left, nil when it has already.
+	// sending gets the outcome of sending a long body; nil when nothing is
+	// under way.
 	sending chan error
 }
 
@@ -86,7 +87,7 @@
 		return x.fail(ctx, "the answer has a content encoding that nobody asked for")
 	case isSuccess(resp.StatusCode) && !said.IsSigned:
 		return x.fail(ctx, "the answer has no signature")
-	case x.isPromise(resp.StatusCode):
+	case isPromise(resp.StatusCode):
 		return x.fail(ctx, "the endpoint refused without saying that it did not run the request")
 	}
 	x.try.mayHaveRun = true
@@ -101,7 +102,7 @@
 
 // isPromise reports whether callers would take a status for the promise that
 // the request has not run.
-func (x *exchange) isPromise(status int) bool {
+func isPromise(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout:
 		return true
