Keep a connection open until an early answer was read

Ruled out: the test's network (a pipe without half-close): net/http takes the immediate close whatever the connection can do. Change: linger.Handler reads on after an early answer, for 500 ms and 256 KiB at most, around both front ends; refusals carry their Content-Length, so that the answer is whole before that. A caller whose short body does not come gets its refusal after 500 ms at most, where there was no bound.

--- a/internal/connection/door/door.go
+++ b/internal/connection/door/door.go
@@ -29,6 +29,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"goldcrestwick/internal/connection/linger"
 	"goldcrestwick/internal/process/meter"
 	"goldcrestwick/internal/process/quota"
 	"goldcrestwick/internal/process/trace"
@@ -72,7 +73,7 @@
 // Server returns the HTTP server for callers.
 func (d *Door) Server() *http.Server {
 	return &http.Server{
-		Handler: d, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		Handler: linger.Handler(d), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 		ErrorLog: d.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 }
@@ -228,8 +229,10 @@
 	if refusal.RetryAfter > 0 && refusal.Run == refuse.NotRun {
 		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 2, 64))
 	}
+	body := append(refusal.JSON(req.ID), '\n')
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	w.Write(append(refusal.JSON(req.ID), '\n')) //nolint:errcheck // the caller may be gone.
+	w.Write(body) //nolint:errcheck // the caller may be gone.
 }
 
 // step completes a record with what is known of a request.
--- a/internal/connection/front/front.go
+++ b/internal/connection/front/front.go
@@ -20,6 +20,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"goldcrestwick/internal/connection/linger"
 	"goldcrestwick/internal/process/gate"
 	"goldcrestwick/internal/process/meter"
 	"goldcrestwick/internal/request/entry"
@@ -78,7 +79,7 @@
 func (f *Front) Server() *http.Server {
 	limits := f.Tree().Limits
 	return &http.Server{
-		Handler:           f.routes(),
+		Handler:           linger.Handler(f.routes()),
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    int(limits.HeaderBytes) + headerSlack,
--- a/internal/request/refuse/refuse.go
+++ b/internal/request/refuse/refuse.go
@@ -148,8 +148,10 @@
 	if s := r.seconds(); s > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(s))
 	}
+	body := append(r.JSON(id), '\n')
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(r.Status())
-	w.Write(append(r.JSON(id), '\n')) //nolint:errcheck // the caller may be gone.
+	w.Write(body) //nolint:errcheck // the caller may be gone.
 }
 
 func (r *Refusal) seconds() int { return int(math.Ceil(r.RetryAfter.Seconds())) }
