Give the endpoint's stand-in a batching engine

Change: stand/batch models the engine (slots, steps, chunked prefill, one memory for runs and kept parts, the newest run preempted when it is full); stand/engine answers model requests by it, with load headers, refusals that say not run, and runs that end with their connection. Whole-node scripts: batches (a preempted stream comes whole, a kept prompt is read once) and caller_leaves (queued, reading and streaming runs end within half a second). Ruled out: moving stand/runner, the engine of the product's own protocol, onto this model: its fingerprints, resumption and lag differ, and its tests hold.

--- /dev/null
+++ b/internal/stand/batch/main_test.go
@@ -0,0 +1,9 @@
+package batch_test
+
+import (
+	"testing"
+
+	"goldcrestwick/internal/stand/seeds"
+)
+
+func TestMain(m *testing.M) { seeds.Main(m) }
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -1,6 +1,10 @@
 // Package engine is a stand-in for an endpoint of the users' platform, a model
 // engine or a plain service, that misbehaves on demand.
 //
+// With a batch it answers model requests as the batch makes their tokens: they
+// queue, share steps and memory, and are preempted. Without one it answers
+// each request by a Behaviour alone.
+//
 // It answers over raw connections, since its faults break HTTP: answers that
 // are cut, late, unframed or of another request.
 //
@@ -20,6 +24,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/stand/batch"
 )
 
 // The headers of the platform's protocol.
@@ -87,6 +94,11 @@
 	ID string
 	// Next returns the behaviour for the next request.
 	Next func() Behaviour
+	// Batch makes the tokens of model requests whose Behaviour is the zero
+	// value; nil leaves them to the Behaviour.
+	Batch *batch.Engine
+	// PerEvent is how many tokens an event holds; 0 takes 1.
+	PerEvent ident.Tokens
 
 	mu       sync.Mutex
 	arrivals []Arrival
@@ -108,14 +120,14 @@
 		if err != nil {
 			return
 		}
-		if !e.answer(c, req) {
+		if !e.answer(c, r, req) {
 			return
 		}
 	}
 }
 
 // answer answers one request and reports whether the connection goes on.
-func (e *Engine) answer(c net.Conn, req *http.Request) bool {
+func (e *Engine) answer(c net.Conn, r *bufio.Reader, req *http.Request) bool {
 	b := e.Next()
 	if b.Early {
 		e.note(req, "")
@@ -133,6 +145,9 @@
 	if b.Drop {
 		return false
 	}
+	if b == (Behaviour{}) && e.Batch != nil && req.Header.Get(TokensHeader) != "" {
+		return e.generate(c, r, req)
+	}
 	time.Sleep(b.Pace)
 	return e.write(c, req, b)
 }
@@ -143,11 +158,17 @@
 	e.arrivals = append(e.arrivals, Arrival{req.Method, req.RequestURI, req.Header, body})
 }
 
-func send(c net.Conn, text string) bool {
-	_, err := io.WriteString(c, text)
+func send(w io.Writer, text string) bool {
+	_, err := io.WriteString(w, text)
 	return err == nil
 }
 
+func sendChunk(w io.Writer, text string) bool {
+	return send(w, fmt.Sprintf("%x\r\n%s\r\n", len(text), text))
+}
+
+func eventText(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
+
 // write sends the answer and reports whether the connection goes on.
 func (e *Engine) write(c net.Conn, req *http.Request, b Behaviour) bool {
 	id := req.Header.Get(AttemptHeader)
@@ -193,6 +214,10 @@
 	if b.NotRun {
 		fmt.Fprintf(&h, "%s: 1\r\n", NotRunHeader)
 	}
+	if e.Batch != nil {
+		l := e.Batch.Load()
+		fmt.Fprintf(&h, "%s: %d,%d,%d\r\n", LoadHeader, l.Running, l.Waiting, l.Slots)
+	}
 	if b.Encoding != "" {
 		fmt.Fprintf(&h, "Content-Encoding: %s\r\n", b.Encoding)
 	}
@@ -223,11 +248,11 @@
 		if n > first {
 			time.Sleep(b.Pace)
 		}
-		text := fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+		text := eventText(n)
 		if n == b.Last && b.Ending == Torn {
 			text = text[:len(text)/2]
 		}
-		if !send(c, fmt.Sprintf("%x\r\n%s\r\n", len(text), text)) {
+		if !sendChunk(c, text) {
 			return false
 		}
 	}
--- a/internal/tool/fleet/passing_test.go
+++ b/internal/tool/fleet/passing_test.go
@@ -23,6 +23,7 @@
 	"goldcrestwick/internal/process/node"
 	"goldcrestwick/internal/process/store"
 	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/stand/batch"
 	"goldcrestwick/internal/stand/cloud"
 	"goldcrestwick/internal/stand/engine"
 	"goldcrestwick/internal/stand/pipes"
@@ -129,6 +130,7 @@
 		"settings": p.settings, "state": p.state, "send": p.send, "want": p.want, "arrivals": p.arrivals,
 		"wait": p.wait, "freeze": p.freeze, "thaw": p.thaw, "kill": p.kill, "restart": p.restart,
 		"store": p.store, "leave": p.leave, "ready": p.ready, "cut": p.cut, "heal": p.heal, "odd_entry": p.oddEntry,
+		"batch": p.batch,
 	}
 	do, ok := commands[command]
 	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.Place, command))
@@ -176,6 +178,14 @@
 	for _, name := range names {
 		e := &passEngine{next: engine.Behaviour{Last: 3, Pace: 10 * time.Millisecond}}
 		e.ID = name
+		if given["slots"] != "" {
+			e.next = engine.Behaviour{}
+			e.PerEvent = 6
+			e.Batch = &batch.Engine{
+				Slots: p.Int("slots", 0), Queue: p.Int("queue", 0), Memory: ident.Tokens(p.Int("memory", 0)),
+				Step: p.Span(given["step"]), Prefill: p.Span(given["prefill"]),
+			}
+		}
 		e.Next = func() engine.Behaviour {
 			e.mu.Lock()
 			defer e.mu.Unlock()
@@ -197,7 +207,7 @@
 		if given["service"] != "" {
 			service = given["service"]
 		}
-		e.entry = map[string]any{"service": service, "address": name + ":80", "zone": "z", "slots": 4, "state": "ready", "seq": 1}
+		e.entry = map[string]any{"service": service, "address": name + ":80", "zone": "z", "slots": p.Int("slots", 4), "state": "ready", "seq": 1}
 		p.engines[name] = e
 		p.list(name)
 	}
@@ -292,20 +302,30 @@
 		req.Header.Set(engine.AttemptHeader, name)
 		req.Header.Set("X-Api-Key", given["key"])
 		if given["tokens"] != "" {
-			req.Header.Set("Goldcrestwick-Token-Counts", given["tokens"])
+			req.Header.Set(engine.TokensHeader, given["tokens"])
+		}
+		if given["parts"] != "" {
+			req.Header.Set(engine.PartsHeader, given["parts"])
 		}
 		if given["deadline_ms"] != "" {
-			req.Header.Set("Goldcrestwick-Deadline-Ms", given["deadline_ms"])
+			req.Header.Set(engine.DeadlineHeader, given["deadline_ms"])
 		}
-		p.running.Go(func() { call.do(req, p.net) })
+		gone := p.Span(given["leaves"])
+		p.running.Go(func() { call.do(req, p.net, gone) })
 	}
 	// What has been sent is at its node before the next line.
 	time.Sleep(time.Millisecond)
 	synctest.Wait()
 }
 
-func (c *passCall) do(req *http.Request, n *pipes.Net) {
+// do sends the request; the caller is gone after a time above 0.
+func (c *passCall) do(req *http.Request, n *pipes.Net, gone time.Duration) {
 	began := time.Now()
+	if gone > 0 {
+		ctx, cancel := context.WithTimeout(req.Context(), gone)
+		defer cancel()
+		req = req.WithContext(ctx)
+	}
 	client := http.Client{Transport: &http.Transport{DialContext: n.Dial(callerHost), DisableKeepAlives: true}}
 	defer func() { c.took, c.settled = time.Since(began), true }()
 	resp, err := client.Do(req)
@@ -357,6 +377,18 @@
 	qt.Check(p.T, total, qt.Equals, p.Int("are", 0), qt.Commentf("%s: %v", p.Place, names))
 }
 
+// batch checks what an engine with a batch is doing and has done.
+func (p *passing) batch(names []string, given map[string]string) {
+	load := p.engines[names[0]].Batch.Load()
+	for key, got := range map[string]int{
+		"running": load.Running, "waiting": load.Waiting, "preempted": load.Preempted, "read": int(load.Read),
+	} {
+		if given[key] != "" {
+			qt.Check(p.T, got, qt.Equals, p.Int(key, 0), qt.Commentf("%s: %s", p.Place, key))
+		}
+	}
+}
+
 func (p *passing) wait(names []string, _ map[string]string) {
 	time.Sleep(p.Span(names[0]))
 	synctest.Wait()
