Count windows and readings by the steady clock

Cause: the budget for repeats numbered its windows by the time of day, and the watch kept the time of its last reading, and that of other nodes, without their monotonic readings. A step forward of a minute emptied the window: 120 repeats instead of 70 in one window of a limit of 100. A step backward made what another node had read before an outage look as if it was read during it, and rows that lapsed with the store were dropped at once. The other uses are labels (trace, ledger, request ids) or deadlines that callers set in Unix time. A member's incarnation also starts from the time of day, but a node that hears a higher one of itself raises its own. Change: windows count from the budget's first use; tick.Latest keeps times with their monotonic reading. stand/skew steps the wall clock of a time in tests. Before: budget.TestClockStep and watch's clock_steps script fail. After: both pass under the detector.

--- a/internal/process/budget/budget.go
+++ b/internal/process/budget/budget.go
@@ -43,7 +43,10 @@
 	// Nodes returns the number of nodes that share the limit.
 	Nodes func() int
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// begin is when counting began. Windows are counted from it and not by the
+	// time of day, which may be stepped.
+	begin time.Time
 	pools map[ident.PoolID]*counts
 }
 
@@ -79,13 +82,14 @@
 func (b *Budget) counts(pool ident.PoolID, now time.Time) (c *counts, at int64) {
 	if b.pools == nil {
 		b.pools = map[ident.PoolID]*counts{}
+		b.begin = now
 	}
 	c = b.pools[pool]
 	if c == nil {
 		c = &counts{}
 		b.pools[pool] = c
 	}
-	at = now.UnixNano() / int64(max(b.Limit.Window/buckets, time.Millisecond))
+	at = int64(now.Sub(b.begin) / max(b.Limit.Window/buckets, time.Millisecond))
 	c.requests.advance(at)
 	c.repeats.advance(at)
 	return c, at
--- a/internal/process/budget/budget_test.go
+++ b/internal/process/budget/budget_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"goldcrestwick/internal/stand/seeds"
+	"goldcrestwick/internal/stand/skew"
 )
 
 func TestMain(m *testing.M) { seeds.Main(m) }
@@ -69,3 +70,21 @@
 	qt.Assert(t, allowed, qt.Equals, int(margin*10))
 	qt.Assert(t, b.Repeat("p", now.Add(11*time.Second)), qt.IsTrue)
 }
+
+// TestClockStep checks that a step of the time of day gives no repeats and
+// takes none.
+func TestClockStep(t *testing.T) {
+	for _, step := range []time.Duration{-time.Minute, -3 * time.Second, 3 * time.Second, time.Minute} {
+		b := Budget{Limit: Limit{Extra: 100, Window: 10 * time.Second}, Nodes: func() int { return 1 }}
+		now := time.Now()
+		for range 50 {
+			qt.Assert(t, b.Repeat("p", now), qt.IsTrue)
+		}
+		allowed := 50
+		for b.Repeat("p", skew.Wall(now.Add(time.Second), step)) {
+			allowed++
+		}
+		qt.Check(t, allowed, qt.Equals, int(margin*100), qt.Commentf("step %s", step))
+		qt.Check(t, b.Repeat("p", skew.Wall(now.Add(11*time.Second), step)), qt.IsTrue, qt.Commentf("step %s", step))
+	}
+}
--- a/internal/process/node/watched.go
+++ b/internal/process/node/watched.go
@@ -51,7 +51,7 @@
 	// table is the one of the endpoints, peerRead when another node last read
 	// it, in Unix nanoseconds.
 	table    atomic.Pointer[watch.Table]
-	peerRead atomic.Int64
+	peerRead tick.Latest
 }
 
 func (w *watched) readAt() time.Time {
@@ -66,13 +66,7 @@
 	if g.Read <= 0 {
 		return
 	}
-	at := time.Now().Add(-time.Duration(g.Read)).UnixNano()
-	for {
-		known := n.watched.peerRead.Load()
-		if at <= known || n.watched.peerRead.CompareAndSwap(known, at) {
-			return
-		}
-	}
+	n.watched.peerRead.Tell(time.Now().Add(-time.Duration(g.Read)))
 }
 
 // parser reads settings that came from the operator or from another node.
@@ -91,7 +85,7 @@
 	follow := func(name string, wait, interval time.Duration, changed func([]store.Row)) *watch.Table {
 		t := &watch.Table{
 			Name: name, Store: n.Store, Wait: wait, Interval: interval, Changed: changed, Log: n.Log,
-			PeerRead: func() time.Time { return time.Unix(0, n.watched.peerRead.Load()) },
+			PeerRead: n.watched.peerRead.Time,
 		}
 		n.tasks.Go(func() { t.Run(ctx) })
 		return t
--- a/internal/process/watch/script_test.go
+++ b/internal/process/watch/script_test.go
@@ -19,6 +19,7 @@
 	"goldcrestwick/internal/process/store"
 	"goldcrestwick/internal/stand/cloud"
 	"goldcrestwick/internal/stand/script"
+	"goldcrestwick/internal/stand/skew"
 	"goldcrestwick/platform"
 )
 
@@ -28,6 +29,7 @@
 //	down | busy | slow | up           the store's state
 //	drop_history
 //	peer_reads                        another node reads the store now
+//	clock_steps T                     the time of day moves by whole seconds
 //	wait T
 //	want KEY=VALUE...                 the rows as the follower knows them
 //	calls_at_most N                   since the last such line
@@ -62,15 +64,26 @@
 	mu    sync.Mutex
 	rows  map[string]string
 	peer  time.Time
+	began time.Time
+	step  time.Duration
 	calls int
 }
 
+// origin has a monotonic reading, which times of a bubble lack.
+var origin = time.Now()
+
+func (s *player) now() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return skew.Wall(origin.Add(time.Since(s.began)), s.step)
+}
+
 func play(t *testing.T, lines iter.Seq[script.Line]) {
-	s := &player{T: t, rows: map[string]string{}}
+	s := &player{T: t, rows: map[string]string{}, began: time.Now()}
 	calls := &platform.Store{Address: "store", Transport: direct{&s.cloud}}
 	table := &Table{
 		Name: "things", Store: &store.Client{Service: calls.Service()}, Wait: 2 * time.Second, Interval: 100 * time.Millisecond,
-		Changed: s.changed, PeerRead: s.peerRead, Log: log.New(io.Discard),
+		Changed: s.changed, PeerRead: s.peerRead, Now: s.now, Log: log.New(io.Discard),
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -119,8 +132,13 @@
 	case "drop_history":
 		s.cloud.DropHistory()
 	case "peer_reads":
+		now := s.now()
+		s.mu.Lock()
+		s.peer = now
+		s.mu.Unlock()
+	case "clock_steps":
 		s.mu.Lock()
-		s.peer = time.Now()
+		s.step += s.Span(words[0])
 		s.mu.Unlock()
 	case "wait":
 		time.Sleep(s.Span(words[0]))
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -55,7 +54,9 @@
 	// PeerRead returns when another node last read the store, as far as known;
 	// nil is never.
 	PeerRead func() time.Time
-	Log      *log.Logger
+	// Now is this node's clock; nil takes time.Now.
+	Now func() time.Time
+	Log *log.Logger
 
 	rows    map[string]store.Row
 	version int64
@@ -65,17 +66,12 @@
 	failed  int
 	// back is when the store was last back after an outage of its own.
 	back time.Time
-	read atomic.Int64
+	read tick.Latest
 }
 
 // ReadAt returns when the table was last read, on this node's clock; the zero
 // time is never.
-func (t *Table) ReadAt() time.Time {
-	if ms := t.read.Load(); ms != 0 {
-		return time.UnixMilli(ms)
-	}
-	return time.Time{}
-}
+func (t *Table) ReadAt() time.Time { return t.read.Time() }
 
 // Run follows the table until the context ends.
 func (t *Table) Run(ctx context.Context) {
@@ -87,7 +83,7 @@
 		} else {
 			err = t.feed(ctx)
 		}
-		t.expire(time.Now())
+		t.expire(t.now())
 		pause := t.Interval
 		if err != nil {
 			pause = min(firstPause<<min(t.failed, 3), maxPause)
@@ -99,10 +95,17 @@
 	}
 }
 
+func (t *Table) now() time.Time {
+	if t.Now != nil {
+		return t.Now()
+	}
+	return time.Now()
+}
+
 // note logs a lost and a regained store once each.
 func (t *Table) note(err error) {
 	if err == nil {
-		t.read.Store(time.Now().UnixMilli())
+		t.read.Tell(t.now())
 		if t.failed > 0 {
 			t.Log.Info("table_regained", "table", t.Name, "version", t.version, "failed_calls", t.failed)
 		}
@@ -166,13 +169,13 @@
 	if t.PeerRead != nil && t.PeerRead().After(t.ReadAt().Add(t.Wait+peerMargin)) {
 		return
 	}
-	t.back = time.Now()
+	t.back = t.now()
 }
 
 // apply passes on the rows that say something new. A row that is deleted right
 // after an outage is kept for a while.
 func (t *Table) apply(rows []store.Row) {
-	now := time.Now()
+	now := t.now()
 	var news []store.Row
 	for _, r := range rows {
 		known, ok := t.rows[r.Key]
