Give an account back what requests took that did not run

Tokens were taken at the door and kept. Ruled out: nodes cut from the account's home (their own shares refused 11). Change: the end of a request says whether it may have run; if not, its tokens go back with the next request drawn from the home, or after 50 ms, unless they were drawn over 750 ms ago, when the bucket may have been full meanwhile. A request that the second of two limits refuses no longer counts for the first.

--- a/internal/connection/door/door.go
+++ b/internal/connection/door/door.go
@@ -104,11 +104,13 @@
 		d.refuse(w, r, req, refusal)
 		return
 	}
-	defer release()
+	ran := true
+	defer func() { release(ran) }()
 	defer d.inUse.Delete(req.ID)
 	d.step(req, trace.Record{Event: trace.Accepted})
 	d.Meter.Accepted(req.Tier.Name, string(req.Pool.ID))
 	result := d.Serve(r.Context(), req, w)
+	ran = result.Refusal == nil || result.Refusal.Run != refuse.NotRun
 	d.note(req, result)
 	switch {
 	case result.Refusal != nil:
@@ -190,9 +192,9 @@
 }
 
 // admit holds the request against its account's limits.
-func (d *Door) admit(ctx context.Context, req *pass.Request) (release func(), refusal *refuse.Refusal) {
+func (d *Door) admit(ctx context.Context, req *pass.Request) (release quota.Release, refusal *refuse.Refusal) {
 	if req.Account == nil {
-		return func() {}, nil
+		return func(bool) {}, nil
 	}
 	tokens := req.Account.PlainTokens
 	if req.Labels.HasTokens {
--- a/internal/connection/wire/claim.go
+++ b/internal/connection/wire/claim.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"goldcrestwick/internal/process/claims"
+	"goldcrestwick/internal/process/quota"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/answer"
 	"goldcrestwick/internal/request/ident"
@@ -249,10 +250,31 @@
 	return all
 }
 
-// Draw asks the home of an account to take a request from its limits.
+// Draw asks the home of an account to take a request from its limits, after
+// what requests that did not run give back.
 type Draw struct {
-	Account string `cbor:"1,keyasint"`
-	Tokens  int64  `cbor:"2,keyasint"`
+	Account      string `cbor:"1,keyasint"`
+	Tokens       int64  `cbor:"2,keyasint"`
+	BackRequests int64  `cbor:"3,keyasint,omitempty"`
+	BackTokens   int64  `cbor:"4,keyasint,omitempty"`
+	// OnlyBack takes nothing.
+	OnlyBack bool `cbor:"5,keyasint,omitempty"`
+}
+
+// FromDraw maps a request for an account's home.
+func FromDraw(account ident.ClientAccount, a quota.Ask) Draw {
+	return Draw{
+		Account: string(account), Tokens: int64(a.Tokens),
+		BackRequests: int64(a.Back.Requests), BackTokens: int64(a.Back.Tokens),
+	}
+}
+
+// ToAsk maps it back. Nothing below zero is taken or given back.
+func (d Draw) ToAsk() quota.Ask {
+	return quota.Ask{
+		Tokens: max(ident.Tokens(d.Tokens), 0),
+		Back:   quota.Back{Requests: max(int(d.BackRequests), 0), Tokens: max(ident.Tokens(d.BackTokens), 0)},
+	}
 }
 
 // Drawn answers Draw. Known is false where the home does not know the account.
--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -12,6 +12,7 @@
 	"goldcrestwick/internal/process/claims"
 	"goldcrestwick/internal/process/floor"
 	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/quota"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/answer"
@@ -42,6 +43,9 @@
 	equal(travel(t, FromAnswer(a)).ToAnswer(), a)
 	e := sched.Ending{Failed: true, Unused: true, FirstToken: 1, BetweenTokens: 2, Uncached: 3, Cached: 4, Output: 5}
 	equal(travel(t, FromEnding(e)).ToEnding(), e)
+	d := quota.Ask{Tokens: 1, Back: quota.Back{Requests: 2, Tokens: 3}}
+	equal(travel(t, FromDraw("a", d)).ToAsk(), d)
+	equal(Draw{Tokens: -1, BackRequests: -2, BackTokens: -3}.ToAsk(), quota.Ask{})
 	h := sched.Held{Request: "r", Node: "n", Endpoint: "e", Charge: 3, Started: true}
 	equal(travel(t, FromHeld(h)).ToHeld("n"), h)
 	l := sched.Learned{Endpoint: "e", Window: 1, PrefillRate: 2.5, BetweenTokens: 3}
--- a/internal/process/quota/central.go
+++ b/internal/process/quota/central.go
@@ -31,15 +31,41 @@
 
 type buckets struct{ requests, tokens *rate.Limiter }
 
-// Take takes one request of so many tokens from an account's buckets, and says
-// which limit stopped it and when there will be room.
-func (c *Central) Take(a *config.Account, tokens ident.Tokens, now time.Time) (verdict Verdict, retry time.Duration) {
+// Take takes one request from an account's buckets, after what others give
+// back, and says which limit stopped it and when there will be room.
+func (c *Central) Take(a *config.Account, ask Ask, now time.Time) (verdict Verdict, retry time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.of(a, now)
+	b.giveBack(ask.Back, now)
+	if retry, ok := take(b.requests, now, 1); !ok {
+		return RequestsLimit, retry
+	}
+	if retry, ok := take(b.tokens, now, int(ask.Tokens)); !ok {
+		giveBack(b.requests, 1, now)
+		return TokensLimit, retry
+	}
+	return Admitted, 0
+}
+
+// Return gives back what requests took that did not run.
+func (c *Central) Return(a *config.Account, back Back, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.of(a, now).giveBack(back, now)
+}
+
+func (b *buckets) giveBack(back Back, now time.Time) {
+	giveBack(b.requests, back.Requests, now)
+	giveBack(b.tokens, int(back.Tokens), now)
+}
+
+// of returns an account's buckets with the limits in force.
+func (c *Central) of(a *config.Account, now time.Time) *buckets {
 	part := 1.0
 	if c.Part != nil {
 		part = c.Part()
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.buckets == nil {
 		c.buckets = map[ident.ClientAccount]*buckets{}
 	}
@@ -59,13 +85,7 @@
 		drain(b.requests, age, now)
 		drain(b.tokens, age, now)
 	}
-	if retry, ok := take(b.requests, now, 1); !ok {
-		return RequestsLimit, retry
-	}
-	if retry, ok := take(b.tokens, now, int(tokens)); !ok {
-		return TokensLimit, retry
-	}
-	return Admitted, 0
+	return b
 }
 
 // drain empties a new bucket to what has surely come in at an age.
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -10,9 +10,9 @@
 //	k := &quota.Keeper{}
 //	release, verdict, retry := k.Admit(ctx, account, tokens, now)
 //	if verdict == quota.Admitted {
-//		defer release()
+//		defer func() { release(ran) }()
 //	}
-//	verdict, retry := central.Take(account, tokens, now)  // on the home
+//	verdict, retry := central.Take(account, ask, now)  // on the home
 //	share := lender.Lend(accountID, node, demand, nodes, now) // on the home
 //	k.SetShare(accountID, share)
 package quota
@@ -48,7 +48,10 @@
 	Even func() float64
 	// Draw takes a request from the account's bucket at its home; ok is false
 	// when the home could not be asked. Nil draws from the shares alone.
-	Draw func(ctx context.Context, a *config.Account, tokens ident.Tokens) (verdict Verdict, retry time.Duration, ok bool)
+	Draw func(ctx context.Context, a *config.Account, ask Ask) (verdict Verdict, retry time.Duration, ok bool)
+	// Return tells the home what requests gave back, when no Draw does soon;
+	// nil leaves it to the next.
+	Return func(a *config.Account, back Back)
 
 	mu       sync.Mutex
 	accounts map[ident.ClientAccount]*account
@@ -64,6 +67,8 @@
 	// whole limit a second; demand is its moving mean.
 	asked  float64
 	demand float64
+	// unused are requests drawn from the home that did not run.
+	unused []drawn
 }
 
 // Verdict says which limit stopped a request.
@@ -80,37 +85,61 @@
 // Admit takes a request of so many tokens from the account's limits. When it is
 // admitted, release must be called at its end. Otherwise retry is when there
 // will be room by rate.
-func (k *Keeper) Admit(ctx context.Context, a *config.Account, tokens ident.Tokens, now time.Time) (release func(), verdict Verdict, retry time.Duration) {
-	at, ok := k.enter(a, tokens, now)
+func (k *Keeper) Admit(ctx context.Context, a *config.Account, tokens ident.Tokens, now time.Time) (release Release, verdict Verdict, retry time.Duration) {
+	at, back, ok := k.enter(a, tokens, now)
 	if !ok {
 		return nil, ConcurrentLimit, time.Second
 	}
-	verdict, retry, drawn := Admitted, time.Duration(0), a.Requests <= 0 && a.Tokens <= 0
-	if !drawn && k.Draw != nil {
-		verdict, retry, drawn = k.Draw(ctx, a, tokens)
+	isFree := a.Requests <= 0 && a.Tokens <= 0
+	isDrawn := false
+	if !isFree && k.Draw != nil {
+		verdict, retry, isDrawn = k.Draw(ctx, a, Ask{tokens, back})
 	}
-	if !drawn {
+	if !isFree && !isDrawn {
 		verdict, retry = k.takeShare(at, tokens, now)
 	}
 	if verdict != Admitted {
-		k.release(at)
+		k.leave(at)
 		return nil, verdict, retry
 	}
 	var once sync.Once
-	return func() { once.Do(func() { k.release(at) }) }, Admitted, 0
+	return func(ran bool) {
+		once.Do(func() {
+			if !ran && !isFree {
+				k.giveBack(a, at, tokens, isDrawn, now)
+			}
+			k.leave(at)
+		})
+	}, Admitted, 0
 }
 
-// enter counts a request in flight.
-func (k *Keeper) enter(a *config.Account, tokens ident.Tokens, now time.Time) (*account, bool) {
+// giveBack returns what a request took at a time that did not run.
+func (k *Keeper) giveBack(a *config.Account, at *account, tokens ident.Tokens, isDrawn bool, took time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	at := k.account(a, now)
+	if isDrawn {
+		at.unused = append(at.unused, drawn{took, tokens})
+		k.returnLater(a, at)
+		return
+	}
+	now := time.Now()
+	if now.Sub(took) < backLife {
+		giveBack(at.requests, 1, now)
+		giveBack(at.tokens, int(tokens), now)
+	}
+}
+
+// enter counts a request in flight, and takes what others gave back.
+func (k *Keeper) enter(a *config.Account, tokens ident.Tokens, now time.Time) (at *account, back Back, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at = k.account(a, now)
 	at.asked += part(a, tokens)
 	if a.Concurrent > 0 && at.running >= k.concurrent(a, at) {
-		return nil, false
+		return nil, Back{}, false
 	}
 	at.running++
-	return at, true
+	return at, at.takeBack(now), true
 }
 
 // takeShare takes a request from this node's own share.
@@ -121,6 +150,7 @@
 		return RequestsLimit, retry
 	}
 	if retry, ok := take(at.tokens, now, int(tokens)); !ok {
+		giveBack(at.requests, 1, now)
 		return TokensLimit, retry
 	}
 	return Admitted, 0
@@ -157,7 +187,7 @@
 	return 0, true
 }
 
-func (k *Keeper) release(at *account) {
+func (k *Keeper) leave(at *account) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	at.running--
--- a/internal/request/entry/keyed.go
+++ b/internal/request/entry/keyed.go
@@ -94,8 +94,8 @@
 		apart = ctx
 	}
 	e.active.Go(func() {
-		defer release()
 		sent, refusal := e.run(apart, j, rec.Sink())
+		release(mayHaveRun(refusal))
 		e.endClaimed(rec, claim, sent, refusal)
 	})
 	return e.follow(ctx, j, rec, 0)
