--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,7 +64,10 @@
 
 // entryNode is an entry node on the platform with its listeners.
 type entryNode struct {
+	// process is the settings with which the process began, settings those in
+	// force.
 	process   config.Process
+	settings  atomic.Pointer[config.Process]
 	node      *node.Node
 	link      *link.Link
 	callers   *http.Server
@@ -100,31 +104,20 @@
 	e.log.Info("process_started", "node", p.Name, "availability_zone", p.Zone, "callers", p.CallerAddress)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	go e.reload(file, reload)
+	go func() {
+		<-e.ready
+		e.reload(ctx, file, reload)
+	}()
 	return e.run(ctx)
 }
 
 func newEntryNode(p config.Process, logger *log.Logger) *entryNode {
-	return &entryNode{
+	e := &entryNode{
 		process: p, log: logger, listeners: map[string]net.Listener{},
 		failed: make(chan error, maxListeners), ready: make(chan struct{}), linger: closeAfter,
 	}
-}
-
-// reload checks the settings file again when it has changed. What it holds
-// beyond the log level takes a new process.
-func (e *entryNode) reload(file string, signals <-chan os.Signal) {
-	for range signals {
-		p, err := config.LoadProcess(file)
-		if err != nil {
-			e.log.Error("settings_file_not_reloaded", "error", err)
-			continue
-		}
-		if level, err := log.ParseLevel(p.LogLevel); err == nil {
-			e.log.SetLevel(level)
-		}
-		e.log.Info("settings_file_reloaded", "log_level", p.LogLevel)
-	}
+	e.settings.Store(&p)
+	return e
 }
 
 func (e *entryNode) run(ctx context.Context) error {
@@ -238,10 +231,11 @@
 // drain leaves the fleet without cutting a request that ends in time.
 func (e *entryNode) drain() error {
 	began := time.Now()
-	e.log.Info("process_stopping", "grace", e.process.Grace)
+	grace := e.settings.Load().Grace
+	e.log.Info("process_stopping", "grace", grace)
 	e.node.Door().Leave()
 	e.node.Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), e.process.Grace-graceMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), grace-graceMargin)
 	defer cancel()
 	tick.Sleep(ctx, e.linger)
 	err := e.callers.Shutdown(ctx)
--- a/internal/process/budget/budget.go
+++ b/internal/process/budget/budget.go
@@ -79,6 +79,14 @@
 	return n
 }
 
+// SetLimit changes the limit, except for its window: what was counted holds for
+// the one in use.
+func (b *Budget) SetLimit(l Limit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Limit.Ratio, b.Limit.Extra = l.Ratio, l.Extra
+}
+
 func (b *Budget) counts(pool ident.PoolID, now time.Time) (c *counts, at int64) {
 	if b.pools == nil {
 		b.pools = map[ident.PoolID]*counts{}
--- a/internal/process/budget/budget_test.go
+++ b/internal/process/budget/budget_test.go
@@ -88,3 +88,16 @@
 		qt.Check(t, b.Repeat("p", skew.Wall(now.Add(11*time.Second), step)), qt.IsTrue, qt.Commentf("step %s", step))
 	}
 }
+
+// TestSetLimit checks that a lower limit counts what was repeated before.
+func TestSetLimit(t *testing.T) {
+	b := Budget{Limit: Limit{Extra: 100, Window: 10 * time.Second}, Nodes: func() int { return 1 }}
+	now := time.Now()
+	for range 30 {
+		qt.Assert(t, b.Repeat("p", now), qt.IsTrue)
+	}
+	b.SetLimit(Limit{Extra: 40, Window: time.Second})
+	qt.Assert(t, b.Repeat("p", now.Add(2*time.Second)), qt.IsFalse)
+	b.SetLimit(Limit{Extra: 60})
+	qt.Assert(t, b.Repeat("p", now.Add(2*time.Second)), qt.IsTrue)
+}
--- a/internal/process/node/passing.go
+++ b/internal/process/node/passing.go
@@ -30,9 +30,8 @@
 	if n.Platform == nil {
 		return
 	}
-	limits := n.Process.Repeats
 	n.budget = budget.Budget{
-		Limit: budget.Limit{Ratio: limits.Ratio, Extra: limits.Extra, Window: limits.Window},
+		Limit: budget.Limit(n.Process.Repeats),
 		Nodes: func() int { return len(n.members.View().Ready("")) },
 	}
 	n.conns.Dial = n.DialEndpoint
@@ -47,6 +46,9 @@
 	n.meter.Gauge("goldcrestwick_endpoint_connections_opened", func() float64 { return float64(n.conns.Dialled()) })
 }
 
+// SetRepeats changes the bound on repeats, except for its window. It is safe for concurrent use.
+func (n *Node) SetRepeats(r config.Repeats) { n.budget.SetLimit(budget.Limit(r)) }
+
 // recordHere records a step that this node took.
 func (n *Node) recordHere(r trace.Record) {
 	r.Node = n.Process.Name
