--- a/internal/connection/door/door.go
+++ b/internal/connection/door/door.go
@@ -18,6 +18,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -229,7 +230,9 @@
 		"took", time.Since(req.Arrived), "settings_version", uint64(req.Version))
 	w.Header().Set("Content-Type", "application/json")
 	if refusal.RetryAfter > 0 && refusal.Run == refuse.NotRun {
-		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 2, 64))
+		// Rounded up: a caller that is told 0.00 comes back at once.
+		hundredths := math.Ceil(refusal.RetryAfter.Seconds() * 100)
+		w.Header().Set("Retry-After", strconv.FormatFloat(hundredths/100, 'f', 2, 64))
 	}
 	body := append(refusal.JSON(req.ID), '\n')
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/tool/fleet/passing_test.go
+++ b/internal/tool/fleet/passing_test.go
@@ -363,6 +363,9 @@
 		if given["retry"] == "yes" {
 			qt.Check(p.T, c.retry != "", qt.IsTrue, at)
 		}
+		if given["retry_after"] != "" {
+			qt.Check(p.T, c.retry, qt.Equals, given["retry_after"], at)
+		}
 		if given["within"] != "" {
 			qt.Check(p.T, c.took <= p.Span(given["within"]), qt.IsTrue, at)
 		}
