Share one way to serve HTTP and to map lists

Two loops that mapped fingerprints beside the generic mapping, and the loop of each command that serves a listener, were the same thing twice. No change in what is sent but for an empty list, which is left out. Tests of both packages pass.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -184,14 +184,16 @@
 		e.process.MetricsAddress:   plainServer(operators),
 	} {
 		l := e.listeners[address]
-		if l == nil {
-			continue
+		if l != nil {
+			go serveHTTP(server, l, e.failed)
 		}
-		go func() {
-			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-				e.failed <- eris.Wrapf(err, "serve at %s", address)
-			}
-		}()
+	}
+}
+
+// serveHTTP runs a server until it is closed, and tells when it fails.
+func serveHTTP(server *http.Server, l net.Listener, failed chan<- error) {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		failed <- eris.Wrapf(err, "serve at %s", l.Addr())
 	}
 }
 
--- a/cmd/goldcrestwick/serve.go
+++ b/cmd/goldcrestwick/serve.go
@@ -5,7 +5,6 @@
 	"crypto/ed25519"
 	"crypto/x509"
 	"encoding/pem"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -154,20 +153,12 @@
 	s.node.Start(context.Background())
 	s.callers = s.node.Front().Server()
 	s.operators = &http.Server{Handler: s.node.Operators().Handler(), ReadHeaderTimeout: s.node.Settings().Limits.HeaderTimeout}
-	s.run(s.callers, callers)
-	s.run(s.operators, operators)
+	go serveHTTP(s.callers, callers, s.failed)
+	go serveHTTP(s.operators, operators, s.failed)
 	s.log.Info("listening", "callers", p.CallerAddress, "peers", p.PeerAddress, "operators", operators.Addr().String())
 	return nil
 }
 
-func (s *server) run(h *http.Server, l net.Listener) {
-	go func() {
-		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			s.failed <- eris.Wrap(err, "serve")
-		}
-	}()
-}
-
 // drain leaves the fleet without cutting a request: callers that kept the
 // address are served until their lists have expired, and every request until
 // it has ended.
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -105,14 +105,10 @@
 
 // FromBid maps a bid for a cell.
 func FromBid(b *sched.Bid, cell ident.CellID, version ident.Version, now time.Time) Bid {
-	prints := make([]uint64, len(b.Prefix))
-	for i, p := range b.Prefix {
-		prints[i] = uint64(p)
-	}
 	return Bid{
 		Request: string(b.Request), Node: string(b.Node), Tier: uint8(b.Tier),
 		Account: string(b.Account), Weight: b.Weight, Prompt: int64(b.Prompt),
-		Output: int64(b.Output), Left: int64(b.Deadline.Sub(now)), Prefix: prints,
+		Output: int64(b.Output), Left: int64(b.Deadline.Sub(now)), Prefix: convert[uint64](b.Prefix),
 		Pool: string(cell.Pool), Cell: cell.Index, Settings: uint64(version),
 		First: int64(b.FirstToken), Zone: string(b.Zone), Avoid: rename[string](b.Avoid),
 		Parts: convert[int64](b.PartTokens),
@@ -120,7 +116,7 @@
 }
 
 // convert maps the elements of a list; an empty list becomes nil.
-func convert[To, From ~int64](from []From) []To {
+func convert[To, From ~int64 | ~uint64](from []From) []To {
 	if len(from) == 0 {
 		return nil
 	}
@@ -145,15 +141,11 @@
 
 // ToBid maps a received bid. A tier out of range becomes the lowest.
 func (m Bid) ToBid(now time.Time) *sched.Bid {
-	prints := make([]ident.Fingerprint, len(m.Prefix))
-	for i, p := range m.Prefix {
-		prints[i] = ident.Fingerprint(p)
-	}
 	return &sched.Bid{
 		Request: ident.RequestID(m.Request), Node: ident.NodeID(m.Node),
 		Tier: ident.Tier(min(m.Tier, ident.MaxTiers-1)), Account: ident.ClientAccount(m.Account),
 		Weight: m.Weight, Prompt: max(ident.Tokens(m.Prompt), 0), Output: max(ident.Tokens(m.Output), 0),
-		Deadline: now.Add(time.Duration(m.Left)), Prefix: prints,
+		Deadline: now.Add(time.Duration(m.Left)), Prefix: convert[ident.Fingerprint](m.Prefix),
 		FirstToken: time.Duration(m.First), Zone: ident.AvailabilityZone(m.Zone), Avoid: rename[ident.Endpoint](m.Avoid),
 		PartTokens: convert[ident.Tokens](m.Parts),
 	}
