Free the room of grants whose bidder is gone without a word

Found in the routing decisions: what ran at each endpoint fell to 1 to 5 of 9 and stayed there, with one node deciding. Three leaks, the first by far the largest: - An entry node that is killed and starts again at once keeps its name, so it never leaves the members; the streams of its grants end only when their QUIC connection has been idle for 30 s. The same after a freeze. - A grant for a request that has one replaced it and never freed its room. - Cells that stand in were not audited when a stream broke. Ruled out: endpoints under suspicion (nine slots filled again once freed), foreign counts, an even part of the slots. Change: a granted request whose stream says nothing for 1.5 s (progress is told every second) is asked for at its entry node, as one whose stream broke was before; the audit holds for every cell; a second grant frees the first. Tests: cells follow_* scripts and sched bid_again, which fails before; there was no way to follow a quiet stream before.

--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -50,6 +50,11 @@
 	// stream broke.
 	auditInterval = 2 * time.Second
 	firstAudit    = 100 * time.Millisecond
+	// quietTime is how long a stream may say nothing of its granted request
+	// before its node is asked whether it still holds it; progress is told
+	// every second. A stream to a process that was killed does not end until
+	// its connection has been idle for long.
+	quietTime = 1500 * time.Millisecond
 	// adoptedInterval is the time between questions about adopted requests.
 	adoptedInterval = time.Second
 	// queuedInterval is the time between two words to a bidder whose bid
--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"goldcrestwick/internal/connection/link"
@@ -23,7 +22,7 @@
 
 // serveBid answers another node's bid and follows the granted request on the
 // same stream until it ends.
-func (m *Manager) serveBid(_ context.Context, s *link.Stream, message wire.Bid) {
+func (m *Manager) serveBid(ctx context.Context, s *link.Stream, message wire.Bid) {
 	cell := m.Local(message.CellID())
 	if cell == nil && message.Standby {
 		cell = m.Standby(message.CellID(), false)
@@ -50,7 +49,7 @@
 	if b.Answer.Outcome != sched.Granted {
 		return
 	}
-	if err != nil || !follow(cell, b.Request, frames) {
+	if err != nil || !m.follow(ctx, cell, b, frames) {
 		m.startAudit(cell, b.Request, b.Node)
 	}
 }
@@ -90,9 +89,27 @@
 	return frames
 }
 
-// follow reports whether the stream told the request's end.
-func follow(cell *sched.Cell, id ident.RequestID, frames <-chan frame) bool {
-	for f := range frames {
+// follow reports whether it saw the request's end: the stream told it, or the
+// bidder's node no longer holds the request.
+func (m *Manager) follow(ctx context.Context, cell *sched.Cell, b *sched.Bid, frames <-chan frame) bool {
+	id := b.Request
+	quiet := time.NewTimer(quietTime)
+	defer quiet.Stop()
+	for {
+		var f frame
+		var ok bool
+		select {
+		case f, ok = <-frames:
+			if !ok {
+				return false
+			}
+		case <-quiet.C:
+			if !m.isHeld(ctx, cell.ID, id, b.Node) {
+				cell.Done(id, sched.Ending{Unused: true})
+				return true
+			}
+		}
+		quiet.Reset(quietTime)
 		switch f.kind {
 		case wire.KindStarted:
 			if started, err := link.Decode[wire.Started](f.body); err == nil && started.Known {
@@ -112,7 +129,6 @@
 			return true
 		}
 	}
-	return false
 }
 
 func (m *Manager) startAudit(cell *sched.Cell, id ident.RequestID, node ident.NodeID) {
@@ -124,27 +140,19 @@
 	}
 }
 
-func holds(r wire.HeldReply, id ident.RequestID) bool {
-	return slices.ContainsFunc(r.Held, func(h wire.Held) bool { return h.Request == string(id) })
+// isHeld reports whether a node may still hold a request of a cell: one that
+// does not answer may.
+func (m *Manager) isHeld(ctx context.Context, cell ident.CellID, id ident.RequestID, node ident.NodeID) bool {
+	held, ok := m.heldBy(ctx, node, cell)
+	return !ok || held[id]
 }
 
 // audit asks the entry node of a request whose stream broke whether it still
-// holds the request, until it does not, or the node or the cell is gone.
+// holds the request, until it does not. The cell may be the node's own, stand
+// in for another, or have been handed over.
 func (m *Manager) audit(ctx context.Context, cell *sched.Cell, id ident.RequestID, node ident.NodeID) {
-	wait := firstAudit
-	for m.Local(cell.ID) == cell && cell.IsInFlight(id) {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait):
-		}
-		wait = auditInterval
-		other, ok := m.Members().Find(node)
-		if !ok {
-			return
-		}
-		reply, err := m.callHeld(ctx, other, cell.ID)
-		if err == nil && !holds(reply, id) {
+	for wait := firstAudit; cell.IsInFlight(id) && tick.Sleep(ctx, wait); wait = auditInterval {
+		if !m.isHeld(ctx, cell.ID, id, node) {
 			cell.Done(id, sched.Ending{Unused: true})
 		}
 	}
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -188,10 +188,16 @@
 	})
 }
 
+// hold keeps a grant until its end. A grant of before for the same request has
+// lost its bidder, who bid again: nothing would tell its end.
 func (c *Cell) hold(id ident.RequestID, g *grant) {
 	if c.inflight == nil {
 		c.inflight = map[ident.RequestID]*grant{}
 	}
+	if old := c.inflight[id]; old != nil {
+		c.start(old)
+		old.endpoint.release(old.charge)
+	}
 	c.inflight[id] = g
 }
 
