--- a/internal/stand/engine/generate.go
+++ b/internal/stand/engine/generate.go
@@ -66,6 +66,9 @@
 	id := req.Header.Get(AttemptHeader)
 	per := e.perEvent()
 	made := asked.Made
+	if made >= asked.Output {
+		return send(w, e.head(id, Behaviour{}, -2)+"0\r\n\r\n")
+	}
 	for event := int(made/per) + 1; made < asked.Output; event++ {
 		for until := min(ident.Tokens(event)*per, asked.Output); made < until; {
 			now, err := run.Wait(ctx, made)
