Tell a restored store from one that only forgot its history

Cause: watch compared a row's version with the known one only. A store that comes back from an older copy gives versions out again, so a change below the known version was dropped for good, and a feed read on from an old position missed changes once the counter had passed it. Change: positions of the store carry its era (store.Position). A new era replaces the known rows whatever their versions; rows that the copy lacks get the grace period. A row that is missing when a second outage begins gets it anew. A response older than the local copy is not used, since rows in it may have been deleted. A Table can follow another node's Table (Updates, Follow), for what comes next. Measured: restored_store and second_outage fail without the change.

--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -56,12 +56,16 @@
 	Transact func(ctx context.Context, checks []Check, writes []Write) (Result, error)
 	// Get reads one row; found is false when there is none.
 	Get func(ctx context.Context, table, key string) (row Row, found bool, err error)
-	// Scan reads a whole table as of one version.
-	Scan func(ctx context.Context, table string) (rows []Row, version int64, err error)
-	// Feed returns the rows of a table that changed after a version, and the
-	// version up to which it lists changes. It waits at most wait for a change. It
-	// fails with ErrHistoryGone if the store no longer has all of the changes.
-	Feed func(ctx context.Context, table string, after int64, wait time.Duration) (rows []Row, version int64, err error)
+	// Scan reads a whole table as of one position.
+	Scan func(ctx context.Context, table string) (rows []Row, at Position, err error)
+	// Feed returns the rows of a table that changed after a position, and the
+	// position up to which it lists changes. It waits at most wait for a change. It
+	// fails with ErrHistoryGone if the store no longer has all of the changes, or
+	// is in another era.
+	Feed func(ctx context.Context, table string, after Position, wait time.Duration) (rows []Row, at Position, err error)
+	// Era returns the latest era that the store has reported; nil means that the
+	// store has no eras.
+	Era func() Era
 	// PutObject writes an object, GetObject reads one, ListObjects returns the
 	// names with a prefix and Delete deletes one.
 	PutObject   func(ctx context.Context, name string, body []byte) error
@@ -97,6 +101,22 @@
 	Value      []byte
 }
 
+// Era counts how often the store has been restored from an older copy of itself.
+// A restored store has lost its latest changes and gives out their versions
+// again, so versions can be compared only within one era.
+type Era int64
+
+// Position is a point in the history of the store.
+type Position struct {
+	Era     Era
+	Version int64
+}
+
+// Before reports whether p is earlier than q.
+func (p Position) Before(q Position) bool {
+	return p.Era < q.Era || p.Era == q.Era && p.Version < q.Version
+}
+
 // Row is a row of a table at a version.
 type Row struct {
 	Key     string
@@ -196,15 +216,23 @@
 	return c.tableBreaker.failures >= failureThreshold
 }
 
-// Scan reads a whole table as of one version. It has no circuit breaker.
-func (c *Client) Scan(ctx context.Context, table string) (rows []Row, version int64, err error) {
+// Era returns the latest era that the store has reported, 0 if none.
+func (c *Client) Era() Era {
+	if c.Service.Era == nil {
+		return 0
+	}
+	return c.Service.Era()
+}
+
+// Scan reads a whole table as of one position. It has no circuit breaker.
+func (c *Client) Scan(ctx context.Context, table string) (rows []Row, at Position, err error) {
 	return c.Service.Scan(ctx, table)
 }
 
-// Feed returns the rows of a table that changed after a version, and waits at
+// Feed returns the rows of a table that changed after a position, and waits at
 // most wait for a change. It has no circuit breaker: its caller backs off after
 // failures.
-func (c *Client) Feed(ctx context.Context, table string, after int64, wait time.Duration) (rows []Row, version int64, err error) {
+func (c *Client) Feed(ctx context.Context, table string, after Position, wait time.Duration) (rows []Row, at Position, err error) {
 	return c.Service.Feed(ctx, table, after, wait)
 }
 
--- a/internal/process/watch/script_test.go
+++ b/internal/process/watch/script_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,10 @@
 //	put KEY VALUE | remove KEY        writes or deletes a row
 //	down | busy | slow | up           sets the store's state
 //	drop_history                      makes the store drop its change history
+//	copy | restore                    copies the store, and restores the last copy
+//	pause | resume                    stops and starts the table's own reads
+//	follow                            applies an update of a second table that reads the store
+//	eras N                            checks how often NewEra was called
 //	peer_reads                        another node reads the store now
 //	clock_steps T                     steps the time of day by whole seconds
 //	wait T
@@ -60,6 +65,12 @@
 	*testing.T
 	script.Line
 	cloud cloud.Platform
+	// table is under test; reader is the one that it follows on request, from
+	// cursor on.
+	table, reader *Table
+	cursor        Cursor
+	copied        cloud.Copy
+	eras          atomic.Int64
 	// mu guards rows, peerReadAt and step, which the table's goroutine uses too.
 	mu         sync.Mutex
 	rows       map[string]string
@@ -83,23 +94,42 @@
 
 func runScript(t *testing.T, lines iter.Seq[script.Line]) {
 	s := &scriptRunner{T: t, rows: map[string]string{}, startedAt: time.Now()}
-	client := &platform.Store{Address: "store", Transport: direct{&s.cloud}}
-	table := &Table{
-		Name: "things", Store: &store.Client{Service: client.Service()}, Wait: 2 * time.Second, Interval: 100 * time.Millisecond,
-		Changed: s.changed, PeerRead: s.peerRead, Now: s.now, Log: log.New(io.Discard),
-	}
+	s.table = s.newTable(s.changed)
+	s.reader = s.newTable(func([]store.Row) {})
+	s.reader.Pause()
 	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() { defer close(done); table.Run(ctx) }()
+	var runs sync.WaitGroup
+	runs.Go(func() { s.table.Run(ctx) })
+	runs.Go(func() { s.reader.Run(ctx) })
 	for s.Line = range lines {
 		s.runCommand(s.Command, s.Args)
 	}
 	cancel()
-	<-done
+	runs.Wait()
 	// Let the calls that the slow store still delays end first.
 	time.Sleep(slowDelay)
 }
 
+func (s *scriptRunner) newTable(changed func([]store.Row)) *Table {
+	client := &platform.Store{Address: "store", Transport: direct{&s.cloud}}
+	return &Table{
+		Name: "things", Store: &store.Client{Service: client.Service()}, Wait: 2 * time.Second, Interval: 100 * time.Millisecond,
+		Changed: changed, NewEra: func(store.Era) { s.eras.Add(1) }, PeerRead: s.peerRead, Now: s.now, Log: log.New(io.Discard),
+	}
+}
+
+// follow lets the table under test take the reader's news.
+func (s *scriptRunner) follow() {
+	s.reader.Resume()
+	time.Sleep(time.Millisecond)
+	synctest.Wait()
+	u, _, ok := s.reader.Updates(s.cursor)
+	qt.Assert(s.T, ok, qt.IsTrue, qt.Commentf(s.Position))
+	if s.table.Follow(u, 0) {
+		s.cursor = u.Next
+	}
+}
+
 func (s *scriptRunner) peerRead() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,6 +164,18 @@
 		s.cloud.SetFault(nil)
 	case "drop_history":
 		s.cloud.TruncateHistory()
+	case "copy":
+		s.copied = s.cloud.Copy()
+	case "restore":
+		s.cloud.Restore(s.copied)
+	case "pause":
+		s.table.Pause()
+	case "resume":
+		s.table.Resume()
+	case "follow":
+		s.follow()
+	case "eras":
+		qt.Check(s.T, int(s.eras.Load()), qt.Equals, s.ParseInt(args[0]), qt.Commentf(s.Position))
 	case "peer_reads":
 		now := s.now()
 		s.mu.Lock()
--- /dev/null
+++ b/internal/process/watch/updates.go
@@ -0,0 +1,164 @@
+package watch
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"goldcrestwick/internal/process/store"
+)
+
+// maxLoggedChanges bounds the changes that a Table keeps for followers. It covers
+// several replacements of all endpoints of a large fleet; a follower that is
+// further behind gets a snapshot.
+const maxLoggedChanges = 4096
+
+// Cursor is a follower's place in the changes of another node's Table. The zero
+// value asks for a snapshot.
+type Cursor struct {
+	// Log identifies the Table, and Sequence counts its changes.
+	Log, Sequence uint64
+}
+
+// Update holds the changes of a Table after a cursor.
+type Update struct {
+	// Next is the cursor for the next update.
+	Next Cursor
+	// IsSnapshot is set if Rows holds all rows of the table.
+	IsSnapshot bool
+	Rows       []store.Row
+	// Position is the store's position up to which the rows are current.
+	Position store.Position
+}
+
+// changeLog keeps the latest changes of a table in order.
+type changeLog struct {
+	id uint64
+	// dropped counts the changes before the first one in rows.
+	dropped uint64
+	rows    []store.Row
+	// changed is closed at the next change; it is nil if nobody waits.
+	changed chan struct{}
+}
+
+func (l *changeLog) add(rows []store.Row) {
+	if len(rows) == 0 {
+		return
+	}
+	l.rows = append(l.rows, rows...)
+	if excess := len(l.rows) - maxLoggedChanges; excess > 0 {
+		l.rows = slices.Clone(l.rows[excess:])
+		l.dropped += uint64(excess)
+	}
+	if l.changed != nil {
+		close(l.changed)
+		l.changed = nil
+	}
+}
+
+func (l *changeLog) end() Cursor {
+	if l.id == 0 {
+		l.id = rand.Uint64() | 1
+	}
+	return Cursor{l.id, l.dropped + uint64(len(l.rows))}
+}
+
+// after returns the changes after a cursor; ok is false if they are not all kept.
+func (l *changeLog) after(c Cursor) (rows []store.Row, ok bool) {
+	end := l.end()
+	if c.Log != end.Log || c.Sequence < l.dropped || c.Sequence > end.Sequence {
+		return nil, false
+	}
+	return slices.Clone(l.rows[c.Sequence-l.dropped:]), true
+}
+
+// Updates returns the changes after a cursor, or a snapshot if they are no longer
+// all known, and a channel that is closed at the next change. ok is false if the
+// table has not been read yet.
+func (t *Table) Updates(c Cursor) (u Update, next <-chan struct{}, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.hasScanned {
+		return Update{}, nil, false
+	}
+	if t.changes.changed == nil {
+		t.changes.changed = make(chan struct{})
+	}
+	u = Update{Next: t.changes.end(), Position: t.position}
+	rows, isKept := t.changes.after(c)
+	if isKept {
+		u.Rows = rows
+	} else {
+		u.IsSnapshot, u.Rows = true, slices.Collect(maps.Values(t.rows))
+	}
+	return u, t.changes.changed, true
+}
+
+// Follow applies an update of another node's Table, which read the store readAge
+// ago. It returns false, and changes nothing, if the update is a snapshot from
+// before the position of this Table.
+func (t *Table) Follow(u Update, readAge time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if u.IsSnapshot && u.Position.Before(t.position) || u.Position.Era < t.position.Era {
+		return false
+	}
+	t.lastRead.Observe(t.now().Add(-readAge))
+	t.failures = 0
+	t.enterEra(u.Position.Era)
+	// The other Table has kept missing rows for their grace period already.
+	t.recoveredAt = time.Time{}
+	clear(t.missing)
+	if u.IsSnapshot {
+		t.replace(u.Rows, u.Position)
+		return true
+	}
+	t.apply(u.Rows, false)
+	if t.position.Before(u.Position) {
+		t.position = u.Position
+	}
+	return true
+}
+
+// gate is open or closed; the zero value is open.
+type gate struct {
+	mu sync.Mutex
+	// opened is closed when the gate opens; it is nil while the gate is open.
+	opened chan struct{}
+}
+
+func (g *gate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened == nil {
+		g.opened = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened != nil {
+		close(g.opened)
+		g.opened = nil
+	}
+}
+
+// wait returns true once the gate is open, or false if the context is done.
+func (g *gate) wait(ctx context.Context) bool {
+	g.mu.Lock()
+	opened := g.opened
+	g.mu.Unlock()
+	if opened == nil {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-opened:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -7,17 +7,29 @@
 // are missing after an outage are therefore removed only after a grace period.
 // There is no grace period if the store was unreachable for this node only.
 //
+// A store that was restored from an older copy is in a new era. Its rows replace
+// the known ones whatever their versions, and rows that the copy lacks get the
+// grace period too.
+//
+// Instead of reading the store itself, a Table can follow the Table of another
+// node: that one hands out Updates, and this one applies them with Follow.
+//
 // # Usage
 //
 //	t := &watch.Table{Name: "endpoints", Store: client, Wait: wait, Interval: interval, Changed: apply, Log: logger}
 //	go t.Run(ctx)
+//
+//	update, next := t.Updates(cursor) // on another node's behalf
+//	other.Follow(update, age)
 package watch
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
 
 	"goldcrestwick/internal/process/store"
 	"goldcrestwick/internal/process/tick"
@@ -26,6 +38,9 @@
 const (
 	// initialRetryDelay and maxRetryDelay bound the backoff after a failed call.
 	initialRetryDelay = 100 * time.Millisecond
+	// staleRetryDelay is the time between calls while the store's responses are
+	// older than the local copy.
+	staleRetryDelay = 300 * time.Millisecond
 	maxRetryDelay     = 600 * time.Millisecond
 	// missingRowsWait bounds how long a call waits at the store for a change while
 	// rows are missing, so that they are removed soon after their grace period.
@@ -39,8 +54,12 @@
 	peerReadMargin = time.Second
 )
 
+// errStale is returned for a response that is older than the local copy. It has
+// nothing new, and rows in it may have been deleted since.
+var errStale = eris.New("the store's response is older than the local copy")
+
 // Table follows one table of the store. Set the exported fields before calling
-// Run.
+// Run. Methods are safe for concurrent use.
 type Table struct {
 	Name  string
 	Store *store.Client
@@ -50,19 +69,31 @@
 	Interval time.Duration
 	// Changed is called with the rows that are new, changed or Deleted. Rows from
 	// the change feed are in the order in which the store returned them. It is
-	// called after each scan, even without any rows.
+	// called after each scan, even without any rows. Calls are serialized, and must
+	// not call methods of the Table.
 	Changed func([]store.Row)
+	// NewEra, if not nil, is called after the first scan of a store that was
+	// restored from an older copy, before its rows are used.
+	NewEra func(store.Era)
 	// PeerRead returns the latest known time at which another node read the
 	// store. A nil function or the zero time means never.
 	PeerRead func() time.Time
+	// MaxRetryDelay bounds the backoff after failed calls; 0 means maxRetryDelay.
+	MaxRetryDelay func() time.Duration
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
 	Log *log.Logger
 
+	pause gate
+
+	// mu guards the fields below.
+	mu   sync.Mutex
 	rows map[string]store.Row
-	// version is the table's version up to which rows is current; at 0 the table
-	// is scanned.
-	version int64
+	// position is the store's position up to which rows is current.
+	position store.Position
+	// hasScanned is set after the first scan or snapshot; needsScan is set when the
+	// feed cannot continue from position.
+	hasScanned, needsScan bool
 	// missing holds the end of the grace period of each row that was missing
 	// after an outage.
 	missing map[string]time.Time
@@ -72,26 +103,47 @@
 	// limited to this node.
 	recoveredAt time.Time
 	lastRead    tick.Latest
+	changes     changeLog
 }
 
 // LastRead returns when the table was last read successfully, by this node's clock;
-// the zero time means never.
+// the zero time means never. For rows that were read by another node, it is the
+// time of that node's read.
 func (t *Table) LastRead() time.Time { return t.lastRead.Time() }
 
+// Position returns the position of the store up to which the local copy is
+// current.
+func (t *Table) Position() store.Position {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.position
+}
+
+// HasFailed reports whether the last call to the store failed.
+func (t *Table) HasFailed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failures > 0
+}
+
+// Pause keeps Run from calling the store until Resume; a call in progress is
+// completed. Both may be called before Run.
+func (t *Table) Pause() { t.pause.close() }
+
+// Resume lets Run call the store again.
+func (t *Table) Resume() { t.pause.open() }
+
 // Run follows the table until the context ends.
 func (t *Table) Run(ctx context.Context) {
-	t.rows, t.missing = map[string]store.Row{}, map[string]time.Time{}
-	for ctx.Err() == nil {
-		var err error
-		if t.version == 0 {
-			err = t.scan(ctx)
-		} else {
-			err = t.readChanges(ctx)
-		}
-		t.expire(t.now())
+	for t.pause.wait(ctx) {
+		err := t.read(ctx)
 		delay := t.Interval
-		if err != nil {
-			delay = min(initialRetryDelay<<min(t.failures, 3), maxRetryDelay)
+		switch err { //nolint:errorlint // errStale is returned unwrapped.
+		case nil:
+		case errStale:
+			delay = staleRetryDelay
+		default:
+			delay = t.retryDelay()
 		}
 		t.recordCall(err)
 		if !tick.Sleep(ctx, delay) {
@@ -100,6 +152,35 @@
 	}
 }
 
+// read makes one call to the store.
+func (t *Table) read(ctx context.Context) error {
+	t.mu.Lock()
+	needsScan, after := t.needsScan || !t.hasScanned, t.position
+	t.mu.Unlock()
+	err := error(nil)
+	if needsScan {
+		err = t.scan(ctx)
+	} else {
+		err = t.readChanges(ctx, after)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(t.now())
+	return err
+}
+
+// retryDelay returns the time until the next call after a failure that has not
+// been recorded yet.
+func (t *Table) retryDelay() time.Duration {
+	limit := maxRetryDelay
+	if t.MaxRetryDelay != nil {
+		limit = max(t.MaxRetryDelay(), initialRetryDelay)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return min(initialRetryDelay<<min(t.failures, 6), limit)
+}
+
 func (t *Table) now() time.Time {
 	if t.Now != nil {
 		return t.Now()
@@ -110,65 +191,118 @@
 // recordCall records the outcome of a call. It logs the first failure of an
 // outage, and the recovery.
 func (t *Table) recordCall(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if err == nil {
 		t.lastRead.Observe(t.now())
 		if t.failures > 0 {
-			t.Log.Info("table_regained", "table", t.Name, "version", t.version, "failed_calls", t.failures)
+			t.Log.Info("table_regained", "table", t.Name, "version", t.position.Version, "failed_calls", t.failures)
 		}
 		t.failures = 0
 		return
 	}
+	if err == errStale { //nolint:errorlint // it is returned unwrapped.
+		// The store is up, so this is no outage in which rows expire.
+		return
+	}
 	t.failures++
 	if t.failures == 1 {
-		t.Log.Warn("table_lost", "table", t.Name, "version", t.version, "error", err)
+		t.Log.Warn("table_lost", "table", t.Name, "version", t.position.Version, "error", err)
 	}
 }
 
 func (t *Table) scan(ctx context.Context) error {
-	rows, version, err := t.Store.Scan(ctx, t.Name)
+	rows, at, err := t.Store.Scan(ctx, t.Name)
 	if err != nil {
 		return err
 	}
-	t.recordRecovery()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.hasScanned && at.Before(t.position) {
+		return errStale
+	}
+	if !t.enterEra(at.Era) {
+		t.recordRecovery()
+	}
+	t.replace(rows, at)
+	return nil
+}
+
+// enterEra prepares the local copy for rows of the given era. It reports whether
+// the era is a new one; then the versions of the known rows no longer count, and
+// missing rows get a grace period. The caller holds t.mu.
+func (t *Table) enterEra(era store.Era) bool {
+	if !t.hasScanned || era <= t.position.Era {
+		return false
+	}
+	t.Log.Warn("store_restored", "table", t.Name, "era", era, "version", t.position.Version)
+	for key, r := range t.rows {
+		r.Version = 0
+		t.rows[key] = r
+	}
+	t.startGracePeriod()
+	if t.NewEra != nil {
+		t.NewEra(era)
+	}
+	return true
+}
+
+// replace applies a complete list of the table's rows. The caller holds t.mu.
+func (t *Table) replace(rows []store.Row, at store.Position) {
 	present := map[string]bool{}
 	for _, r := range rows {
 		present[r.Key] = true
 	}
 	for key := range t.rows {
 		if !present[key] {
-			rows = append(rows, store.Row{Key: key, Version: version, Deleted: true})
+			rows = append(rows, store.Row{Key: key, Version: at.Version, Deleted: true})
 		}
 	}
-	t.apply(rows)
-	t.version = version
-	return nil
+	isFirst := !t.hasScanned
+	t.hasScanned, t.needsScan = true, false
+	t.position = at
+	t.apply(rows, isFirst)
 }
 
-func (t *Table) readChanges(ctx context.Context) error {
-	wait := t.Wait
-	if len(t.missing) > 0 {
-		wait = min(wait, missingRowsWait)
-	}
-	rows, version, err := t.Store.Feed(ctx, t.Name, t.version, wait)
+func (t *Table) readChanges(ctx context.Context, after store.Position) error {
+	rows, at, err := t.Store.Feed(ctx, t.Name, after, t.wait())
 	if err == store.ErrHistoryGone { //nolint:errorlint // the client returns it unwrapped.
-		t.Log.Info("table_history_gone", "table", t.Name, "version", t.version)
-		t.version = 0
+		t.Log.Info("table_history_gone", "table", t.Name, "era", after.Era, "version", after.Version)
+		t.mu.Lock()
+		t.needsScan = true
+		t.mu.Unlock()
 		return t.scan(ctx)
 	}
 	if err != nil {
 		return err
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.Era != t.position.Era {
+		// Another node's update has told of a new era meanwhile.
+		return errStale
+	}
 	t.recordRecovery()
-	if len(rows) > 0 {
-		t.apply(rows)
+	t.apply(rows, false)
+	if t.position.Before(at) {
+		t.position = at
 	}
-	t.version = max(t.version, version)
 	return nil
 }
 
+// wait returns how long the next call may wait at the store.
+func (t *Table) wait() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.missing) > 0 {
+		return min(t.Wait, missingRowsWait)
+	}
+	return t.Wait
+}
+
 // recordRecovery records the end of an outage. If another node read the store
 // during the outage, the store was up and no rows have expired, so that there is
-// no grace period.
+// no grace period. The caller holds t.mu.
 func (t *Table) recordRecovery() {
 	if t.failures == 0 {
 		return
@@ -176,12 +310,26 @@
 	if t.PeerRead != nil && t.PeerRead().After(t.LastRead().Add(t.Wait+peerReadMargin)) {
 		return
 	}
+	t.startGracePeriod()
+}
+
+// startGracePeriod starts the grace period of rows that are missing from now on,
+// and starts it again for those that are missing already.
+func (t *Table) startGracePeriod() {
 	t.recoveredAt = t.now()
+	for key := range t.missing {
+		t.missing[key] = t.recoveredAt.Add(gracePeriod)
+	}
 }
 
 // apply applies rows to the local copy and calls Changed with those that changed
-// it. A row that is deleted within gracePeriod of a recovery is kept until the period ends.
-func (t *Table) apply(rows []store.Row) {
+// it; always is set if Changed has to be called even without any. A row that is
+// deleted within gracePeriod of a recovery is kept until the period ends. The caller
+// holds t.mu.
+func (t *Table) apply(rows []store.Row, always bool) {
+	if t.rows == nil {
+		t.rows, t.missing = map[string]store.Row{}, map[string]time.Time{}
+	}
 	now := t.now()
 	var changed []store.Row
 	for _, r := range rows {
@@ -205,24 +353,29 @@
 			}
 		}
 	}
-	if len(changed) > 0 || t.version == 0 {
+	t.publish(changed, always)
+}
+
+// publish records changed rows for followers and calls Changed with them. The
+// caller holds t.mu.
+func (t *Table) publish(changed []store.Row, always bool) {
+	t.changes.add(changed)
+	if len(changed) > 0 || always {
 		t.Changed(changed)
 	}
 }
 
 // expire removes the missing rows that were not written again within their grace
-// period, unless the last recorded call failed.
+// period, unless the last recorded call failed. The caller holds t.mu.
 func (t *Table) expire(now time.Time) {
 	var expired []store.Row
 	for key, until := range t.missing {
 		if now.Before(until) || t.failures > 0 {
 			continue
 		}
-		expired = append(expired, store.Row{Key: key, Version: t.version, Deleted: true})
+		expired = append(expired, store.Row{Key: key, Version: t.position.Version, Deleted: true})
 		delete(t.rows, key)
 		delete(t.missing, key)
 	}
-	if len(expired) > 0 {
-		t.Changed(expired)
-	}
+	t.publish(expired, false)
 }
--- a/internal/stand/cloud/cloud.go
+++ b/internal/stand/cloud/cloud.go
@@ -45,6 +45,8 @@
 	lastTransaction int64
 	changes         []change
 	historyStart    int64
+	// era counts the restores.
+	era             int64
 	nextChange      chan struct{}
 	writeCount      int
 	readCount       int
@@ -212,6 +214,38 @@
 	p.changes, p.historyStart = nil, p.lastTransaction
 }
 
+// Copy is the content of the store at one moment.
+type Copy struct {
+	rows    map[rowKey]Row
+	objects map[string][]byte
+	version int64
+}
+
+// Copy returns a copy of the store's content.
+func (p *Platform) Copy() Copy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Copy{maps.Clone(p.rows), maps.Clone(p.objects), p.lastTransaction}
+}
+
+// Restore replaces the store's content with a copy, as after the loss of the
+// store's latest changes. Their versions are given out again. A feed from an
+// earlier or later version than the copy's fails with 410.
+func (p *Platform) Restore(c Copy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rows, p.objects, p.lastTransaction = maps.Clone(c.rows), maps.Clone(c.objects), c.version
+	p.changes, p.historyStart = nil, c.version
+	p.era++
+}
+
+// Era returns the number of restores so far.
+func (p *Platform) Era() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.era
+}
+
 // Apply runs a transaction: it applies all writes if all checks hold, and none
 // otherwise.
 func (p *Platform) Apply(t Transaction) Result {
@@ -275,7 +309,7 @@
 func (p *Platform) changesAfter(table string, after int64) (rows []entry, version int64, next <-chan struct{}, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if after < p.historyStart {
+	if after < p.historyStart || after > p.lastTransaction {
 		return nil, p.lastTransaction, nil, false
 	}
 	last := map[rowKey]change{}
--- a/internal/stand/cloud/serve.go
+++ b/internal/stand/cloud/serve.go
@@ -40,6 +40,7 @@
 	}
 	p.mu.Unlock()
 	time.Sleep(fault.Delay)
+	w.Header().Set("Store-Era", strconv.FormatInt(p.Era(), 10))
 	switch {
 	case fault.Unavailable:
 		http.Error(w, "unavailable", http.StatusServiceUnavailable)
@@ -203,6 +204,8 @@
 			}
 		}
 		if len(rows) > 0 || timedOut {
+			// The store may have been restored while the call waited.
+			w.Header().Set("Store-Era", strconv.FormatInt(p.Era(), 10))
 			answer := rowsJSON{Rows: []rowJSON{}, Version: version, NowUnixMilli: time.Now().UnixMilli()}
 			for _, row := range rows {
 				answer.Rows = append(answer.Rows, toJSON(row))
