Write again what a restored store lost; heed endpoints that leave or hold off

A restored store could lose the fleet's authority, so that a node that started then would have created a second one; nodes' rows and ledger objects were lost. An endpoint's Server-Leaving and Retry-After were ignored, and an entry from an older copy could end a leaving. Change: on a new era each node writes the authority, its row and the ledger objects of the last 30 s again; a node of a running fleet waits 6 s before it creates an authority. Server-Leaving marks the endpoint on this node at once and in the cell with the completion; leaving lasts until the endpoint is started again. After 503 with Retry-After this node sends nothing there for so long. Also: the text of an event longer than 4 KiB could set the event's id or end it; a block that arrived while a dead node's chain was recovered could be dropped. Ruled out: holding an endpoint off for the whole cell, since the header speaks of the one node only.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -46,8 +46,12 @@
 	heapMemoryShare = 0.6
 	// maxListeners is the capacity of the channel of failures. It exceeds the
 	// number of listeners, so that each can report a failure without blocking.
-	maxListeners         = 8
-	authorityRetryDelay  = 200 * time.Millisecond
+	maxListeners        = 8
+	authorityRetryDelay = 200 * time.Millisecond
+	// authorityCreateDelay is how long a node of a running fleet waits before it
+	// creates an authority: the other nodes notice within some seconds that a
+	// restored store has lost theirs, and write it again.
+	authorityCreateDelay = 6 * time.Second
 	authorityLoadTimeout = 2 * time.Second
 	readHeaderTimeout    = 5 * time.Second
 )
@@ -223,6 +227,10 @@
 		return eris.Wrap(err, "parse the peer address")
 	}
 	manager := &trust.Manager{Store: client, Name: string(e.startSettings.Name), IP: peerAddress.Addr().AsSlice(), Log: e.log}
+	if !e.startSettings.IsFirstStart {
+		manager.CreateDelay = authorityCreateDelay
+	}
+	e.node.StoreRestored = manager.Restore
 	for {
 		loadCtx, cancel := context.WithTimeout(ctx, authorityLoadTimeout)
 		err := manager.Load(loadCtx)
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -237,6 +237,7 @@
 	Refused           bool   `cbor:"11,keyasint,omitempty"`
 	Erred             bool   `cbor:"12,keyasint,omitempty"`
 	Cancelled         bool   `cbor:"13,keyasint,omitempty"`
+	Leaving           bool   `cbor:"14,keyasint,omitempty"`
 }
 
 // FromCompletion converts a completion. It leaves Request, Pool and Cell empty, which
@@ -245,7 +246,7 @@
 	return Completion{
 		Failed: c.Failed, Unused: c.Unused, TimeToFirstToken: int64(c.TimeToFirstToken), InterTokenLatency: int64(c.InterTokenLatency),
 		Uncached: int64(c.Uncached), Cached: int64(c.Cached), Output: int64(c.Output),
-		Refused: c.Refused, Erred: c.Erred, Cancelled: c.Cancelled,
+		Refused: c.Refused, Erred: c.Erred, Cancelled: c.Cancelled, Leaving: c.Leaving,
 	}
 }
 
@@ -255,7 +256,7 @@
 		Failed: m.Failed, Unused: m.Unused, TimeToFirstToken: time.Duration(m.TimeToFirstToken),
 		InterTokenLatency: time.Duration(m.InterTokenLatency), Uncached: ident.Tokens(m.Uncached),
 		Cached: ident.Tokens(m.Cached), Output: ident.Tokens(m.Output),
-		Refused: m.Refused, Erred: m.Erred, Cancelled: m.Cancelled,
+		Refused: m.Refused, Erred: m.Erred, Cancelled: m.Cancelled, Leaving: m.Leaving,
 	}
 }
 
--- a/internal/process/ledger/ledger_test.go
+++ b/internal/process/ledger/ledger_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -204,6 +205,57 @@
 	qt.Assert(t, Verify(append(written, blocks[:2]...), publicKey), qt.HasLen, 0)
 }
 
+// TestReplicasAddedDuringRecover checks that a block which arrives while the earlier
+// ones are written is kept, also if their number stays the same.
+func TestReplicasAddedDuringRecover(t *testing.T) {
+	r := &Replicas{}
+	blocks := testChain(3, 3)
+	qt.Assert(t, r.Add(blocks[0], 0), qt.IsTrue)
+	qt.Assert(t, r.Add(blocks[1], 0), qt.IsTrue)
+	r.Recover(t.Context(), func(ident.NodeID) bool { return false }, func(context.Context, string, []byte) error {
+		qt.Check(t, r.Add(blocks[2], blocks[0].Last()), qt.IsTrue)
+		return nil
+	})
+	qt.Assert(t, r.Count(), qt.Equals, 1)
+}
+
+// TestRewrite checks that after the store was restored from an older copy, the
+// writer writes the lost objects again, and the ledger is whole.
+func TestRewrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		objects := map[string][]byte{}
+		w := &Writer{Node: "n1", Key: privateKey, Clock: &clock.Clock{}}
+		w.Put = func(_ context.Context, name string, body []byte) error {
+			objects[name] = body
+			return nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { w.Run(ctx) })
+		time.Sleep(time.Second)
+		for i := range 40 {
+			time.Sleep(time.Second)
+			w.Add(testRecord(i).Record)
+		}
+		for name := range objects {
+			if SortKey(name) > SortKey(Prefix+"n1/"+fmt.Sprint(w.chain.Start)+"/000000000020-0") {
+				delete(objects, name)
+			}
+		}
+		qt.Assert(t, w.Rewrite(ctx), qt.IsNil)
+		cancel()
+		running.Wait()
+		var all []Block
+		for _, raw := range objects {
+			blocks, err := Decode(raw)
+			qt.Assert(t, err, qt.IsNil)
+			all = append(all, blocks...)
+		}
+		qt.Assert(t, Verify(all, publicKey), qt.HasLen, 0)
+		qt.Assert(t, Merge(all), qt.HasLen, 40)
+	})
+}
+
 // TestPack checks that packing is lossless and that truncated data is rejected. It
 // logs the packed size of the records of proxied requests.
 func TestPack(t *testing.T) {
--- a/internal/process/ledger/replicas.go
+++ b/internal/process/ledger/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"goldcrestwick/internal/request/ident"
@@ -56,8 +57,8 @@
 	}
 }
 
-// recoverChain writes the blocks of one chain and removes them, unless their number
-// changed in the meantime.
+// recoverChain writes the blocks of one chain and removes them. Blocks that were
+// added in the meantime are kept.
 func (r *Replicas) recoverChain(ctx context.Context, c Chain, put func(context.Context, string, []byte) error) {
 	r.mu.Lock()
 	blocks := r.chains[c]
@@ -67,7 +68,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.chains[c]) == len(blocks) {
+	written := uint64(0)
+	if len(blocks) > 0 {
+		written = blocks[len(blocks)-1].Last()
+	}
+	r.chains[c] = slices.DeleteFunc(slices.Clone(r.chains[c]), func(b Block) bool { return b.Last() <= written })
+	if len(r.chains[c]) == 0 {
 		delete(r.chains, c)
 	}
 }
--- a/internal/process/ledger/writer.go
+++ b/internal/process/ledger/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/ed25519"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -73,8 +74,20 @@
 	omitted int
 	// lastWritten is the number of the last record in the object store.
 	lastWritten uint64
+	// recent holds the objects that were written within rewriteWindow, in order.
+	recent []writtenObject
 }
 
+// writtenObject is an object that was written to the object store.
+type writtenObject struct {
+	blocks []Block
+	at     time.Time
+}
+
+// rewriteWindow is how long written objects are kept, to be written again if the
+// store is restored from an older copy of itself. Copies are some seconds old.
+const rewriteWindow = 30 * time.Second
+
 // Add appends a record. It reports false if the ledger is full; the caller must
 // then not accept new requests until records have been written. It also reports
 // true for a detail event that it omits.
@@ -186,6 +199,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.unwritten = w.unwritten[len(blocks):]
+	now := time.Now()
+	w.recent = slices.DeleteFunc(w.recent, func(o writtenObject) bool { return now.Sub(o.at) > rewriteWindow })
+	w.recent = append(w.recent, writtenObject{slices.Clone(blocks), now})
 	for _, b := range blocks {
 		w.pending -= len(b.Records)
 		w.lastWritten = b.Last()
@@ -193,6 +209,24 @@
 	return true
 }
 
+// Rewrite writes the objects of the last rewriteWindow again, under their names.
+// It is used after the store was restored from an older copy of itself, which may
+// have lost them. It returns the first error.
+func (w *Writer) Rewrite(ctx context.Context) error {
+	w.mu.Lock()
+	recent := slices.Clone(w.recent)
+	w.mu.Unlock()
+	for _, o := range recent {
+		putCtx, cancel := context.WithTimeout(ctx, putTimeout)
+		err := w.Put(putCtx, objectName(o.blocks), Encode(o.blocks))
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func objectName(blocks []Block) string {
 	first, last := blocks[0], blocks[len(blocks)-1]
 	return fmt.Sprintf("%s%s/%d/%012d-%012d", Prefix, first.Chain.Node, first.Chain.Start, first.First, last.Last())
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -88,8 +88,12 @@
 	Client *client.Client
 	// DialEndpoint opens the connections for proxied requests; nil means TCP.
 	DialEndpoint func(ctx context.Context, address string) (net.Conn, error)
-	Policy       sched.Policy
-	Log          *log.Logger
+	// StoreRestored, if not nil, is called when the store was restored from an older
+	// copy of itself, to write again what the process has outside the node. It is
+	// called again until it succeeds.
+	StoreRestored func(context.Context) error
+	Policy        sched.Policy
+	Log           *log.Logger
 	// LedgerKey signs the ledger. Without Platform, nil disables the ledger; with
 	// Platform, SetLedgerKey can set the key later.
 	LedgerKey ed25519.PrivateKey
@@ -132,6 +136,7 @@
 	claimCoordinatorSet atomic.Pointer[claimCoordinatorSet]
 	follower            follow.Follower
 	resumeKey           []byte
+	ctx                 context.Context
 	cancel              context.CancelFunc
 	tasks               sync.WaitGroup
 }
@@ -225,6 +230,7 @@
 // nodes from the store, and then at most joinTimeout for the peers.
 func (n *Node) Start(ctx context.Context) {
 	ctx, n.cancel = context.WithCancel(ctx)
+	n.ctx = ctx
 	n.members.Start(member.Member{
 		ID: n.Process.Name, Region: n.Process.Region, Zone: n.Process.Zone,
 		PeerAddress: n.Process.PeerAddress, CallerAddress: n.Process.CallerAddress,
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -37,7 +37,7 @@
 	n.conns.Dial = n.DialEndpoint
 	n.proxy = proxy.Proxy{
 		RequestGrant: n.entry.RequestGrant, IsLeaving: n.cells.IsLeaving, Conns: &n.conns, Budget: &n.budget,
-		Codec: n.Platform.HeaderCodec, Record: n.recordLocalStep,
+		Codec: n.Platform.HeaderCodec, Record: n.recordLocalStep, MarkLeaving: n.markLeaving,
 	}
 	n.router = router.Router{
 		Tree: n.settingsOrNil, DecodeRequest: n.Platform.HeaderCodec.DecodeRequest, Serve: n.serveProxied,
--- a/internal/process/node/tables.go
+++ b/internal/process/node/tables.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,13 +51,20 @@
 	mu        sync.Mutex
 	endpoints map[string]roster.Instance
 	nodes     map[string]roster.Instance
+	// leaving holds the start time of each endpoint that was seen to leave. An
+	// endpoint never stops leaving, whatever an older copy of its row says, but one
+	// that is started again under its name does not leave.
+	leaving map[string]int64
 	// hasEndpoints and hasNodes are set after the first read of each table.
 	hasEndpoints, hasNodes bool
 	// endpointTable follows the table of endpoints; it is nil without a platform.
 	// peerRead is the latest time at which another node read that table, as far as
 	// gossip has reported it.
 	endpointTable atomic.Pointer[watch.Table]
-	peerRead      tick.Latest
+	// era is the latest era of the store for which this node has begun to write its
+	// own data again.
+	era      atomic.Int64
+	peerRead tick.Latest
 }
 
 // endpointsReadAt returns when this node last read the table of endpoints, or the
@@ -95,7 +103,7 @@
 	watchTable := func(name string, wait, interval time.Duration, changed func([]store.Row)) *watch.Table {
 		t := &watch.Table{
 			Name: name, Store: n.Store, Wait: wait, Interval: interval, Changed: changed, Log: n.Log,
-			PeerRead: n.tables.peerRead.Time,
+			PeerRead: n.tables.peerRead.Time, NewEra: n.enterEra,
 		}
 		n.tasks.Go(func() { t.Run(ctx) })
 		return t
@@ -175,6 +183,7 @@
 			continue
 		}
 		in.Region = n.regionOf(in.Zone)
+		in.Leaving = n.tables.isLeaving(in)
 		if known && in == old {
 			continue
 		}
@@ -190,6 +199,52 @@
 	}
 }
 
+// maxKnownLeaving is the number of endpoints seen to leave above which those without
+// a row are forgotten.
+const maxKnownLeaving = 4096
+
+// isLeaving reports whether an endpoint is leaving by its row, or was seen to leave
+// earlier in the same run. It records the former if the row tells the run. The
+// caller holds s.mu.
+func (s *tableState) isLeaving(in roster.Instance) bool {
+	if in.Leaving && in.StartedUnixMilli != 0 {
+		s.recordLeaving(in)
+	}
+	started, wasLeaving := s.leaving[in.ID]
+	return in.Leaving || wasLeaving && started == in.StartedUnixMilli
+}
+
+// recordLeaving records that an endpoint leaves. The caller holds s.mu.
+func (s *tableState) recordLeaving(in roster.Instance) {
+	if s.leaving == nil {
+		s.leaving = map[string]int64{}
+	}
+	if len(s.leaving) >= maxKnownLeaving {
+		maps.DeleteFunc(s.leaving, func(id string, _ int64) bool {
+			_, listed := s.endpoints[id]
+			return !listed
+		})
+	}
+	s.leaving[in.ID] = in.StartedUnixMilli
+}
+
+// markLeaving records that an endpoint itself has reported that it is leaving, which
+// its row may show later or never.
+func (n *Node) markLeaving(id ident.Endpoint) {
+	n.tables.mu.Lock()
+	in, known := n.tables.endpoints[string(id)]
+	if !known || in.Leaving {
+		n.tables.mu.Unlock()
+		return
+	}
+	in.Leaving = true
+	n.tables.endpoints[in.ID] = in
+	n.tables.recordLeaving(in)
+	n.tables.mu.Unlock()
+	n.Log.Info("endpoint_announced_leaving", "endpoint", id, "address", in.Address)
+	n.rebuildInstances()
+}
+
 func (n *Node) logEndpoint(message string, in roster.Instance, version int64) {
 	n.Log.Info(message, "endpoint", in.Endpoint, "pool", in.Pool, "address", in.Address,
 		"leaving", in.Leaving, "store_version", version)
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -265,6 +265,9 @@
 	if !completion.Unused && !completion.Failed {
 		c.residenceTime.add(g.charge, now.Sub(g.grantedAt))
 	}
+	if completion.Leaving {
+		g.endpoint.hasAnnouncedLeaving = true
+	}
 	c.finishPrefill(g)
 	c.recordCompletion(g, completion, now)
 	g.endpoint.removeGrant(g.charge)
--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -115,7 +115,10 @@
 	// prefixSlot is the endpoint's slot in the prefix index, -1 if it has none
 	// yet.
 	prefixSlot int
-	health     health
+	// hasAnnouncedLeaving is set when the endpoint itself reported that it is
+	// shutting down, which the platform's list may show later.
+	hasAnnouncedLeaving bool
+	health              health
 	// isStraggler is set when the endpoint is suspended for being slow rather
 	// than for failures.
 	isStraggler bool
@@ -188,7 +191,7 @@
 
 // isOpen reports whether the endpoint may get new requests.
 func (e *endpoint) isOpen(now time.Time) bool {
-	if e.Leaving || e.report.Draining {
+	if e.Leaving || e.hasAnnouncedLeaving || e.report.Draining {
 		return false
 	}
 	switch e.health {
--- a/internal/process/sched/topology.go
+++ b/internal/process/sched/topology.go
@@ -30,6 +30,9 @@
 		if e.prefixSlot >= 0 && (e.Address != spec.Address || e.StartedUnixMilli != spec.StartedUnixMilli) {
 			c.prefixes.ClearSlot(e.prefixSlot)
 		}
+		if e.StartedUnixMilli != spec.StartedUnixMilli {
+			e.hasAnnouncedLeaving = false
+		}
 		e.EndpointSpec = spec
 		c.byID[spec.ID] = e
 		kept = append(kept, e)
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -131,6 +131,9 @@
 	// Cancelled is set when the caller left or the deadline passed while the
 	// endpoint was running the request.
 	Cancelled bool
+	// Leaving is set when the endpoint reported that it is shutting down. It gets
+	// no new grants until it has been started again.
+	Leaving bool
 	// TimeToFirstToken is the time from dispatch to the first token; 0 if there
 	// was none.
 	TimeToFirstToken time.Duration
--- a/internal/process/trust/trust_test.go
+++ b/internal/process/trust/trust_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
@@ -99,3 +101,33 @@
 	tbl.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: Table, Key: key, Value: []byte("no PEM")}}})
 	qt.Assert(t, newManager(tbl).Load(t.Context()), qt.ErrorMatches, ".*PEM.*")
 }
+
+// TestRestore checks that a store which was restored without the authority gets it
+// back, and that a node which starts before that waits for it instead of creating
+// another one.
+func TestRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tbl := &table{}
+		empty := tbl.cloud.Copy()
+		old := newManager(tbl)
+		qt.Assert(t, old.Load(t.Context()), qt.IsNil)
+		tbl.cloud.Restore(empty)
+		fresh := newManager(tbl)
+		fresh.CreateDelay = 5 * time.Second
+		qt.Assert(t, fresh.Load(t.Context()), qt.Equals, ErrNoAuthority)
+		time.Sleep(time.Second)
+		qt.Assert(t, old.Restore(t.Context()), qt.IsNil)
+		qt.Assert(t, fresh.Load(t.Context()), qt.IsNil)
+		qt.Check(t, fresh.TLSConfig().RootCAs.Equal(old.TLSConfig().RootCAs), qt.IsTrue)
+
+		// If nobody writes it again, the node creates one, and the others use it.
+		tbl.cloud.Restore(empty)
+		late := newManager(tbl)
+		late.CreateDelay = 5 * time.Second
+		qt.Assert(t, late.Load(t.Context()), qt.Equals, ErrNoAuthority)
+		time.Sleep(6 * time.Second)
+		qt.Assert(t, late.Load(t.Context()), qt.IsNil)
+		qt.Assert(t, old.Restore(t.Context()), qt.IsNil)
+		qt.Check(t, late.TLSConfig().RootCAs.Equal(old.TLSConfig().RootCAs), qt.IsTrue)
+	})
+}
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -41,7 +41,7 @@
 	// staleRetryDelay is the time between calls while the store's responses are
 	// older than the local copy.
 	staleRetryDelay = 300 * time.Millisecond
-	maxRetryDelay     = 600 * time.Millisecond
+	maxRetryDelay   = 600 * time.Millisecond
 	// missingRowsWait bounds how long a call waits at the store for a change while
 	// rows are missing, so that they are removed soon after their grace period.
 	missingRowsWait = 200 * time.Millisecond
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -26,10 +26,11 @@
 )
 
 // attempt sends the request to the granted endpoint and handles its answer. It
-// sends nothing if the grant's TTL has passed, the endpoint is leaving or ctx is
-// done.
+// sends nothing if the grant's TTL has passed, the endpoint is leaving or wants no
+// requests for now, or ctx is done.
 func (p *Proxy) attempt(ctx context.Context, s *requestState, g *entry.Grant) outcome {
-	if time.Since(g.Received) > g.Response.TTL || p.IsLeaving(g.Cell, g.Response.Endpoint) || ctx.Err() != nil {
+	if time.Since(g.Received) > g.Response.TTL || p.IsLeaving(g.Cell, g.Response.Endpoint) ||
+		p.holdOffs.covers(g.Response.Endpoint, time.Now()) || ctx.Err() != nil {
 		return outcome{notSent, "the grant could not be used in time", sched.Completion{Unused: true}}
 	}
 	p.record(s, trace.Record{Event: trace.Dispatched, Endpoint: g.Response.Endpoint})
@@ -54,6 +55,7 @@
 	x := &exchange{Conn: c, proxy: p, state: s, grant: g, sentAt: time.Now()}
 	stop := c.CloseWhenDone(ctx)
 	out := x.run(ctx)
+	out.completion.Leaving = x.isLeaving
 	if stop() && out.result != interrupted {
 		p.Conns.Put(c)
 		return out
@@ -74,6 +76,8 @@
 	// sendResult receives the result of sending a long body concurrently; it is nil
 	// if the body is short or its result has been received.
 	sendResult chan error
+	// isLeaving is set if the endpoint reported that it is shutting down.
+	isLeaving bool
 }
 
 func (x *exchange) run(ctx context.Context) outcome {
@@ -84,6 +88,7 @@
 	if err != nil {
 		return x.fail(ctx, err.Error())
 	}
+	x.observe(resp.StatusCode, info)
 	switch {
 	case info.NotRun || resp.StatusCode == http.StatusMisdirectedRequest:
 		return x.handleNotRun(resp)
@@ -102,6 +107,20 @@
 	return x.forwardAnswer(ctx, resp)
 }
 
+// observe records what the endpoint's answer says about the endpoint itself.
+func (x *exchange) observe(status int, info ResponseInfo) {
+	id := x.grant.Response.Endpoint
+	if status == http.StatusServiceUnavailable && info.RetryAfter > 0 {
+		x.proxy.holdOffs.add(id, time.Now(), info.RetryAfter)
+	}
+	if info.IsLeaving {
+		x.isLeaving = true
+		if x.proxy.MarkLeaving != nil {
+			x.proxy.MarkLeaving(id)
+		}
+	}
+}
+
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
 // impliesNotRun reports whether callers conclude from a status that the request
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -96,6 +96,11 @@
 	IsSigned bool
 	// Occupancy is the endpoint's count of its requests, nil if not given.
 	Occupancy *sched.Occupancy
+	// IsLeaving is set if the endpoint reports that it is shutting down.
+	IsLeaving bool
+	// RetryAfter is how long the endpoint wants no requests from this node, valid
+	// with status 503; 0 if not given.
+	RetryAfter time.Duration
 }
 
 // HeaderCodec reads and writes the headers of one platform.
@@ -159,10 +164,14 @@
 	Conns        *conn.Pool
 	Budget       *budget.Budget
 	Codec        HeaderCodec
+	// MarkLeaving is called when an endpoint reports that it is shutting down; it
+	// may be nil.
+	MarkLeaving func(ident.Endpoint)
 	// Record is called for each dispatch and each retry; it may be nil.
 	Record func(trace.Record)
 
-	lengths lengthEstimator
+	lengths  lengthEstimator
+	holdOffs holdOffs
 }
 
 // requestState is a request with the state of its attempts.
@@ -220,7 +229,7 @@
 			PromptTokens: r.Info.PromptTokens, OutputTokens: p.lengths.estimate(r), Prefix: prefix,
 		},
 		Account: account, Pool: r.Pool, Tier: r.Tier, Version: r.Version,
-		FirstTokenTarget: r.Route.FirstAnswerTarget,
+		FirstTokenTarget: r.Route.FirstAnswerTarget, Avoid: p.holdOffs.endpoints(time.Now()),
 	}
 }
 
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -57,11 +57,13 @@
 // inside an event. The bytes of the event are stored in buffer if they fit.
 func readEvent(r *bufio.Reader, buffer []byte) (event, error) {
 	e := event{raw: buffer[:0]}
+	lineStart := 0
 	for {
-		line, err := r.ReadSlice('\n')
-		e.raw = append(e.raw, line...)
+		part, err := r.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull) && len(e.raw) <= maxEventBytes:
+			// The line goes on in the next part.
 			continue
 		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.raw)) > 0:
 			return e, io.ErrUnexpectedEOF
@@ -70,7 +72,8 @@
 		case len(e.raw) > maxEventBytes:
 			return e, errEventTooLong
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(e.raw[lineStart:], "\r\n")
+		lineStart = len(e.raw)
 		if len(text) == 0 {
 			return e, nil
 		}
--- a/internal/stand/cloud/cloud.go
+++ b/internal/stand/cloud/cloud.go
@@ -46,12 +46,12 @@
 	changes         []change
 	historyStart    int64
 	// era counts the restores.
-	era             int64
-	nextChange      chan struct{}
-	writeCount      int
-	readCount       int
-	buildRouter     sync.Once
-	router          http.Handler
+	era         int64
+	nextChange  chan struct{}
+	writeCount  int
+	readCount   int
+	buildRouter sync.Once
+	router      http.Handler
 }
 
 // Op describes one operation.
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -38,6 +38,7 @@
 	NotRunHeader         = "Goldcrestwick-Not-Run"
 	ExpectInstanceHeader = "Goldcrestwick-Expect-Instance"
 	LastEventIDHeader    = "Last-Event-Id"
+	LeavingHeader        = "Server-Leaving"
 )
 
 // EndMode defines how an answer ends. The empty string means EndComplete.
@@ -74,6 +75,10 @@
 	// NotRun states in a header that the request was not run, and omits the server
 	// stamp.
 	NotRun bool
+	// Leaving states in a header that the endpoint is shutting down.
+	Leaving bool
+	// RetryAfter is the value of the Retry-After header, "" for none.
+	RetryAfter string
 	// OmitStamp omits the server stamp.
 	OmitStamp bool
 	// ContentEncoding is the content encoding to declare, "" for none.
@@ -231,6 +236,12 @@
 	if b.NotRun {
 		fmt.Fprintf(&h, "%s: 1\r\n", NotRunHeader)
 	}
+	if b.Leaving {
+		fmt.Fprintf(&h, "%s: 1\r\n", LeavingHeader)
+	}
+	if b.RetryAfter != "" {
+		fmt.Fprintf(&h, "Retry-After: %s\r\n", b.RetryAfter)
+	}
 	if e.Batch != nil {
 		l := e.Batch.Load()
 		fmt.Fprintf(&h, "%s: %d,%d,%d\r\n", RunnerLoadHeader, l.Running, l.Waiting, l.Slots)
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -43,6 +43,7 @@
 	script.Line
 	net             *pipes.Network
 	cloud           cloud.Platform
+	copied          cloud.Copy
 	platformAddress string
 	servers         []*http.Server
 	nodes           map[string]*proxyNode
@@ -209,6 +210,9 @@
 			service = given["service"]
 		}
 		e.entry = map[string]any{"service": service, "address": name + ":80", "zone": "z", "slots": p.IntOption("slots", 4), "state": "ready", "seq": 1}
+		if given["born"] != "" {
+			e.entry["born"] = p.IntOption("born", 0)
+		}
 		p.engines[name] = e
 		p.listEngine(name)
 	}
@@ -229,7 +233,7 @@
 		e.behaviour = engine.Behaviour{
 			Status: p.IntOption("status", 0), Body: given["body"], LastEvent: p.IntOption("events", 0),
 			EndMode: engine.EndMode(given["ending"]), EventInterval: p.ParseDuration(given["pace"]), CloseUnanswered: given["drop"] == "yes",
-			NotRun: given["not_run"] == "yes",
+			NotRun: given["not_run"] == "yes", Leaving: given["leaving"] == "yes", RetryAfter: given["retry_after"],
 		}
 		e.mu.Unlock()
 	}
@@ -284,6 +288,9 @@
 			continue
 		}
 		p.engines[name].entry["state"] = given["is"]
+		if given["born"] != "" {
+			p.engines[name].entry["born"] = p.IntOption("born", 0)
+		}
 		p.listEngine(name)
 	}
 }
@@ -473,6 +480,14 @@
 		p.cloud.SetFault(nil)
 		return
 	}
+	switch names[0] {
+	case "copy":
+		p.copied = p.cloud.Copy()
+		return
+	case "restore":
+		p.cloud.Restore(p.copied)
+		return
+	}
 	if names[0] == "drop_history" {
 		p.cloud.TruncateHistory()
 		return
--- a/internal/version/config/process.go
+++ b/internal/version/config/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -30,6 +31,11 @@
 	// TreeDir is the directory of the settings tree. If empty, the tree is read
 	// from the platform and its changes are applied.
 	TreeDir string
+	// IsFirstStart is set if the whole fleet starts for the first time.
+	IsFirstStart bool
+	// Capacity is this instance's processor time in thousandths of a core; 0 means
+	// unknown.
+	Capacity int
 	// StoreAddress is the IP and port of the platform's store.
 	StoreAddress string
 	// CAFile, CertFile and KeyFile are the paths of the TLS credentials with which
@@ -82,6 +88,8 @@
 		{"caller_address", true, addrPortSetter(func(p *Process) *string { return &p.CallerAddress })},
 		{"peer_address", true, addrPortSetter(func(p *Process) *string { return &p.PeerAddress })},
 		{"operator_address", true, addrPortSetter(func(p *Process) *string { return &p.OperatorAddress })},
+		{"first_start", false, boolSetter(func(p *Process) *bool { return &p.IsFirstStart })},
+		{"cores", false, setCapacity},
 	},
 	"platform": {
 		{"store", true, addrPortSetter(func(p *Process) *string { return &p.StoreAddress })},
@@ -131,6 +139,22 @@
 	requiredEntrySections = []string{"node", "platform", "entry", "repeats"}
 )
 
+// setCapacity parses a number of cores, such as 0.4. An empty value is unknown.
+func setCapacity(p *Process, v string) error {
+	if v == "" {
+		return nil
+	}
+	cores, err := strconv.ParseFloat(v, 64)
+	if err != nil || cores <= 0 || cores > maxCores {
+		return eris.Errorf("%q is not a number of cores above 0", v)
+	}
+	p.Capacity = int(cores * 1000)
+	return nil
+}
+
+// maxCores bounds the number of cores of an instance.
+const maxCores = 4096
+
 // setZones parses pairs of a zone and its region, such as a:north, b:north.
 func setZones(p *Process, v string) error {
 	p.Zones = map[ident.AvailabilityZone]ident.Region{}
--- a/internal/version/config/values.go
+++ b/internal/version/config/values.go
@@ -99,6 +99,17 @@
 	}
 }
 
+// boolSetter returns a setter for true or false; an empty value is false.
+func boolSetter[T any](fieldPtr func(*T) *bool) func(*T, string) error {
+	return func(t *T, v string) error {
+		if v != "true" && v != "false" && v != "" {
+			return eris.Errorf("%q is neither true nor false", v)
+		}
+		*fieldPtr(t) = v == "true"
+		return nil
+	}
+}
+
 // durationSetter returns a setter for a positive duration with a unit.
 func durationSetter[T any](fieldPtr func(*T) *time.Duration) func(*T, string) error {
 	return func(t *T, v string) error {
