--- /dev/null
+++ b/internal/connection/wire/changes.go
@@ -0,0 +1,69 @@
+package wire
+
+import (
+	"goldcrestwick/internal/process/store"
+	"goldcrestwick/internal/process/watch"
+)
+
+// Follow requests the changes of the store's tables, each after a cursor. A table
+// without a cursor is sent whole.
+type Follow struct {
+	Cursors map[string]Cursor `cbor:"1,keyasint,omitempty"`
+}
+
+// Cursor is watch.Cursor on the wire.
+type Cursor struct {
+	Log      uint64 `cbor:"1,keyasint"`
+	Sequence uint64 `cbor:"2,keyasint"`
+}
+
+// FromCursor converts a cursor.
+func FromCursor(c watch.Cursor) Cursor { return Cursor{c.Log, c.Sequence} }
+
+// ToCursor converts a received cursor.
+func (c Cursor) ToCursor() watch.Cursor { return watch.Cursor{Log: c.Log, Sequence: c.Sequence} }
+
+// Changes is a watch.Update of a table, or a heartbeat if Table is empty.
+type Changes struct {
+	Table      string `cbor:"1,keyasint,omitempty"`
+	Next       Cursor `cbor:"2,keyasint"`
+	IsSnapshot bool   `cbor:"3,keyasint,omitempty"`
+	Rows       []Row  `cbor:"4,keyasint,omitempty"`
+	// Era and Version are the store's position.
+	Era     int64 `cbor:"5,keyasint,omitempty"`
+	Version int64 `cbor:"6,keyasint,omitempty"`
+	// ReadAge is the time since the sender last read the store.
+	ReadAge int64 `cbor:"7,keyasint"`
+}
+
+// Row is store.Row on the wire.
+type Row struct {
+	Key     string `cbor:"1,keyasint"`
+	Version int64  `cbor:"2,keyasint"`
+	Value   []byte `cbor:"3,keyasint,omitempty"`
+	Deleted bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// FromTableUpdate converts an update of a table. It leaves ReadAge at 0.
+func FromTableUpdate(table string, u watch.Update) Changes {
+	c := Changes{
+		Table: table, Next: FromCursor(u.Next), IsSnapshot: u.IsSnapshot,
+		Era: int64(u.Position.Era), Version: u.Position.Version,
+	}
+	for _, r := range u.Rows {
+		c.Rows = append(c.Rows, Row(r))
+	}
+	return c
+}
+
+// ToTableUpdate converts a received update.
+func (c Changes) ToTableUpdate() watch.Update {
+	u := watch.Update{
+		Next: c.Next.ToCursor(), IsSnapshot: c.IsSnapshot,
+		Position: store.Position{Era: store.Era(c.Era), Version: c.Version},
+	}
+	for _, r := range c.Rows {
+		u.Rows = append(u.Rows, store.Row(r))
+	}
+	return u
+}
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -77,6 +77,10 @@
 	// KindQueued is sent repeatedly while a grant request waits in its cell, as a
 	// heartbeat.
 	KindQueued
+	// KindFollow opens a stream on which a node that reads the store returns
+	// KindChanges.
+	KindFollow
+	KindChanges
 )
 
 // Empty is a message without content.
@@ -367,13 +371,14 @@
 	Suspect         bool   `cbor:"7,keyasint,omitempty"`
 	Incarnation     uint64 `cbor:"8,keyasint"`
 	SettingsVersion uint64 `cbor:"9,keyasint,omitempty"`
+	Capacity        int    `cbor:"10,keyasint,omitempty"`
 }
 
 // FromMember converts a member.
 func FromMember(m member.Member) Member {
 	return Member{
 		string(m.ID), string(m.Region), string(m.Zone), m.PeerAddress, m.CallerAddress,
-		uint8(m.State), m.Suspect, m.Incarnation, uint64(m.Settings),
+		uint8(m.State), m.Suspect, m.Incarnation, uint64(m.Settings), m.Capacity,
 	}
 }
 
@@ -383,6 +388,7 @@
 		ID: ident.NodeID(m.ID), Region: ident.Region(m.Region), Zone: ident.AvailabilityZone(m.Zone),
 		PeerAddress: m.PeerAddress, CallerAddress: m.CallerAddress, State: min(member.State(m.State), member.Dead),
 		Suspect: m.Suspect, Incarnation: m.Incarnation, Settings: ident.Version(m.SettingsVersion),
+		Capacity: max(m.Capacity, 0),
 	}
 }
 
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -64,6 +64,9 @@
 	Incarnation uint64
 	// Settings is the settings version in force on the member.
 	Settings ident.Version
+	// Capacity is the processor time of the member's instance in thousandths of a
+	// core; 0 means unknown.
+	Capacity int
 }
 
 // supersedes reports whether the update m replaces the entry old.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -132,6 +132,7 @@
 	proxy    proxy.Proxy
 	router   router.Router
 	tables   tableState
+	changes  changes
 
 	claimCoordinatorSet atomic.Pointer[claimCoordinatorSet]
 	follower            follow.Follower
@@ -234,7 +235,7 @@
 	n.members.Start(member.Member{
 		ID: n.Process.Name, Region: n.Process.Region, Zone: n.Process.Zone,
 		PeerAddress: n.Process.PeerAddress, CallerAddress: n.Process.CallerAddress,
-		State: member.Joining, Incarnation: uint64(time.Now().UnixMilli()),
+		State: member.Joining, Incarnation: uint64(time.Now().UnixMilli()), Capacity: n.Process.Capacity,
 	})
 	n.tasks.Go(func() { n.cells.Run(ctx) })
 	n.tasks.Go(func() { n.claimCoordinator.Run(ctx) })
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -27,6 +27,7 @@
 	link.Handle(mux, wire.KindTree, n.serveTree)
 	link.Handle(mux, wire.KindVersionNotice, n.serveVersionNotice)
 	link.Handle(mux, wire.KindVersion, n.serveVersion)
+	link.Handle(mux, wire.KindFollow, n.serveFollow)
 }
 
 func (n *Node) probe(ctx context.Context, to member.Member, updates []member.Member) ([]member.Member, error) {
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"goldcrestwick/internal/connection/router"
 	"goldcrestwick/internal/process/budget"
@@ -43,6 +44,15 @@
 		Tree: n.settingsOrNil, DecodeRequest: n.Platform.HeaderCodec.DecodeRequest, Serve: n.serveProxied,
 		Quota: &n.quotaLimiter, Meter: &n.meter, Record: n.recordLocalStep, Log: n.Log,
 	}
+	n.meter.Gauge("goldcrestwick_reads_store", func() float64 {
+		if n.IsReadingStore() {
+			return 1
+		}
+		return 0
+	})
+	n.meter.Gauge("goldcrestwick_store_read_age_seconds", func() float64 {
+		return time.Since(n.tables.endpointsReadAt()).Seconds()
+	})
 	n.meter.Gauge("goldcrestwick_endpoint_connections_opened", func() float64 { return float64(n.conns.DialCount()) })
 }
 
--- a/internal/process/node/tables.go
+++ b/internal/process/node/tables.go
@@ -100,17 +100,21 @@
 // endpoints and nodes have been read. It returns when the node has joined or ctx is
 // done.
 func (n *Node) startFromTables(ctx context.Context) {
-	watchTable := func(name string, wait, interval time.Duration, changed func([]store.Row)) *watch.Table {
+	watchTable := func(name string, wait func() time.Duration, changed func([]store.Row)) *watch.Table {
 		t := &watch.Table{
-			Name: name, Store: n.Store, Wait: wait, Interval: interval, Changed: changed, Log: n.Log,
-			PeerRead: n.tables.peerRead.Time, NewEra: n.enterEra,
+			Name: name, Store: n.Store, Wait: wait, Interval: watchPause, Changed: changed, Log: n.Log,
+			PeerRead: n.tables.peerRead.Time, NewEra: n.enterEra, MaxRetryDelay: n.tableRetryDelay,
 		}
 		n.tasks.Go(func() { t.Run(ctx) })
 		return t
 	}
-	watchTable(n.Platform.SettingsTable, watchTimeout, watchPause, n.applySettingsRows)
-	n.tables.endpointTable.Store(watchTable(n.Platform.EndpointTable, watchTimeout, watchPause, n.applyEndpointRows))
-	watchTable(nodeTable, nodesWatchTimeout, watchPause, n.applyNodeRows)
+	n.changes.cursors = map[string]watch.Cursor{}
+	endpoints := watchTable(n.Platform.EndpointTable, n.tableWait, n.applyEndpointRows)
+	n.tables.endpointTable.Store(endpoints)
+	n.changes.tables.Store(&[watchedTables]*watch.Table{
+		watchTable(n.Platform.SettingsTable, n.tableWait, n.applySettingsRows), endpoints,
+		watchTable(nodeTable, func() time.Duration { return nodesWatchTimeout }, n.applyNodeRows),
+	})
 	n.tasks.Go(func() { n.registerNode(ctx) })
 	n.tasks.Go(func() { tick.Every(ctx, idleSweepInterval, func(context.Context) { n.conns.Sweep() }) })
 	for !n.hasInitialRows() {
@@ -122,6 +126,7 @@
 	n.members.Seed(joinCtx)
 	cancel()
 	n.join(ctx)
+	n.tasks.Go(func() { n.followChanges(ctx) })
 }
 
 // hasInitialRows reports whether the node has settings and has read the tables of
--- a/internal/process/watch/script_test.go
+++ b/internal/process/watch/script_test.go
@@ -1,4 +1,4 @@
-package watch
+package watch_test
 
 import (
 	"context"
@@ -18,6 +18,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestwick/internal/process/store"
+	"goldcrestwick/internal/process/watch"
 	"goldcrestwick/internal/stand/cloud"
 	"goldcrestwick/internal/stand/script"
 	"goldcrestwick/internal/stand/skew"
@@ -32,6 +33,8 @@
 //	copy | restore                    copies the store, and restores the last copy
 //	pause | resume                    stops and starts the table's own reads
 //	follow                            applies an update of a second table that reads the store
+//	freeze_reader | thaw_reader       stops and starts the second table's reads
+//	forget_cursor                     makes the next follow take a snapshot
 //	eras N                            checks how often NewEra was called
 //	peer_reads                        another node reads the store now
 //	clock_steps T                     steps the time of day by whole seconds
@@ -67,8 +70,9 @@
 	cloud cloud.Platform
 	// table is under test; reader is the one that it follows on request, from
 	// cursor on.
-	table, reader *Table
-	cursor        Cursor
+	table, reader *watch.Table
+	cursor        watch.Cursor
+	isFrozen      bool
 	copied        cloud.Copy
 	eras          atomic.Int64
 	// mu guards rows, peerReadAt and step, which the table's goroutine uses too.
@@ -110,18 +114,20 @@
 	time.Sleep(slowDelay)
 }
 
-func (s *scriptRunner) newTable(changed func([]store.Row)) *Table {
+func (s *scriptRunner) newTable(changed func([]store.Row)) *watch.Table {
 	client := &platform.Store{Address: "store", Transport: direct{&s.cloud}}
-	return &Table{
-		Name: "things", Store: &store.Client{Service: client.Service()}, Wait: 2 * time.Second, Interval: 100 * time.Millisecond,
+	return &watch.Table{
+		Name: "things", Store: &store.Client{Service: client.Service()}, Wait: func() time.Duration { return 2 * time.Second }, Interval: 100 * time.Millisecond,
 		Changed: changed, NewEra: func(store.Era) { s.eras.Add(1) }, PeerRead: s.peerRead, Now: s.now, Log: log.New(io.Discard),
 	}
 }
 
 // follow lets the table under test take the reader's news.
 func (s *scriptRunner) follow() {
-	s.reader.Resume()
-	time.Sleep(time.Millisecond)
+	if !s.isFrozen {
+		s.reader.Resume()
+	}
+	time.Sleep(150 * time.Millisecond)
 	synctest.Wait()
 	u, _, ok := s.reader.Updates(s.cursor)
 	qt.Assert(s.T, ok, qt.IsTrue, qt.Commentf(s.Position))
@@ -174,6 +180,15 @@
 		s.table.Resume()
 	case "follow":
 		s.follow()
+	case "freeze_reader", "thaw_reader":
+		s.isFrozen = s.Command == "freeze_reader"
+		s.reader.Pause()
+		time.Sleep(3 * time.Second)
+		if !s.isFrozen {
+			s.reader.Resume()
+		}
+	case "forget_cursor":
+		s.cursor = watch.Cursor{}
 	case "eras":
 		qt.Check(s.T, int(s.eras.Load()), qt.Equals, s.ParseInt(args[0]), qt.Commentf(s.Position))
 	case "peer_reads":
--- a/internal/process/watch/updates.go
+++ b/internal/process/watch/updates.go
@@ -98,12 +98,13 @@
 }
 
 // Follow applies an update of another node's Table, which read the store readAge
-// ago. It returns false, and changes nothing, if the update is a snapshot from
-// before the position of this Table.
+// ago. Rows from before the position of this Table are skipped, since it knows what
+// became of them. It returns false, and changes nothing, if the update is from an
+// older era of the store.
 func (t *Table) Follow(u Update, readAge time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if u.IsSnapshot && u.Position.Before(t.position) || u.Position.Era < t.position.Era {
+	if u.Position.Era < t.position.Era {
 		return false
 	}
 	t.lastRead.Observe(t.now().Add(-readAge))
@@ -112,9 +113,15 @@
 	// The other Table has kept missing rows for their grace period already.
 	t.recoveredAt = time.Time{}
 	clear(t.missing)
-	if u.IsSnapshot {
+	isBehind := t.hasScanned && u.Position.Before(t.position)
+	switch {
+	case u.IsSnapshot && isBehind:
+		return true
+	case u.IsSnapshot:
 		t.replace(u.Rows, u.Position)
 		return true
+	case isBehind:
+		u.Rows = slices.DeleteFunc(slices.Clone(u.Rows), func(r store.Row) bool { return r.Version <= t.position.Version })
 	}
 	t.apply(u.Rows, false)
 	if t.position.Before(u.Position) {
@@ -123,6 +130,10 @@
 	return true
 }
 
+// ObserveRead records that another node, whose Table this one follows, read the
+// store readAge ago.
+func (t *Table) ObserveRead(readAge time.Duration) { t.lastRead.Observe(t.now().Add(-readAge)) }
+
 // gate is open or closed; the zero value is open.
 type gate struct {
 	mu sync.Mutex
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -63,9 +63,9 @@
 type Table struct {
 	Name  string
 	Store *store.Client
-	// Wait is how long a call may wait at the store for a change, and Interval
+	// Wait returns how long a call may wait at the store for a change, and Interval
 	// is the delay between two calls.
-	Wait     time.Duration
+	Wait     func() time.Duration
 	Interval time.Duration
 	// Changed is called with the rows that are new, changed or Deleted. Rows from
 	// the change feed are in the order in which the store returned them. It is
@@ -78,7 +78,8 @@
 	// PeerRead returns the latest known time at which another node read the
 	// store. A nil function or the zero time means never.
 	PeerRead func() time.Time
-	// MaxRetryDelay bounds the backoff after failed calls; 0 means maxRetryDelay.
+	// MaxRetryDelay bounds the backoff after failed calls; if it is nil or returns 0,
+	// maxRetryDelay does.
 	MaxRetryDelay func() time.Duration
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
@@ -173,8 +174,8 @@
 // been recorded yet.
 func (t *Table) retryDelay() time.Duration {
 	limit := maxRetryDelay
-	if t.MaxRetryDelay != nil {
-		limit = max(t.MaxRetryDelay(), initialRetryDelay)
+	if t.MaxRetryDelay != nil && t.MaxRetryDelay() > 0 {
+		limit = t.MaxRetryDelay()
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -295,9 +296,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.missing) > 0 {
-		return min(t.Wait, missingRowsWait)
+		return min(t.Wait(), missingRowsWait)
 	}
-	return t.Wait
+	return t.Wait()
 }
 
 // recordRecovery records the end of an outage. If another node read the store
@@ -307,7 +308,7 @@
 	if t.failures == 0 {
 		return
 	}
-	if t.PeerRead != nil && t.PeerRead().After(t.LastRead().Add(t.Wait+peerReadMargin)) {
+	if t.PeerRead != nil && t.PeerRead().After(t.LastRead().Add(t.Wait()+peerReadMargin)) {
 		return
 	}
 	t.startGracePeriod()
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -1,12 +1,15 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"crypto/ed25519"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"iter"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -53,6 +56,10 @@
 	routes          []map[string]any
 	tenants         []map[string]any
 	version         int
+	// zones holds the zones of the nodes that are not in zone z.
+	zones        map[string]ident.AvailabilityZone
+	frozen       map[string]bool
+	checkedReads int
 }
 
 type proxyNode struct {
@@ -83,7 +90,7 @@
 func runProxyScript(t *testing.T, lines iter.Seq[script.Line]) {
 	p := &proxyCase{
 		T: t, net: &pipes.Network{}, nodes: map[string]*proxyNode{}, engines: map[string]*proxyEngine{},
-		calls: map[string]*proxyCall{},
+		calls: map[string]*proxyCall{}, zones: map[string]ident.AvailabilityZone{}, frozen: map[string]bool{},
 	}
 	listener, err := p.net.Listen(PlatformHost + ":80")
 	qt.Assert(t, err, qt.IsNil)
@@ -132,7 +139,7 @@
 		"settings": p.settings, "state": p.state, "send": p.send, "want": p.want, "arrivals": p.arrivals,
 		"wait": p.wait, "freeze": p.freeze, "unfreeze": p.unfreeze, "kill": p.kill, "restart": p.restart,
 		"store": p.store, "shutdown": p.shutdown, "ready": p.ready, "cut": p.cut, "heal": p.heal, "malformed_entry": p.malformedEntry,
-		"batch": p.batch,
+		"batch": p.batch, "fleet": p.fleet, "calls": p.checkCalls, "in_force": p.inForce,
 	}
 	run, ok := commands[command]
 	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.Position, command))
@@ -145,6 +152,34 @@
 	}
 }
 
+// fleet starts a number of nodes, which are distributed over the zones in turn.
+func (p *proxyCase) fleet(names []string, given map[string]string) {
+	zones := strings.Split(given["zones"], ",")
+	for i := range p.IntOption("count", 0) {
+		name := fmt.Sprintf("%s%02d", names[0], i)
+		p.zones[name] = ident.AvailabilityZone(zones[i%len(zones)])
+		p.startNode(name)
+	}
+}
+
+// checkCalls bounds the store's reads since the last such line.
+func (p *proxyCase) checkCalls(_ []string, given map[string]string) {
+	_, reads := p.cloud.OperationCounts()
+	if given["at_most"] != "" {
+		qt.Check(p.T, reads-p.checkedReads <= p.IntOption("at_most", 0), qt.IsTrue, qt.Commentf("%s: %d calls", p.Position, reads-p.checkedReads))
+	}
+	p.checkedReads = reads
+}
+
+// inForce checks that every node that is not frozen has the newest settings.
+func (p *proxyCase) inForce([]string, map[string]string) {
+	for name, n := range p.nodes {
+		if !p.frozen[name] {
+			qt.Check(p.T, n.Settings().Version, qt.Equals, ident.Version(p.version), qt.Commentf("%s: %s", p.Position, name))
+		}
+	}
+}
+
 func (p *proxyCase) startNode(name string) {
 	comment := qt.Commentf("%s: %s", p.Position, name)
 	mux := &link.Mux{}
@@ -156,7 +191,7 @@
 	service := &platform.Store{Address: p.platformAddress, Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
 	n := &proxyNode{peers: peers, Node: &node.Node{
 		Process: config.Process{
-			Name: ident.NodeID(name), Zone: "z", Region: "r", CallerAddress: name + ":80", PeerAddress: peers.Address,
+			Name: ident.NodeID(name), Zone: cmp.Or(p.zones[name], "z"), Region: "r", CallerAddress: name + ":80", PeerAddress: peers.Address,
 			RetryBudget: config.RetryBudget{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		},
 		Store: &store.Client{Service: service.Service()}, Open: peers.Open, Log: log.New(io.Discard),
@@ -416,12 +451,20 @@
 			}
 		}
 	}
+	if given["readers"] != "" {
+		for _, name := range slices.Sorted(maps.Keys(p.nodes)) {
+			if p.nodes[name].IsReadingStore() && len(names) < p.IntOption("readers", 0) {
+				names = append(names, name)
+			}
+		}
+	}
 	return names
 }
 
 func (p *proxyCase) freeze(names []string, given map[string]string) {
 	for _, host := range p.resolveHosts(names, given) {
 		p.net.SetFrozen(host, true)
+		p.frozen[host] = true
 	}
 }
 
@@ -433,8 +476,8 @@
 	p.net.SetBlocked(names[1], names[0], true)
 }
 
-func (p *proxyCase) kill(names []string, _ map[string]string) {
-	for _, name := range names {
+func (p *proxyCase) kill(names []string, given map[string]string) {
+	for _, name := range p.resolveHosts(names, given) {
 		p.nodes[name].kill()
 		delete(p.nodes, name)
 	}
