--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -42,6 +42,9 @@
 	// older than the local copy.
 	staleRetryDelay = 300 * time.Millisecond
 	maxRetryDelay   = 600 * time.Millisecond
+	// maxBackoffSteps is the number of failures after which the backoff has reached
+	// its bound.
+	maxBackoffSteps = 3
 	// missingRowsWait bounds how long a call waits at the store for a change while
 	// rows are missing, so that they are removed soon after their grace period.
 	missingRowsWait = 200 * time.Millisecond
@@ -78,8 +81,8 @@
 	// PeerRead returns the latest known time at which another node read the
 	// store. A nil function or the zero time means never.
 	PeerRead func() time.Time
-	// MaxRetryDelay bounds the backoff after failed calls; if it is nil or returns 0,
-	// maxRetryDelay does.
+	// MaxRetryDelay bounds the backoff after failed calls, which then starts at half
+	// of it; if it is nil or returns 0, the default backoff applies.
 	MaxRetryDelay func() time.Duration
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
@@ -173,13 +176,14 @@
 // retryDelay returns the time until the next call after a failure that has not
 // been recorded yet.
 func (t *Table) retryDelay() time.Duration {
-	limit := maxRetryDelay
+	t.mu.Lock()
+	failures := min(t.failures, maxBackoffSteps)
+	t.mu.Unlock()
 	if t.MaxRetryDelay != nil && t.MaxRetryDelay() > 0 {
-		limit = t.MaxRetryDelay()
+		limit := t.MaxRetryDelay()
+		return min(limit/2<<failures, limit)
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return min(initialRetryDelay<<min(t.failures, 6), limit)
+	return min(initialRetryDelay<<failures, maxRetryDelay)
 }
 
 func (t *Table) now() time.Time {
