Probe neighbors only in a larger fleet

Cause: each node probed every other, so that within a minute each pair of 195 nodes made a QUIC connection and kept it alive; joins, leaves and version notices went to random members, and every row that appeared in the table of nodes started a search for members. Change: from 33 members on a node probes six neighbors, four of its zone; notices go to them too. Gossip sends the latest updates first, and passes on at once that a member leaves or is dead: with the least-sent first, the entries of a fleet's start crowded out later ones.

--- a/internal/process/member/list.go
+++ b/internal/process/member/list.go
@@ -32,6 +32,9 @@
 	// of the changes.
 	Changed func(*View)
 
+	// urgent has a value when a member is known to leave or to be dead that was not
+	// before.
+	urgent     chan struct{}
 	view       atomic.Pointer[View]
 	mu         sync.Mutex
 	self       Member
@@ -55,6 +58,7 @@
 func (l *List) Start(self Member) {
 	l.mu.Lock()
 	l.self = self
+	l.urgent = make(chan struct{}, 1)
 	l.all = map[ident.NodeID]*record{self.ID: {Member: self, since: time.Now()}}
 	v := l.publish()
 	l.mu.Unlock()
@@ -120,6 +124,12 @@
 	if old != nil && !m.supersedes(old.Member) {
 		return false
 	}
+	if old != nil && m.State >= Leaving && old.State < m.State {
+		select {
+		case l.urgent <- struct{}{}:
+		default:
+		}
+	}
 	hasLeft := old != nil && m.State == Dead && (old.State == Leaving || old.hasLeft)
 	l.all[m.ID] = &record{Member: m, since: time.Now(), hasLeft: hasLeft}
 	return true
@@ -148,8 +158,10 @@
 	return all
 }
 
-// nextUpdates returns this node's own entry and the least often transmitted
-// entries that are below their transmit limit. The own entry is always included,
+// nextUpdates returns this node's own entry and the latest entries that are below
+// their transmit limit. Those that were transmitted less than half as often as the
+// limit allows go first, so that many changes at once, as when a fleet starts, delay
+// neither each other for long nor a later one. The own entry is always included,
 // so that a node that communicates with this one learns its state even if the
 // update was lost.
 func (l *List) nextUpdates() []Member {
@@ -161,7 +173,7 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b *record) int {
-		return cmp.Or(cmp.Compare(a.transmits, b.transmits), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(2*a.transmits/limit, 2*b.transmits/limit), b.since.Compare(a.since), cmp.Compare(a.ID, b.ID))
 	})
 	candidates = candidates[:min(len(candidates), maxUpdates-1)]
 	selected := []Member{l.self}
@@ -214,6 +226,7 @@
 	defer tasks.Wait()
 	tasks.Go(func() { tick.Every(ctx, ProbeInterval, l.probeNext) })
 	tasks.Go(func() { tick.Every(ctx, SyncInterval, l.syncOne) })
+	tasks.Go(func() { l.spreadUrgent(ctx) })
 	tasks.Go(func() { tick.Every(ctx, SeedInterval, l.Seed) })
 }
 
@@ -230,7 +243,12 @@
 	})
 	rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
 	var tasks sync.WaitGroup
-	for _, m := range unknown[:min(len(unknown), maxSeeds)] {
+	contacts := maxSeeds
+	if len(l.View().Members) > enoughMembers {
+		// Gossip brings most of them; this covers the rest.
+		contacts = laterSeeds
+	}
+	for _, m := range unknown[:min(len(unknown), contacts)] {
 		tasks.Go(func() { l.syncWith(ctx, m) })
 	}
 	tasks.Wait()
@@ -253,7 +271,7 @@
 	}
 }
 
-// probeNext probes the next member of a shuffled round, so that each member is
+// probeNext probes the next neighbor of a shuffled round, so that each of them is
 // probed within two rounds.
 func (l *List) probeNext(ctx context.Context) {
 	l.expire()
@@ -276,6 +294,39 @@
 	}
 }
 
+// spreadUrgent passes on at once, to urgentFanOut neighbors, that a member leaves or
+// is dead: callers must not be sent to it for longer than needed. Small fleets have
+// no need for it.
+func (l *List) spreadUrgent(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.urgent:
+		}
+		if list := l.Neighbors(); len(l.View().Members) > maxFullMesh {
+			for _, m := range list[:min(len(list), urgentFanOut)] {
+				l.pass(ctx, m)
+			}
+		}
+		if !tick.Sleep(ctx, urgentPause) {
+			return
+		}
+	}
+}
+
+// pass exchanges updates with a member. A failure is left to the regular probes.
+func (l *List) pass(ctx context.Context, to Member) {
+	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
+	defer cancel()
+	l.mu.Lock()
+	updates := l.nextUpdates()
+	l.mu.Unlock()
+	if response, err := l.Probe(ctx, to, updates); err == nil {
+		l.Merge(response)
+	}
+}
+
 // nextTarget returns the next member of the round and starts a new round at the end
 // of one. It returns false if there is no other member.
 func (l *List) nextTarget() (Member, bool) {
@@ -289,10 +340,8 @@
 				return r.Member, true
 			}
 		}
-		for id, r := range l.all {
-			if id != l.self.ID && r.State != Dead {
-				l.probeOrder = append(l.probeOrder, id)
-			}
+		for _, m := range neighbors(l.self.ID, l.View().Members) {
+			l.probeOrder = append(l.probeOrder, m.ID)
 		}
 		rand.Shuffle(len(l.probeOrder), func(i, j int) { l.probeOrder[i], l.probeOrder[j] = l.probeOrder[j], l.probeOrder[i] })
 	}
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -1,7 +1,7 @@
 // Package member tracks which nodes of the scheduler are alive, without a
 // coordination service.
 //
-// Each node probes the others in turn. When a probe fails, the node requests
+// Each node probes the others, or in a larger fleet its neighbors, in turn. When a probe fails, the node requests
 // indirect probes from a few other nodes, then suspects the target, and declares
 // it dead after SuspicionTimeout. Updates are piggybacked on probes and their
 // responses, a bounded number per message, and from time to time two nodes
@@ -180,6 +180,10 @@
 	// a fleet start together, contacting all of them from each costs more than
 	// the rounds of gossip that it saves.
 	maxSeeds = 12
+	// laterSeeds replaces maxSeeds in a node that knows more than enoughMembers
+	// members.
+	laterSeeds    = 2
+	enoughMembers = 8
 	// tombstoneTTL is how long dead members stay in the list, so that delayed
 	// gossip does not bring them back.
 	tombstoneTTL = 2 * time.Minute
@@ -189,6 +193,10 @@
 	// maxUpdates bounds the updates in a probe or its response, the sender's own
 	// entry included.
 	maxUpdates = 8
+	// urgentFanOut is the number of neighbors to which a node passes on at once that
+	// a member leaves or is dead, and urgentPause is the time between two such rounds.
+	urgentFanOut = 2
+	urgentPause  = 200 * time.Millisecond
 	// transmitFactor times the bit length of the number of entries in the list (its
 	// log2, rounded down, plus 1) bounds how many times a node transmits an update.
 	transmitFactor = 3
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -62,18 +62,15 @@
 	return g
 }
 
-// maxStateRecipients bounds the members to which a node sends its state directly.
-const maxStateRecipients = 24
-
-// broadcastState sends this node's state to members of its region, so that cells
-// and callers move without waiting for gossip. In a large fleet only some members
-// get it directly; gossip reaches the rest.
+// broadcastState sends this node's state to its neighbors in its region, so that
+// cells and callers move without waiting for the next probe. In a large fleet gossip
+// takes it to the other members.
 func (n *Node) broadcastState() {
 	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
 	defer cancel()
 	self := n.members.Self()
 	var pending sync.WaitGroup
-	for _, m := range n.randomMembers(maxStateRecipients) {
+	for _, m := range n.members.Neighbors() {
 		if m.Region != self.Region {
 			continue
 		}
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -48,10 +48,11 @@
 	n.Log.Info("settings_in_force", "settings_version", t.Version)
 }
 
-// announce sends a version notice to a few random members. Those that lack the
+// announce sends a version notice to a few neighbors. Those that lack the
 // version fetch it and announce it in turn.
 func (n *Node) announce(v ident.Version) {
-	for _, m := range n.randomMembers(versionNoticeFanOut) {
+	neighbors := n.members.Neighbors()
+	for _, m := range neighbors[:min(len(neighbors), versionNoticeFanOut)] {
 		n.tasks.Go(func() { n.sendVersionNotice(m, v) })
 	}
 }
--- a/internal/process/node/tables.go
+++ b/internal/process/node/tables.go
@@ -44,6 +44,10 @@
 	// registerTimeout bounds each attempt.
 	registerPause   = 300 * time.Millisecond
 	registerTimeout = 2 * time.Second
+	// fewMembers is the number of members below which a node that appears in the
+	// table of nodes is contacted at once. A node that knows more of them hears of it
+	// by gossip.
+	fewMembers = 4
 )
 
 // tableState holds what the node has read from the store's tables.
@@ -312,7 +316,7 @@
 	}
 	n.tables.mu.Unlock()
 	n.rebuildInstances()
-	if !isFirst && len(rows) > 0 {
+	if !isFirst && len(rows) > 0 && len(n.members.View().Members) < fewMembers {
 		n.tasks.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
 			defer cancel()
