Divide the cells of a large region by zone, with owners of much capacity

Cause: on the large deployment three cells of 39 and 6 endpoints of all zones were owned by any three of 195 nodes, mostly small ones with 0.192 cores, and five of six requests, answers and grants crossed zones. A cell without room redirects a request to the cell of the pool that reported the most free slots; reports go between owners every 150 ms. Preference lists are cached per view: each grant request sorted all nodes before.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -81,6 +81,8 @@
 	// KindChanges.
 	KindFollow
 	KindChanges
+	// KindIdleSlots reports the free slots of a cell. It has no reply.
+	KindIdleSlots
 )
 
 // Empty is a message without content.
@@ -114,6 +116,8 @@
 	// Standby requests that a node that does not own the cell serve it as a standby.
 	Standby     bool    `cbor:"17,keyasint,omitempty"`
 	BlockTokens []int64 `cbor:"18,keyasint,omitempty"` // tokens of each block of Prefix
+	// MayRedirect allows the response sched.Redirected.
+	MayRedirect bool `cbor:"19,keyasint,omitempty"`
 }
 
 // FromGrantRequest converts a grant request for a cell.
@@ -183,6 +187,8 @@
 	Waited     int64  `cbor:"9,keyasint,omitempty"`
 	RetryAfter int64  `cbor:"10,keyasint,omitempty"`
 	Clock      uint64 `cbor:"11,keyasint,omitempty"`
+	Pool       string `cbor:"12,keyasint,omitempty"` // with Cell, the cell to which it redirects
+	Cell       int    `cbor:"13,keyasint,omitempty"`
 }
 
 // FromGrantResponse converts a grant response.
@@ -191,6 +197,7 @@
 		Outcome: uint8(r.Outcome), Reason: string(r.Reason), Endpoint: string(r.Endpoint),
 		Address: r.Address, Sequence: r.Sequence, TTL: int64(r.TTL), Cached: int64(r.Cached),
 		Considered: r.Considered, Waited: int64(r.Waited), RetryAfter: int64(r.RetryAfter),
+		Pool: string(r.Cell.Pool), Cell: r.Cell.Index,
 	}
 }
 
@@ -201,9 +208,17 @@
 		Endpoint: ident.Endpoint(m.Endpoint), Address: m.Address, Sequence: m.Sequence,
 		TTL: time.Duration(m.TTL), Cached: ident.Tokens(m.Cached), Considered: m.Considered,
 		Waited: time.Duration(m.Waited), RetryAfter: time.Duration(m.RetryAfter),
+		Cell: ident.CellID{Pool: ident.PoolID(m.Pool), Index: m.Cell},
 	}
 }
 
+// IdleSlots reports how many slots of a cell are free.
+type IdleSlots struct {
+	Pool string `cbor:"1,keyasint"`
+	Cell int    `cbor:"2,keyasint"`
+	Free int    `cbor:"3,keyasint"`
+}
+
 // Started reports that a request has left its prefill phase, and how many
 // requests its endpoint had at that time. Known is false if the endpoint did not
 // report its counts.
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -2,7 +2,8 @@
 // the others.
 //
 // Each cell of a pool is owned by one ready member of the region, chosen by
-// rendezvous hashing over each node's own membership view. While views differ,
+// rendezvous hashing over each node's own membership view. In a large region a cell
+// has the endpoints of one availability zone, and its owner is a node there. While views differ,
 // two nodes can run the same cell. The endpoints may then receive more work
 // than their windows allow, but no request runs twice, because only the entry
 // node of a request dispatches it.
@@ -104,6 +105,8 @@
 
 	admission    admit.Controller
 	roster       atomic.Pointer[roster.View]
+	owners       atomic.Pointer[ownerTable]
+	idle         idleSlots
 	mu           sync.Mutex
 	local        map[ident.CellID]*localCell
 	retired      map[ident.CellID]*sched.Cell
@@ -123,6 +126,8 @@
 	cell          *sched.Cell
 	specs         []sched.EndpointSpec
 	recentPrompts promptHistory
+	// reportedFree is the number of free slots in the last report to other owners.
+	reportedFree int
 
 	mu sync.Mutex
 	// eventCursors holds the sequence number from which to read each endpoint's
@@ -137,6 +142,7 @@
 	link.Handle(mux, wire.KindCompletedLate, m.serveCompletion)
 	link.Handle(mux, wire.KindInFlight, m.serveInFlight)
 	link.Handle(mux, wire.KindCloseTiers, m.serveCloseTiers)
+	link.Handle(mux, wire.KindIdleSlots, m.serveIdleSlots)
 }
 
 // SetRoster replaces the endpoint view.
@@ -166,25 +172,6 @@
 	return true
 }
 
-// PreferenceList returns the ready nodes in the order in which requesters try
-// them for a cell: its owner, then the standby nodes.
-func (m *Manager) PreferenceList(id ident.CellID) []member.Member {
-	self := m.Self()
-	if m.Policy != sched.Fair {
-		return []member.Member{self}
-	}
-	return member.Ranked(m.Members().Ready(self.Region), id.String())
-}
-
-// Owner returns the node that runs a cell according to this node's view.
-func (m *Manager) Owner(id ident.CellID) (member.Member, bool) {
-	self := m.Self()
-	if m.Policy != sched.Fair {
-		return self, true
-	}
-	return m.Members().Owner(self.Region, id.String())
-}
-
 // LocalCell returns a cell that this node runs, or nil.
 func (m *Manager) LocalCell(id ident.CellID) *sched.Cell {
 	m.mu.Lock()
@@ -312,6 +299,7 @@
 	m.tasks.Go(func() { tick.Every(ctx, tickInterval, m.tick) })
 	m.tasks.Go(func() { tick.Every(ctx, admit.ResendInterval, m.sendCloseRequests) })
 	m.tasks.Go(func() { tick.Every(ctx, LoadPollInterval, m.pollAll) })
+	m.tasks.Go(func() { tick.Every(ctx, idleReportInterval, m.reportIdleSlots) })
 	<-ctx.Done()
 	m.tasks.Wait()
 }
--- /dev/null
+++ b/internal/process/cells/idle.go
@@ -0,0 +1,131 @@
+package cells
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/request/ident"
+)
+
+const (
+	// idleReportInterval is the time between reports of a cell's free slots to the
+	// owners of the pool's other cells, and idleReportTTL is how long one is used.
+	idleReportInterval = 150 * time.Millisecond
+	idleReportTTL      = 500 * time.Millisecond
+	// minIdleSlots is the number of free slots from which on a cell is sent requests
+	// of other cells; the last ones are left to its own, which arrive meanwhile.
+	minIdleSlots = 2
+)
+
+// idleSlots holds what the other cells of a pool last reported as free. The load
+// pattern behind it is a burst, or the loss of endpoints, in one availability zone:
+// its cell queues while those of other zones have room. The zero value is empty. It
+// is safe for concurrent use.
+type idleSlots struct {
+	mu    sync.Mutex
+	cells map[ident.CellID]idleReport
+}
+
+type idleReport struct {
+	free int
+	at   time.Time
+}
+
+func (s *idleSlots) set(id ident.CellID, free int, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cells == nil {
+		s.cells = map[ident.CellID]idleReport{}
+	}
+	s.cells[id] = idleReport{free, now}
+}
+
+// take takes one slot of the cell of the same pool that reported the most, and
+// returns that cell. It returns false if none reported enough lately.
+func (s *idleSlots) take(from ident.CellID, now time.Time) (to ident.CellID, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := minIdleSlots - 1
+	for id, r := range s.cells {
+		switch {
+		case now.Sub(r.at) > idleReportTTL:
+			delete(s.cells, id)
+		case id.Pool == from.Pool && id != from && r.free > most:
+			to, most, ok = id, r.free, true
+		}
+	}
+	if ok {
+		r := s.cells[to]
+		r.free--
+		s.cells[to] = r
+	}
+	return to, ok
+}
+
+// Submit submits a grant request to a cell of this node, like sched.Cell.Submit. If
+// the request would have to wait, may be redirected and another cell of the pool has
+// room, it is redirected there.
+func (m *Manager) Submit(cell *sched.Cell, r *sched.GrantRequest, mayRedirect bool) bool {
+	if cell.Submit(r) {
+		return true
+	}
+	if !mayRedirect {
+		return false
+	}
+	to, ok := m.idle.take(cell.ID, time.Now())
+	if !ok || !cell.Withdraw(r) {
+		return false
+	}
+	r.Response = sched.GrantResponse{Outcome: sched.Redirected, Reason: sched.ReasonIdleCell, Cell: to}
+	return true
+}
+
+// reportIdleSlots reports the free slots of this node's cells to the owners of the
+// other cells of their pools. A cell that stays full is not reported again.
+func (m *Manager) reportIdleSlots(ctx context.Context) {
+	self := m.Self().ID
+	for _, lc := range m.localCells() {
+		free := lc.cell.FreeSlots()
+		if free == 0 && lc.reportedFree == 0 {
+			continue
+		}
+		lc.reportedFree = free
+		id := lc.cell.ID
+		told := map[ident.NodeID]bool{self: true}
+		for _, other := range m.Roster().Cells(id.Pool) {
+			owner, ok := m.Owner(other.ID)
+			if !ok || other.ID == id {
+				continue
+			}
+			if owner.ID == self {
+				m.idle.set(id, free, time.Now())
+			}
+			if told[owner.ID] {
+				continue
+			}
+			told[owner.ID] = true
+			m.tasks.Go(func() { m.sendIdleSlots(ctx, owner.PeerAddress, id, free) })
+		}
+	}
+}
+
+// sendIdleSlots sends one report. Nothing answers it, and a lost one is replaced by
+// the next.
+func (m *Manager) sendIdleSlots(ctx context.Context, address string, id ident.CellID, free int) {
+	ctx, cancel := context.WithTimeout(ctx, idleReportInterval)
+	defer cancel()
+	s, err := m.Open(ctx, address)
+	if err != nil {
+		return
+	}
+	defer s.Close()                                                                               //nolint:errcheck // the report is sent.
+	s.Send(wire.KindIdleSlots, wire.IdleSlots{Pool: string(id.Pool), Cell: id.Index, Free: free}) //nolint:errcheck // see above.
+}
+
+func (m *Manager) serveIdleSlots(_ context.Context, _ *link.Stream, message wire.IdleSlots) {
+	m.idle.set(ident.CellID{Pool: ident.PoolID(message.Pool), Index: message.Cell}, message.Free, time.Now())
+}
--- /dev/null
+++ b/internal/process/cells/owners.go
@@ -0,0 +1,97 @@
+package cells
+
+import (
+	"sync"
+
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/roster"
+	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/request/ident"
+)
+
+// maxPreferred bounds the nodes in a preference list: a cell's owner and its standby
+// nodes.
+const maxPreferred = 4
+
+// ownerTable caches the preference lists of the cells for one view of the members
+// and of the endpoints, since every grant request needs one.
+type ownerTable struct {
+	members *member.View
+	roster  *roster.View
+
+	mu    sync.Mutex
+	lists map[ident.CellID][]member.Member
+}
+
+// PreferenceList returns the first ready nodes in the order in which requesters try
+// them for a cell: its owner, then the standby nodes.
+func (m *Manager) PreferenceList(id ident.CellID) []member.Member {
+	self := m.Self()
+	if m.Policy != sched.Fair {
+		return []member.Member{self}
+	}
+	members, endpoints := m.Members(), m.Roster()
+	t := m.owners.Load()
+	if t == nil || t.members != members || t.roster != endpoints {
+		t = &ownerTable{members: members, roster: endpoints, lists: map[ident.CellID][]member.Member{}}
+		m.owners.Store(t)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list, ok := t.lists[id]
+	if !ok {
+		list = preferenceList(members.Ready(self.Region), id, endpoints.Zone(id))
+		t.lists[id] = list
+	}
+	return list
+}
+
+// Owner returns the node that runs a cell according to this node's view.
+func (m *Manager) Owner(id ident.CellID) (member.Member, bool) {
+	list := m.PreferenceList(id)
+	if len(list) == 0 {
+		return member.Member{}, false
+	}
+	return list[0], true
+}
+
+// preferenceList ranks the nodes for a cell. Nodes of the cell's availability zone,
+// if it has one, go before the others, because each grant takes two messages between
+// the cell's node and an entry node, which mostly is in that zone. Within a zone,
+// nodes with much capacity go first: the load pattern behind it is a fleet of small
+// nodes with a few large ones, where a small one falls behind as the owner of a cell
+// with hundreds of grants a second.
+func preferenceList(ready []member.Member, id ident.CellID, zone ident.AvailabilityZone) []member.Member {
+	var list []member.Member
+	for _, isOwnZone := range []bool{true, false} {
+		var group []member.Member
+		for _, n := range ready {
+			if (zone == "" || n.Zone == zone) == isOwnZone {
+				group = append(group, n)
+			}
+		}
+		list = append(list, rankByCapacity(group, id.String())...)
+		if len(list) >= maxPreferred {
+			return list[:maxPreferred]
+		}
+	}
+	return list
+}
+
+// rankByCapacity ranks the nodes with at least half of the largest capacity before
+// the others, each group by rendezvous hashing.
+func rankByCapacity(nodes []member.Member, key string) []member.Member {
+	largest := 0
+	for _, n := range nodes {
+		largest = max(largest, n.Capacity)
+	}
+	var large, small []member.Member
+	for _, n := range nodes {
+		if 2*n.Capacity >= largest {
+			large = append(large, n)
+		} else {
+			small = append(small, n)
+		}
+	}
+	return append(member.Ranked(large, key), member.Ranked(small, key)...)
+}
--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -37,7 +37,7 @@
 	request := message.ToGrantRequest(time.Now())
 	request.Wake = func() { woken <- struct{}{} }
 	frames := readFrames(s)
-	if !cell.Submit(request) && !waitForResponse(s, woken, frames) {
+	if !m.Submit(cell, request, message.MayRedirect) && !waitForResponse(s, woken, frames) {
 		if !cell.Cancel(request) && request.Response.Outcome == sched.Granted {
 			cell.Complete(request.Request, sched.Completion{Unused: true})
 		}
--- a/internal/process/node/observe.go
+++ b/internal/process/node/observe.go
@@ -56,6 +56,8 @@
 		return trace.Granted
 	case sched.Shed:
 		return trace.Shed
+	case sched.Redirected:
+		return trace.Redirected
 	default:
 		return trace.Moved
 	}
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -50,7 +50,10 @@
 
 // Cell is one cell with its endpoints.
 type Cell struct {
-	ID        ident.CellID
+	ID ident.CellID
+	// Zone is the availability zone of all endpoints, "" if the cell is not bound to
+	// one.
+	Zone      ident.AvailabilityZone
 	Endpoints []sched.EndpointSpec
 }
 
@@ -58,12 +61,16 @@
 type View struct {
 	cells     map[ident.PoolID][]Cell
 	addresses map[ident.Endpoint]string
+	zones     map[ident.CellID]ident.AvailabilityZone
 }
 
 // Cells returns the cells of a pool, ordered by index. Cells without endpoints are
 // left out, so the indexes may have gaps.
 func (v *View) Cells(pool ident.PoolID) []Cell { return v.cells[pool] }
 
+// Zone returns the availability zone of a cell, "" if the cell is not bound to one.
+func (v *View) Zone(id ident.CellID) ident.AvailabilityZone { return v.zones[id] }
+
 // All returns the cells of all pools, ordered by pool and index.
 func (v *View) All() []Cell {
 	var all []Cell
@@ -134,24 +141,87 @@
 }
 
 func buildView(tree *config.Tree, specs map[ident.PoolID][]sched.EndpointSpec) *View {
-	v := &View{cells: map[ident.PoolID][]Cell{}, addresses: map[ident.Endpoint]string{}}
+	v := &View{
+		cells: map[ident.PoolID][]Cell{}, addresses: map[ident.Endpoint]string{}, zones: map[ident.CellID]ident.AvailabilityZone{},
+	}
+	byZone := isLargeRegion(tree, specs)
 	for id, all := range specs {
 		slices.SortFunc(all, func(a, b sched.EndpointSpec) int { return cmp.Compare(a.ID, b.ID) })
-		count := cellCount(len(all), tree.Pool(id).CellSize)
-		cells := make([]Cell, count)
-		for i := range cells {
-			cells[i].ID = ident.CellID{Pool: id, Index: i}
-		}
 		for _, spec := range all {
-			i := int(xxhash.Sum64String(string(spec.ID)) & uint64(count-1))
-			cells[i].Endpoints = append(cells[i].Endpoints, spec)
 			v.addresses[spec.ID] = spec.Address
 		}
-		v.cells[id] = slices.DeleteFunc(cells, func(c Cell) bool { return len(c.Endpoints) == 0 })
+		size := tree.Pool(id).CellSize
+		if byZone && haveZones(all) {
+			v.cells[id] = divideByZone(id, all, size)
+		} else {
+			v.cells[id] = divide(id, "", all, size)
+		}
+		for _, c := range v.cells[id] {
+			v.zones[c.ID] = c.Zone
+		}
 	}
 	return v
 }
 
+// isLargeRegion reports whether the largest pool has more endpoints than a cell.
+// Then the cells of all pools are divided by availability zone, so that requests,
+// answers and grants mostly stay in the zone where callers are.
+func isLargeRegion(tree *config.Tree, specs map[ident.PoolID][]sched.EndpointSpec) bool {
+	for id, all := range specs {
+		if len(all) > tree.Pool(id).CellSize && haveZones(all) {
+			return true
+		}
+	}
+	return false
+}
+
+// haveZones reports whether the availability zones of all endpoints are known.
+func haveZones(specs []sched.EndpointSpec) bool {
+	return !slices.ContainsFunc(specs, func(s sched.EndpointSpec) bool { return s.Zone == "" })
+}
+
+// divideByZone divides endpoints into cells that have endpoints of one availability
+// zone each.
+func divideByZone(pool ident.PoolID, specs []sched.EndpointSpec, size int) []Cell {
+	zones := map[ident.AvailabilityZone][]sched.EndpointSpec{}
+	for _, spec := range specs {
+		zones[spec.Zone] = append(zones[spec.Zone], spec)
+	}
+	var cells []Cell
+	for zone, inZone := range zones {
+		cells = append(cells, divide(pool, zone, inZone, size)...)
+	}
+	slices.SortFunc(cells, func(a, b Cell) int { return cmp.Compare(a.ID.Index, b.ID.Index) })
+	return cells
+}
+
+const (
+	// zoneIndexes is the number of ranges of cell indexes into which the names of
+	// availability zones are hashed, and maxZoneCells the length of a range.
+	zoneIndexes  = 1 << 20
+	maxZoneCells = 1 << 10
+)
+
+// divide divides endpoints into cells of about size endpoints by the hash of their
+// identifiers. The indexes of the cells of a zone start at a number that only
+// depends on the zone's name.
+func divide(pool ident.PoolID, zone ident.AvailabilityZone, specs []sched.EndpointSpec, size int) []Cell {
+	first := 0
+	if zone != "" {
+		first = (1 + int(xxhash.Sum64String(string(zone))%zoneIndexes)) * maxZoneCells
+	}
+	cells := make([]Cell, cellCount(len(specs), size))
+	for i := range cells {
+		cells[i].ID = ident.CellID{Pool: pool, Index: first + i}
+		cells[i].Zone = zone
+	}
+	for _, spec := range specs {
+		i := int(xxhash.Sum64String(string(spec.ID)) & uint64(len(cells)-1))
+		cells[i].Endpoints = append(cells[i].Endpoints, spec)
+	}
+	return slices.DeleteFunc(cells, func(c Cell) bool { return len(c.Endpoints) == 0 })
+}
+
 // cellCount returns the number of cells of a pool, such that their mean number of
 // endpoints is at most size. It is a power of two, so that growth splits cells and
 // moves no endpoints between existing ones.
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -213,6 +213,18 @@
 	return c.queues[r.class].remove(r)
 }
 
+// Withdraw removes a waiting request as if it had not been submitted. It reports
+// whether the request was still waiting.
+func (c *Cell) Withdraw(r *GrantRequest) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.queues[r.class].remove(r) {
+		return false
+	}
+	c.classStats[r.class].arrivals = max(c.classStats[r.class].arrivals-1, 0)
+	return true
+}
+
 // FirstToken records that a granted request has completed its prefill phase.
 func (c *Cell) FirstToken(id ident.RequestID) {
 	c.mu.Lock()
--- a/internal/process/sched/topology.go
+++ b/internal/process/sched/topology.go
@@ -231,6 +231,25 @@
 	return l
 }
 
+// FreeSlots returns the number of free slots of the endpoints that take requests, or 0
+// while requests wait or the cell does not grant any. Endpoints without known slots
+// have none.
+func (c *Cell) FreeSlots() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isClosed || c.isPaused || c.waitingCount() > 0 {
+		return 0
+	}
+	now := c.now()
+	free := 0
+	for _, e := range c.endpoints {
+		if e.health == healthy && e.isOpen(now) {
+			free += max(e.Slots-e.running-e.externalLoadAt(now), 0)
+		}
+	}
+	return free
+}
+
 // detectStraggler compares an endpoint with the median of its generation and
 // suspends it if it is much slower. The threshold for suspension is higher than
 // the one for recovery, so that noise does not make an endpoint alternate
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -74,6 +74,9 @@
 	Shed
 	// Moved tells the entry node to request the grant at the cell's new node.
 	Moved
+	// Redirected tells the entry node to request the grant from another cell, which
+	// has room while this one has none.
+	Redirected
 )
 
 // Reason is the reason for an outcome, as logs and refusals show it.
@@ -90,6 +93,7 @@
 	ReasonDeadlineUnreachable Reason = "deadline_unreachable"
 	ReasonDeadlinePassed      Reason = "deadline_passed"
 	ReasonCellMoved           Reason = "cell_moved"
+	ReasonIdleCell            Reason = "idle_cell"
 )
 
 // GrantResponse is a cell's response to a grant request.
@@ -110,6 +114,8 @@
 	Waited time.Duration
 	// RetryAfter is set on a refusal: the time after which a retry is useful.
 	RetryAfter time.Duration
+	// Cell is set with Redirected: the cell to request the grant from.
+	Cell ident.CellID
 }
 
 // Completion describes the completion of a granted request.
--- a/internal/process/trace/trace.go
+++ b/internal/process/trace/trace.go
@@ -39,6 +39,7 @@
 	Granted        Event = "granted"
 	Shed           Event = "shed"
 	Moved          Event = "moved"
+	Redirected     Event = "redirected"
 	Unresponsive   Event = "cell_silent"
 	Dispatched     Event = "dispatched"
 	Retried        Event = "repeated"
@@ -105,6 +106,8 @@
 		return at + fmt.Sprintf("cell %s refused the request after %s; reason: %s; %d requests still waiting", r.Cell, r.Waited.Round(time.Microsecond), r.Reason, r.Waiting)
 	case Moved:
 		return at + fmt.Sprintf("cell %s moved to another node; the grant is requested again", r.Cell)
+	case Redirected:
+		return at + fmt.Sprintf("cell %s had no room and redirected the request to cell %s, which has", r.Cell, r.Reason)
 	case Unresponsive:
 		return at + fmt.Sprintf("node %s of cell %s did not respond; this node decides alone", r.Reason, r.Cell)
 	case Dispatched:
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -62,7 +62,11 @@
 	BlockTokens []ident.Tokens
 	// Avoid lists endpoints at which the request has already failed.
 	Avoid []ident.Endpoint
-	Sink  answer.Sink
+
+	// hasBeenRedirected is set once a cell has redirected the request; it then waits
+	// wherever it is sent.
+	hasBeenRedirected bool
+	Sink              answer.Sink
 	// OnRun, if set, is called before the caller gets the answer of an earlier
 	// request with the same idempotency key, with the identifier of that request.
 	// It is not called if the job runs itself.
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"goldcrestwick/internal/process/cells"
 	"goldcrestwick/internal/process/clock"
 	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/roster"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/ident"
@@ -56,9 +58,15 @@
 	}
 	for moves := 0; ; moves++ {
 		cell, ok := e.chooseCell(j)
+		j.hasBeenRedirected = false
 		if ok {
 			e.record(j, trace.Record{Event: trace.GrantRequested, Cell: cell.String()})
 			g := e.requestGrantAt(ctx, j, cell, moves)
+			if g.Response.Outcome == sched.Redirected {
+				j.hasBeenRedirected = true
+				e.record(j, trace.Record{Event: trace.Redirected, Cell: cell.String(), Reason: g.Response.Cell.String()})
+				g = e.requestGrantAt(ctx, j, g.Response.Cell, 0)
+			}
 			switch g.Response.Outcome {
 			case sched.Granted:
 				e.record(j, trace.Record{Event: trace.GrantTaken, Endpoint: g.Response.Endpoint})
@@ -105,8 +113,8 @@
 	sched.ReasonDeadlinePassed:      "the deadline passed while the request waited",
 }
 
-// chooseCell selects a cell of the request's pool by rendezvous hashing of the
-// beginning of the prompt, so that the requests of a chat go to the cell whose
+// chooseCell selects a cell of the request's pool, one of the node's availability
+// zone if there is any, by rendezvous hashing of the beginning of the prompt, so that the requests of a chat go to the cell whose
 // endpoints have its prefix cached. Requests without a prefix are distributed by
 // their identifier. It returns false if the pool has no cells.
 func (e *Entry) chooseCell(j *Job) (ident.CellID, bool) {
@@ -118,15 +126,28 @@
 	if n := len(j.Request.Prefix); n > 0 {
 		key = fingerprintKey(j.Request.Prefix[min(n, affinityBlocks)-1])
 	}
-	best, bestScore := all[0].ID, uint64(0)
+	best, bestScore, bestIsNear := all[0].ID, uint64(0), false
 	for _, c := range all {
-		if score := member.Score(key, c.ID.String()); score >= bestScore {
-			best, bestScore = c.ID, score
+		if len(all) > 1 && !hasUsableEndpoint(c, j.Avoid) {
+			continue
+		}
+		isNear := c.Zone == e.Zone
+		score := member.Score(key, c.ID.String())
+		if isNear && !bestIsNear || isNear == bestIsNear && score >= bestScore {
+			best, bestScore, bestIsNear = c.ID, score, isNear
 		}
 	}
 	return best, true
 }
 
+// hasUsableEndpoint reports whether a cell has an endpoint that is neither leaving
+// nor to be avoided.
+func hasUsableEndpoint(c roster.Cell, avoid []ident.Endpoint) bool {
+	return slices.ContainsFunc(c.Endpoints, func(s sched.EndpointSpec) bool {
+		return !s.Leaving && !slices.Contains(avoid, s.ID)
+	})
+}
+
 // affinityBlocks is the number of leading blocks of a prompt that determine its
 // cell. It is more than one because different chats often share the first blocks,
 // such as a system prompt.
@@ -154,7 +175,7 @@
 		FirstTokenTarget: j.FirstTokenTarget, Zone: e.Zone, Avoid: j.Avoid, BlockTokens: j.BlockTokens,
 	}
 	if local := e.Cells.LocalCell(cell); local != nil {
-		return e.requestFromCell(ctx, req, local)
+		return e.requestFromCell(ctx, req, local, !j.hasBeenRedirected)
 	}
 	owners := e.Cells.PreferenceList(cell)
 	for i, owner := range owners[:min(len(owners), maxOwners)] {
@@ -171,7 +192,7 @@
 		if e.Cells.IsUnresponsive(owner.ID) {
 			continue
 		}
-		g, responded := e.requestFromNode(ctx, req, remoteCell{cell, owner, isStandby, j.Version})
+		g, responded := e.requestFromNode(ctx, req, remoteCell{cell, owner, isStandby, j.Version, !j.hasBeenRedirected && !isStandby})
 		if responded {
 			e.Cells.MarkResponsive(owner.ID)
 		}
@@ -182,7 +203,7 @@
 		e.record(j, trace.Record{Event: trace.Unresponsive, Cell: cell.String(), Reason: string(owner.ID)})
 	}
 	if isolated := e.Cells.StandbyCell(cell, true); isolated != nil {
-		return e.requestFromCell(ctx, req, isolated)
+		return e.requestFromCell(ctx, req, isolated, false)
 	}
 	return movedGrant()
 }
@@ -210,7 +231,7 @@
 	if standby == nil {
 		return nil, false
 	}
-	return e.requestFromCell(ctx, req, standby), true
+	return e.requestFromCell(ctx, req, standby, false), true
 }
 
 // remoteCell is a cell at another node.
@@ -218,17 +239,18 @@
 	id   ident.CellID
 	node member.Member
 	// isStandby is set if the node is a standby for the cell's node.
-	isStandby bool
-	version   ident.Version
+	isStandby   bool
+	version     ident.Version
+	mayRedirect bool
 }
 
 // requestFromCell requests a grant from a cell of this node, without network
 // messages. If ctx ends while the request is queued, it returns the outcome
 // sched.Moved.
-func (e *Entry) requestFromCell(ctx context.Context, req *sched.GrantRequest, cell *sched.Cell) *Grant {
+func (e *Entry) requestFromCell(ctx context.Context, req *sched.GrantRequest, cell *sched.Cell, mayRedirect bool) *Grant {
 	woken := make(chan struct{}, 1)
 	req.Wake = func() { woken <- struct{}{} }
-	if !cell.Submit(req) {
+	if !e.Cells.Submit(cell, req, mayRedirect) {
 		select {
 		case <-woken:
 		case <-ctx.Done():
@@ -278,7 +300,7 @@
 		return movedGrant(), false
 	}
 	message := wire.FromGrantRequest(req, cell, remote.version, time.Now())
-	message.Standby = remote.isStandby
+	message.Standby, message.MayRedirect = remote.isStandby, remote.mayRedirect
 	message.Clock = uint64(e.Clock.Now())
 	if stream.Send(wire.KindGrantRequest, message) != nil {
 		stream.Close() //nolint:errcheck // the stream is broken.
