Test the cells by zone, their owners and the redirection to idle ones

zone_cells: 40 requests of a zone stay there; of 100 at once, 84 fill the zone's 84 slots and 16 go to the other zone, where before the reports were acknowledged none did (their stream was closed at once, which drops what was sent on the stand-in's network).

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -81,7 +81,7 @@
 	// KindChanges.
 	KindFollow
 	KindChanges
-	// KindIdleSlots reports the free slots of a cell. It has no reply.
+	// KindIdleSlots is a call that reports the free slots of a cell.
 	KindIdleSlots
 )
 
--- a/internal/process/cells/idle.go
+++ b/internal/process/cells/idle.go
@@ -113,19 +113,15 @@
 	}
 }
 
-// sendIdleSlots sends one report. Nothing answers it, and a lost one is replaced by
-// the next.
+// sendIdleSlots sends one report. A lost one is replaced by the next.
 func (m *Manager) sendIdleSlots(ctx context.Context, address string, id ident.CellID, free int) {
-	ctx, cancel := context.WithTimeout(ctx, idleReportInterval)
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	s, err := m.Open(ctx, address)
-	if err != nil {
-		return
-	}
-	defer s.Close()                                                                               //nolint:errcheck // the report is sent.
-	s.Send(wire.KindIdleSlots, wire.IdleSlots{Pool: string(id.Pool), Cell: id.Index, Free: free}) //nolint:errcheck // see above.
+	message := wire.IdleSlots{Pool: string(id.Pool), Cell: id.Index, Free: free}
+	link.Call[wire.IdleSlots, wire.Empty](ctx, m.Open, address, wire.KindIdleSlots, message) //nolint:errcheck // see above.
 }
 
-func (m *Manager) serveIdleSlots(_ context.Context, _ *link.Stream, message wire.IdleSlots) {
+func (m *Manager) serveIdleSlots(_ context.Context, s *link.Stream, message wire.IdleSlots) {
 	m.idle.set(ident.CellID{Pool: ident.PoolID(message.Pool), Index: message.Cell}, message.Free, time.Now())
+	s.Send(wire.KindAck, wire.Empty{}) //nolint:errcheck // the reporter needs no reply.
 }
--- /dev/null
+++ b/internal/process/cells/owners_test.go
@@ -0,0 +1,67 @@
+package cells
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/request/ident"
+)
+
+// TestPreferenceList checks that the nodes of a cell's zone go first, and among them
+// those with much capacity, and that other nodes follow where the zone has too few.
+func TestPreferenceList(t *testing.T) {
+	var ready []member.Member
+	for zone, capacities := range map[ident.AvailabilityZone][]int{"a": {800, 192, 192, 800}, "b": {192, 192}, "c": {400, 0}} {
+		for i, capacity := range capacities {
+			ready = append(ready, member.Member{ID: ident.NodeID(fmt.Sprint(zone, i)), Zone: zone, Capacity: capacity})
+		}
+	}
+	for zone, want := range map[ident.AvailabilityZone][]string{
+		"a": {"a800", "a800", "a192", "a192"},
+		"b": {"b192", "b192", "a800", "a800"},
+		"c": {"c400", "c0", "a800", "a800"},
+		"":  {"a800", "a800", "c400", "?"},
+	} {
+		list := preferenceList(ready, ident.CellID{Pool: "p", Index: 7}, zone)
+		qt.Assert(t, list, qt.HasLen, len(want))
+		counts := map[string]int{}
+		for i, m := range list {
+			got := fmt.Sprint(m.Zone, m.Capacity)
+			counts[got]++
+			if zone != "" {
+				qt.Check(t, got, qt.Equals, want[i], qt.Commentf("zone %q, place %d", zone, i))
+			}
+		}
+		if zone == "" {
+			qt.Check(t, counts["a800"], qt.Equals, 2)
+			qt.Check(t, counts["c400"], qt.Equals, 1)
+		}
+	}
+}
+
+// TestIdleSlots checks that the cell with the most free slots is taken until it has
+// too few, that reports expire, and that cells of other pools don't count.
+func TestIdleSlots(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cell := func(pool ident.PoolID, i int) ident.CellID { return ident.CellID{Pool: pool, Index: i} }
+	s := &idleSlots{}
+	s.set(cell("p", 1), 3, now)
+	s.set(cell("p", 2), 4, now)
+	s.set(cell("p", 3), 90, now.Add(-time.Second))
+	s.set(cell("q", 4), 90, now)
+	taken := map[ident.CellID]int{}
+	for {
+		to, ok := s.take(cell("p", 9), now)
+		if !ok {
+			break
+		}
+		taken[to]++
+	}
+	qt.Check(t, taken, qt.DeepEquals, map[ident.CellID]int{cell("p", 1): 2, cell("p", 2): 3})
+	_, ok := s.take(cell("q", 4), now)
+	qt.Check(t, ok, qt.IsFalse)
+}
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -139,7 +139,7 @@
 		"settings": p.settings, "state": p.state, "send": p.send, "want": p.want, "arrivals": p.arrivals,
 		"wait": p.wait, "freeze": p.freeze, "unfreeze": p.unfreeze, "kill": p.kill, "restart": p.restart,
 		"store": p.store, "shutdown": p.shutdown, "ready": p.ready, "cut": p.cut, "heal": p.heal, "malformed_entry": p.malformedEntry,
-		"batch": p.batch, "fleet": p.fleet, "calls": p.checkCalls, "in_force": p.inForce,
+		"batch": p.batch, "fleet": p.fleet, "engines": p.manyEngines, "calls": p.checkCalls, "in_force": p.inForce,
 	}
 	run, ok := commands[command]
 	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.Position, command))
@@ -244,7 +244,7 @@
 		if given["service"] != "" {
 			service = given["service"]
 		}
-		e.entry = map[string]any{"service": service, "address": name + ":80", "zone": "z", "slots": p.IntOption("slots", 4), "state": "ready", "seq": 1}
+		e.entry = map[string]any{"service": service, "address": name + ":80", "zone": cmp.Or(given["zone"], "z"), "slots": p.IntOption("slots", 4), "state": "ready", "seq": 1}
 		if given["born"] != "" {
 			e.entry["born"] = p.IntOption("born", 0)
 		}
@@ -253,6 +253,15 @@
 	}
 }
 
+// manyEngines starts a number of engines, whose names are a prefix and a number.
+func (p *proxyCase) manyEngines(names []string, given map[string]string) {
+	var all []string
+	for i := range p.IntOption("count", 0) {
+		all = append(all, fmt.Sprintf("%s%02d", names[0], i))
+	}
+	p.engine(all, given)
+}
+
 func (p *proxyCase) listEngine(name string) { p.putRow("servers", name, p.engines[name].entry) }
 
 func (p *proxyCase) putRow(table, key string, value any) {
@@ -261,8 +270,19 @@
 	p.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: table, Key: key, Value: raw}}})
 }
 
+// engineNames returns the names and, with prefix=, those of the engines that begin
+// with it.
+func (p *proxyCase) engineNames(names []string, given map[string]string) []string {
+	for name := range p.engines {
+		if given["prefix"] != "" && strings.HasPrefix(name, given["prefix"]) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (p *proxyCase) respond(names []string, given map[string]string) {
-	for _, name := range names {
+	for _, name := range p.engineNames(names, given) {
 		e := p.engines[name]
 		e.mu.Lock()
 		e.behaviour = engine.Behaviour{
@@ -317,7 +337,7 @@
 
 // state changes or removes an endpoint's entry.
 func (p *proxyCase) state(names []string, given map[string]string) {
-	for _, name := range names {
+	for _, name := range p.engineNames(names, given) {
 		if given["is"] == "gone" {
 			p.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: "servers", Key: name}}})
 			continue
@@ -337,6 +357,9 @@
 
 // send sends a request in the background; want checks its result.
 func (p *proxyCase) send(names []string, given map[string]string) {
+	for i := range p.IntOption("count", 0) {
+		names = append(names, fmt.Sprintf("%s%02d", given["prefix"], i))
+	}
 	for _, name := range names {
 		call := &proxyCall{}
 		p.calls[name] = call
@@ -386,6 +409,11 @@
 
 // want checks the results of requests.
 func (p *proxyCase) want(names []string, given map[string]string) {
+	for name := range p.calls {
+		if given["prefix"] != "" && strings.HasPrefix(name, given["prefix"]) {
+			names = append(names, name)
+		}
+	}
 	for _, name := range names {
 		c := p.calls[name]
 		comment := qt.Commentf("%s: %s: %+v", p.Position, name, c)
@@ -416,9 +444,9 @@
 	}
 }
 
-func (p *proxyCase) arrivals(names []string, _ map[string]string) {
+func (p *proxyCase) arrivals(names []string, given map[string]string) {
 	total := 0
-	for _, name := range names {
+	for _, name := range p.engineNames(names, given) {
 		total += len(p.engines[name].ReceivedRequests())
 	}
 	qt.Check(p.T, total, qt.Equals, p.IntOption("count", 0), qt.Commentf("%s: %v", p.Position, names))
