Wake an idle node less, and give callers a stable list of nodes of their zone

Cause: an idle node woke about 40 times a second, for cells it does not run and decisions it did not make; it kept every connection alive, asked each account's coordinator for a share every second (some 2,000 calls a second at 195 nodes), and sorted or copied all members for each request. Callers got 64 of 195 addresses at random, and leave the connections to those that are missing the next time. Change: periodic work of cells and of the decision log runs on demand; no keep-alives; no shares by demand from 33 nodes on, where each request is charged at the coordinator; ready members and coordinators are cached by view, coordinators have much capacity. Package spread: the callers' zone and three other nodes, the same at each look-up.

--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -32,9 +32,11 @@
 )
 
 const (
-	alpnProtocol       = "goldcrestwick/1"
+	alpnProtocol = "goldcrestwick/1"
+	// idleTimeout closes connections that are no longer used. Those to a node's
+	// neighbors and to the owners of its cells are used more often, and no others
+	// are kept alive.
 	idleTimeout        = 30 * time.Second
-	keepAlivePeriod    = 10 * time.Second
 	handshakeTimeout   = time.Second
 	maxIncomingStreams = 1 << 16
 	// redialBackoff is how long Open fails without dialing after a failed dial.
@@ -180,7 +182,6 @@
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		MaxIdleTimeout:                 idleTimeout,
-		KeepAlivePeriod:                keepAlivePeriod,
 		HandshakeIdleTimeout:           handshakeTimeout,
 		MaxIncomingStreams:             maxIncomingStreams,
 		InitialStreamReceiveWindow:     streamWindow,
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -103,14 +103,17 @@
 	// Clock is the node's hybrid logical clock.
 	Clock *clock.Clock
 
-	admission    admit.Controller
-	roster       atomic.Pointer[roster.View]
-	owners       atomic.Pointer[ownerTable]
-	idle         idleSlots
-	mu           sync.Mutex
-	local        map[ident.CellID]*localCell
-	retired      map[ident.CellID]*sched.Cell
-	knownMembers map[ident.NodeID]bool
+	admission admit.Controller
+	roster    atomic.Pointer[roster.View]
+	owners    atomic.Pointer[ownerTable]
+	idle      idleSlots
+	// hasCells is set when this node begins to run a cell, standby cells included;
+	// hasLocalCells only when it is the cell's owner.
+	hasCells, hasLocalCells tick.Signal
+	mu                      sync.Mutex
+	local                   map[ident.CellID]*localCell
+	retired                 map[ident.CellID]*sched.Cell
+	knownMembers            map[ident.NodeID]bool
 	// standby holds the cells that this node runs in place of an unresponsive
 	// owner.
 	standby map[standbyKey]*sched.Cell
@@ -250,6 +253,8 @@
 		}
 	}
 	m.local[id] = lc
+	m.hasCells.Set()
+	m.hasLocalCells.Set()
 	if m.Policy != sched.Fair || m.ctx == nil {
 		c.Resume(admit.AdmitAll)
 		return
@@ -296,10 +301,10 @@
 	m.mu.Lock()
 	m.ctx = ctx
 	m.mu.Unlock()
-	m.tasks.Go(func() { tick.Every(ctx, tickInterval, m.tick) })
+	m.tasks.Go(func() { tick.OnDemand(ctx, tickInterval, &m.hasCells, m.tick) })
 	m.tasks.Go(func() { tick.Every(ctx, admit.ResendInterval, m.sendCloseRequests) })
 	m.tasks.Go(func() { tick.Every(ctx, LoadPollInterval, m.pollAll) })
-	m.tasks.Go(func() { tick.Every(ctx, idleReportInterval, m.reportIdleSlots) })
+	m.tasks.Go(func() { tick.OnDemand(ctx, idleReportInterval, &m.hasLocalCells, m.reportIdleSlots) })
 	<-ctx.Done()
 	m.tasks.Wait()
 }
@@ -326,13 +331,17 @@
 	lc.specs = specs
 }
 
-func (m *Manager) tick(context.Context) {
-	for _, lc := range m.localCells() {
+// tick performs the time-dependent work of the cells and reports whether there are
+// any.
+func (m *Manager) tick(context.Context) bool {
+	local, standby := m.localCells(), m.standbyCells()
+	for _, lc := range local {
 		lc.cell.Tick()
 	}
-	for _, c := range m.standbyCells() {
+	for _, c := range standby {
 		c.Tick()
 	}
+	return len(local)+len(standby) > 0
 }
 
 // pollAll polls the load of every endpoint of the local cells.
--- a/internal/process/cells/idle.go
+++ b/internal/process/cells/idle.go
@@ -85,10 +85,12 @@
 }
 
 // reportIdleSlots reports the free slots of this node's cells to the owners of the
-// other cells of their pools. A cell that stays full is not reported again.
-func (m *Manager) reportIdleSlots(ctx context.Context) {
+// other cells of their pools. A cell that stays full is not reported again. It
+// reports whether this node has any cells.
+func (m *Manager) reportIdleSlots(ctx context.Context) bool {
 	self := m.Self().ID
-	for _, lc := range m.localCells() {
+	local := m.localCells()
+	for _, lc := range local {
 		free := lc.cell.FreeSlots()
 		if free == 0 && lc.reportedFree == 0 {
 			continue
@@ -111,6 +113,7 @@
 			m.tasks.Go(func() { m.sendIdleSlots(ctx, owner.PeerAddress, id, free) })
 		}
 	}
+	return len(local) > 0
 }
 
 // sendIdleSlots sends one report. A lost one is replaced by the next.
--- a/internal/process/cells/owners.go
+++ b/internal/process/cells/owners.go
@@ -58,9 +58,7 @@
 // preferenceList ranks the nodes for a cell. Nodes of the cell's availability zone,
 // if it has one, go before the others, because each grant takes two messages between
 // the cell's node and an entry node, which mostly is in that zone. Within a zone,
-// nodes with much capacity go first: the load pattern behind it is a fleet of small
-// nodes with a few large ones, where a small one falls behind as the owner of a cell
-// with hundreds of grants a second.
+// nodes with much capacity go first.
 func preferenceList(ready []member.Member, id ident.CellID, zone ident.AvailabilityZone) []member.Member {
 	var list []member.Member
 	for _, isOwnZone := range []bool{true, false} {
@@ -70,28 +68,10 @@
 				group = append(group, n)
 			}
 		}
-		list = append(list, rankByCapacity(group, id.String())...)
+		list = append(list, member.RankedByCapacity(group, id.String())...)
 		if len(list) >= maxPreferred {
 			return list[:maxPreferred]
 		}
 	}
 	return list
 }
-
-// rankByCapacity ranks the nodes with at least half of the largest capacity before
-// the others, each group by rendezvous hashing.
-func rankByCapacity(nodes []member.Member, key string) []member.Member {
-	largest := 0
-	for _, n := range nodes {
-		largest = max(largest, n.Capacity)
-	}
-	var large, small []member.Member
-	for _, n := range nodes {
-		if 2*n.Capacity >= largest {
-			large = append(large, n)
-		} else {
-			small = append(small, n)
-		}
-	}
-	return append(member.Ranked(large, key), member.Ranked(small, key)...)
-}
--- a/internal/process/cells/standby.go
+++ b/internal/process/cells/standby.go
@@ -80,6 +80,7 @@
 	}
 	c := m.newCell(id, pool, &localCell{})
 	m.standby[key] = c
+	m.hasCells.Set()
 	m.configureStandby()
 	return c
 }
--- a/internal/process/fanout/script_test.go
+++ b/internal/process/fanout/script_test.go
@@ -33,6 +33,8 @@
 	now := time.Unix(1000, 0)
 	for line := range lines {
 		at := qt.Commentf(line.Position)
+		// A view does not change.
+		view = &member.View{Members: slices.Clone(view.Members)}
 		setMembers := func(change func(*member.Member)) {
 			for _, name := range line.Args {
 				i := slices.IndexFunc(view.Members, func(m member.Member) bool { return string(m.ID) == name })
--- a/internal/process/member/large_test.go
+++ b/internal/process/member/large_test.go
@@ -62,11 +62,15 @@
 		}
 		checkViews(largeFleet)
 
+		mu.Lock()
 		clear(probed)
+		mu.Unlock()
 		time.Sleep(20 * time.Second)
+		mu.Lock()
 		for name, targets := range probed {
 			qt.Check(t, len(targets) <= zoneSuccessors+farSuccessors, qt.IsTrue, qt.Commentf("%s: %d", name, len(targets)))
 		}
+		mu.Unlock()
 
 		all[7].SetSelf(func(m *Member) { m.State = Leaving })
 		time.Sleep(spreadTime)
--- a/internal/process/member/list.go
+++ b/internal/process/member/list.go
@@ -32,9 +32,9 @@
 	// of the changes.
 	Changed func(*View)
 
-	// urgent has a value when a member is known to leave or to be dead that was not
+	// urgent is set when a member is known to leave or to be dead that was not
 	// before.
-	urgent     chan struct{}
+	urgent     tick.Signal
 	view       atomic.Pointer[View]
 	mu         sync.Mutex
 	self       Member
@@ -58,7 +58,6 @@
 func (l *List) Start(self Member) {
 	l.mu.Lock()
 	l.self = self
-	l.urgent = make(chan struct{}, 1)
 	l.all = map[ident.NodeID]*record{self.ID: {Member: self, since: time.Now()}}
 	v := l.publish()
 	l.mu.Unlock()
@@ -125,10 +124,7 @@
 		return false
 	}
 	if old != nil && m.State >= Leaving && old.State < m.State {
-		select {
-		case l.urgent <- struct{}{}:
-		default:
-		}
+		l.urgent.Set()
 	}
 	hasLeft := old != nil && m.State == Dead && (old.State == Leaving || old.hasLeft)
 	l.all[m.ID] = &record{Member: m, since: time.Now(), hasLeft: hasLeft}
@@ -302,7 +298,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-l.urgent:
+		case <-l.urgent.C():
 		}
 		if list := l.Neighbors(); len(l.View().Members) > maxFullMesh {
 			for _, m := range list[:min(len(list), urgentFanOut)] {
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -23,6 +23,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -92,6 +93,8 @@
 // identifier.
 type View struct {
 	Members []Member
+	// ready caches the results of Ready by region.
+	ready sync.Map
 }
 
 // Find returns a member by its identifier.
@@ -106,14 +109,18 @@
 }
 
 // Ready returns the members of a region that accept new requests; an empty region
-// means all regions.
+// means all regions. The caller must not change the result.
 func (v *View) Ready(region ident.Region) []Member {
-	var ready []Member
+	if known, ok := v.ready.Load(region); ok {
+		return known.([]Member) //nolint:errcheck,revive // only this type is stored.
+	}
+	ready := make([]Member, 0, len(v.Members))
 	for _, m := range v.Members {
 		if m.State == Ready && (region == "" || m.Region == region) {
 			ready = append(ready, m)
 		}
 	}
+	v.ready.Store(region, ready)
 	return ready
 }
 
@@ -138,6 +145,26 @@
 	return best, found
 }
 
+// RankedByCapacity returns the members with at least half of the largest capacity
+// before the others, each group sorted by descending score for a key. The load
+// pattern behind it is a fleet of small nodes with a few large ones, where a small
+// one falls behind if it serves hundreds of calls of other nodes a second.
+func RankedByCapacity(members []Member, key string) []Member {
+	largest := 0
+	for _, m := range members {
+		largest = max(largest, m.Capacity)
+	}
+	var large, small []Member
+	for _, m := range members {
+		if 2*m.Capacity >= largest {
+			large = append(large, m)
+		} else {
+			small = append(small, m)
+		}
+	}
+	return append(Ranked(large, key), Ranked(small, key)...)
+}
+
 // Ranked returns the members sorted by descending score for a key.
 func Ranked(members []Member, key string) []Member {
 	ranked := slices.Clone(members)
--- a/internal/process/node/limits.go
+++ b/internal/process/node/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"goldcrestwick/internal/connection/link"
@@ -27,13 +28,35 @@
 // Joining nodes are included, so that nodes which start at the same time choose
 // the same coordinator from the start.
 func (n *Node) quotaCoordinatorOf(id ident.ClientAccount) (member.Member, bool) {
+	v := n.members.View()
+	known := n.quotaCoordinators.Load()
+	if known == nil || known.view != v {
+		known = &viewCoordinators{view: v}
+		n.quotaCoordinators.Store(known)
+	}
+	if m, ok := known.byAccount.Load(id); ok {
+		return m.(member.Member), true //nolint:errcheck,revive // only this type is stored.
+	}
 	var candidates []member.Member
-	for _, m := range n.members.View().Members {
+	for _, m := range v.Members {
 		if m.State == member.Ready || m.State == member.Joining {
 			candidates = append(candidates, m)
 		}
 	}
-	return member.Owner(candidates, accountKey(id))
+	if len(candidates) == 0 {
+		return member.Member{}, false
+	}
+	best := member.RankedByCapacity(candidates, accountKey(id))[0]
+	known.byAccount.Store(id, best)
+	return best, true
+}
+
+// viewCoordinators caches the coordinators of the accounts for one view, since every
+// request needs one.
+type viewCoordinators struct {
+	view *member.View
+	// byAccount holds a member.Member for each ident.ClientAccount.
+	byAccount sync.Map
 }
 
 // acquire acquires a request's tokens from the bucket at the account's
@@ -94,10 +117,19 @@
 	return 1 / float64(max(len(n.members.View().Ready("")), 1))
 }
 
+// maxNodesWithShares is the number of ready nodes up to which shares of the limits
+// are allocated by demand where each request is charged at the coordinator. They
+// only serve while it cannot be reached, and in a larger fleet the demand of one node
+// says little; the equal share applies there.
+const maxNodesWithShares = 32
+
 // requestShares requests this node's share of the limit of each account in use
 // from the account's coordinator.
 func (n *Node) requestShares(ctx context.Context) {
 	ready := n.members.View().Ready("")
+	if n.Platform != nil && len(ready) > maxNodesWithShares {
+		return
+	}
 	demandsOf := map[ident.NodeID]map[string]float64{}
 	coordinators := map[ident.NodeID]member.Member{}
 	for account, demand := range n.quotaLimiter.Demand() {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -135,6 +135,7 @@
 	changes  changes
 
 	claimCoordinatorSet atomic.Pointer[claimCoordinatorSet]
+	quotaCoordinators   atomic.Pointer[viewCoordinators]
 	follower            follow.Follower
 	resumeKey           []byte
 	ctx                 context.Context
--- a/internal/process/node/observe.go
+++ b/internal/process/node/observe.go
@@ -27,6 +27,8 @@
 type decisionBuffer struct {
 	mu      sync.Mutex
 	records []trace.Record
+	// added is set when records is no longer empty.
+	added tick.Signal
 }
 
 // recordDecision adds a decision to the ledger and the buffer and calls
@@ -48,6 +50,7 @@
 	n.decisions.mu.Lock()
 	n.decisions.records = append(n.decisions.records, r)
 	n.decisions.mu.Unlock()
+	n.decisions.added.Set()
 }
 
 func eventOf(o sched.Outcome) trace.Event {
@@ -86,7 +89,10 @@
 }
 
 func (n *Node) flushDecisionsPeriodically(ctx context.Context) {
-	tick.Every(ctx, decisionFlushInterval, func(context.Context) { n.flushDecisions() })
+	tick.OnDemand(ctx, decisionFlushInterval, &n.decisions.added, func(context.Context) bool {
+		n.flushDecisions()
+		return false
+	})
 	n.flushDecisions()
 }
 
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -9,6 +9,7 @@
 	"goldcrestwick/internal/connection/router"
 	"goldcrestwick/internal/process/budget"
 	"goldcrestwick/internal/process/roster"
+	"goldcrestwick/internal/process/spread"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/proxy"
@@ -84,14 +85,12 @@
 	return nil
 }
 
-// EntryAddresses returns the caller addresses of the ready members in this region
-// that are not suspect, in random order. The caller's zone is ignored.
-func (n *Node) EntryAddresses(ident.AvailabilityZone) []string {
+// EntryAddresses returns the caller addresses of the members in this region that
+// callers of a zone should use, in random order.
+func (n *Node) EntryAddresses(zone ident.AvailabilityZone) []string {
 	var list []string
-	for _, m := range n.members.View().Ready(n.Process.Region) {
-		if !m.Suspect {
-			list = append(list, m.CallerAddress)
-		}
+	for _, m := range spread.ForCallers(n.members.View().Ready(n.Process.Region), zone) {
+		list = append(list, m.CallerAddress)
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list
