Call the store less while a large fleet starts, and write the ledger less often there

Cause: 195 nodes that register within a second made each other's poll of the table of nodes return every 100 ms, and each wrote a ledger object every 10 s. Change: a node of a large fleet whose readers are not known yet pauses 1.5 s between calls; it looks for members every second until it knows half of them, half of them in its zone; ledger objects are written every 30 s from 96 members on, at random times at first.

--- a/internal/process/ledger/writer.go
+++ b/internal/process/ledger/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/ed25519"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -52,9 +53,9 @@
 	Key  ed25519.PrivateKey
 	// Clock is the hybrid logical clock that stamps the records.
 	Clock *clock.Clock
-	// Interval is the time between writes to the object store; 0 means the default
-	// of 5 seconds.
-	Interval time.Duration
+	// Interval returns the time between writes to the object store; nil means the
+	// default of 5 seconds.
+	Interval func() time.Duration
 	// Put writes an object, whose body is the result of Encode.
 	Put func(ctx context.Context, name string, body []byte) error
 	// Replicate sends a block to a node in another zone, with the number of the
@@ -132,13 +133,9 @@
 	w.mu.Lock()
 	w.chain = Chain{w.Node, time.Now().UnixMilli()}
 	w.mu.Unlock()
-	interval := w.Interval
-	if interval == 0 {
-		interval = writeInterval
-	}
 	var tasks sync.WaitGroup
 	tasks.Go(func() { tick.Every(ctx, BlockInterval, w.SealBlock) })
-	tasks.Go(func() { tick.Every(ctx, interval, w.WriteObjects) })
+	tasks.Go(func() { w.writePeriodically(ctx) })
 	tasks.Wait()
 	finalCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), putTimeout)
 	defer cancel()
@@ -150,6 +147,20 @@
 	}
 }
 
+// writePeriodically writes objects until the context ends. The first write is at a
+// random time, so that the nodes of a fleet that starts at once do not write at once.
+func (w *Writer) writePeriodically(ctx context.Context) {
+	interval := func() time.Duration { return writeInterval }
+	if w.Interval != nil {
+		interval = w.Interval
+	}
+	delay := interval()/2 + rand.N(interval()/2)
+	for tick.Sleep(ctx, delay) {
+		w.WriteObjects(ctx)
+		delay = interval()
+	}
+}
+
 // SealBlock seals the unsealed records into a block and tries once to replicate it.
 // If records were omitted, it first appends a record with their number.
 func (w *Writer) SealBlock(ctx context.Context) {
--- a/internal/process/member/list.go
+++ b/internal/process/member/list.go
@@ -223,12 +223,27 @@
 	tasks.Go(func() { tick.Every(ctx, ProbeInterval, l.probeNext) })
 	tasks.Go(func() { tick.Every(ctx, SyncInterval, l.syncOne) })
 	tasks.Go(func() { l.spreadUrgent(ctx) })
-	tasks.Go(func() { tick.Every(ctx, SeedInterval, l.Seed) })
+	tasks.Go(func() { l.seedPeriodically(ctx) })
+}
+
+// seedPeriodically contacts seeds every SeedInterval, or more often while less than
+// half of the listed nodes are known.
+func (l *List) seedPeriodically(ctx context.Context) {
+	sinceLast := time.Duration(0)
+	tick.Every(ctx, fastSeedInterval, func(ctx context.Context) {
+		sinceLast += fastSeedInterval
+		if sinceLast < SeedInterval && (l.Seeds == nil || 2*len(l.View().Members) >= len(l.Seeds(ctx))) {
+			return
+		}
+		sinceLast = 0
+		l.Seed(ctx)
+	})
 }
 
 // Seed exchanges lists with nodes that the platform lists and that are not known
-// to be alive. It contacts at most maxSeeds of them, chosen at random, and
-// receives the other members' entries from those.
+// to be alive. It contacts at most maxSeeds of them, chosen at random but half of them
+// in its own availability zone if there are enough, and receives the other members'
+// entries from those.
 func (l *List) Seed(ctx context.Context) {
 	if l.Seeds == nil {
 		return
@@ -244,7 +259,13 @@
 		// Gossip brings most of them; this covers the rest.
 		contacts = laterSeeds
 	}
-	for _, m := range unknown[:min(len(unknown), contacts)] {
+	self := l.Self()
+	near := slices.DeleteFunc(slices.Clone(unknown), func(m Member) bool { return m.Zone != self.Zone })
+	near = near[:min(len(near), contacts/2)]
+	far := slices.DeleteFunc(unknown, func(m Member) bool {
+		return slices.ContainsFunc(near, func(n Member) bool { return n.ID == m.ID })
+	})
+	for _, m := range append(near, far[:min(len(far), contacts-len(near))]...) {
 		tasks.Go(func() { l.syncWith(ctx, m) })
 	}
 	tasks.Wait()
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -203,6 +203,9 @@
 	fullRateSyncMembers = 64
 	// SeedInterval is the time between polls of the platform's list.
 	SeedInterval = 5 * time.Second
+	// fastSeedInterval replaces SeedInterval while less than half of the listed nodes
+	// are known.
+	fastSeedInterval = time.Second
 	// maxSeeds bounds the listed nodes that one poll contacts: when all nodes of
 	// a fleet start together, contacting all of them from each costs more than
 	// the rounds of gossip that it saves.
--- a/internal/process/node/changes.go
+++ b/internal/process/node/changes.go
@@ -28,6 +28,9 @@
 	// readerWait replaces watchTimeout in a fleet with readers, so that the followers
 	// of a reader that the store does not answer find that out soon.
 	readerWait = 700 * time.Millisecond
+	// startPause is the pause between two calls for a table in a large fleet whose
+	// readers are not known yet.
+	startPause = 1500 * time.Millisecond
 	// sourceCheckInterval is the time between checks whether a node that reads the
 	// store itself should follow a reader.
 	sourceCheckInterval = 500 * time.Millisecond
@@ -89,6 +92,23 @@
 	return watchTimeout
 }
 
+// tablePause returns the pause between two calls for a table. While a large fleet
+// starts, its rows change all the time, and a node that has read them once learns the
+// rest from a reader.
+func (n *Node) tablePause() time.Duration {
+	if len(n.readers()) == 0 && n.knownNodes() >= fanout.MinFleet {
+		return startPause
+	}
+	return watchPause
+}
+
+// knownNodes returns the number of nodes in the store's table.
+func (n *Node) knownNodes() int {
+	n.tables.mu.Lock()
+	defer n.tables.mu.Unlock()
+	return len(n.tables.nodes)
+}
+
 // tableRetryDelay bounds the backoff after failed calls; 0 is the default.
 func (n *Node) tableRetryDelay() time.Duration {
 	readers := n.readers()
--- a/internal/process/node/ledger.go
+++ b/internal/process/node/ledger.go
@@ -25,8 +25,12 @@
 
 const (
 	// platformWriteInterval is the time between a node's ledger objects on the
-	// platform, where store calls are expensive.
+	// platform, where store calls are expensive. It grows with the fleet from
+	// ledgerFleet members on, up to maxWriteFactor times: the blocks have a copy on
+	// another node, and a node of a large fleet adds few records.
 	platformWriteInterval = 10 * time.Second
+	ledgerFleet           = 32
+	maxWriteFactor        = 3
 	// dropBatchSize is the number of the oldest objects deleted at a time when the
 	// store is full.
 	dropBatchSize = 16
@@ -78,7 +82,10 @@
 		Node: n.Process.Name, Key: n.LedgerKey, Clock: &n.hybridClock, Put: n.putLedgerObject, Replicate: n.replicateBlock,
 	}
 	if n.Platform != nil {
-		n.ledger.Interval = platformWriteInterval
+		n.ledger.Interval = func() time.Duration {
+			factor := min(max(len(n.members.View().Members)/ledgerFleet, 1), maxWriteFactor)
+			return time.Duration(factor) * platformWriteInterval
+		}
 	}
 	n.meter.Gauge("goldcrestwick_ledger_records_kept", func() float64 { return float64(n.ledger.Pending()) })
 	n.meter.Gauge("goldcrestwick_ledger_blocks_held", func() float64 { return float64(n.replicas.Count()) })
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -125,7 +125,7 @@
 	var found []member.Member
 	for _, in := range *list {
 		if in.IsNode && in.PeerAddress != "" && in.ID != string(n.Process.Name) {
-			found = append(found, member.Member{ID: ident.NodeID(in.ID), PeerAddress: in.PeerAddress})
+			found = append(found, member.Member{ID: ident.NodeID(in.ID), Zone: in.Zone, PeerAddress: in.PeerAddress})
 		}
 	}
 	return found
--- a/internal/process/node/tables.go
+++ b/internal/process/node/tables.go
@@ -106,7 +106,7 @@
 func (n *Node) startFromTables(ctx context.Context) {
 	watchTable := func(name string, wait func() time.Duration, changed func([]store.Row)) *watch.Table {
 		t := &watch.Table{
-			Name: name, Store: n.Store, Wait: wait, Interval: watchPause, Changed: changed, Log: n.Log,
+			Name: name, Store: n.Store, Wait: wait, Interval: n.tablePause, Changed: changed, Log: n.Log,
 			PeerRead: n.tables.peerRead.Time, NewEra: n.enterEra, MaxRetryDelay: n.tableRetryDelay,
 		}
 		n.tasks.Go(func() { t.Run(ctx) })
--- a/internal/process/watch/script_test.go
+++ b/internal/process/watch/script_test.go
@@ -117,7 +117,7 @@
 func (s *scriptRunner) newTable(changed func([]store.Row)) *watch.Table {
 	client := &platform.Store{Address: "store", Transport: direct{&s.cloud}}
 	return &watch.Table{
-		Name: "things", Store: &store.Client{Service: client.Service()}, Wait: func() time.Duration { return 2 * time.Second }, Interval: 100 * time.Millisecond,
+		Name: "things", Store: &store.Client{Service: client.Service()}, Wait: func() time.Duration { return 2 * time.Second }, Interval: func() time.Duration { return 100 * time.Millisecond },
 		Changed: changed, NewEra: func(store.Era) { s.eras.Add(1) }, PeerRead: s.peerRead, Now: s.now, Log: log.New(io.Discard),
 	}
 }
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -67,9 +67,9 @@
 	Name  string
 	Store *store.Client
 	// Wait returns how long a call may wait at the store for a change, and Interval
-	// is the delay between two calls.
+	// the delay between two calls.
 	Wait     func() time.Duration
-	Interval time.Duration
+	Interval func() time.Duration
 	// Changed is called with the rows that are new, changed or Deleted. Rows from
 	// the change feed are in the order in which the store returned them. It is
 	// called after each scan, even without any rows. Calls are serialized, and must
@@ -141,7 +141,7 @@
 func (t *Table) Run(ctx context.Context) {
 	for t.pause.wait(ctx) {
 		err := t.read(ctx)
-		delay := t.Interval
+		delay := t.Interval()
 		switch err { //nolint:errorlint // errStale is returned unwrapped.
 		case nil:
 		case errStale:
