Redirect waiting requests too, and count only engines that could start a prompt as free

Cause: a request was redirected only when it arrived, and a cell whose engines have free slots but prompts to read for long was reported as having room. Change: at each tick the first waiting requests go to a cell with room; an engine counts for at most two, and only while its backlog of prompts is under a quarter of the target.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -128,7 +128,7 @@
 		Output: int64(r.Output), Remaining: int64(r.Deadline.Sub(now)), Prefix: convertInts[uint64](r.Prefix),
 		Pool: string(cell.Pool), Cell: cell.Index, SettingsVersion: uint64(version),
 		FirstTokenTarget: int64(r.FirstTokenTarget), Zone: string(r.Zone), Avoid: convertNames[string](r.Avoid),
-		BlockTokens: convertInts[int64](r.BlockTokens),
+		BlockTokens: convertInts[int64](r.BlockTokens), MayRedirect: r.MayRedirect,
 	}
 }
 
@@ -165,7 +165,7 @@
 		Weight: m.Weight, Prompt: max(ident.Tokens(m.Prompt), 0), Output: max(ident.Tokens(m.Output), 0),
 		Deadline: now.Add(time.Duration(m.Remaining)), Prefix: convertInts[ident.Fingerprint](m.Prefix),
 		FirstTokenTarget: time.Duration(m.FirstTokenTarget), Zone: ident.AvailabilityZone(m.Zone), Avoid: convertNames[ident.Endpoint](m.Avoid),
-		BlockTokens: convertInts[ident.Tokens](m.BlockTokens),
+		BlockTokens: convertInts[ident.Tokens](m.BlockTokens), MayRedirect: m.MayRedirect,
 	}
 }
 
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -337,6 +337,7 @@
 	local, standby := m.localCells(), m.standbyCells()
 	for _, lc := range local {
 		lc.cell.Tick()
+		m.redirectWaiting(lc.cell)
 	}
 	for _, c := range standby {
 		c.Tick()
--- a/internal/process/cells/idle.go
+++ b/internal/process/cells/idle.go
@@ -66,22 +66,26 @@
 	return to, ok
 }
 
-// Submit submits a grant request to a cell of this node, like sched.Cell.Submit. If
-// the request would have to wait, may be redirected and another cell of the pool has
-// room, it is redirected there.
-func (m *Manager) Submit(cell *sched.Cell, r *sched.GrantRequest, mayRedirect bool) bool {
+// redirectWaiting redirects requests that wait in a cell of this node while other
+// cells of its pool have room.
+func (m *Manager) redirectWaiting(cell *sched.Cell) {
+	for cell.HasWaiting() {
+		to, ok := m.idle.take(cell.ID, time.Now())
+		if !ok || !cell.RedirectNext(to) {
+			return
+		}
+	}
+}
+
+// Submit submits a grant request to a cell of this node, like sched.Cell.Submit. If it
+// has to wait, the first waiting request is redirected where another cell of the pool
+// has room.
+func (m *Manager) Submit(cell *sched.Cell, r *sched.GrantRequest) bool {
 	if cell.Submit(r) {
 		return true
 	}
-	if !mayRedirect {
-		return false
-	}
-	to, ok := m.idle.take(cell.ID, time.Now())
-	if !ok || !cell.Withdraw(r) {
-		return false
-	}
-	r.Response = sched.GrantResponse{Outcome: sched.Redirected, Reason: sched.ReasonIdleCell, Cell: to}
-	return true
+	m.redirectWaiting(cell)
+	return false
 }
 
 // reportIdleSlots reports the free slots of this node's cells to the owners of the
--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -35,9 +35,10 @@
 	m.Clock.Observe(clock.Time(message.Clock))
 	woken := make(chan struct{}, 1)
 	request := message.ToGrantRequest(time.Now())
+	request.MayRedirect = request.MayRedirect && !message.Standby
 	request.Wake = func() { woken <- struct{}{} }
 	frames := readFrames(s)
-	if !m.Submit(cell, request, message.MayRedirect) && !waitForResponse(s, woken, frames) {
+	if !m.Submit(cell, request) && !waitForResponse(s, woken, frames) {
 		if !cell.Cancel(request) && request.Response.Outcome == sched.Granted {
 			cell.Complete(request.Request, sched.Completion{Unused: true})
 		}
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -213,16 +213,36 @@
 	return c.queues[r.class].remove(r)
 }
 
-// Withdraw removes a waiting request as if it had not been submitted. It reports
-// whether the request was still waiting.
-func (c *Cell) Withdraw(r *GrantRequest) bool {
+// RedirectNext redirects the first of the waiting requests that may be redirected to
+// another cell, which has room, as if it had not been submitted here. Requests of
+// higher classes go first. It returns false if there is none.
+func (c *Cell) RedirectNext(to ident.CellID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.queues[r.class].remove(r) {
-		return false
+	for class := range c.queues {
+		var first *GrantRequest
+		c.queues[class].each(func(r *GrantRequest) bool {
+			if r.MayRedirect && (first == nil || r.precedes(first)) {
+				first = r
+			}
+			return true
+		})
+		if first == nil {
+			continue
+		}
+		c.queues[class].remove(first)
+		c.classStats[class].arrivals = max(c.classStats[class].arrivals-1, 0)
+		c.respond(first, GrantResponse{Outcome: Redirected, Reason: ReasonIdleCell, Cell: to, Waited: c.now().Sub(first.arrived)})
+		return true
 	}
-	c.classStats[r.class].arrivals = max(c.classStats[r.class].arrivals-1, 0)
-	return true
+	return false
+}
+
+// HasWaiting reports whether requests wait.
+func (c *Cell) HasWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waitingCount() > 0
 }
 
 // FirstToken records that a granted request has completed its prefill phase.
--- a/internal/process/sched/topology.go
+++ b/internal/process/sched/topology.go
@@ -231,9 +231,18 @@
 	return l
 }
 
-// FreeSlots returns the number of free slots of the endpoints that take requests, or 0
-// while requests wait or the cell does not grant any. Endpoints without known slots
-// have none.
+// prefillFreeFraction is the fraction of the first-token target up to which an engine
+// may be busy with prompts that it has been granted and still count as free, and
+// maxFreePerEngine the most requests for which one counts: it reads one prompt after
+// the other.
+const (
+	prefillFreeFraction = 0.25
+	maxFreePerEngine    = 2
+)
+
+// FreeSlots returns the number of requests that the endpoints could start at once, or
+// 0 while requests wait or the cell does not grant any. Endpoints without known slots
+// count for none.
 func (c *Cell) FreeSlots() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -243,8 +252,13 @@
 	now := c.now()
 	free := 0
 	for _, e := range c.endpoints {
-		if e.health == healthy && e.isOpen(now) {
-			free += max(e.Slots-e.running-e.externalLoadAt(now), 0)
+		slots := max(e.Slots-e.running-e.externalLoadAt(now), 0)
+		switch {
+		case e.health != healthy || !e.isOpen(now):
+		case e.Kind == ident.ApplicationRunner:
+			free += slots
+		case e.prefillTime(e.backlog) <= time.Duration(prefillFreeFraction*float64(c.Pool.FirstTokenTarget)):
+			free += min(slots, maxFreePerEngine)
 		}
 	}
 	return free
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -35,6 +35,8 @@
 	// BlockTokens holds the tokens of each block of Prefix if the blocks differ
 	// in size.
 	BlockTokens []ident.Tokens
+	// MayRedirect allows the outcome Redirected.
+	MayRedirect bool
 	// Wake, unless it is nil, is called once, with the cell's lock held, when a
 	// request that had to wait gets its Response. It is not called after Cancel.
 	// It must not block or call the cell.
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -175,11 +175,13 @@
 		FirstTokenTarget: j.FirstTokenTarget, Zone: e.Zone, Avoid: j.Avoid, BlockTokens: j.BlockTokens,
 	}
 	if local := e.Cells.LocalCell(cell); local != nil {
-		return e.requestFromCell(ctx, req, local, !j.hasBeenRedirected)
+		req.MayRedirect = !j.hasBeenRedirected
+		return e.requestFromCell(ctx, req, local)
 	}
 	owners := e.Cells.PreferenceList(cell)
 	for i, owner := range owners[:min(len(owners), maxOwners)] {
 		isStandby := i > 0
+		req.MayRedirect = !j.hasBeenRedirected && !isStandby
 		if !isStandby && moves > maxMoves && len(owners) > 1 {
 			continue
 		}
@@ -192,7 +194,7 @@
 		if e.Cells.IsUnresponsive(owner.ID) {
 			continue
 		}
-		g, responded := e.requestFromNode(ctx, req, remoteCell{cell, owner, isStandby, j.Version, !j.hasBeenRedirected && !isStandby})
+		g, responded := e.requestFromNode(ctx, req, remoteCell{cell, owner, isStandby, j.Version})
 		if responded {
 			e.Cells.MarkResponsive(owner.ID)
 		}
@@ -203,7 +205,8 @@
 		e.record(j, trace.Record{Event: trace.Unresponsive, Cell: cell.String(), Reason: string(owner.ID)})
 	}
 	if isolated := e.Cells.StandbyCell(cell, true); isolated != nil {
-		return e.requestFromCell(ctx, req, isolated, false)
+		req.MayRedirect = false
+		return e.requestFromCell(ctx, req, isolated)
 	}
 	return movedGrant()
 }
@@ -231,7 +234,7 @@
 	if standby == nil {
 		return nil, false
 	}
-	return e.requestFromCell(ctx, req, standby, false), true
+	return e.requestFromCell(ctx, req, standby), true
 }
 
 // remoteCell is a cell at another node.
@@ -239,18 +242,17 @@
 	id   ident.CellID
 	node member.Member
 	// isStandby is set if the node is a standby for the cell's node.
-	isStandby   bool
-	version     ident.Version
-	mayRedirect bool
+	isStandby bool
+	version   ident.Version
 }
 
 // requestFromCell requests a grant from a cell of this node, without network
 // messages. If ctx ends while the request is queued, it returns the outcome
 // sched.Moved.
-func (e *Entry) requestFromCell(ctx context.Context, req *sched.GrantRequest, cell *sched.Cell, mayRedirect bool) *Grant {
+func (e *Entry) requestFromCell(ctx context.Context, req *sched.GrantRequest, cell *sched.Cell) *Grant {
 	woken := make(chan struct{}, 1)
 	req.Wake = func() { woken <- struct{}{} }
-	if !e.Cells.Submit(cell, req, mayRedirect) {
+	if !e.Cells.Submit(cell, req) {
 		select {
 		case <-woken:
 		case <-ctx.Done():
@@ -300,7 +302,7 @@
 		return movedGrant(), false
 	}
 	message := wire.FromGrantRequest(req, cell, remote.version, time.Now())
-	message.Standby, message.MayRedirect = remote.isStandby, remote.mayRedirect
+	message.Standby = remote.isStandby
 	message.Clock = uint64(e.Clock.Now())
 	if stream.Send(wire.KindGrantRequest, message) != nil {
 		stream.Close() //nolint:errcheck // the stream is broken.
