Seal ledger blocks once a second, and do not probe idle connections

Cause: each idle connection to an endpoint cost a system call a second, and each node sent a ledger block to its replica's holder twice a second. Change: connections are checked when they are used again, and swept by time alone; a node that dies loses the records of at most one second without a replica.

--- a/internal/connection/conn/conn.go
+++ b/internal/connection/conn/conn.go
@@ -178,8 +178,9 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// Sweep closes the idle connections that have timed out, were closed by their
-// endpoint or have unexpected input.
+// Sweep closes the idle connections that have timed out. Whether a connection is
+// still healthy is checked when it is used again; checking all of them each time
+// would cost a system call for each.
 func (p *Pool) Sweep() {
 	now := time.Now()
 	p.mu.Lock()
@@ -187,7 +188,7 @@
 	for address, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if now.Before(c.idleUntil) && c.isHealthy() {
+			if now.Before(c.idleUntil) {
 				kept = append(kept, c)
 				continue
 			}
--- a/internal/process/ledger/writer.go
+++ b/internal/process/ledger/writer.go
@@ -21,7 +21,7 @@
 	// When a node dies, the records that it added since the last replicated block
 	// are lost. When the node that holds the replicas dies with it, so are those of
 	// the blocks that are not yet in the object store.
-	BlockInterval = 500 * time.Millisecond
+	BlockInterval = time.Second
 	// writeInterval is the default time between writes to the object store; 360
 	// nodes make 72 writes per second.
 	writeInterval = 5 * time.Second
