Shed closed tiers in standby cells, and have none for unknown cells

Cause: a member that acknowledged the closing of tiers kept their requests waiting in its standby cells, so that a higher tier could be shed before them. A standby cell for a cell that the roster lacks was never configured, and its Submit did not return. Change: enforceLevel covers standby cells; an unknown cell has none; a cell without endpoints to decide about answers Moved. Measured: TestStandbyCellShedsClosedTiers fails without the change, TestStandbyCellOfUnknownCell hung.

--- a/internal/process/cells/closures.go
+++ b/internal/process/cells/closures.go
@@ -63,13 +63,18 @@
 }
 
 // enforceLevel sheds the queued requests of the tiers below the admission level
-// in all local cells of a pool.
+// in all cells of a pool that run here, standby cells included.
 func (m *Manager) enforceLevel(pool ident.PoolID) {
 	for _, lc := range m.localCells() {
 		if lc.cell.ID.Pool == pool {
 			lc.cell.ShedClosedTiers()
 		}
 	}
+	for _, c := range m.standbyCells() {
+		if c.ID.Pool == pool {
+			c.ShedClosedTiers()
+		}
+	}
 }
 
 // sendCloseRequests sends this node's pending close requests to every other
--- a/internal/process/cells/standby.go
+++ b/internal/process/cells/standby.go
@@ -57,7 +57,7 @@
 }
 
 // StandbyCell returns the cell that this node runs in place of one whose owner is
-// unresponsive, or nil if the pool does not exist. A standby cell accounts only
+// unresponsive, or nil if the pool or the cell does not exist. A standby cell accounts only
 // for its own grants, so the endpoints may receive more work than their windows
 // allow; there is no other effect.
 //
@@ -72,7 +72,8 @@
 		return c
 	}
 	pool := m.Tree().Pool(id.Pool)
-	if pool == nil {
+	exists := slices.ContainsFunc(m.Roster().Cells(id.Pool), func(c roster.Cell) bool { return c.ID == id })
+	if pool == nil || !exists {
 		return nil
 	}
 	if m.standby == nil {
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -93,7 +93,7 @@
 }
 
 // Cell schedules the endpoints of one cell. Set ID and call Configure before any
-// other method; without Configure, Submit does not return. The function fields are
+// other method; before Configure, every request gets the outcome Moved. The function fields are
 // optional. All methods are safe for concurrent use.
 type Cell struct {
 	ID   ident.CellID
@@ -188,7 +188,7 @@
 
 func (c *Cell) submit(r *GrantRequest, now time.Time) {
 	switch {
-	case c.isClosed:
+	case c.isClosed || c.byID == nil:
 		c.respond(r, GrantResponse{Outcome: Moved, Reason: ReasonCellMoved})
 	case c.Policy != Fair:
 		c.submitBaseline(r, now)
