End only the stream when a handler of a peer's message panics

Cause: one message that a handler could not cope with ended the process and with it all requests on it. Change: the mux recovers, logs kind and stack, and closes the stream. Measured: TestHandlerPanic ends the test process without the change.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -141,7 +141,7 @@
 		return err
 	}
 	client := newStoreClient(e.startSettings.StoreAddress)
-	e.link = &link.Transport{Mux: &link.Mux{}}
+	e.link = &link.Transport{Mux: newMux(e.log)}
 	e.node = &node.Node{
 		Process: e.startSettings, Store: client, Open: e.link.Open, Forget: e.link.Forget, Redial: e.link.Redial, Log: e.log,
 		Platform: &node.Platform{
@@ -171,6 +171,13 @@
 	}
 }
 
+// newMux returns a mux for the messages of other nodes that logs a handler's panic.
+func newMux(logger *log.Logger) *link.Mux {
+	return &link.Mux{Panicked: func(kind link.Kind, value any, stack []byte) {
+		logger.Error("message_handler_panicked", "kind", uint8(kind), "panic", value, "stack", string(stack))
+	}}
+}
+
 // listen opens the TCP listeners and replaces each address in startSettings by
 // the one in use, since port 0 lets the system choose a port.
 func (e *entryNode) listen() error {
--- a/cmd/goldcrestwick/serve.go
+++ b/cmd/goldcrestwick/serve.go
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	s := &server{failures: make(chan error, 2), log: newLogger(p, logTo)}
-	s.link = &link.Transport{TLSConfig: files.TLSConfig, Mux: &link.Mux{}}
+	s.link = &link.Transport{TLSConfig: files.TLSConfig, Mux: newMux(s.log)}
 	if err := s.link.Listen(p.PeerAddress); err != nil {
 		return nil, err
 	}
--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -23,6 +23,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,12 @@
 // Mux dispatches streams to handlers by the kind of their first message. The
 // zero value has no handlers and closes every stream.
 type Mux struct {
+	// Panicked, if not nil, is called when a handler panics, with the kind of the
+	// stream's first message, the value and the stack. The panic ends that stream only:
+	// a message that a handler cannot cope with must not end the process, and with it
+	// all other requests.
+	Panicked func(kind Kind, value any, stack []byte)
+
 	handlers [256]atomic.Pointer[handler]
 }
 
@@ -94,9 +101,17 @@
 	if err := s.SetReadDeadline(time.Time{}); err != nil {
 		return
 	}
+	defer m.recover(kind)
 	(*h)(ctx, s, body)
 }
 
+func (m *Mux) recover(kind Kind) {
+	value := recover()
+	if value != nil && m.Panicked != nil {
+		m.Panicked(kind, value, debug.Stack())
+	}
+}
+
 // Call sends one message and waits for one response.
 func Call[Request, Reply any](ctx context.Context, open Opener, address string, kind Kind, message Request) (Reply, error) {
 	var zero Reply
--- a/internal/connection/link/link_test.go
+++ b/internal/connection/link/link_test.go
@@ -51,6 +51,22 @@
 	}
 }
 
+// TestHandlerPanic checks that a message whose handler panics ends its stream only.
+func TestHandlerPanic(t *testing.T) {
+	const kindPanic Kind = 2
+	ca := testAuthority(t)
+	a, b := listen(t, ca), listen(t, ca)
+	panics := make(chan any, 1)
+	b.Mux.Panicked = func(_ Kind, value any, _ []byte) { panics <- value }
+	Handle(b.Mux, kindPanic, func(context.Context, *Stream, testMessage) { panic("malformed") })
+	_, err := Call[testMessage, testMessage](t.Context(), a.Open, b.Address(), kindPanic, testMessage{})
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Check(t, <-panics, qt.Equals, any("malformed"))
+	reply, err := Call[testMessage, testMessage](t.Context(), a.Open, b.Address(), kindTest, testMessage{"hello"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, reply.Text, qt.Equals, "echo hello")
+}
+
 // TestOtherAuthorityRejected checks that a call fails if the nodes' certificates
 // are from different authorities.
 func TestOtherAuthorityRejected(t *testing.T) {
