--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -132,7 +132,9 @@
 	proxy    proxy.Proxy
 	router   router.Router
 	tables   tableState
-	changes  changes
+	// isFetchingTree is set while settings are fetched from another node.
+	isFetchingTree atomic.Bool
+	changes        changes
 
 	claimCoordinatorSet atomic.Pointer[claimCoordinatorSet]
 	quotaCoordinators   atomic.Pointer[viewCoordinators]
