--- a/internal/process/node/changes.go
+++ b/internal/process/node/changes.go
@@ -29,8 +29,9 @@
 	// of a reader that the store does not answer find that out soon.
 	readerWait = 700 * time.Millisecond
 	// startPause is the pause between two calls for a table in a large fleet whose
-	// readers are not known yet.
-	startPause = 1500 * time.Millisecond
+	// readers are not known yet. With readerWait it is below maxReadAge, since the node
+	// may turn out to be a reader.
+	startPause = 800 * time.Millisecond
 	// sourceCheckInterval is the time between checks whether a node that reads the
 	// store itself should follow a reader.
 	sourceCheckInterval = 500 * time.Millisecond
@@ -86,7 +87,7 @@
 // tableWait returns how long a call may wait at the store for changes of the
 // settings or the endpoints.
 func (n *Node) tableWait() time.Duration {
-	if len(n.readers()) > 0 {
+	if n.knownNodes() >= fanout.MinFleet || len(n.readers()) > 0 {
 		return readerWait
 	}
 	return watchTimeout
