Let ownership settle while a fleet starts, and log changes of it

Cause: while 195 nodes start at once, each view grows from one member to all within a second, and each node owned nearly every cell for a moment: it asked all members it knew for each of them, so that all pairs of nodes connected. Change: in a fleet whose members started together, a node takes a cell over once it has owned it for 0.3 s. cell_ownership lines tell who owns what.

--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -51,6 +51,11 @@
 	loadPollTimeout       = 800 * time.Millisecond
 	peerCallTimeout       = 400 * time.Millisecond
 	takeOverRetryInterval = 250 * time.Millisecond
+	// settleTime is how long a node must own a cell in the startPeriod after its start
+	// before it takes the cell over. While a fleet starts, views grow from one member to
+	// all within a second, and each node owns most cells for a moment.
+	settleTime  = 300 * time.Millisecond
+	startPeriod = 10 * time.Second
 	// inFlightCheckInterval is the time between queries for a request whose
 	// stream broke, and firstInFlightCheckDelay the time before the first one.
 	inFlightCheckInterval   = 2 * time.Second
@@ -97,6 +102,9 @@
 	// CloseRequestFailed is called with the node and the error when a close
 	// request fails; nil ignores failures.
 	CloseRequestFailed func(ident.NodeID, error)
+	// OwnershipChanged is called when this node begins or ceases to own a cell; nil
+	// ignores changes. It must not call the Manager.
+	OwnershipChanged func(id ident.CellID, isOwner bool)
 	// Observe is called with each decision, with the cell's lock held; nil
 	// ignores decisions.
 	Observe func(sched.Decision)
@@ -122,6 +130,8 @@
 	unresponsiveUntil map[ident.NodeID]time.Time
 	tasks             sync.WaitGroup
 	ctx               context.Context
+	// startedAt is when Run was called.
+	startedAt time.Time
 }
 
 // localCell is a cell that this node runs.
@@ -212,6 +222,7 @@
 			lc.cell.Close()
 			m.retired[id] = lc.cell
 			delete(m.local, id)
+			m.notifyOwnership(id, false)
 		}
 	}
 	for id, cell := range assigned {
@@ -255,11 +266,37 @@
 	m.local[id] = lc
 	m.hasCells.Set()
 	m.hasLocalCells.Set()
+	m.notifyOwnership(id, true)
 	if m.Policy != sched.Fair || m.ctx == nil {
 		c.Resume(admit.AdmitAll)
 		return
 	}
-	m.tasks.Go(func() { m.takeOver(m.ctx, c) })
+	settling := time.Duration(0)
+	if time.Since(m.startedAt) < startPeriod && m.isFleetStarting() {
+		settling = settleTime
+	}
+	m.tasks.Go(func() { m.takeOverSettled(m.ctx, c, settling) })
+}
+
+// isFleetStarting reports whether most members started at about the same time as
+// this node, judged by their first incarnations, which are their start times in Unix
+// milliseconds.
+func (m *Manager) isFleetStarting() bool {
+	self := m.Self().Incarnation
+	members := m.Members().Members
+	together := 0
+	for _, other := range members {
+		if max(self, other.Incarnation)-min(self, other.Incarnation) < uint64(startPeriod.Milliseconds()) {
+			together++
+		}
+	}
+	return 2*together > len(members)
+}
+
+func (m *Manager) notifyOwnership(id ident.CellID, isOwner bool) {
+	if m.OwnershipChanged != nil {
+		m.OwnershipChanged(id, isOwner)
+	}
 }
 
 func (m *Manager) newCell(id ident.CellID, pool *config.Pool, lc *localCell) *sched.Cell {
@@ -299,7 +336,7 @@
 // Run runs the periodic work of the cells until ctx is done.
 func (m *Manager) Run(ctx context.Context) {
 	m.mu.Lock()
-	m.ctx = ctx
+	m.ctx, m.startedAt = ctx, time.Now()
 	m.mu.Unlock()
 	m.tasks.Go(func() { tick.OnDemand(ctx, tickInterval, &m.hasCells, m.tick) })
 	m.tasks.Go(func() { tick.Every(ctx, admit.ResendInterval, m.sendCloseRequests) })
--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -197,6 +197,14 @@
 	s.Send(wire.KindInFlight, reply) //nolint:errcheck // the new owner queries again.
 }
 
+// takeOverSettled takes over a cell once this node has owned it for a time.
+func (m *Manager) takeOverSettled(ctx context.Context, cell *sched.Cell, settling time.Duration) {
+	if settling > 0 && !tick.Sleep(ctx, settling) || m.LocalCell(cell.ID) != cell {
+		return
+	}
+	m.takeOver(ctx, cell)
+}
+
 // takeOver collects from every member the in-flight requests of a cell. The
 // highest tier is granted after the first round of queries; the other tiers
 // wait until every member has replied or left the view, because a member that
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -180,7 +180,7 @@
 		Self: n.members.Self, Members: n.members.View, Tree: n.tree.Load, Open: n.Open,
 		RecentlyFailed: func() int { return n.members.RecentlyFailed(recentFailureWindow) },
 		InFlight:       n.entry.InFlight, Policy: n.Policy, Observe: n.recordDecision,
-		Clock: &n.hybridClock,
+		Clock: &n.hybridClock, OwnershipChanged: n.logOwnership,
 		CloseRequestFailed: func(to ident.NodeID, err error) {
 			n.Log.Debug("floor_not_acknowledged", "peer", to, "error", err)
 		},
@@ -313,6 +313,12 @@
 	n.closeGoneLinks(v)
 }
 
+// logOwnership logs that this node begins or ceases to own a cell.
+func (n *Node) logOwnership(id ident.CellID, isOwner bool) {
+	v := n.members.View()
+	n.Log.Info("cell_ownership", "cell", id, "owner", isOwner, "members", len(v.Members), "ready", len(v.Ready(n.Process.Region)))
+}
+
 // logMembers logs each member that joined, left or changed its state.
 func (n *Node) logMembers(v *member.View) {
 	old := n.lastView.Swap(v)
