Apply views of the fleet at most every 50 ms

Cause: while a fleet starts, nearly every message changes a view, and each change chose the owners of all cells anew, ranked the coordinators and wrote log lines: 780 lines of 13 nodes in one second after all had lost power. Change: a node applies the latest view at most every 50 ms.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -124,6 +124,8 @@
 	claimCoordinatorsSince atomic.Pointer[claimCoordinatorsSince]
 	// viewChanged is when the view of the fleet last changed.
 	viewChanged atomic.Pointer[time.Time]
+	// viewDue is set when the view has changed since it was last applied.
+	viewDue tick.Signal
 	// lastView is the most recently logged view.
 	lastView atomic.Pointer[member.View]
 	repo     repo.Repo
@@ -240,6 +242,7 @@
 		PeerAddress: n.Process.PeerAddress, CallerAddress: n.Process.CallerAddress,
 		State: member.Joining, Incarnation: uint64(time.Now().UnixMilli()), Capacity: n.Process.Capacity,
 	})
+	n.tasks.Go(func() { n.applyViews(ctx) })
 	n.tasks.Go(func() { n.cells.Run(ctx) })
 	n.tasks.Go(func() { n.claimCoordinator.Run(ctx) })
 	n.tasks.Go(func() { n.flushDecisionsPeriodically(ctx) })
@@ -300,10 +303,36 @@
 
 func (n *Node) isReady() bool { return n.members.Self().State == member.Ready }
 
-// membersChanged applies a new view of the fleet.
-func (n *Node) membersChanged(v *member.View) {
+// viewPause is the least time between two views that a node applies. When a fleet
+// starts, its views change with nearly every message, and each takes the cells' owners
+// to be chosen anew.
+const viewPause = 50 * time.Millisecond
+
+// membersChanged records that the view of the fleet has changed.
+func (n *Node) membersChanged(*member.View) {
 	now := time.Now()
 	n.viewChanged.Store(&now)
+	n.viewDue.Set()
+}
+
+// applyViews applies each new view of the fleet, the latest one if several follow
+// each other within viewPause, until ctx is done.
+func (n *Node) applyViews(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.viewDue.C():
+		}
+		n.applyView(n.members.View())
+		if !tick.Sleep(ctx, viewPause) {
+			return
+		}
+	}
+}
+
+// applyView applies a new view of the fleet.
+func (n *Node) applyView(v *member.View) {
 	n.logMembers(v)
 	n.cells.Reconcile()
 	names := joinNames(n.claimCoordinatorsIn(v))
