Let joining nodes own cells while most of a fleet joins

Cause: the first nodes that are ready after a common start owned all cells, one node after the other (12 cells each in the log of a recovery), and asked all members for each. Change: while more members join than are ready, both can own cells, so that the owners chosen first are mostly the lasting ones.

--- a/internal/process/cells/owners.go
+++ b/internal/process/cells/owners.go
@@ -1,6 +1,7 @@
 package cells
 
 import (
+	"slices"
 	"sync"
 
 	"goldcrestwick/internal/process/member"
@@ -23,7 +24,7 @@
 	lists map[ident.CellID][]member.Member
 }
 
-// PreferenceList returns the first ready nodes in the order in which requesters try
+// PreferenceList returns the first nodes in the order in which requesters try
 // them for a cell: its owner, then the standby nodes.
 func (m *Manager) PreferenceList(id ident.CellID) []member.Member {
 	self := m.Self()
@@ -40,7 +41,7 @@
 	defer t.mu.Unlock()
 	list, ok := t.lists[id]
 	if !ok {
-		list = preferenceList(members.Ready(self.Region), id, endpoints.Zone(id))
+		list = preferenceList(candidates(members, self.Region), id, endpoints.Zone(id))
 		t.lists[id] = list
 	}
 	return list
@@ -55,6 +56,24 @@
 	return list[0], true
 }
 
+// candidates returns the members of a region that can own cells: the ready ones and,
+// while most members are still joining, those as well. The load pattern behind it is
+// a fleet that starts at once: its first ready nodes would own every cell, one after
+// the other, and ask all members for each of them.
+func candidates(v *member.View, region ident.Region) []member.Member {
+	ready := v.Ready(region)
+	var joining []member.Member
+	for _, m := range v.Members {
+		if m.State == member.Joining && (region == "" || m.Region == region) {
+			joining = append(joining, m)
+		}
+	}
+	if len(joining) <= len(ready) {
+		return ready
+	}
+	return slices.Concat(ready, joining)
+}
+
 // preferenceList ranks the nodes for a cell. Nodes of the cell's availability zone,
 // if it has one, go before the others, because each grant takes two messages between
 // the cell's node and an entry node, which mostly is in that zone. Within a zone,
--- a/internal/process/cells/owners_test.go
+++ b/internal/process/cells/owners_test.go
@@ -43,6 +43,23 @@
 	}
 }
 
+// TestCandidates checks that joining members can own cells only while they are more
+// than the ready ones.
+func TestCandidates(t *testing.T) {
+	for _, test := range []struct{ ready, joining, leaving, want int }{
+		{1, 0, 0, 1}, {1, 100, 3, 101}, {50, 51, 0, 101}, {51, 50, 0, 51}, {100, 1, 2, 100},
+	} {
+		v := &member.View{}
+		for state, n := range map[member.State]int{member.Ready: test.ready, member.Joining: test.joining, member.Leaving: test.leaving} {
+			for i := range n {
+				v.Members = append(v.Members, member.Member{ID: ident.NodeID(fmt.Sprint(state, i)), Region: "r", State: state})
+			}
+		}
+		qt.Check(t, candidates(v, "r"), qt.HasLen, test.want, qt.Commentf("%+v", test))
+		qt.Check(t, candidates(v, "other"), qt.HasLen, 0)
+	}
+}
+
 // TestIdleSlots checks that the cell with the most free slots is taken until it has
 // too few, that reports expire, and that cells of other pools don't count.
 func TestIdleSlots(t *testing.T) {
