--- a/internal/process/node/changes.go
+++ b/internal/process/node/changes.go
@@ -126,7 +126,7 @@
 	for ctx.Err() == nil {
 		reader, ok := n.changes.source.Next(n.members.Self(), n.readers(), time.Now())
 		if !ok {
-			n.readStore("chosen")
+			n.readStore()
 			tick.Sleep(ctx, sourceCheckInterval)
 			continue
 		}
@@ -139,11 +139,11 @@
 }
 
 // readStore makes this node read the store's tables itself.
-func (n *Node) readStore(reason string) {
+func (n *Node) readStore() {
 	if !n.changes.isFollowing.CompareAndSwap(true, false) {
 		return
 	}
-	n.Log.Info("reading_store", "reason", reason, "read_age", time.Since(n.tables.endpointsReadAt()))
+	n.Log.Info("reading_store", "read_age", time.Since(n.tables.endpointsReadAt()))
 	for _, t := range n.followedTables() {
 		t.Resume()
 	}
