Forget allocated shares of limits in a larger fleet, and take changes of a burst alone

Cause: a fleet of more than 32 nodes allocates no shares by demand; those that a node got while the fleet started, among fewer nodes, stayed, and would have added up to more than the limit while a coordinator could not be reached. A change of burst without one of the rate had no effect. Measured: TestClearShares and TestBurstChange fail without the change.

--- a/internal/process/node/limits.go
+++ b/internal/process/node/limits.go
@@ -128,6 +128,7 @@
 func (n *Node) requestShares(ctx context.Context) {
 	ready := n.members.View().Ready("")
 	if n.Platform != nil && len(ready) > maxNodesWithShares {
+		n.quotaLimiter.ClearShares()
 		return
 	}
 	demandsOf := map[ident.NodeID]map[string]float64{}
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -252,7 +252,7 @@
 
 // updateLimiter returns l with its rate and burst set to a share of the given
 // ones, or a new limiter with a full bucket if l is nil or unlimited. A rate of 0
-// or less means unlimited. The burst is updated only if the rate changes.
+// or less means unlimited.
 func updateLimiter(l *rate.Limiter, perSecond, burstSize, share float64, now time.Time) *rate.Limiter {
 	limit, burst := rate.Inf, 1
 	if perSecond > 0 {
@@ -262,7 +262,7 @@
 	if l == nil || l.Limit() == rate.Inf {
 		return rate.NewLimiter(limit, burst)
 	}
-	if l.Limit() != limit {
+	if l.Limit() != limit || l.Burst() != burst {
 		l.SetLimitAt(now, limit)
 		l.SetBurstAt(now, burst)
 	}
@@ -294,6 +294,17 @@
 	}
 }
 
+// ClearShares makes EqualShare apply to all accounts again. It is used when shares are
+// no longer allocated: those that were allocated among fewer nodes would add up to
+// more than the limits.
+func (l *Limiter) ClearShares() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, acct := range l.accounts {
+		acct.isAllocated = false
+	}
+}
+
 // Allocator divides the limits of the accounts that this node coordinates among
 // the nodes. The zero value is ready for use and safe for concurrent use.
 type Allocator struct {
--- a/internal/process/quota/quota_test.go
+++ b/internal/process/quota/quota_test.go
@@ -49,6 +49,40 @@
 	qt.Assert(t, result, qt.Equals, Admitted)
 }
 
+// admitted returns how many requests of one token an account may start at once.
+func admitted(t *testing.T, l *Limiter, a *config.Account, now time.Time) (n int) {
+	for {
+		if _, result, _ := l.Admit(t.Context(), a, 1, now); result != Admitted {
+			return n
+		}
+		n++
+	}
+}
+
+// TestClearShares replays a fleet that grows after shares were allocated: an account
+// then gets the equal share again, not one of a small fleet.
+func TestClearShares(t *testing.T) {
+	nodes := 4.0
+	limiter := &Limiter{EqualShare: func() float64 { return 1 / nodes }}
+	a := &config.Account{ID: "team/a", TokensPerSecond: 400}
+	qt.Check(t, admitted(t, limiter, a, start), qt.Equals, 100)
+	limiter.SetShare(a.ID, 0.5)
+	nodes = 40
+	limiter.ClearShares()
+	limiter.Admit(t.Context(), a, 1, start.Add(time.Second))
+	qt.Check(t, admitted(t, limiter, a, start.Add(10*time.Second)), qt.Equals, 10)
+}
+
+// TestBurstChange checks that a change of the burst alone takes effect.
+func TestBurstChange(t *testing.T) {
+	limiter := &Limiter{}
+	a := &config.Account{ID: "team/a", TokensPerSecond: 100, BurstTokens: 50}
+	qt.Check(t, admitted(t, limiter, a, start), qt.Equals, 50)
+	a.BurstTokens = 20
+	limiter.Admit(t.Context(), a, 1, start.Add(time.Second))
+	qt.Check(t, admitted(t, limiter, a, start.Add(10*time.Second)), qt.Equals, 20)
+}
+
 // TestConcurrentLimit checks the limit on requests in flight.
 func TestConcurrentLimit(t *testing.T) {
 	limiter := &Limiter{}
