--- a/internal/process/member/list.go
+++ b/internal/process/member/list.go
@@ -226,68 +226,6 @@
 	tasks.Go(func() { l.seedPeriodically(ctx) })
 }
 
-// seedPeriodically contacts seeds every SeedInterval, or more often while less than
-// half of the listed nodes are known.
-func (l *List) seedPeriodically(ctx context.Context) {
-	sinceLast := time.Duration(0)
-	tick.Every(ctx, fastSeedInterval, func(ctx context.Context) {
-		sinceLast += fastSeedInterval
-		if sinceLast < SeedInterval && (l.Seeds == nil || 2*len(l.View().Members) >= len(l.Seeds(ctx))) {
-			return
-		}
-		sinceLast = 0
-		l.Seed(ctx)
-	})
-}
-
-// Seed exchanges lists with nodes that the platform lists and that are not known
-// to be alive. It contacts at most maxSeeds of them, chosen at random but half of them
-// in its own availability zone if there are enough, and receives the other members'
-// entries from those.
-func (l *List) Seed(ctx context.Context) {
-	if l.Seeds == nil {
-		return
-	}
-	unknown := slices.DeleteFunc(slices.Clone(l.Seeds(ctx)), func(m Member) bool {
-		known, ok := l.View().Find(m.ID)
-		return ok && !known.Suspect || m.ID == l.self.ID
-	})
-	rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
-	var tasks sync.WaitGroup
-	contacts := maxSeeds
-	if len(l.View().Members) > enoughMembers {
-		// Gossip brings most of them; this covers the rest.
-		contacts = laterSeeds
-	}
-	self := l.Self()
-	near := slices.DeleteFunc(slices.Clone(unknown), func(m Member) bool { return m.Zone != self.Zone })
-	near = near[:min(len(near), contacts/2)]
-	far := slices.DeleteFunc(unknown, func(m Member) bool {
-		return slices.ContainsFunc(near, func(n Member) bool { return n.ID == m.ID })
-	})
-	for _, m := range append(near, far[:min(len(far), contacts-len(near))]...) {
-		tasks.Go(func() { l.syncWith(ctx, m) })
-	}
-	tasks.Wait()
-}
-
-// syncOne exchanges full lists with one random member. Long lists are exchanged
-// less often, so that the bytes per second stay about the same.
-func (l *List) syncOne(ctx context.Context) {
-	others := l.otherMembers()
-	if len(others) > 0 && rand.IntN(1+len(others)/fullRateSyncMembers) == 0 {
-		l.syncWith(ctx, others[rand.IntN(len(others))])
-	}
-}
-
-func (l *List) syncWith(ctx context.Context, m Member) {
-	ctx, cancel := context.WithTimeout(ctx, 2*ProbeTimeout)
-	defer cancel()
-	if all, err := l.Sync(ctx, m, l.All()); err == nil {
-		l.Merge(all)
-	}
-}
-
 // probeNext probes the next neighbor of a shuffled round, so that each of them is
 // probed within two rounds.
 func (l *List) probeNext(ctx context.Context) {
