--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -3,9 +3,9 @@
 //
 // Each cell of a pool is owned by one ready member of the region, chosen by
 // rendezvous hashing over each node's own membership view. In a large region a cell
-// has the endpoints of one availability zone, and its owner is a node there. While views differ,
-// two nodes can run the same cell. The endpoints may then receive more work
-// than their windows allow, but no request runs twice, because only the entry
+// has the endpoints of one availability zone, and its owner is a node there. While
+// views differ, two nodes can run the same cell. The endpoints may then receive more
+// work than their windows allow, but no request runs twice, because only the entry
 // node of a request dispatches it.
 //
 // A node that takes over a cell first queries every member of the region for its
@@ -333,7 +333,8 @@
 	m.knownMembers = present
 }
 
-// Run runs the periodic work of the cells until ctx is done.
+// Run runs the periodic work of the cells until ctx is done. Then it closes them, so
+// that no request waits in a cell that decides nothing any more.
 func (m *Manager) Run(ctx context.Context) {
 	m.mu.Lock()
 	m.ctx, m.startedAt = ctx, time.Now()
@@ -343,6 +344,12 @@
 	m.tasks.Go(func() { tick.Every(ctx, LoadPollInterval, m.pollAll) })
 	m.tasks.Go(func() { tick.OnDemand(ctx, idleReportInterval, &m.hasLocalCells, m.reportIdleSlots) })
 	<-ctx.Done()
+	for _, lc := range m.localCells() {
+		lc.cell.Close()
+	}
+	for _, c := range m.standbyCells() {
+		c.Close()
+	}
 	m.tasks.Wait()
 }
 
--- a/internal/process/cells/standby.go
+++ b/internal/process/cells/standby.go
@@ -57,7 +57,7 @@
 }
 
 // StandbyCell returns the cell that this node runs in place of one whose owner is
-// unresponsive, or nil if the pool or the cell does not exist. A standby cell accounts only
+// unresponsive, or nil if the pool or the cell does not exist or Run has ended. A standby cell accounts only
 // for its own grants, so the endpoints may receive more work than their windows
 // allow; there is no other effect.
 //
@@ -67,6 +67,9 @@
 func (m *Manager) StandbyCell(id ident.CellID, isIsolated bool) *sched.Cell {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.ctx != nil && m.ctx.Err() != nil {
+		return nil
+	}
 	key := standbyKey{id, isIsolated}
 	if c := m.standby[key]; c != nil {
 		return c
--- a/internal/process/cells/standby_test.go
+++ b/internal/process/cells/standby_test.go
@@ -1,7 +1,9 @@
 package cells
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -60,3 +62,30 @@
 	qt.Check(t, low.Response.Outcome, qt.Equals, sched.Shed)
 	qt.Check(t, submit("later", 1).Response.Reason, qt.Equals, sched.ReasonTierClosed)
 }
+
+// TestRunEndsCells checks that a request which waits in a cell gets an outcome when the
+// manager ends, also in a cell that is still paused, and that no cell takes one later.
+func TestRunEndsCells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, id := newStandbyManager(t)
+		m.InFlight = func(ident.CellID) []sched.InFlight { return nil }
+		view := &member.View{Members: []member.Member{{ID: "self", State: member.Ready}}}
+		m.Members = func() *member.View { return view }
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			m.Run(ctx)
+			close(done)
+		}()
+		synctest.Wait()
+		m.Reconcile()
+		waiting := &sched.GrantRequest{Request: "r", Deadline: time.Now().Add(time.Minute), Wake: func() {}}
+		qt.Assert(t, m.LocalCell(id).Submit(waiting), qt.IsFalse)
+		cancel()
+		<-done
+		qt.Check(t, waiting.Response.Outcome, qt.Equals, sched.Moved)
+		qt.Check(t, m.StandbyCell(id, true) == nil, qt.IsTrue)
+		later := &sched.GrantRequest{Request: "s", Deadline: time.Now().Add(time.Minute)}
+		qt.Check(t, m.LocalCell(id).Submit(later), qt.IsTrue)
+	})
+}
--- a/internal/process/fanout/fanout.go
+++ b/internal/process/fanout/fanout.go
@@ -44,8 +44,8 @@
 	readerKey = "store_readers"
 )
 
-// Readers returns the nodes of a region that read the store for the others, one of
-// each availability zone and at most one of those with the largest capacity there.
+// Readers returns the nodes of a region that read the store for the others: one of
+// each availability zone, with the largest capacity there.
 // It returns nil if the region has fewer than MinFleet ready nodes, so that every
 // node reads the store.
 func Readers(v *member.View, region ident.Region) []member.Member {
