Log the prompt parts of interrupted requests

Cause: after endpoints had ended one after the other, the logs could not tell whether the requests on them had a part of their prompts in common: request_ended has the route and the account, and no metric tells streams that broke before their first event from others. Change: request_ended has the interrupted attempts, the events sent and, for interrupted requests, the prompt's parts; a metric counts interrupted attempts by stage. No decision depends on them.

--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -275,12 +275,36 @@
 		rt.Meter.Answered(req.Tier.Name, string(req.Pool.ID), result.TimeToFirstAnswer <= req.Route.FirstAnswerTarget)
 		rt.Meter.TimeToFirstToken(req.Tier.Name, string(req.Pool.ID), result.TimeToFirstAnswer)
 	}
+	if result.Interrupted > 0 {
+		stage := "before_first_event"
+		if result.Events > 0 {
+			stage = "streaming"
+		}
+		rt.Meter.Interrupted(string(req.Pool.ID), stage, result.Interrupted)
+	}
 	rt.Log.Info("request_ended", "request_id", string(req.ID), "account", accountName(req.Account), "route", req.Route.Name, "pool", req.Pool.ID,
 		"endpoint", result.Endpoint, "status", result.Status, "attempts", result.Attempts, "cut", result.Truncated,
-		"reason", result.Reason, "first_answer", result.TimeToFirstAnswer, "took", time.Since(req.Arrived),
+		"reason", result.Reason, "interrupted", result.Interrupted, "events", result.Events, "prompt_parts", failedParts(req, result),
+		"first_answer", result.TimeToFirstAnswer, "took", time.Since(req.Arrived),
 		"settings_version", uint64(req.Version))
 }
 
+// failedParts returns the identifiers of a request's prompt parts as log text, "" for
+// a request without an interrupted attempt.
+func failedParts(req *proxy.Request, result proxy.Result) string {
+	if result.Interrupted == 0 {
+		return ""
+	}
+	var b strings.Builder
+	for i, part := range req.Info.PromptParts {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(strconv.FormatUint(part.ID, 16))
+	}
+	return b.String()
+}
+
 func accountName(a *config.Account) ident.ClientAccount {
 	if a == nil {
 		return ""
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -67,6 +67,12 @@
 	m.set().GetOrCreateCounter(metricName("goldcrestwick_refusals_total", "tier", tier, "reason", reason, "run", run)).Inc()
 }
 
+// Interrupted counts attempts whose answers broke off or never began. The stage is
+// that of the caller's answer: "before_first_event" or "streaming".
+func (m *Meter) Interrupted(pool, stage string, attempts int) {
+	m.set().GetOrCreateCounter(metricName("goldcrestwick_interrupted_attempts_total", "pool", pool, "stage", stage)).Add(attempts)
+}
+
 // TimeToFirstToken records the time to the first token of one answer. For a proxied
 // request it is the time to the first event or to the complete answer.
 func (m *Meter) TimeToFirstToken(tier, pool string, d time.Duration) {
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -143,8 +143,11 @@
 	Truncated bool
 	// Status is the HTTP status of the answer, 0 without one.
 	Status int
-	// Attempts counts the attempts that sent any part of the request.
-	Attempts int
+	// Attempts counts the attempts that sent any part of the request, and Interrupted
+	// those of them whose answers broke off or never began.
+	Attempts, Interrupted int
+	// Events counts the events of a stream that were sent to the caller.
+	Events int
 	// Endpoint is the endpoint of the last grant that was used, whether or not it
 	// answered.
 	Endpoint ident.Endpoint
@@ -208,6 +211,9 @@
 		}
 		out := p.attempt(ctx, s, grant)
 		grant.Complete(out.completion)
+		if out.result == interrupted {
+			s.result.Interrupted++
+		}
 		if out.result == answered || !p.canRetry(ctx, s, out) {
 			return p.finish(ctx, s, out)
 		}
--- a/internal/request/proxy/script_test.go
+++ b/internal/request/proxy/script_test.go
@@ -268,7 +268,7 @@
 
 // checkAnswer checks the answer that the caller got: status N, body TEXT, events
 // FIRST-LAST, truncated, complete, refused REASON not_run|unknown, signed NAME,
-// attempts N, took DURATION.
+// attempts N, interrupted N, sent_events N, took DURATION.
 func (s *scriptRunner) checkAnswer(args []string) {
 	for i := 0; i < len(args); i++ {
 		at := qt.Commentf("%s: %+v", s.Position, s.result)
@@ -301,6 +301,12 @@
 		case "attempts":
 			i++
 			qt.Check(s.T, s.result.Attempts, qt.Equals, s.ParseInt(args[i]), at)
+		case "interrupted":
+			i++
+			qt.Check(s.T, s.result.Interrupted, qt.Equals, s.ParseInt(args[i]), at)
+		case "sent_events":
+			i++
+			qt.Check(s.T, s.result.Events, qt.Equals, s.ParseInt(args[i]), at)
 		case "took":
 			i++
 			// The time is exact because it is the fake time of the test's bubble.
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -153,6 +153,7 @@
 	if _, err := s.w.Write(e.raw); err != nil {
 		return err
 	}
+	s.result.Events++
 	return http.NewResponseController(s.w).Flush()
 }
 
