Failing test: a part of a prompt crashes one endpoint after the other

Seen by callers: while requests with one part in their prompts came, endpoints ended one after the other, with every stream that ran on them. The test sends such requests, and sound ones that share all their other parts, to four nodes before twelve batching stand-ins. A request with the part crashes the stand-in that begins to generate its answer; it is back after 3 s.

--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -103,6 +103,7 @@
 	Method, Target string
 	Header         http.Header
 	Body           string
+	At             time.Time
 }
 
 // Engine is one endpoint. ID and NextBehaviour must be set before use. It is safe
@@ -118,6 +119,9 @@
 	Batch *batch.Engine
 	// TokensPerEvent is the number of tokens in an event; 0 means 1.
 	TokensPerEvent ident.Tokens
+	// Crash, if not nil, is called when Batch generates the first token of a prompt, with
+	// its parts. If it returns true, the engine has crashed.
+	Crash func([]batch.PromptPart) bool
 
 	mu       sync.Mutex
 	received []ReceivedRequest
@@ -176,7 +180,7 @@
 func (e *Engine) record(req *http.Request, body string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.received = append(e.received, ReceivedRequest{req.Method, req.RequestURI, req.Header, body})
+	e.received = append(e.received, ReceivedRequest{req.Method, req.RequestURI, req.Header, body, time.Now()})
 }
 
 func send(w io.Writer, text string) bool {
