--- a/internal/tool/fleet/crash_test.go
+++ b/internal/tool/fleet/crash_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -10,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestwick/internal/stand/batch"
+	"goldcrestwick/internal/stand/cloud"
 	"goldcrestwick/internal/stand/engine"
 )
 
@@ -42,14 +45,15 @@
 	}
 	p.crashes.at = append(p.crashes.at, time.Now())
 	p.net.Kill(name)
-	down, born := p.crashes.down, len(p.crashes.at)
+	entry, down := maps.Clone(p.engines[name].entry), p.crashes.down
+	entry["born"] = len(p.crashes.at)
+	row, err := json.Marshal(entry)
 	p.running.Go(func() {
 		time.Sleep(down)
-		p.engines[name].entry["born"] = born
-		p.listEngine(name)
+		p.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: "servers", Key: name, Value: row}}})
 		p.net.Revive(name)
 	})
-	return true
+	return err == nil
 }
 
 // traffic sends requests at intervals to nodes in turn for a duration: sound ones,
