Quarantine parts of prompts that crash endpoints

Cause: a query of death. The scheduler attributed each crash to the endpoint alone and sent the next request with the same part to the next endpoint. No node saw more than a few crashes, and what their requests had in common was remembered nowhere. Change: completions say whether the endpoint ended the connection before any part of the answer. process/poison counts such crashes by part, against the completions of requests with the part. A part with three crashes at different endpoints and times and without a completion is refused as not run on all nodes; nodes learn of it by gossip, at once when it is new, and from the store when they start. Where a pool has several cells, their nodes exchange crashes and completions first. Why it works: a part that crashes every endpoint never completes, while each part that sound requests share with it does. Mass failures, endpoints that fail with any request and endpoints that break off some answers blame nothing (scripts of poison).

--- a/internal/connection/wire/member.go
+++ b/internal/connection/wire/member.go
@@ -14,6 +14,8 @@
 	PeerAddress     string `cbor:"3,keyasint,omitempty"`
 	// StoreReadAge is the time since the sender last read the store; 0 if not known.
 	StoreReadAge int64 `cbor:"4,keyasint,omitempty"`
+	// Quarantined holds the remaining time of each quarantined part of prompts.
+	Quarantined map[uint64]int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // IndirectProbe requests that a node probe another.
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -82,6 +82,11 @@
 	KindChanges
 	// KindIdleSlots is a call that reports the free slots of a cell.
 	KindIdleSlots
+	// KindCrashes is a call that reports crashed endpoints and the parts of prompts that
+	// may be to blame, and KindCompletedParts a call for when requests with such parts last
+	// completed.
+	KindCrashes
+	KindCompletedParts
 )
 
 // Empty is a message without content.
@@ -116,7 +121,8 @@
 	Standby     bool    `cbor:"17,keyasint,omitempty"`
 	BlockTokens []int64 `cbor:"18,keyasint,omitempty"` // tokens of each block of Prefix
 	// MayRedirect allows the response sched.Redirected.
-	MayRedirect bool `cbor:"19,keyasint,omitempty"`
+	MayRedirect bool     `cbor:"19,keyasint,omitempty"`
+	PromptParts []uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // FromGrantRequest converts a grant request for a cell.
@@ -128,6 +134,7 @@
 		Pool: string(cell.Pool), Cell: cell.Index, SettingsVersion: uint64(version),
 		FirstTokenTarget: int64(r.FirstTokenTarget), Zone: string(r.Zone), Avoid: convertNames[string](r.Avoid),
 		BlockTokens: convertInts[int64](r.BlockTokens), MayRedirect: r.MayRedirect,
+		PromptParts: convertInts[uint64](r.PromptParts),
 	}
 }
 
@@ -165,6 +172,7 @@
 		Deadline: now.Add(time.Duration(m.Remaining)), Prefix: convertInts[ident.Fingerprint](m.Prefix),
 		FirstTokenTarget: time.Duration(m.FirstTokenTarget), Zone: ident.AvailabilityZone(m.Zone), Avoid: convertNames[ident.Endpoint](m.Avoid),
 		BlockTokens: convertInts[ident.Tokens](m.BlockTokens), MayRedirect: m.MayRedirect,
+		PromptParts: convertInts[ident.PromptPart](m.PromptParts),
 	}
 }
 
@@ -256,6 +264,7 @@
 	Erred             bool   `cbor:"12,keyasint,omitempty"`
 	Cancelled         bool   `cbor:"13,keyasint,omitempty"`
 	Leaving           bool   `cbor:"14,keyasint,omitempty"`
+	NoAnswer          bool   `cbor:"15,keyasint,omitempty"`
 }
 
 // FromCompletion converts a completion. It leaves Request, Pool and Cell empty, which
@@ -264,7 +273,7 @@
 	return Completion{
 		Failed: c.Failed, Unused: c.Unused, TimeToFirstToken: int64(c.TimeToFirstToken), InterTokenLatency: int64(c.InterTokenLatency),
 		Uncached: int64(c.Uncached), Cached: int64(c.Cached), Output: int64(c.Output),
-		Refused: c.Refused, Erred: c.Erred, Cancelled: c.Cancelled, Leaving: c.Leaving,
+		Refused: c.Refused, Erred: c.Erred, Cancelled: c.Cancelled, Leaving: c.Leaving, NoAnswer: c.NoAnswer,
 	}
 }
 
@@ -274,7 +283,7 @@
 		Failed: m.Failed, Unused: m.Unused, TimeToFirstToken: time.Duration(m.TimeToFirstToken),
 		InterTokenLatency: time.Duration(m.InterTokenLatency), Uncached: ident.Tokens(m.Uncached),
 		Cached: ident.Tokens(m.Cached), Output: ident.Tokens(m.Output),
-		Refused: m.Refused, Erred: m.Erred, Cancelled: m.Cancelled, Leaving: m.Leaving,
+		Refused: m.Refused, Erred: m.Erred, Cancelled: m.Cancelled, Leaving: m.Leaving, NoAnswer: m.NoAnswer,
 	}
 }
 
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -105,6 +105,9 @@
 	// OwnershipChanged is called when this node begins or ceases to own a cell; nil
 	// ignores changes. It must not call the Manager.
 	OwnershipChanged func(id ident.CellID, isOwner bool)
+	// Ended is called when a granted request ends, with the cell's lock held; nil ignores
+	// it.
+	Ended func(sched.Ended)
 	// Observe is called with each decision, with the cell's lock held; nil
 	// ignores decisions.
 	Observe func(sched.Decision)
@@ -301,7 +304,7 @@
 
 func (m *Manager) newCell(id ident.CellID, pool *config.Pool, lc *localCell) *sched.Cell {
 	return &sched.Cell{
-		ID: id, Pool: pool, Policy: m.Policy,
+		ID: id, Pool: pool, Policy: m.Policy, Ended: m.Ended,
 		Observe: func(d sched.Decision) {
 			if d.Request.Response.Outcome == sched.Granted {
 				lc.recentPrompts.add(d.Request.Request, d.Request.Prefix)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -137,6 +137,7 @@
 	// isFetchingTree is set while settings are fetched from another node.
 	isFetchingTree atomic.Bool
 	changes        changes
+	poison         poisonState
 
 	claimCoordinatorSet atomic.Pointer[claimCoordinatorSet]
 	quotaCoordinators   atomic.Pointer[viewCoordinators]
@@ -181,7 +182,7 @@
 	n.cells = cells.Manager{
 		Self: n.members.Self, Members: n.members.View, Tree: n.tree.Load, Open: n.Open,
 		RecentlyFailed: func() int { return n.members.RecentlyFailed(recentFailureWindow) },
-		InFlight:       n.entry.InFlight, Policy: n.Policy, Observe: n.recordDecision,
+		InFlight:       n.entry.InFlight, Policy: n.Policy, Observe: n.recordDecision, Ended: n.recordEnded,
 		Clock: &n.hybridClock, OwnershipChanged: n.logOwnership,
 		CloseRequestFailed: func(to ident.NodeID, err error) {
 			n.Log.Debug("floor_not_acknowledged", "peer", to, "error", err)
@@ -245,6 +246,7 @@
 	n.tasks.Go(func() { n.applyViews(ctx) })
 	n.tasks.Go(func() { n.cells.Run(ctx) })
 	n.tasks.Go(func() { n.claimCoordinator.Run(ctx) })
+	n.tasks.Go(func() { n.watchCrashes(ctx) })
 	n.tasks.Go(func() { n.flushDecisionsPeriodically(ctx) })
 	n.startLedger(ctx)
 	if n.Platform != nil {
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -28,6 +28,8 @@
 	link.Handle(mux, wire.KindVersionNotice, n.serveVersionNotice)
 	link.Handle(mux, wire.KindVersion, n.serveVersion)
 	link.Handle(mux, wire.KindFollow, n.serveFollow)
+	link.Handle(mux, wire.KindCrashes, n.serveCrashes)
+	link.Handle(mux, wire.KindCompletedParts, n.serveCompletedParts)
 }
 
 func (n *Node) probe(ctx context.Context, to member.Member, updates []member.Member) ([]member.Member, error) {
@@ -42,23 +44,30 @@
 	return n.gossip(ctx, to, wire.KindSync, all)
 }
 
-// gossip exchanges membership updates with a member. It also takes the settings
-// version and the time of the last store read from the response.
+// gossip exchanges membership updates with a member, and what observeGossip records.
 func (n *Node) gossip(ctx context.Context, to member.Member, kind link.Kind, updates []member.Member) ([]member.Member, error) {
 	reply, err := link.Call[wire.Gossip, wire.Gossip](ctx, n.Open, to.PeerAddress, kind, n.gossipOf(updates))
-	n.fetchIfNewer(reply)
-	n.recordPeerRead(reply)
+	n.observeGossip(reply)
 	return reply.ToMembers(), err
 }
 
+// observeGossip records what a gossip message has besides the members.
+func (n *Node) observeGossip(g wire.Gossip) {
+	n.fetchIfNewer(g)
+	n.recordPeerRead(g)
+	n.learnQuarantines(g)
+}
+
 // gossipOf returns a gossip message with membership updates, this node's settings
-// version and the time since it last read the store.
+// version, the time since it last read the store and the quarantined parts of prompts.
 func (n *Node) gossipOf(updates []member.Member) wire.Gossip {
 	g := wire.FromMembers(updates)
 	g.SettingsVersion, g.PeerAddress = uint64(n.tree.Load().Version), n.Process.PeerAddress
 	if at := n.tables.endpointsReadAt(); !at.IsZero() {
 		g.StoreReadAge = int64(max(time.Since(at), 1))
 	}
+	now := time.Now()
+	g.Quarantined = wire.FromPartTimes(n.poison.quarantined.All(now), now, true)
 	return g
 }
 
@@ -84,15 +93,13 @@
 }
 
 func (n *Node) serveProbe(_ context.Context, s *link.Stream, m wire.Gossip) {
-	n.fetchIfNewer(m)
-	n.recordPeerRead(m)
+	n.observeGossip(m)
 	reply := n.members.Merge(m.ToMembers())
 	s.Send(wire.KindProbe, n.gossipOf(reply)) //nolint:errcheck // the prober falls back to indirect probes.
 }
 
 func (n *Node) serveSync(_ context.Context, s *link.Stream, m wire.Gossip) {
-	n.fetchIfNewer(m)
-	n.recordPeerRead(m)
+	n.observeGossip(m)
 	n.members.Merge(m.ToMembers())
 	s.Send(wire.KindSync, n.gossipOf(n.members.All())) //nolint:errcheck // the peer retries.
 }
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -40,6 +40,9 @@
 	n.proxy = proxy.Proxy{
 		RequestGrant: n.entry.RequestGrant, IsLeaving: n.cells.IsLeaving, Conns: &n.conns, Budget: &n.budget,
 		Codec: n.Platform.HeaderCodec, Record: n.recordLocalStep, MarkLeaving: n.markLeaving,
+		Quarantined: func(parts []ident.PromptPart) (ident.PromptPart, time.Time, bool) {
+			return n.poison.quarantined.Find(parts, time.Now())
+		},
 	}
 	n.router = router.Router{
 		Tree: n.settingsOrNil, DecodeRequest: n.Platform.HeaderCodec.DecodeRequest, Serve: n.serveProxied,
@@ -54,6 +57,7 @@
 	n.meter.Gauge("goldcrestwick_store_read_age_seconds", func() float64 {
 		return time.Since(n.tables.endpointsReadAt()).Seconds()
 	})
+	n.meter.Gauge("goldcrestwick_quarantined_prompt_parts", func() float64 { return float64(len(n.poison.quarantined.All(time.Now()))) })
 	n.meter.Gauge("goldcrestwick_endpoint_connections_opened", func() float64 { return float64(n.conns.DialCount()) })
 }
 
--- a/internal/process/node/tables.go
+++ b/internal/process/node/tables.go
@@ -120,6 +120,11 @@
 		watchTable(nodeTable, func() time.Duration { return nodesWatchTimeout }, n.applyNodeRows),
 	})
 	n.tasks.Go(func() { n.registerNode(ctx) })
+	quarantinesRead := make(chan struct{})
+	n.tasks.Go(func() {
+		defer close(quarantinesRead)
+		n.readQuarantines(ctx)
+	})
 	n.tasks.Go(func() { tick.Every(ctx, idleSweepInterval, func(context.Context) { n.conns.Sweep() }) })
 	for !n.hasInitialRows() {
 		if !tick.Sleep(ctx, readyCheckInterval) {
@@ -128,6 +133,10 @@
 	}
 	joinCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	n.members.Seed(joinCtx)
+	select {
+	case <-quarantinesRead:
+	case <-joinCtx.Done():
+	}
 	cancel()
 	n.join(ctx)
 	n.tasks.Go(func() { n.followChanges(ctx) })
--- /dev/null
+++ b/internal/process/poison/script_test.go
@@ -0,0 +1,110 @@
+package poison
+
+import (
+	"iter"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/stand/script"
+)
+
+// TestScripts runs the scripts of testdata. Their commands are:
+//
+//	crash ENDPOINT PART...     an endpoint crashed with a request of these parts
+//	complete ENDPOINT PART...  an endpoint completed a request of these parts
+//	wait T                     advances the clock
+//	others ENDPOINT            an endpoint completed ten requests with parts of their own
+//	elsewhere PART             a request with the part completed at another node
+//	blamed PART...             checks the parts that are blamed, in any order
+//	pending yes|no             checks what Suspects returned for the last blamed line
+//	flood N                    N crashes, each at its own endpoint with its own part
+func TestScripts(t *testing.T) { script.Run(t, "testdata/*.script", runScript) }
+
+func runScript(t *testing.T, lines iter.Seq[script.Line]) {
+	d := &Detector{}
+	isPending := false
+	for line := range lines {
+		comment := qt.Commentf("%s", line.Position)
+		switch line.Command {
+		case "crash":
+			d.Crashed(Crash{endpointOf(line.Args[0]), time.Now(), partsOf(line.Args[1:])})
+		case "complete":
+			d.Completed(endpointOf(line.Args[0]), partsOf(line.Args[1:]), time.Now())
+		case "others":
+			for i := range 10 {
+				d.Completed(endpointOf(line.Args[0]), []ident.PromptPart{ident.PromptPart(500 + i)}, time.Now())
+			}
+		case "elsewhere":
+			d.Exonerate(partsOf(line.Args)[0], time.Now())
+		case "wait":
+			time.Sleep(line.ParseDuration(line.Args[0]))
+		case "blamed":
+			var blamed []Suspect
+			blamed, isPending = d.Suspects(time.Now())
+			blamed = d.Blame(blamed, time.Now())
+			parts := []ident.PromptPart{}
+			for _, s := range blamed {
+				parts = append(parts, s.Part)
+			}
+			slices.Sort(parts)
+			qt.Check(t, parts, qt.DeepEquals, partsOf(line.Args), comment)
+		case "pending":
+			qt.Check(t, isPending, qt.Equals, line.Args[0] == "yes", comment)
+		case "flood":
+			for i := range line.ParseInt(line.Args[0]) {
+				d.Crashed(Crash{Endpoint{"flood", int64(i)}, time.Now(), []ident.PromptPart{ident.PromptPart(1000 + i)}})
+			}
+			qt.Check(t, len(d.suspects) <= maxSuspects, qt.IsTrue, comment)
+		default:
+			t.Fatalf("%s: unknown command %s", line.Position, line.Command)
+		}
+	}
+}
+
+// endpointOf parses an endpoint of the form NAME or NAME/RUN.
+func endpointOf(word string) Endpoint {
+	name, run, _ := strings.Cut(word, "/")
+	return Endpoint{ident.Endpoint(name), int64(len(run))}
+}
+
+func partsOf(names []string) []ident.PromptPart {
+	parts := []ident.PromptPart{}
+	for _, name := range names {
+		parts = append(parts, ident.PromptPart(name[0]))
+	}
+	return parts
+}
+
+// TestList checks that the list bounds its size and the time of a quarantine, and that
+// a part leaves it when its time ends.
+func TestList(t *testing.T) {
+	l, now := &List{}, time.Unix(1000, 0)
+	_, _, ok := l.Find([]ident.PromptPart{1}, now)
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Check(t, l.Add(1, now.Add(time.Hour), now), qt.IsTrue)
+	qt.Check(t, l.Add(1, now.Add(time.Minute), now), qt.IsFalse)
+	part, until, ok := l.Find([]ident.PromptPart{2, 1}, now)
+	qt.Check(t, ok, qt.IsTrue)
+	qt.Check(t, part, qt.Equals, ident.PromptPart(1))
+	qt.Check(t, until, qt.Equals, now.Add(QuarantineTime))
+	_, _, ok = l.Find([]ident.PromptPart{1}, until)
+	qt.Check(t, ok, qt.IsFalse)
+	// Remaining times that are passed from node to node do not prolong a quarantine.
+	for i := range 100 {
+		l.Add(1, until.Add(time.Duration(i+1)*time.Second), now.Add(time.Duration(i)*time.Second))
+	}
+	_, kept, _ := l.Find([]ident.PromptPart{1}, now)
+	qt.Check(t, kept, qt.Equals, until.Add(time.Minute))
+	qt.Check(t, l.Add(3, now, now), qt.IsFalse)
+	for i := range maxQuarantined {
+		qt.Check(t, l.Add(ident.PromptPart(10+i), now.Add(time.Minute), now), qt.IsTrue)
+	}
+	qt.Check(t, len(l.All(now)), qt.Equals, maxQuarantined)
+	_, _, ok = l.Find([]ident.PromptPart{1}, now)
+	qt.Check(t, ok, qt.IsTrue)
+}
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -104,6 +104,9 @@
 	Now func() time.Time
 	// Observe is called for each decision, with the cell's lock held.
 	Observe func(Decision)
+	// Ended is called when a granted request ends, with the cell's lock held. It is not
+	// called for requests that another node's cell granted.
+	Ended func(Ended)
 	// Admits reports whether a tier is open; nil admits all.
 	Admits func(ident.Tier) bool
 	// CanShed reports whether all tiers below the given one are closed in the
@@ -302,6 +305,9 @@
 	}
 	c.finishPrefill(g)
 	c.recordCompletion(g, completion, now)
+	if c.Ended != nil && !g.isAdopted {
+		c.Ended(Ended{g.endpoint.EndpointSpec, g.parts, completion})
+	}
 	g.endpoint.removeGrant(g.charge)
 	*g = grant{}
 	c.freeGrants = append(c.freeGrants, g)
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -28,6 +28,7 @@
 	// completions may be reported to that node.
 	isAdopted bool
 	prefix    []ident.Fingerprint
+	parts     []ident.PromptPart
 }
 
 // targets are a pool's latency targets.
@@ -192,7 +193,7 @@
 	g := c.newGrant()
 	*g = grant{
 		node: r.Node, class: r.class, endpoint: e, charge: r.charge, uncached: r.Prompt - cached,
-		cached: cached, grantedAt: now, backlogAhead: e.backlog, prefix: r.Prefix,
+		cached: cached, grantedAt: now, backlogAhead: e.backlog, prefix: r.Prefix, parts: r.PromptParts,
 	}
 	e.addGrant(g.charge, g.uncached)
 	c.prefixes.Insert(r.Prefix, r.BlockTokens, e.prefixSlot)
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -35,6 +35,8 @@
 	// BlockTokens holds the tokens of each block of Prefix if the blocks differ
 	// in size.
 	BlockTokens []ident.Tokens
+	// PromptParts identifies the parts of the prompt, each whatever stands before it.
+	PromptParts []ident.PromptPart
 	// MayRedirect allows the outcome Redirected.
 	MayRedirect bool
 	// Wake, unless it is nil, is called once, with the cell's lock held, when a
@@ -139,6 +141,9 @@
 	// Cancelled is set when the caller left or the deadline passed while the
 	// endpoint was running the request.
 	Cancelled bool
+	// NoAnswer is set with Failed if the endpoint ended the connection before any part of
+	// the answer, as one that crashes does.
+	NoAnswer bool
 	// Leaving is set when the endpoint reported that it is shutting down. It gets
 	// no new grants until it has been started again.
 	Leaving bool
@@ -155,6 +160,19 @@
 	Output ident.Tokens
 }
 
+// IsWhole reports whether the endpoint ran the request to its end.
+func (c Completion) IsWhole() bool {
+	return !c.Failed && !c.Unused && !c.Refused && !c.Erred && !c.Cancelled
+}
+
+// Ended reports the end of a granted request to Cell.Ended.
+type Ended struct {
+	Endpoint EndpointSpec
+	// PromptParts is that of the grant request.
+	PromptParts []ident.PromptPart
+	Completion  Completion
+}
+
 // EndpointSpec describes an endpoint to a cell.
 type EndpointSpec struct {
 	ID      ident.Endpoint
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -60,6 +60,8 @@
 	// BlockTokens holds the tokens of each block of the prompt, nil if all blocks
 	// have the same size.
 	BlockTokens []ident.Tokens
+	// PromptParts identifies the parts of the prompt, each whatever stands before it.
+	PromptParts []ident.PromptPart
 	// Avoid lists endpoints at which the request has already failed.
 	Avoid []ident.Endpoint
 
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -173,6 +173,7 @@
 		Weight: j.Account.Weight, Prompt: j.Request.PromptTokens, Output: j.Request.OutputTokens,
 		Deadline: j.Request.Deadline, Prefix: j.Request.Prefix,
 		FirstTokenTarget: j.FirstTokenTarget, Zone: e.Zone, Avoid: j.Avoid, BlockTokens: j.BlockTokens,
+		PromptParts: j.PromptParts,
 	}
 	if local := e.Cells.LocalCell(cell); local != nil {
 		req.MayRedirect = !j.hasBeenRedirected
--- a/internal/request/ident/ident.go
+++ b/internal/request/ident/ident.go
@@ -57,6 +57,9 @@
 // Fingerprint is a hash that identifies a prompt prefix.
 type Fingerprint uint64
 
+// PromptPart identifies one part of a prompt, whatever parts stand before it.
+type PromptPart uint64
+
 // MaxTiers bounds the number of tiers in one settings tree.
 const MaxTiers = 16
 
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"goldcrestwick/internal/connection/conn"
@@ -82,11 +83,11 @@
 
 func (x *exchange) run(ctx context.Context) outcome {
 	if err := x.send(); err != nil {
-		return x.fail(ctx, err.Error())
+		return x.failWithoutAnswer(ctx, err.Error(), err)
 	}
 	resp, info, err := x.receive()
 	if err != nil {
-		return x.fail(ctx, err.Error())
+		return x.failWithoutAnswer(ctx, err.Error(), err)
 	}
 	x.observe(resp.StatusCode, info)
 	switch {
@@ -221,6 +222,21 @@
 	return outcome{interrupted, reason, completion}
 }
 
+// failWithoutAnswer returns the outcome of an exchange that ended with an error before
+// any part of the answer. Unlike fail, it reports to the cell whether the endpoint ended
+// the connection.
+func (x *exchange) failWithoutAnswer(ctx context.Context, reason string, err error) outcome {
+	out := x.fail(ctx, reason)
+	out.completion.NoAnswer = out.result == interrupted && out.completion.Failed && isConnectionEnd(err)
+	return out
+}
+
+// isConnectionEnd reports whether the peer closed or reset the connection.
+func isConnectionEnd(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // handleNotRun handles an answer by which the endpoint reports that it did not
 // run the request.
 func (x *exchange) handleNotRun(resp *http.Response) outcome {
@@ -257,7 +273,7 @@
 func (x *exchange) forwardAnswer(ctx context.Context, resp *http.Response) outcome {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
-		return x.fail(ctx, "the answer broke off: "+err.Error())
+		return x.failWithoutAnswer(ctx, "the answer broke off: "+err.Error(), err)
 	}
 	took := time.Since(x.sentAt)
 	x.grant.ReportStarted(x.occupancy)
--- a/internal/request/proxy/prefix.go
+++ b/internal/request/proxy/prefix.go
@@ -12,6 +12,15 @@
 // its grant request.
 const maxPromptParts = 16
 
+// partIDs returns the identifiers of the parts of a prompt.
+func partIDs(parts []PromptPart) []ident.PromptPart {
+	var ids []ident.PromptPart
+	for _, part := range parts[:min(len(parts), maxPromptParts)] {
+		ids = append(ids, ident.PromptPart(part.ID))
+	}
+	return ids
+}
+
 // fingerprints returns the fingerprint and the number of tokens of each part of
 // a prompt. The fingerprint of a part covers it and all parts before it.
 func fingerprints(parts []PromptPart) (prefix []ident.Fingerprint, partTokens []ident.Tokens) {
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -24,6 +24,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -170,6 +171,9 @@
 	// MarkLeaving is called when an endpoint reports that it is shutting down; it
 	// may be nil.
 	MarkLeaving func(ident.Endpoint)
+	// Quarantined returns the first of the parts of a prompt that is quarantined, and
+	// until when; nil means that none is.
+	Quarantined func([]ident.PromptPart) (part ident.PromptPart, until time.Time, ok bool)
 	// Record is called for each dispatch and each retry; it may be nil.
 	Record func(trace.Record)
 
@@ -205,10 +209,17 @@
 	defer cancel()
 	p.Budget.RecordRequest(r.Pool.ID, time.Now())
 	for {
+		if refusal := p.quarantineRefusal(s); refusal != nil {
+			return p.finishWithoutGrant(ctx, s, refusal)
+		}
 		grant, refusal := p.RequestGrant(ctx, s.job)
 		if refusal != nil {
 			return p.finishWithoutGrant(ctx, s, refusal)
 		}
+		if refusal := p.quarantineRefusal(s); refusal != nil {
+			grant.Complete(sched.Completion{Unused: true})
+			return p.finishWithoutGrant(ctx, s, refusal)
+		}
 		out := p.attempt(ctx, s, grant)
 		grant.Complete(out.completion)
 		if out.result == interrupted {
@@ -222,6 +233,21 @@
 	}
 }
 
+// quarantineRefusal returns the refusal of a request with a quarantined part in its
+// prompt, or nil.
+func (p *Proxy) quarantineRefusal(s *requestState) *refuse.Refusal {
+	if p.Quarantined == nil {
+		return nil
+	}
+	part, until, ok := p.Quarantined(s.job.PromptParts)
+	if !ok {
+		return nil
+	}
+	r := refuse.New(refuse.PromptQuarantined, fmt.Sprintf("endpoints crashed under requests with the part %x of this prompt", uint64(part)))
+	r.RetryAfter = time.Until(until)
+	return r
+}
+
 func (p *Proxy) newJob(r *Request) *entry.Job {
 	account := r.Account
 	if account == nil {
@@ -229,7 +255,7 @@
 	}
 	prefix, partTokens := fingerprints(r.Info.PromptParts)
 	return &entry.Job{
-		BlockTokens: partTokens,
+		BlockTokens: partTokens, PromptParts: partIDs(r.Info.PromptParts),
 		Request: &intake.Request{
 			ID: r.ID, Kind: r.Pool.Kind, Arrived: r.Arrived, Deadline: r.Deadline,
 			PromptTokens: r.Info.PromptTokens, OutputTokens: p.lengths.estimate(r), Prefix: prefix,
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -101,6 +101,9 @@
 			x.proxy.lengths.observe(s.Request, ident.Tokens(t.events*t.eventTokens))
 			return outcome{completion: t.completion()}
 		}
+		if err != nil && t.events == 0 {
+			return x.failWithoutAnswer(ctx, "the stream broke off: "+err.Error(), err)
+		}
 		if err != nil {
 			return x.fail(ctx, "the stream broke off: "+err.Error())
 		}
--- a/internal/request/refuse/refuse.go
+++ b/internal/request/refuse/refuse.go
@@ -72,9 +72,12 @@
 	OutcomeNoLongerHeld Reason = "outcome_no_longer_held"
 	EndpointFailed      Reason = "endpoint_failed"
 	AnswerIncomplete    Reason = "answer_incomplete"
-	LedgerFull          Reason = "ledger_full"
-	CallerGone          Reason = "caller_gone"
-	HeaderTooLarge      Reason = "header_too_large"
+	// PromptQuarantined means that endpoints crashed under requests with a part of this
+	// request's prompt.
+	PromptQuarantined Reason = "prompt_quarantined"
+	LedgerFull        Reason = "ledger_full"
+	CallerGone        Reason = "caller_gone"
+	HeaderTooLarge    Reason = "header_too_large"
 	// NodeNotReady means that the node has not loaded its settings yet.
 	NodeNotReady Reason = "node_not_ready"
 )
@@ -94,7 +97,7 @@
 	OutcomeNoLongerHeld: http.StatusConflict, EndpointFailed: http.StatusBadGateway,
 	AnswerIncomplete: http.StatusBadGateway, LedgerFull: http.StatusServiceUnavailable,
 	CallerGone: http.StatusRequestTimeout, HeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
-	NodeNotReady: http.StatusServiceUnavailable,
+	NodeNotReady: http.StatusServiceUnavailable, PromptQuarantined: http.StatusServiceUnavailable,
 }
 
 // Refusal is the error of a refused or failed request.
