Log the limits that endpoints name in their answers

Cause: when endpoints got more requests than the limits that they had named, no log line or metric told that they had named any. Change: the header is read; a line and a metric tell of limits. No decision depends on them yet.

--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -40,6 +40,9 @@
 	n.proxy = proxy.Proxy{
 		RequestGrant: n.entry.RequestGrant, IsLeaving: n.cells.IsLeaving, Conns: &n.conns, Budget: &n.budget,
 		Codec: n.Platform.HeaderCodec, Record: n.recordLocalStep, MarkLeaving: n.markLeaving,
+		LimitChanged: func(id ident.Endpoint, limit ident.Rate) {
+			n.Log.Info("endpoint_limit_changed", "endpoint", id, "requests_per_second", float64(limit))
+		},
 		Quarantined: func(parts []ident.PromptPart) (ident.PromptPart, time.Time, bool) {
 			return n.poison.quarantined.Find(parts, time.Now())
 		},
@@ -57,6 +60,7 @@
 	n.meter.Gauge("goldcrestwick_store_read_age_seconds", func() float64 {
 		return time.Since(n.tables.endpointsReadAt()).Seconds()
 	})
+	n.meter.Gauge("goldcrestwick_limited_endpoints", func() float64 { return float64(len(n.proxy.KnownLimits())) })
 	n.meter.Gauge("goldcrestwick_quarantined_prompt_parts", func() float64 { return float64(len(n.poison.quarantined.All(time.Now()))) })
 	n.meter.Gauge("goldcrestwick_endpoint_connections_opened", func() float64 { return float64(n.conns.DialCount()) })
 }
--- a/internal/request/ident/ident.go
+++ b/internal/request/ident/ident.go
@@ -54,6 +54,9 @@
 // Tokens is a number of prompt or output tokens.
 type Tokens int64
 
+// Rate is a number of requests per second.
+type Rate float64
+
 // Fingerprint is a hash that identifies a prompt prefix.
 type Fingerprint uint64
 
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -114,6 +114,9 @@
 	if status == http.StatusServiceUnavailable && info.RetryAfter > 0 {
 		x.proxy.holdOffs.add(id, time.Now(), info.RetryAfter)
 	}
+	if x.proxy.limits.observe(id, info.RateLimit, time.Now()) && x.proxy.LimitChanged != nil {
+		x.proxy.LimitChanged(id, info.RateLimit)
+	}
 	if info.IsLeaving {
 		x.isLeaving = true
 		if x.proxy.MarkLeaving != nil {
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -102,6 +102,9 @@
 	// RetryAfter is how long the endpoint wants no requests from this node, valid
 	// with status 503; 0 if not given.
 	RetryAfter time.Duration
+	// RateLimit is how many requests the endpoint takes from all nodes together, 0 if it
+	// names no limit.
+	RateLimit ident.Rate
 }
 
 // HeaderCodec reads and writes the headers of one platform.
@@ -171,6 +174,9 @@
 	// MarkLeaving is called when an endpoint reports that it is shutting down; it
 	// may be nil.
 	MarkLeaving func(ident.Endpoint)
+	// LimitChanged is called when an endpoint names another limit than in its last answer
+	// to this node, with 0 when it names none any more; it may be nil.
+	LimitChanged func(ident.Endpoint, ident.Rate)
 	// Quarantined returns the first of the parts of a prompt that is quarantined, and
 	// until when; nil means that none is.
 	Quarantined func([]ident.PromptPart) (part ident.PromptPart, until time.Time, ok bool)
@@ -179,6 +185,7 @@
 
 	lengths  lengthEstimator
 	holdOffs holdOffs
+	limits   endpointLimits
 }
 
 // requestState is a request with the state of its attempts.
