Failing test: an endpoint gets more than the limit that it names

Seen by callers of the endpoints: two that named limits of 3.3 and 2.6 requests a second got 26 and 38 in 4 s (LIMIT). The test sends 50 requests a second to four nodes before eight batching stand-ins; one or two of them name a limit of 2 a second in their answers. The second script freezes and kills the node that decides.

--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -39,6 +39,7 @@
 	ExpectInstanceHeader = "Goldcrestwick-Expect-Instance"
 	LastEventIDHeader    = "Last-Event-Id"
 	LeavingHeader        = "Server-Leaving"
+	LimitHeader          = "Server-Limit"
 )
 
 // EndMode defines how an answer ends. The empty string means EndComplete.
@@ -119,6 +120,8 @@
 	Batch *batch.Engine
 	// TokensPerEvent is the number of tokens in an event; 0 means 1.
 	TokensPerEvent ident.Tokens
+	// RateLimit, if not nil, returns the value of LimitHeader in all answers, "" for none.
+	RateLimit func() string
 	// Crash, if not nil, is called when Batch generates the first token of a prompt, with
 	// its parts. If it returns true, the engine has crashed.
 	Crash func([]batch.PromptPart) bool
@@ -243,6 +246,11 @@
 	if b.Leaving {
 		fmt.Fprintf(&h, "%s: 1\r\n", LeavingHeader)
 	}
+	if e.RateLimit != nil {
+		if limit := e.RateLimit(); limit != "" {
+			fmt.Fprintf(&h, "%s: %s\r\n", LimitHeader, limit)
+		}
+	}
 	if b.RetryAfter != "" {
 		fmt.Fprintf(&h, "Retry-After: %s\r\n", b.RetryAfter)
 	}
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -75,6 +75,8 @@
 	entry     map[string]any
 	mu        sync.Mutex
 	behaviour engine.Behaviour
+	limit     string
+	limitedAt time.Time
 }
 
 // proxyCall is the result of one request of a caller.
@@ -141,7 +143,7 @@
 		"wait": p.wait, "freeze": p.freeze, "unfreeze": p.unfreeze, "kill": p.kill, "restart": p.restart,
 		"store": p.store, "shutdown": p.shutdown, "ready": p.ready, "cut": p.cut, "heal": p.heal, "malformed_entry": p.malformedEntry,
 		"batch": p.batch, "fleet": p.fleet, "engines": p.manyEngines, "calls": p.checkCalls, "in_force": p.inForce,
-		"crashing_part": p.crashingPart, "traffic": p.traffic, "crashes": p.checkCrashes,
+		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "traffic": p.traffic, "crashes": p.checkCrashes,
 	}
 	run, ok := commands[command]
 	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.Position, command))
@@ -225,6 +227,11 @@
 				StepTime: p.ParseDuration(given["step"]), PrefillTimePerToken: p.ParseDuration(given["prefill"]),
 			}
 		}
+		e.RateLimit = func() string {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.limit
+		}
 		e.Crash = func(parts []batch.PromptPart) bool { return p.crash(name, parts) }
 		e.NextBehaviour = func() engine.Behaviour {
 			e.mu.Lock()
