Bound the grants for an endpoint by the limit that it states

Seen by callers of the endpoints: two that named limits of 3.3 and 2.6 requests a second in their answers went on getting what they had got before, 26 and 38 in 4 s (LIMIT; 25 and 21 are allowed). Cause: the statement did not reach the place that decides. Entry nodes passed the header on to callers; the cell, which grants every dispatch, bounds an endpoint by slots and memory and had no bound by time. Change: an endpoint's statement goes to the cell with the first token or the completion. The cell spaces grants by the limit. Grant requests carry the limits that the entry node knows, for a cell that knows nothing yet; an isolated standby cell takes its part. Why it works: each dispatch takes a grant, and an endpoint belongs to one cell, so the sum over all nodes is bounded where it is decided. Spacing leaves no burst; standing in and taking over cost a grant or two each.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -123,6 +123,8 @@
 	// MayRedirect allows the response sched.Redirected.
 	MayRedirect bool     `cbor:"19,keyasint,omitempty"`
 	PromptParts []uint64 `cbor:"20,keyasint,omitempty"`
+	// KnownLimits holds requests per second by endpoint.
+	KnownLimits map[string]float64 `cbor:"21,keyasint,omitempty"`
 }
 
 // FromGrantRequest converts a grant request for a cell.
@@ -134,7 +136,7 @@
 		Pool: string(cell.Pool), Cell: cell.Index, SettingsVersion: uint64(version),
 		FirstTokenTarget: int64(r.FirstTokenTarget), Zone: string(r.Zone), Avoid: convertNames[string](r.Avoid),
 		BlockTokens: convertInts[int64](r.BlockTokens), MayRedirect: r.MayRedirect,
-		PromptParts: convertInts[uint64](r.PromptParts),
+		PromptParts: convertInts[uint64](r.PromptParts), KnownLimits: convertLimits[string, float64](r.KnownLimits),
 	}
 }
 
@@ -162,6 +164,18 @@
 	return to
 }
 
+// convertLimits converts a map of limits by endpoint; an empty one becomes nil.
+func convertLimits[Name ~string, Limit ~float64, FromName ~string, FromLimit ~float64](from map[FromName]FromLimit) map[Name]Limit {
+	if len(from) == 0 {
+		return nil
+	}
+	to := map[Name]Limit{}
+	for name, limit := range from {
+		to[Name(name)] = max(Limit(limit), 0)
+	}
+	return to
+}
+
 // ToGrantRequest converts a received grant request. A tier out of range becomes
 // the lowest one, and negative token counts become 0.
 func (m GrantRequest) ToGrantRequest(now time.Time) *sched.GrantRequest {
@@ -172,7 +186,7 @@
 		Deadline: now.Add(time.Duration(m.Remaining)), Prefix: convertInts[ident.Fingerprint](m.Prefix),
 		FirstTokenTarget: time.Duration(m.FirstTokenTarget), Zone: ident.AvailabilityZone(m.Zone), Avoid: convertNames[ident.Endpoint](m.Avoid),
 		BlockTokens: convertInts[ident.Tokens](m.BlockTokens), MayRedirect: m.MayRedirect,
-		PromptParts: convertInts[ident.PromptPart](m.PromptParts),
+		PromptParts: convertInts[ident.PromptPart](m.PromptParts), KnownLimits: convertLimits[ident.Endpoint, ident.Rate](m.KnownLimits),
 	}
 }
 
@@ -233,14 +247,29 @@
 	Known   bool `cbor:"1,keyasint,omitempty"`
 	Running int  `cbor:"2,keyasint,omitempty"`
 	Waiting int  `cbor:"3,keyasint,omitempty"`
+	// RateLimit is the endpoint's limit on requests per second, 0 for none.
+	RateLimit float64 `cbor:"4,keyasint,omitempty"`
 }
 
-// FromOccupancy converts an endpoint's request counts, nil if not known.
-func FromOccupancy(o *sched.Occupancy) Started {
-	if o == nil {
+// FromStatement converts an endpoint's statement, nil if there is none.
+func FromStatement(s *sched.Statement) Started {
+	if s == nil {
 		return Started{}
 	}
-	return Started{true, o.Running, o.Waiting}
+	m := Started{RateLimit: float64(s.RateLimit)}
+	if s.Occupancy != nil {
+		m.Known, m.Running, m.Waiting = true, s.Occupancy.Running, s.Occupancy.Waiting
+	}
+	return m
+}
+
+// ToStatement converts a received statement.
+func (m Started) ToStatement() sched.Statement {
+	s := sched.Statement{RateLimit: max(ident.Rate(m.RateLimit), 0)}
+	if m.Known {
+		s.Occupancy = &sched.Occupancy{Running: m.Running, Waiting: m.Waiting}
+	}
+	return s
 }
 
 // Progress reports the mean of the recent inter-token latencies.
@@ -265,26 +294,38 @@
 	Cancelled         bool   `cbor:"13,keyasint,omitempty"`
 	Leaving           bool   `cbor:"14,keyasint,omitempty"`
 	NoAnswer          bool   `cbor:"15,keyasint,omitempty"`
+	// Statement is nil if there is none.
+	Statement *Started `cbor:"16,keyasint,omitempty"`
 }
 
 // FromCompletion converts a completion. It leaves Request, Pool and Cell empty, which
 // are set only in a message with KindCompletedLate.
 func FromCompletion(c sched.Completion) Completion {
-	return Completion{
+	m := Completion{
 		Failed: c.Failed, Unused: c.Unused, TimeToFirstToken: int64(c.TimeToFirstToken), InterTokenLatency: int64(c.InterTokenLatency),
 		Uncached: int64(c.Uncached), Cached: int64(c.Cached), Output: int64(c.Output),
 		Refused: c.Refused, Erred: c.Erred, Cancelled: c.Cancelled, Leaving: c.Leaving, NoAnswer: c.NoAnswer,
 	}
+	if c.Statement != nil {
+		statement := FromStatement(c.Statement)
+		m.Statement = &statement
+	}
+	return m
 }
 
 // ToCompletion converts a received completion.
 func (m Completion) ToCompletion() sched.Completion {
-	return sched.Completion{
+	c := sched.Completion{
 		Failed: m.Failed, Unused: m.Unused, TimeToFirstToken: time.Duration(m.TimeToFirstToken),
 		InterTokenLatency: time.Duration(m.InterTokenLatency), Uncached: ident.Tokens(m.Uncached),
 		Cached: ident.Tokens(m.Cached), Output: ident.Tokens(m.Output),
 		Refused: m.Refused, Erred: m.Erred, Cancelled: m.Cancelled, Leaving: m.Leaving, NoAnswer: m.NoAnswer,
 	}
+	if m.Statement != nil {
+		statement := m.Statement.ToStatement()
+		c.Statement = &statement
+	}
+	return c
 }
 
 // InFlightQuery queries the requests of a cell that a node has in flight.
--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -116,8 +116,8 @@
 		idle.Reset(streamIdleTimeout)
 		switch f.kind {
 		case wire.KindStarted:
-			if started, err := link.Decode[wire.Started](f.body); err == nil && started.Known {
-				cell.UpdateOccupancy(id, sched.Occupancy{Running: started.Running, Waiting: started.Waiting})
+			if started, err := link.Decode[wire.Started](f.body); err == nil {
+				cell.UpdateEndpoint(id, started.ToStatement())
 			}
 			cell.FirstToken(id)
 		case wire.KindProgress:
--- a/internal/process/cells/standby.go
+++ b/internal/process/cells/standby.go
@@ -83,6 +83,9 @@
 		m.standby = map[standbyKey]*sched.Cell{}
 	}
 	c := m.newCell(id, pool, &localCell{})
+	if isIsolated {
+		c.LimitShare = 1 / float64(max(m.fleetSize(), 1))
+	}
 	m.standby[key] = c
 	m.hasCells.Set()
 	m.configureStandby()
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -102,6 +102,9 @@
 	Policy Policy
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
+	// LimitShare is the part of the endpoints' rate limits that the cell may use; 0 means
+	// all.
+	LimitShare float64
 	// Observe is called for each decision, with the cell's lock held.
 	Observe func(Decision)
 	// Ended is called when a granted request ends, with the cell's lock held. It is not
@@ -202,12 +205,23 @@
 	case c.isDeadlineUnreachable(r, now):
 		c.refuse(r, ReasonDeadlineUnreachable)
 	default:
+		c.learnLimits(r.KnownLimits, now)
 		c.queues[r.class].push(r)
 		c.grantWaiting(now)
 		c.shedExcess()
 	}
 }
 
+// learnLimits applies the rate limits that an entry node knows of endpoints that have
+// stated nothing to this cell yet, which may be new on this node.
+func (c *Cell) learnLimits(limits map[ident.Endpoint]ident.Rate, now time.Time) {
+	for id, limit := range limits {
+		if e := c.byID[id]; e != nil && !e.hasStated {
+			e.setLimit(limit, now)
+		}
+	}
+}
+
 // Cancel removes a waiting request. It reports whether the request was still
 // waiting; a request that has been granted must be ended with Complete.
 func (c *Cell) Cancel(r *GrantRequest) bool {
@@ -263,14 +277,19 @@
 	}
 }
 
-// UpdateOccupancy records an endpoint's own count of its requests, which it
-// reported when it began to answer the given granted request.
-func (c *Cell) UpdateOccupancy(id ident.RequestID, o Occupancy) {
+// UpdateEndpoint records what an endpoint stated of itself when it began to answer the
+// given granted request.
+func (c *Cell) UpdateEndpoint(id ident.RequestID, s Statement) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if g := c.inflight[id]; g != nil {
-		g.endpoint.updateExternalLoad(o, c.now())
+	g := c.inflight[id]
+	if g == nil {
+		return
 	}
+	if s.Occupancy != nil {
+		g.endpoint.updateExternalLoad(*s.Occupancy, c.now())
+	}
+	g.endpoint.updateLimit(s.RateLimit, g.grantedAt, c.now())
 }
 
 // Progress records the recent mean inter-token latency of a running request.
@@ -303,6 +322,9 @@
 	if completion.Leaving {
 		g.endpoint.hasAnnouncedLeaving = true
 	}
+	if completion.Statement != nil {
+		g.endpoint.updateLimit(completion.Statement.RateLimit, g.grantedAt, now)
+	}
 	c.finishPrefill(g)
 	c.recordCompletion(g, completion, now)
 	if c.Ended != nil && !g.isAdopted {
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -126,7 +127,7 @@
 	c.considered = c.considered[:0]
 	remaining := r.Deadline.Sub(now)
 	for _, e := range c.endpoints {
-		if e.reservedRound == c.round || !e.isOpen(now) || slices.Contains(r.Avoid, e.ID) {
+		if e.reservedRound == c.round || !e.isOpen(now) || !e.isWithinLimit(now) || slices.Contains(r.Avoid, e.ID) {
 			continue
 		}
 		uncached := c.uncachedTokens(r, e)
@@ -196,6 +197,7 @@
 		cached: cached, grantedAt: now, backlogAhead: e.backlog, prefix: r.Prefix, parts: r.PromptParts,
 	}
 	e.addGrant(g.charge, g.uncached)
+	e.spaceGrants(cmp.Or(c.LimitShare, 1), now)
 	c.prefixes.Insert(r.Prefix, r.BlockTokens, e.prefixSlot)
 	c.addInFlight(r.Request, g)
 	c.grantSequence++
--- a/internal/process/sched/script_test.go
+++ b/internal/process/sched/script_test.go
@@ -58,7 +58,7 @@
 		"can_shed": s.setCanShed, "granted": s.expectGranted, "waiting": s.expectWaiting, "refused": s.expectRefused,
 		"close_lower_requested": s.closeLowerRequested, "close_cell": s.closeCell, "pause": s.pause, "resume": s.resume, "window": s.expectWindow,
 		"adopt": s.adopt, "drop_node": s.dropNode, "load_report": s.loadReport, "mark_unreachable": s.markUnreachable,
-		"close_lower_not_requested": s.closeLowerNotRequested, "class_group": s.classGroup, "reconcile_adopted": s.reconcileAdopted,
+		"close_lower_not_requested": s.closeLowerNotRequested, "class_group": s.classGroup, "reconcile_adopted": s.reconcileAdopted, "statement": s.statement,
 	}
 	do, ok := commands[command]
 	qt.Assert(s.t, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", s.location, command))
@@ -123,6 +123,9 @@
 		for id := range strings.SplitSeq(args["avoid"], ",") {
 			r.Avoid = append(r.Avoid, ident.Endpoint(id))
 		}
+		if limit := s.intArg(args, "known_limit", 0); limit > 0 {
+			r.KnownLimits = map[ident.Endpoint]ident.Rate{"a": ident.Rate(limit)}
+		}
 		for i := range s.intArg(args, "prefix_blocks", 0) {
 			r.Prefix = append(r.Prefix, ident.Fingerprint(s.intArg(args, "conversation", 1)*1000+i))
 		}
@@ -144,10 +147,22 @@
 	}
 }
 
+// statement reports that endpoints began to answer requests and stated a limit.
+func (s *scriptRunner) statement(names []string, args map[string]string) {
+	for _, name := range names {
+		s.cell.UpdateEndpoint(ident.RequestID(name), Statement{RateLimit: ident.Rate(s.intArg(args, "limit", 0))})
+	}
+}
+
 func (s *scriptRunner) complete(names []string, args map[string]string) {
+	var statement *Statement
+	if args["limit"] != "" {
+		statement = &Statement{RateLimit: ident.Rate(s.intArg(args, "limit", 0))}
+	}
 	for _, name := range names {
 		s.cell.Complete(ident.RequestID(name), Completion{
-			Failed: args["failed"] == "yes", Unused: args["unused"] == "yes",
+			Statement: statement,
+			Failed:    args["failed"] == "yes", Unused: args["unused"] == "yes",
 			Refused: args["refused"] == "yes", Erred: args["erred"] == "yes", Cancelled: args["cancelled"] == "yes",
 			TimeToFirstToken: s.duration(args["first_token"]), InterTokenLatency: s.duration(args["inter_token"]),
 			Cached:   ident.Tokens(s.intArg(args, "cached", 0)),
--- a/internal/process/sched/topology.go
+++ b/internal/process/sched/topology.go
@@ -32,6 +32,7 @@
 		}
 		if e.StartedUnixMilli != spec.StartedUnixMilli {
 			e.hasAnnouncedLeaving = false
+			e.rateLimit, e.hasStated = 0, false
 		}
 		e.EndpointSpec = spec
 		c.byID[spec.ID] = e
@@ -254,7 +255,7 @@
 	for _, e := range c.endpoints {
 		slots := max(e.Slots-e.running-e.externalLoadAt(now), 0)
 		switch {
-		case e.health != healthy || !e.isOpen(now):
+		case e.health != healthy || !e.isOpen(now) || !e.isWithinLimit(now):
 		case e.Kind == ident.ApplicationRunner:
 			free += slots
 		case e.prefillTime(e.backlog) <= time.Duration(prefillFreeFraction*float64(c.Pool.FirstTokenTarget)):
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -37,6 +37,9 @@
 	BlockTokens []ident.Tokens
 	// PromptParts identifies the parts of the prompt, each whatever stands before it.
 	PromptParts []ident.PromptPart
+	// KnownLimits holds the rate limits that endpoints stated to the entry node. They
+	// apply to endpoints that have stated nothing to the cell yet.
+	KnownLimits map[ident.Endpoint]ident.Rate
 	// MayRedirect allows the outcome Redirected.
 	MayRedirect bool
 	// Wake, unless it is nil, is called once, with the cell's lock held, when a
@@ -144,6 +147,9 @@
 	// NoAnswer is set with Failed if the endpoint ended the connection before any part of
 	// the answer, as one that crashes does.
 	NoAnswer bool
+	// Statement is that of an answer which was not reported as started, nil if there is
+	// none.
+	Statement *Statement
 	// Leaving is set when the endpoint reported that it is shutting down. It gets
 	// no new grants until it has been started again.
 	Leaving bool
@@ -207,6 +213,15 @@
 	Draining bool
 }
 
+// Statement is what an endpoint states of itself in an answer.
+type Statement struct {
+	// Occupancy is nil if the endpoint does not state it.
+	Occupancy *Occupancy
+	// RateLimit is how many requests the endpoint takes from all nodes together, 0 for
+	// any number.
+	RateLimit ident.Rate
+}
+
 // Occupancy is an endpoint's count of its requests when it began to answer one.
 type Occupancy struct {
 	Running, Waiting int
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -86,6 +86,9 @@
 	Client *client.Client
 	// Clock is the node's hybrid logical clock.
 	Clock *clock.Clock
+	// KnownLimits returns the rate limits that endpoints stated to this node; nil means
+	// none.
+	KnownLimits func() map[ident.Endpoint]ident.Rate
 	// Record is called for each step of each request; it may be nil.
 	Record func(trace.Record)
 	// OnFinished is called with the result of each dispatch, for the metrics; it
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -28,10 +28,10 @@
 	Response sched.GrantResponse
 	// Received is when the response arrived; its TTL counts from then.
 	Received time.Time
-	// ReportStarted reports the first token to the cell, and the endpoint's count
-	// of its requests if known. ReportProgress reports the recent inter-token
+	// ReportStarted reports the first token to the cell, and what the endpoint stated of
+	// itself if that is known. ReportProgress reports the recent inter-token
 	// latency. Complete reports how the request went.
-	ReportStarted  func(*sched.Occupancy)
+	ReportStarted  func(*sched.Statement)
 	ReportProgress func(interToken time.Duration)
 	Complete       func(sched.Completion)
 }
@@ -175,6 +175,9 @@
 		FirstTokenTarget: j.FirstTokenTarget, Zone: e.Zone, Avoid: j.Avoid, BlockTokens: j.BlockTokens,
 		PromptParts: j.PromptParts,
 	}
+	if e.KnownLimits != nil {
+		req.KnownLimits = e.KnownLimits()
+	}
 	if local := e.Cells.LocalCell(cell); local != nil {
 		req.MayRedirect = !j.hasBeenRedirected
 		return e.requestFromCell(ctx, req, local)
@@ -268,9 +271,9 @@
 		return g
 	}
 	e.addInFlight(cell.ID, inFlightOf(req, g))
-	g.ReportStarted = func(o *sched.Occupancy) {
-		if o != nil {
-			cell.UpdateOccupancy(req.Request, *o)
+	g.ReportStarted = func(s *sched.Statement) {
+		if s != nil {
+			cell.UpdateEndpoint(req.Request, *s)
 		}
 		cell.FirstToken(req.Request)
 	}
@@ -324,8 +327,8 @@
 		return grant, true
 	}
 	e.addInFlight(cell, inFlightOf(req, grant))
-	grant.ReportStarted = func(o *sched.Occupancy) {
-		stream.Send(wire.KindStarted, wire.FromOccupancy(o)) //nolint:errcheck // the completion is reported in any case.
+	grant.ReportStarted = func(s *sched.Statement) {
+		stream.Send(wire.KindStarted, wire.FromStatement(s)) //nolint:errcheck // the completion is reported in any case.
 	}
 	grant.ReportProgress = func(interToken time.Duration) {
 		stream.Send(wire.KindProgress, wire.Progress{InterTokenLatency: int64(interToken)}) //nolint:errcheck // the completion is reported in any case.
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -57,6 +57,9 @@
 	stop := c.CloseWhenDone(ctx)
 	out := x.run(ctx)
 	out.completion.Leaving = x.isLeaving
+	if !x.hasReported {
+		out.completion.Statement = x.statement
+	}
 	if stop() && out.result != interrupted {
 		p.Conns.Put(c)
 		return out
@@ -72,8 +75,10 @@
 	state  *requestState
 	grant  *entry.Grant
 	sentAt time.Time
-	// occupancy is the endpoint's count of its requests, nil if not reported.
-	occupancy *sched.Occupancy
+	// statement is what the endpoint states of itself in its answer, nil before that.
+	// hasReported is set once it was reported to the cell.
+	statement   *sched.Statement
+	hasReported bool
 	// sendResult receives the result of sending a long body concurrently; it is nil
 	// if the body is short or its result has been received.
 	sendResult chan error
@@ -101,7 +106,6 @@
 		return x.fail(ctx, "the endpoint refused without saying that it did not run the request")
 	}
 	x.state.mayHaveRun = true
-	x.occupancy = info.Occupancy
 	if isSuccess(resp.StatusCode) && x.state.isStream() {
 		return x.forwardStream(ctx, resp)
 	}
@@ -110,7 +114,11 @@
 
 // observe records what the endpoint's answer says about the endpoint itself.
 func (x *exchange) observe(status int, info ResponseInfo) {
+	if status == http.StatusMisdirectedRequest {
+		return // another endpoint has the address now.
+	}
 	id := x.grant.Response.Endpoint
+	x.statement = &sched.Statement{Occupancy: info.Occupancy, RateLimit: info.RateLimit}
 	if status == http.StatusServiceUnavailable && info.RetryAfter > 0 {
 		x.proxy.holdOffs.add(id, time.Now(), info.RetryAfter)
 	}
@@ -125,6 +133,12 @@
 	}
 }
 
+// reportStarted reports the first part of the answer to the cell.
+func (x *exchange) reportStarted() {
+	x.hasReported = true
+	x.grant.ReportStarted(x.statement)
+}
+
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
 // impliesNotRun reports whether callers conclude from a status that the request
@@ -279,7 +293,7 @@
 		return x.failWithoutAnswer(ctx, "the answer broke off: "+err.Error(), err)
 	}
 	took := time.Since(x.sentAt)
-	x.grant.ReportStarted(x.occupancy)
+	x.reportStarted()
 	isFailure := resp.StatusCode >= http.StatusInternalServerError
 	out := outcome{completion: sched.Completion{TimeToFirstToken: took, Erred: isFailure}}
 	if len(body) > maxBufferedBytes {
--- a/internal/request/proxy/script_test.go
+++ b/internal/request/proxy/script_test.go
@@ -215,7 +215,7 @@
 	s.granted++
 	return &entry.Grant{
 		Response: sched.GrantResponse{Outcome: sched.Granted, Endpoint: name, Address: string(name), TTL: time.Second},
-		Received: time.Now(), ReportStarted: func(*sched.Occupancy) {}, ReportProgress: func(time.Duration) {},
+		Received: time.Now(), ReportStarted: func(*sched.Statement) {}, ReportProgress: func(time.Duration) {},
 		Complete: func(c sched.Completion) { s.completions = append(s.completions, c) },
 	}, nil
 }
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -179,7 +179,7 @@
 	t.events++
 	if t.events == 1 {
 		t.firstEvent, t.reportedAt, t.reportedEvents = now, now, 1
-		x.grant.ReportStarted(x.occupancy)
+		x.reportStarted()
 		return
 	}
 	if took := now.Sub(t.reportedAt); took >= progressInterval {
