Bound what is read of answers that do not end

Seen by callers: an endpoint that sent a status line, a header line, header lines or informational answers without end held a request until its deadline, while the node read on: 16 MB in the test, where the stand-in stalls, and any amount without that. The same for the body of an answer to another request or of one that was not run. Cause: net/http bounds the heads of requests only, and bodies that are not used were read to their end for the sake of the connection. Evidence: proxy/endless failed in five of its eight cases, with 16,777,216 bytes read each and the answer deadline_passed. Change: a head has 64 KB at most, a body that is not used 64 KB and 250 ms; then the connection is closed and the request is retried as its route allows. Why it works: both bounds are on bytes and hold for each connection, whatever the bytes are. Bodies of answers in use were bounded before, by the deadline and by the length of an event. Measured: all eight cases of proxy/endless pass, each without a wait.

--- a/internal/connection/conn/conn.go
+++ b/internal/connection/conn/conn.go
@@ -54,6 +54,9 @@
 	// bufferBytes is the size of the read buffer, and the length up to which a body is
 	// always sent in a single write with its head.
 	bufferBytes = 4 << 10
+	// maxHeadBytes bounds what is read for the head of an answer, informational answers
+	// included.
+	maxHeadBytes = 64 << 10
 	// maxInformational is the number of answers after which Receive gives up if all
 	// of them were informational (1xx).
 	maxInformational = 8
@@ -78,8 +81,10 @@
 	// Reused reports whether the connection has carried an exchange before.
 	Reused bool
 
-	address     string
-	reader      *bufio.Reader
+	address string
+	reader  *bufio.Reader
+	// headLimit is the source of reader.
+	headLimit   headLimiter
 	writeBuffer []byte
 	// hasWritten reports whether a byte of the current request was written.
 	hasWritten atomic.Bool
@@ -140,7 +145,31 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", address)
 	}
-	return &Conn{Conn: c, address: address, reader: bufio.NewReaderSize(c, bufferBytes)}, nil
+	conn := &Conn{Conn: c, address: address, headLimit: headLimiter{Conn: c}}
+	conn.reader = bufio.NewReaderSize(&conn.headLimit, bufferBytes)
+	return conn, nil
+}
+
+var errHeadTooLong = eris.Errorf("the head of the answer has more than %d bytes", maxHeadBytes)
+
+// headLimiter reads from a connection. While isInHead is set, it fails after remaining
+// bytes, since net/http bounds the heads of requests only.
+type headLimiter struct {
+	net.Conn
+	isInHead  bool
+	remaining int
+}
+
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if !l.isInHead {
+		return l.Conn.Read(b)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.Conn.Read(b[:min(len(b), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 // DialCount returns the number of dials, including those that failed.
@@ -282,6 +311,8 @@
 // connection is reusable once the body has been read to its end, unless the header
 // forbids it or does not delimit the body.
 func (c *Conn) Receive(method string) (*http.Response, error) {
+	c.headLimit.isInHead, c.headLimit.remaining = true, maxHeadBytes
+	defer func() { c.headLimit.isInHead = false }()
 	for range maxInformational {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -20,6 +20,10 @@
 	maxBufferedBytes = 256 << 10
 	// maxMismatched limits the mismatched answers that are skipped in one exchange.
 	maxMismatched = 2
+	// maxDiscardedBytes and discardTimeout limit the reading of a body that is not used,
+	// for the sake of the connection.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 250 * time.Millisecond
 	// maxInlineBodyBytes is the longest body that is sent before the answer is
 	// read; it fits into the connection's window. Longer bodies are sent
 	// concurrently.
@@ -195,8 +199,8 @@
 			}
 			return resp, info, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, ResponseInfo{}, err
+		if !x.discard(resp.Body) {
+			break
 		}
 		x.DisableReuse()
 	}
@@ -254,10 +258,21 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// discard reads a body that is not used to its end. It returns false if that does not
+// come within maxDiscardedBytes and discardTimeout; then the connection cannot be used
+// further.
+func (x *exchange) discard(body io.Reader) bool {
+	if x.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes+1))
+	return err == nil && n <= maxDiscardedBytes && x.SetReadDeadline(time.Time{}) == nil
+}
+
 // handleNotRun handles an answer by which the endpoint reports that it did not
 // run the request.
 func (x *exchange) handleNotRun(resp *http.Response) outcome {
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+	if !x.discard(resp.Body) {
 		x.DisableReuse()
 	}
 	return outcome{rejected, "the endpoint answered " + resp.Status + " and did not run it", sched.Completion{
--- a/internal/request/proxy/script_test.go
+++ b/internal/request/proxy/script_test.go
@@ -116,6 +116,9 @@
 		s.checkAnswer(args)
 	case "arrived":
 		s.checkArrivals(args)
+	case "endless_read":
+		read := s.engines[args[0]].EndlessBytes()
+		qt.Check(s.T, read <= s.ParseInt(args[2]), qt.IsTrue, qt.Commentf("%s: %d bytes", s.Position, read))
 	default:
 		s.Fatalf("%s: unknown command %s", s.Position, command)
 	}
@@ -187,6 +190,9 @@
 			b.SendTwice = true
 		case "early":
 			b.AnswerBeforeBody = true
+		case "endless":
+			i++
+			b.Endless = engine.EndlessPart(args[i])
 		case "drop":
 			b.CloseUnanswered = true
 		case "whole", "cut", "torn", "silent":
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -97,8 +97,28 @@
 	AnswerBeforeBody bool
 	// CloseUnanswered closes the connection without an answer.
 	CloseUnanswered bool
+	// Endless sends bytes without end in this part of the answer, until the caller closes
+	// the connection; "" for none.
+	Endless EndlessPart
 }
 
+// EndlessPart is a part of an answer. Test scripts use its values.
+type EndlessPart string
+
+// The parts of an answer that can be endless: its status line, a header line, its header
+// lines, informational answers before it, or its body, which then has no length.
+const (
+	EndlessStatus        EndlessPart = "status_line"
+	EndlessLine          EndlessPart = "line"
+	EndlessHead          EndlessPart = "head"
+	EndlessInformational EndlessPart = "informational"
+	EndlessBody          EndlessPart = "body"
+)
+
+// maxEndlessBytes is the number of bytes after which an endless answer stalls, so that a
+// caller that reads on does not exhaust the memory.
+const maxEndlessBytes = 16 << 20
+
 // ReceivedRequest is a request that the engine has received.
 type ReceivedRequest struct {
 	Method, Target string
@@ -128,6 +148,8 @@
 
 	mu       sync.Mutex
 	received []ReceivedRequest
+	// endlessBytes counts the bytes of endless answers.
+	endlessBytes int
 }
 
 // ReceivedRequests returns the requests received so far, in order.
@@ -137,6 +159,48 @@
 	return append([]ReceivedRequest(nil), e.received...)
 }
 
+// EndlessBytes returns the number of bytes that callers have read of endless answers.
+func (e *Engine) EndlessBytes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.endlessBytes
+}
+
+// writeEndless sends an endless answer until the caller closes the connection.
+func (e *Engine) writeEndless(c net.Conn, id string, b Behaviour) {
+	if b.MismatchedID != "" {
+		id = b.MismatchedID
+	}
+	start, repeated := "HTTP/1.1 200 ", "x"
+	switch b.Endless {
+	case EndlessLine:
+		start = "HTTP/1.1 200 OK\r\nX-Long: "
+	case EndlessHead:
+		start, repeated = "HTTP/1.1 200 OK\r\n", "X-Many: yes\r\n"
+	case EndlessInformational:
+		start, repeated = "", "HTTP/1.1 102 Processing\r\n\r\n"
+	case EndlessBody:
+		start = e.head(id, b, -1)
+	}
+	if !send(c, start) {
+		return
+	}
+	block := []byte(strings.Repeat(repeated, bufferBytes/len(repeated)))
+	for total := 0; total < maxEndlessBytes; total += len(block) {
+		n, err := c.Write(block)
+		e.mu.Lock()
+		e.endlessBytes += n
+		e.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
+	io.Copy(io.Discard, c) //nolint:errcheck // blocks until the connection is closed.
+}
+
+// bufferBytes is the size of one write of an endless answer.
+const bufferBytes = 4 << 10
+
 // Serve answers the requests of a connection, one after the other, and closes it
 // when it cannot be reused.
 func (e *Engine) Serve(c net.Conn) {
@@ -177,6 +241,10 @@
 		return e.generate(c, r, req)
 	}
 	time.Sleep(b.EventInterval)
+	if b.Endless != "" {
+		e.writeEndless(c, req.Header.Get(AttemptIDHeader), b)
+		return false
+	}
 	return e.writeAnswer(c, req, b)
 }
 
