Take a stream without length and without events for broken off

Seen by callers: a stream without a length or chunks whose endpoint ended the connection right after the head reached them as a whole answer with no events. Cause: the end of the connection ends such an answer, and nothing told an endpoint that ended before its first event from one that had nothing to say. Evidence: proxy/stream_without_length failed in these cases before this change (status 200, no event, not truncated) and passed in the others: whole streams, and streams that end inside an event. Change: it has been broken off, and is retried or refused like any other. Why it works: no answer to a generation is empty, and with a length or chunks an empty one is still possible. It also keeps the end of an endpoint from being taken for a request that it completed. Measured: all cases of the script pass.

--- a/internal/request/proxy/script_test.go
+++ b/internal/request/proxy/script_test.go
@@ -190,6 +190,8 @@
 			b.SendTwice = true
 		case "early":
 			b.AnswerBeforeBody = true
+		case "no_events":
+			b.NoEvents = true
 		case "endless":
 			i++
 			b.Endless = engine.EndlessPart(args[i])
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -96,6 +96,9 @@
 	for {
 		e, err := readEvent(events, buffer)
 		buffer = e.raw
+		if errors.Is(err, io.EOF) && t.events == 0 && !isDelimited(resp) {
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			x.writeHead(resp)
 			x.proxy.lengths.observe(s.Request, ident.Tokens(t.events*t.eventTokens))
@@ -120,6 +123,12 @@
 	}
 }
 
+// isDelimited reports whether the end of an answer can be told from the end of its
+// connection.
+func isDelimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 var errEventOrder = eris.New("an event is missing or out of order")
 
 // advance checks that an event follows the last one and records its identifier.
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -87,9 +87,11 @@
 	// MismatchedID is the attempt ID of another request whose answer is sent first,
 	// "" for none.
 	MismatchedID string
-	// OmitLength omits the length of an answer with a Body; the end of the connection
-	// ends it.
+	// OmitLength omits the length of an answer with a Body or the chunks of a stream; the
+	// end of the connection ends it.
 	OmitLength bool
+	// NoEvents ends the connection after the head of a stream.
+	NoEvents bool
 	// SendTwice sends an answer with a Body twice.
 	SendTwice bool
 	// AnswerBeforeBody answers before the request's body is read and closes the
@@ -341,7 +343,11 @@
 }
 
 func (e *Engine) writeEvents(c net.Conn, req *http.Request, id string, b Behaviour) bool {
-	if !send(c, e.head(id, b, -2)) {
+	length, sendEvent := -2, sendChunk
+	if b.OmitLength {
+		length, sendEvent = -1, send
+	}
+	if !send(c, e.head(id, b, length)) || b.NoEvents {
 		return false
 	}
 	first := b.FirstEvent
@@ -360,10 +366,13 @@
 		if n == b.LastEvent && b.EndMode == EndMidEvent {
 			text = text[:len(text)/2]
 		}
-		if !sendChunk(c, text) {
+		if !sendEvent(c, text) {
 			return false
 		}
 	}
+	if b.OmitLength {
+		return b.EndMode == EndStalled && e.endAnswer(c, b)
+	}
 	if b.EndMode != "" && b.EndMode != EndComplete {
 		return e.endAnswer(c, b)
 	}
