Tell limits to standby cells and at a takeover only

Cause: every grant request carried all limits that its entry node knew. Where a part of a large pool names limits, that is some kilobytes for each request, of which the cell needs none once the endpoints have answered it. Change: the reply that lists what is in flight for a cell's new owner carries them, and grant requests for standby and isolated cells.

--- a/internal/connection/conn/conn.go
+++ b/internal/connection/conn/conn.go
@@ -320,14 +320,19 @@
 		}
 		if resp.StatusCode >= http.StatusOK {
 			c.maxIdle = parseKeepAlive(resp.Header)
-			isDelimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-			c.isReusable = !resp.Close && isDelimited && c.maxIdle > 0
+			c.isReusable = !resp.Close && IsDelimited(resp) && c.maxIdle > 0
 			return resp, nil
 		}
 	}
 	return nil, eris.New("the endpoint sent only informational answers")
 }
 
+// IsDelimited reports whether the end of an answer can be told from the end of its
+// connection.
+func IsDelimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // DisableReuse makes Put close the connection instead of keeping it for reuse.
 func (c *Conn) DisableReuse() { c.isReusable = false }
 
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -136,7 +136,7 @@
 		Pool: string(cell.Pool), Cell: cell.Index, SettingsVersion: uint64(version),
 		FirstTokenTarget: int64(r.FirstTokenTarget), Zone: string(r.Zone), Avoid: convertNames[string](r.Avoid),
 		BlockTokens: convertInts[int64](r.BlockTokens), MayRedirect: r.MayRedirect,
-		PromptParts: convertInts[uint64](r.PromptParts), KnownLimits: convertLimits[string, float64](r.KnownLimits),
+		PromptParts: convertInts[uint64](r.PromptParts), KnownLimits: FromLimits(r.KnownLimits),
 	}
 }
 
@@ -164,6 +164,16 @@
 	return to
 }
 
+// FromLimits converts endpoints' rate limits.
+func FromLimits(limits map[ident.Endpoint]ident.Rate) map[string]float64 {
+	return convertLimits[string, float64](limits)
+}
+
+// ToLimits converts received rate limits. Negative ones become 0.
+func ToLimits(limits map[string]float64) map[ident.Endpoint]ident.Rate {
+	return convertLimits[ident.Endpoint, ident.Rate](limits)
+}
+
 // convertLimits converts a map of limits by endpoint; an empty one becomes nil.
 func convertLimits[Name ~string, Limit ~float64, FromName ~string, FromLimit ~float64](from map[FromName]FromLimit) map[Name]Limit {
 	if len(from) == 0 {
@@ -186,7 +196,7 @@
 		Deadline: now.Add(time.Duration(m.Remaining)), Prefix: convertInts[ident.Fingerprint](m.Prefix),
 		FirstTokenTarget: time.Duration(m.FirstTokenTarget), Zone: ident.AvailabilityZone(m.Zone), Avoid: convertNames[ident.Endpoint](m.Avoid),
 		BlockTokens: convertInts[ident.Tokens](m.BlockTokens), MayRedirect: m.MayRedirect,
-		PromptParts: convertInts[ident.PromptPart](m.PromptParts), KnownLimits: convertLimits[ident.Endpoint, ident.Rate](m.KnownLimits),
+		PromptParts: convertInts[ident.PromptPart](m.PromptParts), KnownLimits: ToLimits(m.KnownLimits),
 	}
 }
 
@@ -341,6 +351,8 @@
 	InFlight  []InFlight         `cbor:"1,keyasint,omitempty"`
 	Estimates []EndpointEstimate `cbor:"2,keyasint,omitempty"`
 	Levels    []CloseTiers       `cbor:"3,keyasint,omitempty"`
+	// Limits holds the rate limits that endpoints of any pool stated to the node.
+	Limits map[string]float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // InFlight is sched.InFlight on the wire.
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -91,6 +91,9 @@
 	// InFlight returns the requests of a cell that are in flight with this node
 	// as their entry node.
 	InFlight func(ident.CellID) []sched.InFlight
+	// KnownLimits returns the rate limits that endpoints stated to this node; nil means
+	// none.
+	KnownLimits func() map[ident.Endpoint]ident.Rate
 	// PollLoad requests the load report of an endpoint.
 	PollLoad func(context.Context, sched.EndpointSpec) (sched.LoadReport, error)
 	// PollCacheEvents requests the cache events of an endpoint after a sequence
--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -189,6 +189,9 @@
 			reply.Estimates = append(reply.Estimates, wire.FromEndpointEstimate(estimate))
 		}
 	}
+	if m.KnownLimits != nil {
+		reply.Limits = wire.FromLimits(m.KnownLimits())
+	}
 	for _, request := range m.admission.Pending(time.Now()) {
 		if request.Pool == id.Pool {
 			reply.Levels = append(reply.Levels, wire.FromCloseRequest(m.Self().ID, request))
@@ -216,6 +219,9 @@
 	for _, f := range m.InFlight(cell.ID) {
 		cell.Adopt(f)
 	}
+	if m.KnownLimits != nil {
+		cell.LearnLimits(m.KnownLimits())
+	}
 	for {
 		missing := m.queryMembers(ctx, cell, replied)
 		if missing == 0 {
@@ -325,6 +331,7 @@
 	for _, f := range r.InFlight {
 		cell.Adopt(f.ToInFlight(from))
 	}
+	cell.LearnLimits(wire.ToLimits(r.Limits))
 	for _, estimate := range r.Estimates {
 		cell.SetEstimate(estimate.ToEndpointEstimate())
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -183,7 +183,8 @@
 		Self: n.members.Self, Members: n.members.View, Tree: n.tree.Load, Open: n.Open,
 		RecentlyFailed: func() int { return n.members.RecentlyFailed(recentFailureWindow) },
 		InFlight:       n.entry.InFlight, Policy: n.Policy, Observe: n.recordDecision, Ended: n.recordEnded,
-		Clock: &n.hybridClock, OwnershipChanged: n.logOwnership,
+		KnownLimits: n.proxy.KnownLimits,
+		Clock:       &n.hybridClock, OwnershipChanged: n.logOwnership,
 		CloseRequestFailed: func(to ident.NodeID, err error) {
 			n.Log.Debug("floor_not_acknowledged", "peer", to, "error", err)
 		},
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -205,16 +205,23 @@
 	case c.isDeadlineUnreachable(r, now):
 		c.refuse(r, ReasonDeadlineUnreachable)
 	default:
-		c.learnLimits(r.KnownLimits, now)
+		c.learnLimits(r.KnownLimits)
 		c.queues[r.class].push(r)
 		c.grantWaiting(now)
 		c.shedExcess()
 	}
 }
 
-// learnLimits applies the rate limits that an entry node knows of endpoints that have
+// LearnLimits applies the rate limits that an entry node knows of endpoints that have
 // stated nothing to this cell yet, which may be new on this node.
-func (c *Cell) learnLimits(limits map[ident.Endpoint]ident.Rate, now time.Time) {
+func (c *Cell) LearnLimits(limits map[ident.Endpoint]ident.Rate) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.learnLimits(limits)
+}
+
+func (c *Cell) learnLimits(limits map[ident.Endpoint]ident.Rate) {
+	now := c.now()
 	for id, limit := range limits {
 		if e := c.byID[id]; e != nil && !e.hasStated {
 			e.setLimit(limit, now)
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -37,8 +37,9 @@
 	BlockTokens []ident.Tokens
 	// PromptParts identifies the parts of the prompt, each whatever stands before it.
 	PromptParts []ident.PromptPart
-	// KnownLimits holds the rate limits that endpoints stated to the entry node. They
-	// apply to endpoints that have stated nothing to the cell yet.
+	// KnownLimits holds the rate limits that endpoints stated to the entry node, in a
+	// request for a standby cell. They apply to endpoints that have stated nothing to the
+	// cell yet.
 	KnownLimits map[ident.Endpoint]ident.Rate
 	// MayRedirect allows the outcome Redirected.
 	MayRedirect bool
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -175,9 +175,6 @@
 		FirstTokenTarget: j.FirstTokenTarget, Zone: e.Zone, Avoid: j.Avoid, BlockTokens: j.BlockTokens,
 		PromptParts: j.PromptParts,
 	}
-	if e.KnownLimits != nil {
-		req.KnownLimits = e.KnownLimits()
-	}
 	if local := e.Cells.LocalCell(cell); local != nil {
 		req.MayRedirect = !j.hasBeenRedirected
 		return e.requestFromCell(ctx, req, local)
@@ -185,6 +182,9 @@
 	owners := e.Cells.PreferenceList(cell)
 	for i, owner := range owners[:min(len(owners), maxOwners)] {
 		isStandby := i > 0
+		if isStandby {
+			e.addKnownLimits(req)
+		}
 		req.MayRedirect = !j.hasBeenRedirected && !isStandby
 		if !isStandby && moves > maxMoves && len(owners) > 1 {
 			continue
@@ -210,11 +210,20 @@
 	}
 	if isolated := e.Cells.StandbyCell(cell, true); isolated != nil {
 		req.MayRedirect = false
+		e.addKnownLimits(req)
 		return e.requestFromCell(ctx, req, isolated)
 	}
 	return movedGrant()
 }
 
+// addKnownLimits adds the endpoints' rate limits to a request for a standby cell, which
+// may have seen no answers yet. A cell's owner gets them when it takes the cell over.
+func (e *Entry) addKnownLimits(req *sched.GrantRequest) {
+	if e.KnownLimits != nil {
+		req.KnownLimits = e.KnownLimits()
+	}
+}
+
 // maxOwners limits the nodes that are tried for a cell, the one that runs it
 // included, before this node uses an isolated standby cell.
 const maxOwners = 3
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"goldcrestwick/internal/connection/conn"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/version/config"
@@ -96,7 +97,7 @@
 	for {
 		e, err := readEvent(events, buffer)
 		buffer = e.raw
-		if errors.Is(err, io.EOF) && t.events == 0 && !isDelimited(resp) {
+		if errors.Is(err, io.EOF) && t.events == 0 && !conn.IsDelimited(resp) {
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
@@ -123,12 +124,6 @@
 	}
 }
 
-// isDelimited reports whether the end of an answer can be told from the end of its
-// connection.
-func isDelimited(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
 var errEventOrder = eris.New("an event is missing or out of order")
 
 // advance checks that an event follows the last one and records its identifier.
