End the reader of a grant request's stream with the request

Callers saw nothing; each such request left a goroutine and its buffers on the cell's node until the process ended. Cause: the reader hands frames over through a channel with room for two. When the node is done with a request before its entry node is, as after a freeze, further frames fill the channel, and the reader waits for ever, the closed stream notwithstanding. Change: the reader also ends with the request's context, which ends with its handler. Measured: TestReaderOfEndedRequestLeaks fails before (deadlock), passes now.

--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -33,11 +33,13 @@
 		return
 	}
 	m.Clock.Observe(clock.Time(message.Clock))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	woken := make(chan struct{}, 1)
 	request := message.ToGrantRequest(time.Now())
 	request.MayRedirect = request.MayRedirect && !message.Standby
 	request.Wake = func() { woken <- struct{}{} }
-	frames := readFrames(s)
+	frames := readFrames(ctx, s)
 	if !m.Submit(cell, request) && !waitForResponse(s, woken, frames) {
 		if !cell.Cancel(request) && request.Response.Outcome == sched.Granted {
 			cell.Complete(request.Request, sched.Completion{Unused: true})
@@ -75,8 +77,9 @@
 	}
 }
 
-// readFrames reads a stream until it ends, which closes the channel.
-func readFrames(s *link.Stream) <-chan frame {
+// readFrames reads a stream until it ends, which closes the channel, or ctx is done and
+// the stream is closed.
+func readFrames(ctx context.Context, s *link.Stream) <-chan frame {
 	frames := make(chan frame, 2)
 	go func() {
 		defer close(frames)
@@ -85,7 +88,11 @@
 			if err != nil {
 				return
 			}
-			frames <- frame{kind, body}
+			select {
+			case frames <- frame{kind, body}:
+			case <-ctx.Done():
+				return
+			}
 		}
 	}()
 	return frames
--- a/internal/process/cells/remote_test.go
+++ b/internal/process/cells/remote_test.go
@@ -33,6 +33,26 @@
 //	                        flight
 func TestTrackRequest(t *testing.T) { script.Run(t, "testdata/track_*.script", runTrackScript) }
 
+// TestReaderOfEndedRequestLeaks checks that the reader of a grant request's stream ends
+// with the request, although the entry node has sent more than the node has read.
+func TestReaderOfEndedRequestLeaks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		requester, server := link.NewStream(near), link.NewStream(far)
+		ctx, cancel := context.WithCancel(t.Context())
+		frames := readFrames(ctx, server)
+		go func() {
+			for requester.Send(wire.KindStarted, wire.Started{}) == nil {
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		<-frames
+		time.Sleep(time.Second)
+		cancel()
+		server.Close() //nolint:errcheck // the test fails if the reader is left.
+	})
+}
+
 // fakeEntryNode responds to in-flight queries according to its state.
 type fakeEntryNode struct {
 	state atomic.Value // string
