--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -95,6 +95,9 @@
 	// explained holds the endpoint runs whose crashes a blamed part explains, and when
 	// they were explained.
 	explained map[Endpoint]time.Time
+	// unconfirmed holds the time of the latest crash of each endpoint run, until it is
+	// confirmed.
+	unconfirmed map[Endpoint]time.Time
 	// completions counts the completed requests, and recent and older hold when
 	// requests with a part last completed.
 	completions   int
@@ -125,7 +128,9 @@
 	defer d.mu.Unlock()
 	if d.suspects == nil {
 		d.suspects = map[ident.PromptPart]*evidence{}
+		d.unconfirmed = map[Endpoint]time.Time{}
 	}
+	d.unconfirmed[c.Endpoint] = c.At
 	if !d.isExplained(c) {
 		for _, part := range c.Parts {
 			d.evidenceOf(part).add(crash{c.Endpoint, c.At, d.completions}, d.completedAt(part))
@@ -220,11 +225,13 @@
 	for _, part := range parts {
 		d.exonerate(part, now)
 	}
+	at, ok := d.unconfirmed[endpoint]
+	if age := now.Sub(at); !ok || age < reportDelay || age >= confirmDelay {
+		return
+	}
+	delete(d.unconfirmed, endpoint)
 	for _, e := range d.suspects {
-		e.remove(func(c crash) bool {
-			age := now.Sub(c.at)
-			return c.endpoint == endpoint && age >= reportDelay && age < confirmDelay
-		})
+		e.remove(func(c crash) bool { return c.endpoint == endpoint && now.Sub(c.at) < confirmDelay })
 	}
 }
 
@@ -292,6 +299,7 @@
 func (d *Detector) forgetOld(now time.Time) {
 	isOld := func(at time.Time) bool { return now.Sub(at) > evidenceTime }
 	maps.DeleteFunc(d.suspects, func(_ ident.PromptPart, e *evidence) bool { return isOld(e.lastCrash()) })
+	maps.DeleteFunc(d.unconfirmed, func(_ Endpoint, at time.Time) bool { return now.Sub(at) >= confirmDelay })
 	maps.DeleteFunc(d.explained, func(_ Endpoint, at time.Time) bool { return isOld(at) })
 }
 
