Quarantine crashing prompts on the product's own interface too

Cause: the same as of the part of a prompt that crashed one endpoint after the other; the path of serve had it as well. Found by looking for it there. Change: the beginnings of a prompt stand for its parts; relay reports an endpoint that ended before any part of the answer, and whole answers. A completion now states that the answer was whole, since relay reports callers that left without a mark of their own, and such a run must not exonerate a part.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -304,6 +304,7 @@
 	Cancelled         bool   `cbor:"13,keyasint,omitempty"`
 	Leaving           bool   `cbor:"14,keyasint,omitempty"`
 	NoAnswer          bool   `cbor:"15,keyasint,omitempty"`
+	IsWhole           bool   `cbor:"17,keyasint,omitempty"`
 	// Statement is nil if there is none.
 	Statement *Started `cbor:"16,keyasint,omitempty"`
 }
@@ -314,7 +315,7 @@
 	m := Completion{
 		Failed: c.Failed, Unused: c.Unused, TimeToFirstToken: int64(c.TimeToFirstToken), InterTokenLatency: int64(c.InterTokenLatency),
 		Uncached: int64(c.Uncached), Cached: int64(c.Cached), Output: int64(c.Output),
-		Refused: c.Refused, Erred: c.Erred, Cancelled: c.Cancelled, Leaving: c.Leaving, NoAnswer: c.NoAnswer,
+		Refused: c.Refused, Erred: c.Erred, Cancelled: c.Cancelled, Leaving: c.Leaving, NoAnswer: c.NoAnswer, IsWhole: c.IsWhole,
 	}
 	if c.Statement != nil {
 		statement := FromStatement(c.Statement)
@@ -329,7 +330,7 @@
 		Failed: m.Failed, Unused: m.Unused, TimeToFirstToken: time.Duration(m.TimeToFirstToken),
 		InterTokenLatency: time.Duration(m.InterTokenLatency), Uncached: ident.Tokens(m.Uncached),
 		Cached: ident.Tokens(m.Cached), Output: ident.Tokens(m.Output),
-		Refused: m.Refused, Erred: m.Erred, Cancelled: m.Cancelled, Leaving: m.Leaving, NoAnswer: m.NoAnswer,
+		Refused: m.Refused, Erred: m.Erred, Cancelled: m.Cancelled, Leaving: m.Leaving, NoAnswer: m.NoAnswer, IsWhole: m.IsWhole,
 	}
 	if m.Statement != nil {
 		statement := m.Statement.ToStatement()
--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -12,6 +12,7 @@
 	"goldcrestwick/internal/process/admit"
 	"goldcrestwick/internal/process/claims"
 	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/poison"
 	"goldcrestwick/internal/process/quota"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/trace"
@@ -42,8 +43,16 @@
 	}
 	response := sched.GrantResponse{Outcome: sched.Granted, Reason: sched.ReasonProbe, Endpoint: "e", Address: "a", Sequence: 4, TTL: 5, Cached: 6, Considered: 7, Waited: 8, RetryAfter: 9}
 	equal(roundTrip(t, FromGrantResponse(response)).ToGrantResponse(), response)
-	completion := sched.Completion{Failed: true, Unused: true, TimeToFirstToken: 1, InterTokenLatency: 2, Uncached: 3, Cached: 4, Output: 5}
+	completion := sched.Completion{
+		Failed: true, Unused: true, TimeToFirstToken: 1, InterTokenLatency: 2, Uncached: 3, Cached: 4, Output: 5, NoAnswer: true, IsWhole: true,
+		Statement: &sched.Statement{Occupancy: &sched.Occupancy{Running: 1, Waiting: 2}, RateLimit: 2.5},
+	}
 	equal(roundTrip(t, FromCompletion(completion)).ToCompletion(), completion)
+	crashes := []poison.Crash{{Endpoint: poison.Endpoint{ID: "e", StartedUnixMilli: 7}, At: now.Add(-time.Second), Parts: []ident.PromptPart{1 << 63, 2}}}
+	equal(roundTrip(t, FromCrashes(crashes, now)).ToCrashes(now), crashes)
+	equal(roundTrip(t, FromSuspects([]poison.Suspect{{Part: 5}})).ToParts(), []ident.PromptPart{5})
+	limits := map[ident.Endpoint]ident.Rate{"e": 0.5}
+	equal(ToLimits(roundTrip(t, InFlightReply{Limits: FromLimits(limits)}).Limits), limits)
 	acquire := quota.AcquireRequest{Tokens: 1, Refund: quota.Refund{Requests: 2, Tokens: 3}, RefundOnly: true}
 	equal(roundTrip(t, FromAcquireRequest("a", acquire)).ToAcquireRequest(), acquire)
 	equal(Acquire{Tokens: -1, RefundRequests: -2, RefundTokens: -3}.ToAcquireRequest(), quota.AcquireRequest{})
@@ -92,6 +101,7 @@
 // that the receiver computes the deadline from its own clock.
 func TestGrantRequest(t *testing.T) {
 	sent := testGrantRequest(9)
+	sent.PromptParts, sent.KnownLimits = []ident.PromptPart{1 << 63, 7}, map[ident.Endpoint]ident.Rate{"e": 2.5}
 	message := roundTrip(t, FromGrantRequest(sent, ident.CellID{Pool: "ekin/reports", Index: 3}, 7, now))
 	receiverNow := now.Add(time.Hour)
 	got := message.ToGrantRequest(receiverNow)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -202,6 +202,7 @@
 	n.entry = entry.Entry{
 		Self: n.Process.Name, Zone: n.Process.Zone, Cells: &n.cells, Open: n.Open, Keys: &n.keys, Quota: &n.quotaLimiter,
 		Client: n.Client, Clock: &n.hybridClock, Record: n.recordStep, OnFinished: n.recordLatencies, KnownLimits: n.proxy.KnownLimits,
+		Quarantined: n.findQuarantined,
 	}
 	n.front = front.CallerAPI{
 		Tree: n.tree.Load, Serve: n.entry.Serve, Addresses: n.addresses, IsReady: n.isReady,
--- a/internal/process/node/poison.go
+++ b/internal/process/node/poison.go
@@ -60,7 +60,7 @@
 		n.poison.unreported = append(n.poison.unreported, c)
 		n.poison.mu.Unlock()
 		n.poison.hasCrashes.Set()
-	case e.Completion.IsWhole():
+	case e.Completion.IsWhole:
 		n.poison.detector.Completed(endpoint, e.PromptParts, time.Now())
 	}
 }
@@ -192,6 +192,11 @@
 	}
 }
 
+// findQuarantined returns the first of the parts that is quarantined, and until when.
+func (n *Node) findQuarantined(parts []ident.PromptPart) (part ident.PromptPart, until time.Time, ok bool) {
+	return n.poison.quarantined.Find(parts, time.Now())
+}
+
 func partKey(part ident.PromptPart) string { return strconv.FormatUint(uint64(part), 16) }
 
 // quarantineRow is the value of a row of quarantineTable, whose key is the part.
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -43,9 +43,7 @@
 		LimitChanged: func(id ident.Endpoint, limit ident.Rate) {
 			n.Log.Info("endpoint_limit_changed", "endpoint", id, "requests_per_second", float64(limit))
 		},
-		Quarantined: func(parts []ident.PromptPart) (ident.PromptPart, time.Time, bool) {
-			return n.poison.quarantined.Find(parts, time.Now())
-		},
+		Quarantined: n.findQuarantined,
 	}
 	n.router = router.Router{
 		Tree: n.settingsOrNil, DecodeRequest: n.Platform.HeaderCodec.DecodeRequest, Serve: n.serveProxied,
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -148,6 +148,8 @@
 	// NoAnswer is set with Failed if the endpoint ended the connection before any part of
 	// the answer, as one that crashes does.
 	NoAnswer bool
+	// IsWhole is set when the endpoint ran the request and gave the whole answer.
+	IsWhole bool
 	// Statement is that of an answer which was not reported as started, nil if there is
 	// none.
 	Statement *Statement
@@ -167,11 +169,6 @@
 	Output ident.Tokens
 }
 
-// IsWhole reports whether the endpoint ran the request to its end.
-func (c Completion) IsWhole() bool {
-	return !c.Failed && !c.Unused && !c.Refused && !c.Erred && !c.Cancelled
-}
-
 // Ended reports the end of a granted request to Cell.Ended.
 type Ended struct {
 	Endpoint EndpointSpec
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -60,7 +60,8 @@
 	// BlockTokens holds the tokens of each block of the prompt, nil if all blocks
 	// have the same size.
 	BlockTokens []ident.Tokens
-	// PromptParts identifies the parts of the prompt, each whatever stands before it.
+	// PromptParts identifies the parts of the prompt, each whatever stands before it. If it
+	// is nil, the beginnings of the prompt stand for them.
 	PromptParts []ident.PromptPart
 	// Avoid lists endpoints at which the request has already failed.
 	Avoid []ident.Endpoint
@@ -86,6 +87,9 @@
 	Client *client.Client
 	// Clock is the node's hybrid logical clock.
 	Clock *clock.Clock
+	// Quarantined returns the first of the parts of a prompt that is quarantined, and
+	// until when; nil means that none is.
+	Quarantined func([]ident.PromptPart) (part ident.PromptPart, until time.Time, ok bool)
 	// KnownLimits returns the rate limits that endpoints stated to this node; nil means
 	// none.
 	KnownLimits func() map[ident.Endpoint]ident.Rate
@@ -148,11 +152,21 @@
 // run requests grants until one can be used, dispatches the request, and reports
 // its completion to the cell. Sent is true if anything was sent to an endpoint.
 func (e *Entry) run(ctx context.Context, j *Job, sink answer.Sink) (sent bool, refusal *refuse.Refusal) {
+	if j.PromptParts == nil {
+		j.PromptParts = partsOf(j.Request.Prefix)
+	}
 	for attempt := 1; ; attempt++ {
+		if refusal := e.quarantineRefusal(j); refusal != nil {
+			return false, refusal
+		}
 		g, refusal := e.RequestGrant(ctx, j)
 		if refusal != nil {
 			return false, refusal
 		}
+		if refusal := e.quarantineRefusal(j); refusal != nil {
+			g.Complete(sched.Completion{Unused: true})
+			return false, refusal
+		}
 		result, used := e.dispatch(ctx, j, g, sink)
 		if used && result.Sent {
 			return true, result.Refusal
@@ -166,6 +180,32 @@
 	}
 }
 
+// maxPromptParts bounds the beginnings of a prompt that stand for its parts, and thereby
+// the size of its grant request.
+const maxPromptParts = 16
+
+// partsOf returns the shortest beginnings of a prompt as its parts.
+func partsOf(prefix []ident.Fingerprint) []ident.PromptPart {
+	var parts []ident.PromptPart
+	for _, f := range prefix[:min(len(prefix), maxPromptParts)] {
+		parts = append(parts, ident.PromptPart(f))
+	}
+	return parts
+}
+
+// quarantineRefusal returns the refusal of a job with a quarantined part in its prompt,
+// or nil.
+func (e *Entry) quarantineRefusal(j *Job) *refuse.Refusal {
+	if e.Quarantined == nil {
+		return nil
+	}
+	part, until, ok := e.Quarantined(j.PromptParts)
+	if !ok {
+		return nil
+	}
+	return refuse.NewQuarantined(part, until)
+}
+
 func (e *Entry) callerGone(j *Job) *refuse.Refusal {
 	e.record(j, trace.Record{Event: trace.CallerGone})
 	return refuse.New(refuse.CallerGone, "the caller went away before the request was dispatched")
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -310,7 +310,9 @@
 	took := time.Since(x.sentAt)
 	x.reportStarted()
 	isFailure := resp.StatusCode >= http.StatusInternalServerError
-	out := outcome{completion: sched.Completion{TimeToFirstToken: took, Erred: isFailure}}
+	out := outcome{completion: sched.Completion{
+		TimeToFirstToken: took, Erred: isFailure, IsWhole: isSuccess(resp.StatusCode),
+	}}
 	if len(body) > maxBufferedBytes {
 		return x.forwardLongAnswer(ctx, resp, body, out)
 	}
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -24,7 +24,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -250,9 +249,7 @@
 	if !ok {
 		return nil
 	}
-	r := refuse.New(refuse.PromptQuarantined, fmt.Sprintf("endpoints crashed under requests with the part %x of this prompt", uint64(part)))
-	r.RetryAfter = time.Until(until)
-	return r
+	return refuse.NewQuarantined(part, until)
 }
 
 func (p *Proxy) newJob(r *Request) *entry.Job {
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -103,7 +103,9 @@
 		if errors.Is(err, io.EOF) {
 			x.writeHead(resp)
 			x.proxy.lengths.observe(s.Request, ident.Tokens(t.events*t.eventTokens))
-			return outcome{completion: t.completion()}
+			completion := t.completion()
+			completion.IsWhole = true
+			return outcome{completion: completion}
 		}
 		if err != nil && t.events == 0 {
 			return x.failWithoutAnswer(ctx, "the stream broke off: "+err.Error(), err)
--- a/internal/request/refuse/refuse.go
+++ b/internal/request/refuse/refuse.go
@@ -117,6 +117,13 @@
 	return &Refusal{Reason: reason, Message: message, RunState: NotRun}
 }
 
+// NewQuarantined returns the refusal of a request with a quarantined part in its prompt.
+func NewQuarantined(part ident.PromptPart, until time.Time) *Refusal {
+	r := New(PromptQuarantined, "endpoints crashed under requests with the part "+strconv.FormatUint(uint64(part), 16)+" of this prompt")
+	r.RetryAfter = time.Until(until)
+	return r
+}
+
 // NewMayHaveRun returns a refusal of a request that may have been executed.
 func NewMayHaveRun(reason Reason, message string) *Refusal {
 	return &Refusal{Reason: reason, Message: message, RunState: Unknown}
--- a/internal/request/relay/model.go
+++ b/internal/request/relay/model.go
@@ -136,7 +136,7 @@
 		}
 		return Result{Sent: sent, CallerGone: true, Completion: sched.Completion{Unused: !sent}}
 	}
-	result := Result{Sent: sent, Completion: sched.Completion{Failed: true}}
+	result := Result{Sent: sent, Completion: sched.Completion{Failed: true, NoAnswer: sent}}
 	result.Refusal = refuse.New(refuse.EndpointFailed, "the endpoint could not be reached: "+err.Error())
 	if sent {
 		result.Refusal.RunState = refuse.Unknown
@@ -264,11 +264,12 @@
 	var sinkErr sinkError
 	switch {
 	case err == nil:
+		result.Completion.IsWhole = true
 	case eris.As(err, &sinkErr) || ctx.Err() != nil:
 		result.CallerGone = true
 		r.cancel()
 	default:
-		result.Completion.Failed = true
+		result.Completion.Failed, result.Completion.NoAnswer = true, !m.headSent
 		result.Refusal = refuse.NewMayHaveRun(refuse.AnswerIncomplete, "the answer could not be made whole: "+err.Error())
 		r.cancel()
 	}
--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -88,6 +88,9 @@
 	// OnSend is called before each token is sent, with the number of tokens before
 	// it, and once with last set before the end of the answer. It can be nil.
 	OnSend func(id ident.RequestID, tokens int, last bool)
+	// CrashPrompt, if not nil, is called with the prompt of each generation request. If it
+	// returns true, the runner has crashed.
+	CrashPrompt func(prompt string) bool
 	// CacheDirectory is shared by all runners and counts wasted prefill. It can be nil.
 	CacheDirectory *CacheDirectory
 
--- a/internal/stand/runner/serve.go
+++ b/internal/stand/runner/serve.go
@@ -80,6 +80,9 @@
 		http.Error(w, "the body or X-Request-Id is bad", http.StatusBadRequest)
 		return
 	}
+	if m.CrashPrompt != nil && m.CrashPrompt(g.promptText()) {
+		panic(http.ErrAbortHandler)
+	}
 	s := newStream(id, isChat, g)
 	m.mu.Lock()
 	m.runCounts[id]++
--- a/internal/tool/fleet/crash_test.go
+++ b/internal/tool/fleet/crash_test.go
@@ -4,18 +4,76 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/request/refuse"
 	"goldcrestwick/internal/stand/batch"
 	"goldcrestwick/internal/stand/cloud"
 	"goldcrestwick/internal/stand/engine"
+	"goldcrestwick/internal/stand/pipes"
+	"goldcrestwick/internal/stand/runner"
+	"goldcrestwick/internal/version/config"
 )
 
+// TestPromptCrashesModelRunners checks that a prompt's beginning which crashes each model
+// runner is refused after few crashes on the nodes' own interface too, and that prompts
+// which share only a part of it are served.
+func TestPromptCrashesModelRunners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var crashes atomic.Int32
+		network := &pipes.Network{}
+		text := caseTree + "[endpoint.r3]\npool = chat\navailability_zone = z1\n[endpoint.r4]\npool = chat\navailability_zone = z2\n"
+		tree, err := config.Parse(map[string][]byte{"root.ini": []byte("[fleet]\nregion = r\n"), "teams/team.ini": []byte(text)}, 1)
+		qt.Assert(t, err, qt.IsNil)
+		c := &testCase{t: t, net: network}
+		c.client.Transport = &http.Transport{DialContext: network.Dial(callerHost), DisableKeepAlives: true}
+		c.fleet, err = Start(Options{
+			Tree: tree, Nodes: 3, Network: InMemory(network),
+			ConfigureRunner: func(id ident.Endpoint, r *runner.Runner) {
+				r.CrashPrompt = func(prompt string) bool {
+					if !strings.Contains(prompt, "crash") {
+						return false
+					}
+					crashes.Add(1)
+					network.Kill(EndpointHost(id))
+					time.AfterFunc(2*time.Second, func() { network.Revive(EndpointHost(id)) })
+					return true
+				}
+			},
+		})
+		qt.Assert(t, err, qt.IsNil)
+		common := strings.Repeat("system prompt ", 32)
+		send := func(i int, document string) attempt {
+			prompt := common + strings.Repeat(document, 64) + fmt.Sprint(" question ", i)
+			return c.sendTo(c.fleet.Nodes[i%3], "chat", "a", prompt)
+		}
+		for i := range 20 {
+			a := send(i, "crash ")
+			if i >= 6 {
+				qt.Check(t, a.reason, qt.Equals, string(refuse.PromptQuarantined), qt.Commentf("request %d", i))
+				qt.Check(t, a.run, qt.Equals, string(refuse.NotRun))
+			}
+			for range 3 {
+				a := send(i, "other ")
+				qt.Check(t, a.complete, qt.IsTrue, qt.Commentf("sound request %d: %+v", i, a))
+			}
+			time.Sleep(time.Second)
+		}
+		qt.Check(t, crashes.Load() <= 6, qt.IsTrue, qt.Commentf("%d crashes", crashes.Load()))
+		c.stop()
+	})
+}
+
 // crashLog holds the part of a prompt that crashes engines, and the crashes.
 type crashLog struct {
 	mu   sync.Mutex
