Refuse waiting requests as soon as a part of their prompts is quarantined

Cause: a request that waited in a cell when a part of its prompt was quarantined kept its place and was refused only once it got a grant; under overload that takes seconds, and the grant is lost for others. Change: a node that learns of a quarantine sheds such requests from its cells at once, with the end of the quarantine as the time to come back.

--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -109,6 +109,8 @@
 	got.Deadline = sent.Deadline
 	qt.Assert(t, got.Request, qt.Equals, sent.Request)
 	qt.Assert(t, got.Prefix, qt.DeepEquals, sent.Prefix)
+	qt.Assert(t, got.PromptParts, qt.DeepEquals, sent.PromptParts)
+	qt.Assert(t, got.KnownLimits, qt.DeepEquals, sent.KnownLimits)
 	qt.Assert(t, [4]int{int(got.Tier), got.Weight, int(got.Prompt), int(got.Output)}, qt.Equals, [4]int{3, 4, 6000, 600})
 	qt.Assert(t, message.CellID(), qt.Equals, ident.CellID{Pool: "ekin/reports", Index: 3})
 }
--- a/internal/process/cells/closures.go
+++ b/internal/process/cells/closures.go
@@ -95,6 +95,16 @@
 	}
 }
 
+// ShedQuarantined calls sched.Cell.ShedQuarantined for all cells that run here.
+func (m *Manager) ShedQuarantined(find func([]ident.PromptPart) (until time.Time, ok bool)) {
+	for _, lc := range m.localCells() {
+		lc.cell.ShedQuarantined(find)
+	}
+	for _, c := range m.standbyCells() {
+		c.ShedQuarantined(find)
+	}
+}
+
 func (m *Manager) sendCloseRequest(ctx context.Context, to member.Member, request admit.CloseRequest) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
--- a/internal/process/node/poison.go
+++ b/internal/process/node/poison.go
@@ -172,7 +172,7 @@
 	n.Log.Warn("prompt_part_quarantined", "part", partKey(s.Part), "crashed_endpoints", joinEndpoints(s.Endpoints),
 		"first_crash", now.Sub(s.Since), "new", isNew)
 	if isNew {
-		n.tasks.Go(n.broadcastState)
+		n.applyQuarantine()
 	}
 	n.tasks.Go(func() { n.writeQuarantines(ctx, map[ident.PromptPart]time.Time{s.Part: until}) }) //nolint:errcheck // gossip spreads it as well.
 }
@@ -188,10 +188,20 @@
 		}
 	}
 	if hasNew {
-		n.tasks.Go(n.broadcastState)
+		n.applyQuarantine()
 	}
 }
 
+// applyQuarantine refuses the requests that wait in this node's cells and have a
+// quarantined part, and tells the neighbors of the quarantine.
+func (n *Node) applyQuarantine() {
+	n.cells.ShedQuarantined(func(parts []ident.PromptPart) (time.Time, bool) {
+		_, until, ok := n.findQuarantined(parts)
+		return until, ok
+	})
+	n.tasks.Go(n.broadcastState)
+}
+
 // findQuarantined returns the first of the parts that is quarantined, and until when.
 func (n *Node) findQuarantined(parts []ident.PromptPart) (part ident.PromptPart, until time.Time, ok bool) {
 	return n.poison.quarantined.Find(parts, time.Now())
--- a/internal/process/sched/script_test.go
+++ b/internal/process/sched/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -58,7 +59,7 @@
 		"can_shed": s.setCanShed, "granted": s.expectGranted, "waiting": s.expectWaiting, "refused": s.expectRefused,
 		"close_lower_requested": s.closeLowerRequested, "close_cell": s.closeCell, "pause": s.pause, "resume": s.resume, "window": s.expectWindow,
 		"adopt": s.adopt, "drop_node": s.dropNode, "load_report": s.loadReport, "mark_unreachable": s.markUnreachable,
-		"close_lower_not_requested": s.closeLowerNotRequested, "class_group": s.classGroup, "reconcile_adopted": s.reconcileAdopted, "statement": s.statement,
+		"close_lower_not_requested": s.closeLowerNotRequested, "class_group": s.classGroup, "reconcile_adopted": s.reconcileAdopted, "statement": s.statement, "quarantine": s.quarantine,
 	}
 	do, ok := commands[command]
 	qt.Assert(s.t, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", s.location, command))
@@ -123,6 +124,11 @@
 		for id := range strings.SplitSeq(args["avoid"], ",") {
 			r.Avoid = append(r.Avoid, ident.Endpoint(id))
 		}
+		for part := range strings.SplitSeq(args["parts"], ",") {
+			if part != "" {
+				r.PromptParts = append(r.PromptParts, ident.PromptPart(part[0]))
+			}
+		}
 		if limit := s.intArg(args, "known_limit", 0); limit > 0 {
 			r.KnownLimits = map[ident.Endpoint]ident.Rate{"a": ident.Rate(limit)}
 		}
@@ -147,6 +153,13 @@
 	}
 }
 
+// quarantine sheds the waiting requests that have a part.
+func (s *scriptRunner) quarantine(names []string, _ map[string]string) {
+	s.cell.ShedQuarantined(func(parts []ident.PromptPart) (time.Time, bool) {
+		return time.Now().Add(time.Minute), slices.Contains(parts, ident.PromptPart(names[0][0]))
+	})
+}
+
 // statement reports that endpoints began to answer requests and stated a limit.
 func (s *scriptRunner) statement(names []string, args map[string]string) {
 	for _, name := range names {
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -100,6 +100,7 @@
 	ReasonTierClosed          Reason = "tier_closed_for_overload"
 	ReasonDeadlineUnreachable Reason = "deadline_unreachable"
 	ReasonDeadlinePassed      Reason = "deadline_passed"
+	ReasonPromptQuarantined   Reason = "prompt_quarantined"
 	ReasonCellMoved           Reason = "cell_moved"
 	ReasonIdleCell            Reason = "idle_cell"
 )
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -110,6 +110,7 @@
 	sched.ReasonOverload:            "the pool has more waiting requests than it can hold",
 	sched.ReasonTierClosed:          "the pool is overloaded and the tier is closed in favour of higher ones",
 	sched.ReasonDeadlineUnreachable: "no endpoint could finish the answer by the deadline",
+	sched.ReasonPromptQuarantined:   "endpoints crashed under requests with a part of this prompt",
 	sched.ReasonDeadlinePassed:      "the deadline passed while the request waited",
 }
 
