Send all events of the stand-in engine to slow readers

Cause: the stand-in engine sent one event each time it woke; when it had generated the last tokens meanwhile, as on a busy machine, it ended the stream and left out the events between. The nodes forwarded what they got. Change: it sends events until the last one is out. Measured: TestSlowReaderMissesEvents got 1 of 10 events before, all of them now.

--- a/internal/stand/engine/generate.go
+++ b/internal/stand/engine/generate.go
@@ -78,7 +78,7 @@
 	if generated >= generation.OutputTokens {
 		return send(w, e.head(id, Behaviour{}, -2)+"0\r\n\r\n")
 	}
-	for event := int(generated/perEvent) + 1; generated < generation.OutputTokens; event++ {
+	for event := int(generated/perEvent) + 1; ident.Tokens(event-1)*perEvent < generation.OutputTokens; event++ {
 		for until := min(ident.Tokens(event)*perEvent, generation.OutputTokens); generated < until; {
 			total, err := seq.Wait(ctx, generated)
 			switch {
