Soak of real processes

internal/tool/soak: nodes as processes on loopback, stand-ins of the store and of endpoints in the test, callers that keep their connections until the process at the other end is gone. A seed gives a plan of overlapping faults: SIGTERM, SIGKILL, SIGSTOP, a store that is away, slow, loses answers, its history or its latest seconds, settings, endpoints that crash, drain, name limits, and a part of prompts that crashes them. Checked: at most one run, refusals that are true, whole answers of one's own request, streams in order, stops that cut nothing, and both new rules.

--- a/internal/stand/cloud/cloud.go
+++ b/internal/stand/cloud/cloud.go
@@ -190,6 +190,16 @@
 	return keys
 }
 
+// Rows returns the values of a table's rows by key, whatever faults are set.
+func (p *Platform) Rows(table string) map[string][]byte {
+	rows := map[string][]byte{}
+	entries, _ := p.rowsInRange(table, "", "", "")
+	for _, e := range entries {
+		rows[e.key] = e.Value
+	}
+	return rows
+}
+
 // Objects returns the objects by name. The contents are not copied and must not be
 // changed.
 func (p *Platform) Objects() map[string][]byte {
--- /dev/null
+++ b/internal/tool/soak/caller.go
@@ -0,0 +1,121 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"goldcrestwick/internal/stand/engine"
+)
+
+const (
+	// eventCount is the number of events in a whole stream.
+	eventCount = 10
+	// requestTimeout is longer than the time-out of any route.
+	requestTimeout = 6 * time.Second
+	// callerPause is the longest pause of a caller between two requests.
+	callerPause = 120 * time.Millisecond
+)
+
+// record is one request of a caller and what came of it.
+type record struct {
+	id, kind, node string
+	isCrashing     bool
+	start, end     time.Time
+	// status is 0 without an answer. attempt and stamp are headers of the answer.
+	status         int
+	attempt, stamp string
+	body           string
+	// isCut is set if the connection ended before the end of the answer.
+	isCut bool
+	err   error
+}
+
+// runCaller sends requests until ctx is done. It keeps to a node's connection until the
+// connection ends.
+func (r *run) runCaller(ctx context.Context, number int) {
+	random := rand.New(rand.NewPCG(r.Seed, uint64(1+number)))
+	kinds := []string{"chat", "chat", "label", "book", "read"}
+	var client *http.Client
+	var node, address string
+	for i := 0; ctx.Err() == nil; i++ {
+		if client == nil {
+			if node, address = r.chooseNode(random); address == "" {
+				time.Sleep(callerPause)
+				continue
+			}
+			client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: requestTimeout}
+		}
+		rec := record{id: fmt.Sprintf("%d-%d-%d", r.Seed, number, i), kind: kinds[random.IntN(len(kinds))], node: node}
+		rec.isCrashing = r.world.crashing.Load() && strings.HasPrefix(rec.kind, "chat") && random.IntN(12) == 0
+		rec.send(ctx, client, address)
+		if ctx.Err() != nil {
+			return
+		}
+		r.mu.Lock()
+		r.records = append(r.records, rec)
+		r.mu.Unlock()
+		if rec.err != nil || rec.isCut {
+			client.CloseIdleConnections()
+			client = nil
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(callerPause))))
+	}
+}
+
+// chooseNode returns a node at random, its address empty if none is known.
+func (r *run) chooseNode(random *rand.Rand) (name, address string) {
+	addresses := r.world.addresses()
+	name = fmt.Sprint("n", random.IntN(r.Nodes))
+	return name, addresses[name]
+}
+
+// send sends the request and reads the answer.
+func (rec *record) send(ctx context.Context, client *http.Client, address string) {
+	rec.start = time.Now()
+	defer func() { rec.end = time.Now() }()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+rec.kind+"/x", io.NopCloser(strings.NewReader("body")))
+	if err != nil {
+		rec.err = err
+		return
+	}
+	req.Host, req.ContentLength = "h.example", int64(len("body"))
+	req.Header.Set(engine.AttemptIDHeader, rec.id)
+	req.Header.Set("X-Api-Key", "k1")
+	if rec.kind == "chat" || rec.kind == "label" {
+		part := "c"
+		if rec.isCrashing {
+			part = crashingPart
+		}
+		req.Header.Set(engine.TokenCountsHeader, "160,60")
+		req.Header.Set(engine.PromptPrefixHeader, fmt.Sprintf("a:50,b:40,%s:50,%x:20", part, rec.start.UnixNano()))
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		rec.err = err
+		return
+	}
+	defer resp.Body.Close() //nolint:errcheck // the body has been read.
+	rec.status, rec.attempt, rec.stamp = resp.StatusCode, resp.Header.Get(engine.AttemptIDHeader), resp.Header.Get(engine.ServerStampHeader)
+	raw, err := io.ReadAll(resp.Body)
+	rec.body, rec.isCut = string(raw), err != nil
+}
+
+// isWholeStream reports whether a body has all events in order.
+func isWholeStream(body string) bool { return body == streamText(eventCount) }
+
+// isStreamStart reports whether a body is a beginning of a stream.
+func isStreamStart(body string) bool { return strings.HasPrefix(streamText(eventCount), body) }
+
+func streamText(events int) string {
+	var b strings.Builder
+	for n := 1; n <= events; n++ {
+		b.WriteString("id: " + strconv.Itoa(n) + "\ndata: piece " + strconv.Itoa(n) + "\n\n")
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/tool/soak/check.go
@@ -0,0 +1,168 @@
+package soak
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"goldcrestwick/internal/stand/engine"
+)
+
+const (
+	// stableWindow is the time after a fault of a node that it needs to be in touch again.
+	stableWindow = 3 * time.Second
+	// graceTime is the time after SIGTERM for which requests are served, with a margin.
+	graceTime = 6 * time.Second
+	// limitWindow, limitFactor and limitSlack bound the requests at an endpoint that
+	// names a limit; maxLateCrashing bounds those with crashingPart later than
+	// stableWindow after the fifth crash.
+	limitWindow     = 4 * time.Second
+	limitFactor     = 1.5
+	limitSlack      = 5
+	maxLateCrashing = 3
+)
+
+// check checks all records against what the endpoints received.
+func (r *run) check() {
+	arrivals := map[string]int{}
+	for _, e := range slices.Concat(r.world.models, r.world.apps) {
+		for _, a := range e.ReceivedRequests() {
+			if want := a.Header.Get(engine.ExpectInstanceHeader); want == e.name {
+				arrivals[a.Header.Get(engine.AttemptIDHeader)]++
+			}
+		}
+	}
+	for _, rec := range r.records {
+		r.report.Sent++
+		r.checkRecord(rec, arrivals[rec.id])
+	}
+	r.checkCrashing()
+	for _, e := range r.world.models {
+		r.checkLimit(e)
+	}
+}
+
+// checkRecord checks one request that reached endpoints a number of times.
+func (r *run) checkRecord(rec record, arrivals int) {
+	isOnce := rec.kind == "book" || rec.kind == "label"
+	if isOnce && arrivals > 1 {
+		r.violation("%s %s reached endpoints %d times", rec.kind, rec.id, arrivals)
+	}
+	switch {
+	case rec.status == http.StatusServiceUnavailable || rec.status == http.StatusTooManyRequests || rec.status == http.StatusRequestTimeout:
+		r.report.Refused++
+		if isOnce && arrivals > 0 {
+			r.violation("%s %s was refused with %d and reached an endpoint", rec.kind, rec.id, rec.status)
+		}
+	case rec.status >= http.StatusBadRequest && rec.status < http.StatusInternalServerError:
+		r.violation("%s %s got %d", rec.kind, rec.id, rec.status)
+	case rec.status == http.StatusOK:
+		r.checkAnswer(rec)
+	case rec.err != nil:
+		r.checkCut(rec, arrivals)
+	}
+}
+
+func (r *run) checkAnswer(rec record) {
+	if rec.attempt != rec.id || !strings.HasSuffix(rec.stamp, "."+rec.id) {
+		r.violation("%s %s got the answer to %q, stamp %q", rec.kind, rec.id, rec.attempt, rec.stamp)
+	}
+	isStream := rec.kind == "chat" || rec.kind == "label"
+	switch {
+	case rec.isCut && (!isStream || isStreamStart(rec.body)):
+	case isStream && !rec.isCut && isWholeStream(rec.body), !isStream && rec.body == "done":
+		r.report.Whole++
+	default:
+		r.violation("%s %s got a wrong body, cut %v: %.200q", rec.kind, rec.id, rec.isCut, rec.body)
+	}
+}
+
+// checkCut checks a request that got no answer: its node was killed or frozen, was not
+// reached, ended its grace time, or ended an idle connection at the same moment.
+func (r *run) checkCut(rec record, arrivals int) {
+	var dial *net.OpError
+	if errors.As(rec.err, &dial) && dial.Op == "dial" || arrivals == 0 && rec.end.Sub(rec.start) < lostTime {
+		return
+	}
+	for _, at := range r.unplanned[rec.node] {
+		if at.Before(rec.end) && at.After(rec.start.Add(-stableWindow)) {
+			return
+		}
+	}
+	if stopped := r.stopped[rec.node]; !stopped.IsZero() && rec.end.Sub(stopped) > graceTime && stopped.After(rec.start.Add(-graceTime)) {
+		return
+	}
+	r.violation("%s %s at %s got no answer from %s between %s and %s, %d arrivals: %v",
+		rec.kind, rec.id, r.sinceStart(rec.start), rec.node, r.sinceStart(rec.start), r.sinceStart(rec.end), arrivals, rec.err)
+}
+
+// lostTime is the time within which a connection may be closed on which a request has
+// just been sent.
+const lostTime = 200 * time.Millisecond
+
+// checkCrashing checks that few requests with crashingPart reach endpoints after the
+// fifth crash. Those that a node sent within stableWindow after it was frozen don't
+// count.
+func (r *run) checkCrashing() {
+	var crashes []time.Time
+	for _, e := range r.world.models {
+		crashes = append(crashes, e.crashedAt...)
+	}
+	r.report.Crashes = len(crashes)
+	if len(crashes) < 5 {
+		return
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	late := 0
+	for _, e := range r.world.models {
+		for _, a := range e.ReceivedRequests() {
+			if strings.Contains(a.Header.Get(engine.PromptPrefixHeader), ","+crashingPart+":") &&
+				a.At.After(crashes[4].Add(stableWindow)) && !r.isNearUnplanned(a.At, stableWindow) {
+				late++
+			}
+		}
+	}
+	if late > maxLateCrashing {
+		r.violation("%d requests with the part %s reached endpoints after the fifth of %d crashes", late, crashingPart, len(crashes))
+	}
+}
+
+// isNearUnplanned reports whether any node was killed or frozen in a time before at.
+func (r *run) isNearUnplanned(at time.Time, before time.Duration) bool {
+	for _, times := range r.unplanned {
+		for _, fault := range times {
+			if fault.Before(at) && at.Sub(fault) < before {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkLimit checks the windows of an endpoint with a limit in which, and before which, no
+// node was killed or frozen.
+func (r *run) checkLimit(e *endpoint) {
+	if e.limitedAt.IsZero() {
+		return
+	}
+	var at []time.Time
+	for _, a := range e.ReceivedRequests() {
+		if a.At.After(e.limitedAt.Add(stableWindow)) {
+			at = append(at, a.At)
+		}
+	}
+	first := 0
+	for i := range at {
+		for at[i].Sub(at[first]) > limitWindow {
+			first++
+		}
+		count := i - first + 1
+		if float64(count) > limitFactor*limitRate*limitWindow.Seconds()+limitSlack && !r.isNearUnplanned(at[i], limitWindow+stableWindow) {
+			r.violation("%s got %d requests in %v to %s", e.name, count, limitWindow, r.sinceStart(at[i]))
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/tool/soak/soak.go
@@ -0,0 +1,137 @@
+// Package soak plays random plans of faults against nodes that run as real processes on
+// loopback, and checks from what callers and endpoints saw that the promises hold.
+//
+// A run has stand-ins for the store and for endpoints of both kinds in this process, some
+// nodes as processes, and callers that keep their connections until the process at the
+// other end is gone. A seed gives the plan: signals, kills and restarts of nodes, a store
+// that is away, slow or older, settings that change, endpoints that crash by themselves,
+// under a part of a prompt, or name a limit. Faults overlap. Timing differs from run to
+// run, so a seed repeats the plan, not every event.
+//
+// # Usage
+//
+//	report, err := soak.Run(ctx, soak.Options{Program: "./goldcrestwick", Dir: dir, Seed: 7})
+//	for _, v := range report.Violations { fmt.Println(v) }
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Options configures a run.
+type Options struct {
+	// Program is the path of the program under test, and Dir an empty folder for the
+	// nodes' settings and logs.
+	Program, Dir string
+	Seed         uint64
+	// Duration is the time with faults, Nodes the number of nodes and Callers that of
+	// callers. Zero values select 10 s, 4 and 16.
+	Duration       time.Duration
+	Nodes, Callers int
+}
+
+const (
+	defaultDuration = 10 * time.Second
+	defaultNodes    = 4
+	defaultCallers  = 16
+	// startTimeout bounds the start of the fleet.
+	startTimeout = 20 * time.Second
+	// settleTime is the time after the last fault in which callers still send.
+	settleTime = 2 * time.Second
+	// minPause and maxPause bound the time between two faults.
+	minPause, maxPause = 200 * time.Millisecond, 900 * time.Millisecond
+)
+
+// Report is the result of a run.
+type Report struct {
+	// Plan lists the faults with the time since the start.
+	Plan []string
+	// Sent counts the requests, Whole the whole answers, Refused the refusals that state
+	// that the request was not run, and Crashes the endpoints that a prompt crashed.
+	Sent, Whole, Refused, Crashes int
+	// Violations describes each broken promise.
+	Violations []string
+}
+
+// run is one run.
+type run struct {
+	Options
+	rand  *rand.Rand
+	world *world
+	start time.Time
+
+	mu     sync.Mutex
+	report Report
+	// unplanned holds the times of kills, freezes and ends of freezes, by node.
+	unplanned map[string][]time.Time
+	// stopped holds the time of the latest SIGTERM of each node.
+	stopped map[string]time.Time
+	records []record
+}
+
+// Run plays the plan of a seed. The error is that of a run that could not be played.
+func Run(ctx context.Context, o Options) (Report, error) {
+	if o.Duration == 0 {
+		o.Duration = defaultDuration
+	}
+	if o.Nodes == 0 {
+		o.Nodes = defaultNodes
+	}
+	if o.Callers == 0 {
+		o.Callers = defaultCallers
+	}
+	r := &run{
+		Options: o, rand: rand.New(rand.NewPCG(o.Seed, 0)),
+		unplanned: map[string][]time.Time{}, stopped: map[string]time.Time{},
+	}
+	var err error
+	if r.world, err = newWorld(o.Program, o.Dir, o.Nodes); err != nil {
+		return r.report, err
+	}
+	defer r.world.close()
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	err = r.world.waitReady(startCtx, o.Nodes)
+	cancel()
+	if err != nil {
+		return r.report, err
+	}
+	r.start = time.Now()
+	callersCtx, stopCallers := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for i := range o.Callers {
+		callers.Go(func() { r.runCaller(callersCtx, i) })
+	}
+	r.playPlan(ctx)
+	time.Sleep(settleTime)
+	stopCallers()
+	callers.Wait()
+	r.check()
+	return r.report, ctx.Err()
+}
+
+func (r *run) violation(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Violations = append(r.report.Violations, fmt.Sprintf(format, args...))
+}
+
+func (r *run) sinceStart(t time.Time) string { return t.Sub(r.start).Round(time.Millisecond).String() }
+
+// note adds a fault to the plan of the report.
+func (r *run) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Plan = append(r.report.Plan, r.sinceStart(time.Now())+" "+fmt.Sprintf(format, args...))
+}
+
+// noteUnplanned records a fault of a node that excuses its requests.
+func (r *run) noteUnplanned(name, what string) {
+	r.note("%s %s", name, what)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unplanned[name] = append(r.unplanned[name], time.Now())
+}
--- /dev/null
+++ b/internal/tool/soak/world.go
@@ -0,0 +1,388 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"goldcrestwick/internal/stand/batch"
+	"goldcrestwick/internal/stand/cloud"
+	"goldcrestwick/internal/stand/engine"
+)
+
+const (
+	modelCount, applicationCount = 8, 2
+	modelSlots                   = 6
+	// crashingPart is the part of a prompt that crashes models.
+	crashingPart = "bad"
+	// downTime is how long a crashed model is down.
+	downTime = 1500 * time.Millisecond
+	// limitRate is the limit on requests per second that models name.
+	limitRate = 2.0
+	// callTime is the duration of a call to an application.
+	callTime = 20 * time.Millisecond
+
+	settingsFormat = `[node]
+name = %s
+availability_zone = z
+region = r
+caller_address = 127.0.0.1:0
+peer_address = 127.0.0.1:0
+operator_address = 127.0.0.1:0
+[platform]
+store = %s
+[entry]
+directory_address = 127.0.0.1:0
+ready_address = 127.0.0.1:0
+metrics_address = 127.0.0.1:0
+zones = z:r
+memory = 284MiB
+grace = 8s
+[repeats]
+ratio = 0.2
+extra = 58
+window = 10s
+`
+)
+
+// world holds the stand-ins and the nodes.
+type world struct {
+	cloud    cloud.Platform
+	server   *httptest.Server
+	crashing atomic.Bool
+	models   []*endpoint
+	apps     []*endpoint
+	nodes    []*nodeProcess
+
+	mu      sync.Mutex
+	version int
+	isTaken map[string]bool
+}
+
+func newWorld(program, dir string, nodes int) (*world, error) {
+	w := &world{isTaken: map[string]bool{}}
+	w.server = httptest.NewServer(&w.cloud)
+	address := strings.TrimPrefix(w.server.URL, "http://")
+	for i := range modelCount {
+		e, err := newEndpoint(w, fmt.Sprint("m", i), "llm")
+		if err != nil {
+			return nil, err
+		}
+		w.models = append(w.models, e)
+	}
+	for i := range applicationCount {
+		e, err := newEndpoint(w, fmt.Sprint("a", i), "app")
+		if err != nil {
+			return nil, err
+		}
+		w.apps = append(w.apps, e)
+	}
+	w.listEndpoints()
+	w.writeSettings()
+	for i := range nodes {
+		n := &nodeProcess{name: fmt.Sprint("n", i), program: program, dir: dir, store: address}
+		w.nodes = append(w.nodes, n)
+		if err := n.start(); err != nil {
+			w.close()
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+func (w *world) close() {
+	for _, n := range w.nodes {
+		n.signal(syscall.SIGKILL)
+		n.wait() //nolint:errcheck // it was killed.
+	}
+	for _, e := range slices.Concat(w.models, w.apps) {
+		e.listener.Close() //nolint:errcheck // the run is over.
+	}
+	w.server.CloseClientConnections()
+	w.server.Close()
+}
+
+// take returns a node for a fault, or nil if it has one or only two are without.
+func (w *world) take(i int) *nodeProcess {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := w.nodes[i]
+	if w.isTaken[n.name] || len(w.isTaken) >= len(w.nodes)-2 {
+		return nil
+	}
+	w.isTaken[n.name] = true
+	return n
+}
+
+func (w *world) release(n *nodeProcess) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.isTaken, n.name)
+}
+
+// addresses returns the caller addresses of the nodes by name.
+func (w *world) addresses() map[string]string {
+	addresses := map[string]string{}
+	for name, value := range w.cloud.Rows("nodes") {
+		var row struct {
+			CallerAddress string `json:"caller_address"`
+		}
+		if json.Unmarshal(value, &row) == nil {
+			addresses[name] = row.CallerAddress
+		}
+	}
+	return addresses
+}
+
+// waitReady waits until every node serves a request.
+func (w *world) waitReady(ctx context.Context, nodes int) error {
+	for {
+		ready := 0
+		for name, address := range w.addresses() {
+			r := record{kind: "read", id: fmt.Sprint("ready-", name, "-", time.Now().UnixNano())}
+			if r.send(ctx, http.DefaultClient, address); r.status == http.StatusOK {
+				ready++
+			}
+		}
+		if ready == nodes {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Errorf("%d of %d nodes are ready", ready, nodes)
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// writeSettings writes a new version of the operator's settings.
+func (w *world) writeSettings() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "h.example", "prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": 4000 + w.version%5,
+			"target_latency_ms": 1000, "gap_aim_ms": 600, "attempts": attempts, "resumable": resumable,
+		}
+	}
+	w.put("op", "config", map[string]any{
+		"version": w.version,
+		"routes": []map[string]any{
+			route("chat", "stream", "llm", 2, true), route("label", "stream", "llm", 1, false),
+			route("book", "non_idempotent", "app", 2, false), route("read", "idempotent", "app", 2, false),
+		},
+		"services": []map[string]any{
+			{"name": "llm", "engine": map[string]any{"slots": modelSlots, "kv_capacity": 100000, "increment": 6}}, {"name": "app"},
+		},
+		"tenants": []map[string]any{{"name": "a1", "api_keys": []string{"k1"}, "unit": "token_stream", "plain_tokens": 100}},
+	})
+}
+
+func (w *world) put(table, key string, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // these values can be encoded.
+	}
+	w.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: table, Key: key, Value: raw}}})
+}
+
+// listEndpoints writes the rows of all endpoints that are up.
+func (w *world) listEndpoints() {
+	for _, e := range slices.Concat(w.models, w.apps) {
+		w.put("servers", e.name, e.row())
+	}
+}
+
+// endpoint is a stand-in endpoint on loopback.
+type endpoint struct {
+	engine.Engine
+	name, service string
+	world         *world
+	listener      net.Listener
+
+	mu        sync.Mutex
+	state     string
+	born      int64
+	isDown    bool
+	conns     map[net.Conn]bool
+	limitedAt time.Time
+	// crashedAt holds the crashes under crashingPart.
+	crashedAt []time.Time
+}
+
+func newEndpoint(w *world, name, service string) (*endpoint, error) {
+	e := &endpoint{name: name, service: service, world: w, state: "ready", born: 1, conns: map[net.Conn]bool{}}
+	e.ID = name
+	e.NextBehaviour = func() engine.Behaviour { return engine.Behaviour{Body: "done", EventInterval: callTime} }
+	if service == "llm" {
+		e.NextBehaviour = func() engine.Behaviour { return engine.Behaviour{} }
+		e.TokensPerEvent = 6
+		e.Batch = &batch.Engine{
+			Slots: modelSlots, MaxWaiting: modelSlots, CacheTokens: 50000, StepTime: 4 * time.Millisecond, PrefillTimePerToken: 50 * time.Microsecond,
+		}
+		e.Crash = e.crashUnder
+		e.RateLimit = e.limit
+	}
+	var err error
+	if e.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, eris.Wrap(err, "start an endpoint")
+	}
+	go e.accept()
+	return e, nil
+}
+
+func (e *endpoint) accept() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		if e.isDown {
+			e.mu.Unlock()
+			c.Close() //nolint:errcheck // it acts like a closed port.
+			continue
+		}
+		e.conns[c] = true
+		e.mu.Unlock()
+		go func() {
+			e.Serve(c)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			delete(e.conns, c)
+		}()
+	}
+}
+
+func (e *endpoint) row() map[string]any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return map[string]any{
+		"service": e.service, "address": e.listener.Addr().String(), "zone": "z", "slots": modelSlots, "state": e.state, "seq": 1, "born": e.born,
+	}
+}
+
+func (e *endpoint) setState(state string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = state
+}
+
+// setLimit makes the endpoint name a limit, and reports whether it named none before.
+func (e *endpoint) setLimit(rate float64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.limitedAt.IsZero() || rate == 0 {
+		return false
+	}
+	e.limitedAt = time.Now()
+	return true
+}
+
+func (e *endpoint) limit() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.limitedAt.IsZero() {
+		return ""
+	}
+	return fmt.Sprint(limitRate)
+}
+
+// crashUnder crashes the endpoint if a prompt has crashingPart.
+func (e *endpoint) crashUnder(parts []batch.PromptPart) bool {
+	if !slices.ContainsFunc(parts, func(p batch.PromptPart) bool { return p.ID == crashingPart }) {
+		return false
+	}
+	e.mu.Lock()
+	e.crashedAt = append(e.crashedAt, time.Now())
+	e.mu.Unlock()
+	e.crash(nil)
+	return true
+}
+
+// crash closes all connections and refuses new ones for downTime.
+func (e *endpoint) crash(faults *sync.WaitGroup) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isDown {
+		return
+	}
+	e.isDown = true
+	for c := range e.conns {
+		c.Close() //nolint:errcheck // it acts like a crash.
+	}
+	restart := func() {
+		time.Sleep(downTime)
+		e.mu.Lock()
+		e.isDown = false
+		e.born++
+		e.mu.Unlock()
+		e.world.put("servers", e.name, e.row())
+	}
+	if faults == nil {
+		go restart()
+		return
+	}
+	faults.Go(restart)
+}
+
+// nodeProcess is a node that runs as a process.
+type nodeProcess struct {
+	name, program, dir, store string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	starts  int
+}
+
+func (n *nodeProcess) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.starts++
+	settings := filepath.Join(n.dir, n.name+".ini")
+	if err := os.WriteFile(settings, fmt.Appendf(nil, settingsFormat, n.name, n.store), 0o600); err != nil {
+		return eris.Wrap(err, "write settings")
+	}
+	logFile, err := os.Create(filepath.Join(n.dir, fmt.Sprintf("%s.%d.log", n.name, n.starts)))
+	if err != nil {
+		return eris.Wrap(err, "create a log")
+	}
+	defer logFile.Close() //nolint:errcheck // the process has its own descriptor.
+	n.process = exec.Command(n.program, "entry")
+	n.process.Env = append(os.Environ(), "GOLDCRESTWICK_CONFIG="+settings)
+	n.process.Stdout, n.process.Stderr = logFile, logFile
+	return eris.Wrap(n.process.Start(), "start a node")
+}
+
+func (n *nodeProcess) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != nil && n.process.Process != nil {
+		n.process.Process.Signal(s) //nolint:errcheck // the process may have ended.
+	}
+}
+
+func (n *nodeProcess) wait() error {
+	n.mu.Lock()
+	process := n.process
+	n.mu.Unlock()
+	if process == nil {
+		return nil
+	}
+	return process.Wait()
+}
