Count requests answered in part as signs that endpoints work

Cause: a part was blamed only after eight other requests had completed since its first crash. Where it comes so often that each endpoint crashes soon after it is back, nothing completes, and it would never be blamed. Change: requests that had their first token count too, as those do that a crash takes along in the middle of their streams. Endpoints that fail with any request still blame nothing, since there no request gets so far.

--- a/internal/process/node/poison.go
+++ b/internal/process/node/poison.go
@@ -62,6 +62,8 @@
 		n.poison.hasCrashes.Set()
 	case e.Completion.IsWhole:
 		n.poison.detector.Completed(endpoint, e.PromptParts, time.Now())
+	case e.IsAnswered:
+		n.poison.detector.Answered()
 	}
 }
 
--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -8,9 +8,9 @@
 // therefore counts, for each part, the crashes of endpoints that held a request with the
 // part and had sent nothing of its answer. A part becomes a suspect after minCrashes such
 // crashes at different endpoints and times, if no request with it has completed meanwhile
-// but other requests have. Of several suspects, those are blamed with which no request has
-// completed for the longest time, and crashes that they explain no longer count against
-// the others.
+// but other requests have been answered. Of several suspects, those are blamed with which
+// no request has completed for the longest time, and crashes that they explain no longer
+// count against the others.
 //
 // The load pattern behind it is a stream of requests that share a document which crashes
 // the engines, among sound requests of the same callers.
@@ -54,9 +54,9 @@
 	evidenceTime = 30 * time.Minute
 	// maxSuspects bounds the parts with evidence. The weakest ones are dropped.
 	maxSuspects = 4096
-	// minCompletions is the number of requests that must have completed since the first
-	// crash. If fewer did, the endpoints fail with any request.
-	minCompletions = 8
+	// minAnswered is the number of requests that must have been answered, at least in part,
+	// since the first crash. If fewer were, the endpoints fail with any request.
+	minAnswered = 8
 	// maxCrashes bounds the crashes that are kept for a part, the latest ones.
 	maxCrashes = 16
 	// historyParts is the number of parts after which the older half of the completions
@@ -98,9 +98,9 @@
 	// unconfirmed holds the time of the latest crash of each endpoint run, until it is
 	// confirmed.
 	unconfirmed map[Endpoint]time.Time
-	// completions counts the completed requests, and recent and older hold when
-	// requests with a part last completed.
-	completions   int
+	// answered counts the requests that were answered at least in part, and recent and
+	// older hold when requests with a part last completed.
+	answered      int
 	recent, older map[ident.PromptPart]time.Time
 }
 
@@ -118,8 +118,8 @@
 type crash struct {
 	endpoint Endpoint
 	at       time.Time
-	// completions is the Detector's count at the time of the report.
-	completions int
+	// answered is the Detector's count at the time of the report.
+	answered int
 }
 
 // Crashed records a crash.
@@ -133,7 +133,7 @@
 	d.unconfirmed[c.Endpoint] = c.At
 	if !d.isExplained(c) {
 		for _, part := range c.Parts {
-			d.evidenceOf(part).add(crash{c.Endpoint, c.At, d.completions}, d.completedAt(part))
+			d.evidenceOf(part).add(crash{c.Endpoint, c.At, d.answered}, d.completedAt(part))
 		}
 	}
 	if len(d.suspects) > maxSuspects {
@@ -146,7 +146,7 @@
 func (d *Detector) isExplained(c Crash) bool {
 	for _, part := range c.Parts {
 		if e := d.suspects[part]; e != nil && e.isBlamed {
-			e.add(crash{c.Endpoint, c.At, d.completions}, d.completedAt(part))
+			e.add(crash{c.Endpoint, c.At, d.answered}, d.completedAt(part))
 			d.explain(c.Endpoint, c.At)
 		}
 	}
@@ -221,7 +221,7 @@
 func (d *Detector) Completed(endpoint Endpoint, parts []ident.PromptPart, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.completions++
+	d.answered++
 	for _, part := range parts {
 		d.exonerate(part, now)
 	}
@@ -235,6 +235,14 @@
 	}
 }
 
+// Answered records that a request was answered in part and did not complete, as happens to
+// those that are at an endpoint when it crashes.
+func (d *Detector) Answered() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answered++
+}
+
 // Exonerate records that a request with a part completed at another node.
 func (d *Detector) Exonerate(part ident.PromptPart, at time.Time) {
 	d.mu.Lock()
@@ -310,7 +318,7 @@
 		return Suspect{}, false
 	}
 	confirmed, moments := e.confirmed(now)
-	if moments < minCrashes || len(confirmed) <= e.blamedWith || d.completions-confirmed[0].completions < minCompletions {
+	if moments < minCrashes || len(confirmed) <= e.blamedWith || d.answered-confirmed[0].answered < minAnswered {
 		return Suspect{}, false
 	}
 	s := Suspect{Part: part, Since: confirmed[0].at}
--- a/internal/process/poison/script_test.go
+++ b/internal/process/poison/script_test.go
@@ -19,6 +19,7 @@
 //	complete ENDPOINT PART...  an endpoint completed a request of these parts
 //	wait T                     advances the clock
 //	others ENDPOINT            an endpoint completed ten requests with parts of their own
+//	answered N                 N requests were answered in part
 //	elsewhere PART             a request with the part completed at another node
 //	blamed PART...             checks the parts that are blamed, in any order
 //	pending yes|no             checks what Suspects returned for the last blamed line
@@ -39,6 +40,10 @@
 			for i := range 10 {
 				d.Completed(endpointOf(line.Args[0]), []ident.PromptPart{ident.PromptPart(500 + i)}, time.Now())
 			}
+		case "answered":
+			for range line.ParseInt(line.Args[0]) {
+				d.Answered()
+			}
 		case "elsewhere":
 			d.Exonerate(partsOf(line.Args)[0], time.Now())
 		case "wait":
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -332,11 +332,11 @@
 	if completion.Statement != nil {
 		g.endpoint.updateLimit(completion.Statement.RateLimit, g.grantedAt, now)
 	}
-	c.finishPrefill(g)
-	c.recordCompletion(g, completion, now)
 	if c.Ended != nil && !g.isAdopted {
-		c.Ended(Ended{g.endpoint.EndpointSpec, g.parts, completion})
+		c.Ended(Ended{g.endpoint.EndpointSpec, g.parts, g.isPrefillDone, completion})
 	}
+	c.finishPrefill(g)
+	c.recordCompletion(g, completion, now)
 	g.endpoint.removeGrant(g.charge)
 	*g = grant{}
 	c.freeGrants = append(c.freeGrants, g)
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -175,7 +175,9 @@
 	Endpoint EndpointSpec
 	// PromptParts is that of the grant request.
 	PromptParts []ident.PromptPart
-	Completion  Completion
+	// IsAnswered is set if the first token was reported.
+	IsAnswered bool
+	Completion Completion
 }
 
 // EndpointSpec describes an endpoint to a cell.
