Begin a new round of probes when the fleet has grown

Seen: member.TestLargeFleet failed in 1 of 40 runs: a node probed 16 members in 20 s where it has six neighbors. Cause: a node that knows up to 32 members probes all of them in turn, and went on with a round begun then after it had learned of hundreds; each probe makes a connection. Change: such a round is given up.

--- a/internal/process/member/list.go
+++ b/internal/process/member/list.go
@@ -296,6 +296,10 @@
 func (l *List) nextTarget() (Member, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.probeOrder) > zoneSuccessors+farSuccessors && len(l.View().Members) > maxFullMesh {
+		// The round began when the known fleet was small enough to probe all of it.
+		l.probeOrder = nil
+	}
 	for range 2 {
 		for len(l.probeOrder) > 0 {
 			id := l.probeOrder[0]
--- a/internal/process/member/updates_test.go
+++ b/internal/process/member/updates_test.go
@@ -36,3 +36,20 @@
 		qt.Assert(t, sent, qt.Contains, leaving, qt.Commentf("transmission %d", i+2))
 	}
 }
+
+// TestRoundOfSmallFleetGoesOn checks that a node which began a round of probes when it knew
+// few members probes only its neighbors once it knows many.
+func TestRoundOfSmallFleetGoesOn(t *testing.T) {
+	l := &List{}
+	l.Start(Member{ID: "self", Region: "r", State: Ready, Incarnation: 1})
+	l.Merge(fleetOf(maxFullMesh - 2))
+	_, ok := l.nextTarget()
+	qt.Assert(t, ok, qt.IsTrue)
+	l.Merge(fleetOf(180))
+	probed := map[ident.NodeID]bool{}
+	for range 2 * maxFullMesh {
+		m, _ := l.nextTarget()
+		probed[m.ID] = true
+	}
+	qt.Check(t, len(probed) <= zoneSuccessors+farSuccessors, qt.IsTrue, qt.Commentf("%d members", len(probed)))
+}
