Read a stream's last messages after its context is done

Cause: the reader of a grant request's stream ended with the stream's context since. That context is done once the entry node closes the stream, which it does right after the completion; the reader then dropped the completion by chance. The cell learned of the end by asking, as of a request that was not used: it kept the capacity meanwhile, forgot the prefix, and no crash and no whole answer reached the detector. TestCompletionLostWithStream fails before this commit. Change: the reader ends with its handler. Why it works: the handler ends only once it has read what it needs.

--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -33,13 +33,13 @@
 		return
 	}
 	m.Clock.Observe(clock.Time(message.Clock))
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	done := make(chan struct{})
+	defer close(done)
 	woken := make(chan struct{}, 1)
 	request := message.ToGrantRequest(time.Now())
 	request.MayRedirect = request.MayRedirect && !message.Standby
 	request.Wake = func() { woken <- struct{}{} }
-	frames := readFrames(ctx, s)
+	frames := readFrames(s, done)
 	if !m.Submit(cell, request) && !waitForResponse(s, woken, frames) {
 		if !cell.Cancel(request) && request.Response.Outcome == sched.Granted {
 			cell.Complete(request.Request, sched.Completion{Unused: true})
@@ -77,9 +77,10 @@
 	}
 }
 
-// readFrames reads a stream until it ends, which closes the channel, or ctx is done and
-// the stream is closed.
-func readFrames(ctx context.Context, s *link.Stream) <-chan frame {
+// readFrames reads a stream until it ends, which closes the channel, or done is closed.
+// The stream's context is no substitute for done: it ends when the requester closes the
+// stream, while its last messages are still to be read.
+func readFrames(s *link.Stream, done <-chan struct{}) <-chan frame {
 	frames := make(chan frame, 2)
 	go func() {
 		defer close(frames)
@@ -90,7 +91,7 @@
 			}
 			select {
 			case frames <- frame{kind, body}:
-			case <-ctx.Done():
+			case <-done:
 				return
 			}
 		}
--- a/internal/process/cells/remote_test.go
+++ b/internal/process/cells/remote_test.go
@@ -13,6 +13,7 @@
 
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/clock"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/request/ident"
@@ -36,11 +37,11 @@
 // TestReaderOfEndedRequestLeaks checks that the reader of a grant request's stream ends
 // with the request, although the entry node has sent more than the node has read.
 func TestReaderOfEndedRequestLeaks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		near, far := net.Pipe()
 		requester, server := link.NewStream(near), link.NewStream(far)
-		ctx, cancel := context.WithCancel(t.Context())
-		frames := readFrames(ctx, server)
+		done := make(chan struct{})
+		frames := readFrames(server, done)
 		go func() {
 			for requester.Send(wire.KindStarted, wire.Started{}) == nil {
 				time.Sleep(time.Millisecond)
@@ -48,11 +49,48 @@
 		}()
 		<-frames
 		time.Sleep(time.Second)
-		cancel()
+		close(done)
 		server.Close() //nolint:errcheck // the test fails if the reader is left.
 	})
 }
 
+// TestCompletionLostWithStream checks that a completion counts although the context of its
+// stream is done when it is read: it ends when the entry node closes the stream after
+// the completion.
+func TestCompletionLostWithStream(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			ended := 0
+			cell := &sched.Cell{
+				ID: testCell, Pool: &config.Pool{ID: testCell.Pool, QueueRequests: 10, QueueTokens: 1 << 20, InitialWindow: 4096},
+				Ended: func(e sched.Ended) {
+					if e.Completion.IsWhole {
+						ended++
+					}
+				},
+			}
+			cell.Configure(cell.Pool, []sched.EndpointSpec{{ID: "e", Slots: 1}})
+			m := &Manager{
+				Self: func() member.Member { return member.Member{ID: "self"} }, Clock: &clock.Clock{},
+				local: map[ident.CellID]*localCell{testCell: {cell: cell}},
+			}
+			near, far := net.Pipe()
+			requester, server := link.NewStream(near), link.NewStream(far)
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			request := wire.FromGrantRequest(&sched.GrantRequest{Request: "r", Node: "entry", Deadline: time.Now().Add(time.Hour)}, testCell, 1, time.Now())
+			go m.serveGrantRequest(ctx, server, request)
+			_, _, err := requester.Receive()
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, requester.Send(wire.KindCompleted, wire.FromCompletion(sched.Completion{IsWhole: true})), qt.IsNil)
+			synctest.Wait()
+			qt.Check(t, ended, qt.Equals, 1)
+			requester.Close() //nolint:errcheck // the test is over.
+			server.Close()    //nolint:errcheck // the test is over.
+		})
+	}
+}
+
 // fakeEntryNode responds to in-flight queries according to its state.
 type fakeEntryNode struct {
 	state atomic.Value // string
