--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -212,23 +212,6 @@
 	}
 }
 
-// LearnLimits applies the rate limits that an entry node knows of endpoints that have
-// stated nothing to this cell yet, which may be new on this node.
-func (c *Cell) LearnLimits(limits map[ident.Endpoint]ident.Rate) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.learnLimits(limits)
-}
-
-func (c *Cell) learnLimits(limits map[ident.Endpoint]ident.Rate) {
-	now := c.now()
-	for id, limit := range limits {
-		if e := c.byID[id]; e != nil && !e.hasStated {
-			e.setLimit(limit, now)
-		}
-	}
-}
-
 // Cancel removes a waiting request. It reports whether the request was still
 // waiting; a request that has been granted must be ended with Complete.
 func (c *Cell) Cancel(r *GrantRequest) bool {
@@ -284,21 +267,6 @@
 	}
 }
 
-// UpdateEndpoint records what an endpoint stated of itself when it began to answer the
-// given granted request.
-func (c *Cell) UpdateEndpoint(id ident.RequestID, s Statement) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	g := c.inflight[id]
-	if g == nil {
-		return
-	}
-	if s.Occupancy != nil {
-		g.endpoint.updateExternalLoad(*s.Occupancy, c.now())
-	}
-	g.endpoint.updateLimit(s.RateLimit, g.grantedAt, c.now())
-}
-
 // Progress records the recent mean inter-token latency of a running request.
 func (c *Cell) Progress(id ident.RequestID, latency time.Duration) {
 	c.mu.Lock()
@@ -381,30 +349,6 @@
 	}
 }
 
-// ShedQuarantined sheds the waiting requests whose prompts have a quarantined part. Find
-// returns the end of the quarantine.
-func (c *Cell) ShedQuarantined(find func([]ident.PromptPart) (until time.Time, ok bool)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.now()
-	for class := range c.queues {
-		var quarantined []*GrantRequest
-		c.queues[class].each(func(r *GrantRequest) bool {
-			if _, ok := find(r.PromptParts); ok {
-				quarantined = append(quarantined, r)
-			}
-			return true
-		})
-		for _, r := range quarantined {
-			until, _ := find(r.PromptParts)
-			c.queues[class].remove(r)
-			c.respond(r, GrantResponse{
-				Outcome: Shed, Reason: ReasonPromptQuarantined, RetryAfter: until.Sub(now), Waited: now.Sub(r.arrived),
-			})
-		}
-	}
-}
-
 // Close ends the cell on this node. All waiting requests, and all later ones,
 // get the outcome Moved. Granted requests continue.
 func (c *Cell) Close() {
--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -281,37 +281,6 @@
 	return int(max(freshness, 0)*float64(e.externalLoad) + 0.5)
 }
 
-// updateLimit applies the rate limit that the endpoint stated in its answer to a request
-// granted at the given time. An answer to a request from before the limit was known may
-// be older than the limit and does not end it.
-func (e *endpoint) updateLimit(limit ident.Rate, grantedAt, now time.Time) {
-	if limit == 0 && e.rateLimit > 0 && !grantedAt.After(e.limitedSince) {
-		return
-	}
-	e.hasStated = true
-	e.setLimit(limit, now)
-}
-
-func (e *endpoint) setLimit(limit ident.Rate, now time.Time) {
-	if e.rateLimit == 0 {
-		e.limitedSince = now
-	}
-	e.rateLimit = limit
-}
-
-// isWithinLimit reports whether the rate limit allows another grant.
-func (e *endpoint) isWithinLimit(now time.Time) bool {
-	return e.rateLimit == 0 || !now.Before(e.nextGrantAt)
-}
-
-// spaceGrants delays the next grant as the rate limit requires. Share is the part of the
-// limit that the cell may use.
-func (e *endpoint) spaceGrants(share float64, now time.Time) {
-	if e.rateLimit > 0 {
-		e.nextGrantAt = now.Add(time.Duration(float64(time.Second) / (float64(e.rateLimit) * share)))
-	}
-}
-
 func (e *endpoint) prefillTime(tokens ident.Tokens) time.Duration {
 	return time.Duration(float64(tokens) / e.prefillRate * float64(time.Second))
 }
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -180,32 +180,6 @@
 	}
 }
 
-// maxPromptParts bounds the beginnings of a prompt that stand for its parts, and thereby
-// the size of its grant request.
-const maxPromptParts = 16
-
-// partsOf returns the shortest beginnings of a prompt as its parts.
-func partsOf(prefix []ident.Fingerprint) []ident.PromptPart {
-	var parts []ident.PromptPart
-	for _, f := range prefix[:min(len(prefix), maxPromptParts)] {
-		parts = append(parts, ident.PromptPart(f))
-	}
-	return parts
-}
-
-// quarantineRefusal returns the refusal of a job with a quarantined part in its prompt,
-// or nil.
-func (e *Entry) quarantineRefusal(j *Job) *refuse.Refusal {
-	if e.Quarantined == nil {
-		return nil
-	}
-	part, until, ok := e.Quarantined(j.PromptParts)
-	if !ok {
-		return nil
-	}
-	return refuse.NewQuarantined(part, until)
-}
-
 func (e *Entry) callerGone(j *Job) *refuse.Refusal {
 	e.record(j, trace.Record{Event: trace.CallerGone})
 	return refuse.New(refuse.CallerGone, "the caller went away before the request was dispatched")
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -217,14 +217,6 @@
 	return movedGrant()
 }
 
-// addKnownLimits adds the endpoints' rate limits to a request for a standby cell, which
-// may have seen no answers yet. A cell's owner gets them when it takes the cell over.
-func (e *Entry) addKnownLimits(req *sched.GrantRequest) {
-	if e.KnownLimits != nil {
-		req.KnownLimits = e.KnownLimits()
-	}
-}
-
 // maxOwners limits the nodes that are tried for a cell, the one that runs it
 // included, before this node uses an isolated standby cell.
 const maxOwners = 3
