Blame a part once other requests are answered, without a further crash

Cause: with eight endpoints, crashes in quick succession leave few that answer. When the crashes were confirmed, too few other requests had been answered; the node then looked again only after the next crash. Change: while a part lacks only answers to others, the node looks every 100 ms. The answers count once they had 300 ms to exonerate their own parts, and a request that has run for 300 ms after its first token exonerates its parts, also one that is still running, since whole answers take seconds to come after an outage. Why it works: the verdict no longer depends on another crash, and a part that crashes endpoints as they begin to answer never has a request that runs on. Measured: poison/answers_come_late fails without the first, request_runs_on needs the second. The scripts' waits now look for suspects as a node does.

--- a/internal/process/cells/closures.go
+++ b/internal/process/cells/closures.go
@@ -105,6 +105,18 @@
 	}
 }
 
+// RunningFor returns what sched.Cell.RunningFor returns for all cells that run here.
+func (m *Manager) RunningFor(parts []ident.PromptPart, atLeast time.Duration) []ident.PromptPart {
+	var running []ident.PromptPart
+	for _, lc := range m.localCells() {
+		running = append(running, lc.cell.RunningFor(parts, atLeast)...)
+	}
+	for _, c := range m.standbyCells() {
+		running = append(running, c.RunningFor(parts, atLeast)...)
+	}
+	return running
+}
+
 func (m *Manager) sendCloseRequest(ctx context.Context, to member.Member, request admit.CloseRequest) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
--- a/internal/process/node/poison.go
+++ b/internal/process/node/poison.go
@@ -63,7 +63,7 @@
 	case e.Completion.IsWhole:
 		n.poison.detector.Completed(endpoint, e.PromptParts, time.Now())
 	case e.IsAnswered:
-		n.poison.detector.Answered()
+		n.poison.detector.Answered(e.PromptParts, e.RanFor, time.Now())
 	}
 }
 
@@ -77,6 +77,7 @@
 		if len(suspects) == 0 {
 			return isPending
 		}
+		n.exonerateRunning(suspects)
 		if !n.askForCompletions(ctx, others, suspects) && !ownsCell {
 			// Other nodes see most completions, and none of them has replied.
 			return true
@@ -125,6 +126,17 @@
 	s.Send(wire.KindAck, wire.Empty{}) //nolint:errcheck // the reporter ignores lost reports.
 }
 
+// exonerateRunning exonerates the suspects with which requests run well at present.
+func (n *Node) exonerateRunning(suspects []poison.Suspect) {
+	var parts []ident.PromptPart
+	for _, s := range suspects {
+		parts = append(parts, s.Part)
+	}
+	for _, part := range n.cells.RunningFor(parts, poison.SurvivalTime) {
+		n.poison.detector.Exonerate(part, time.Now())
+	}
+}
+
 // askForCompletions asks other nodes for the latest completions of requests with the
 // suspects, and reports whether any has replied.
 func (n *Node) askForCompletions(ctx context.Context, others []member.Member, suspects []poison.Suspect) bool {
@@ -138,6 +150,9 @@
 }
 
 func (n *Node) serveCompletedParts(_ context.Context, s *link.Stream, m wire.CompletedParts) {
+	for _, part := range n.cells.RunningFor(m.ToParts(), poison.SurvivalTime) {
+		n.poison.detector.Exonerate(part, time.Now())
+	}
 	times := n.poison.detector.CompletedAt(m.ToParts())
 	s.Send(wire.KindCompletedParts, wire.CompletedParts{Ages: wire.FromPartTimes(times, time.Now(), false)}) //nolint:errcheck // the asker decides without it.
 }
--- /dev/null
+++ b/internal/process/poison/evidence.go
@@ -0,0 +1,73 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+// evidence is what is known of one part.
+type evidence struct {
+	// crashes holds at most one crash of each endpoint run since the last completion,
+	// in order of time.
+	crashes []crash
+	// isBlamed is set once the part was blamed. Then its own crashes count although they
+	// are explained, and blamedWith is the number of them at that time.
+	isBlamed   bool
+	blamedWith int
+	// answeredAt is when minAnswered requests had been answered since the first crash.
+	answeredAt time.Time
+}
+
+type crash struct {
+	endpoint Endpoint
+	at       time.Time
+	// answered is the Detector's count at the time of the report.
+	answered int
+}
+
+// add adds a crash that is not earlier than the last completion, unless the endpoint's
+// run has one.
+func (e *evidence) add(c crash, completed time.Time) {
+	isKnown := slices.ContainsFunc(e.crashes, func(known crash) bool { return known.endpoint == c.endpoint })
+	if isKnown || c.at.Before(completed) {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(e.crashes, c.at, func(known crash, t time.Time) int { return known.at.Compare(t) })
+	e.crashes = slices.Insert(e.crashes, at, c)
+	if len(e.crashes) > maxCrashes {
+		e.crashes = slices.Delete(e.crashes, 0, 1)
+		e.blamedWith = max(e.blamedWith-1, 0)
+	}
+}
+
+func (e *evidence) remove(isRemoved func(crash) bool) {
+	if len(e.crashes) > 0 && isRemoved(e.crashes[0]) {
+		e.answeredAt = time.Time{}
+	}
+	e.crashes = slices.DeleteFunc(e.crashes, isRemoved)
+	e.blamedWith = min(e.blamedWith, len(e.crashes))
+}
+
+func (e *evidence) lastCrash() time.Time {
+	if len(e.crashes) == 0 {
+		return time.Time{}
+	}
+	return e.crashes[len(e.crashes)-1].at
+}
+
+// confirmed returns the crashes that are confirmed, and whether they make a suspect.
+func (e *evidence) confirmed(now time.Time) (crashes []crash, isEnough bool) {
+	moments := 0
+	var last time.Time
+	for _, c := range e.crashes {
+		if now.Sub(c.at) < confirmDelay {
+			break
+		}
+		crashes = append(crashes, c)
+		if moments == 0 || c.at.Sub(last) >= minSeparation {
+			moments++
+			last = c.at
+		}
+	}
+	return crashes, moments >= minCrashes
+}
--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -40,8 +40,11 @@
 )
 
 const (
-	// minCrashes is the number of crashes that blame a part.
+	// minCrashes is the number of crashes at different times that make a part a suspect.
 	minCrashes = 3
+	// SurvivalTime is how long after its first token a request must have run to show that
+	// its parts crash nothing.
+	SurvivalTime = 300 * time.Millisecond
 	// minSeparation is the least time between two crashes that both count. Endpoints
 	// that crash at the same moment have a common cause outside of the requests.
 	minSeparation = 200 * time.Millisecond
@@ -104,24 +107,6 @@
 	recent, older map[ident.PromptPart]time.Time
 }
 
-// evidence is what is known of one part.
-type evidence struct {
-	// crashes holds at most one crash of each endpoint run since the last completion,
-	// in order of time.
-	crashes []crash
-	// isBlamed is set once the part was blamed. Then its own crashes count although they
-	// are explained, and blamedWith is the number of them at that time.
-	isBlamed   bool
-	blamedWith int
-}
-
-type crash struct {
-	endpoint Endpoint
-	at       time.Time
-	// answered is the Detector's count at the time of the report.
-	answered int
-}
-
 // Crashed records a crash.
 func (d *Detector) Crashed(c Crash) {
 	d.mu.Lock()
@@ -177,33 +162,6 @@
 	return e
 }
 
-// add adds a crash that is not earlier than the last completion, unless the endpoint's
-// run has one.
-func (e *evidence) add(c crash, completed time.Time) {
-	isKnown := slices.ContainsFunc(e.crashes, func(known crash) bool { return known.endpoint == c.endpoint })
-	if isKnown || c.at.Before(completed) {
-		return
-	}
-	at, _ := slices.BinarySearchFunc(e.crashes, c.at, func(known crash, t time.Time) int { return known.at.Compare(t) })
-	e.crashes = slices.Insert(e.crashes, at, c)
-	if len(e.crashes) > maxCrashes {
-		e.crashes = slices.Delete(e.crashes, 0, 1)
-		e.blamedWith = max(e.blamedWith-1, 0)
-	}
-}
-
-func (e *evidence) remove(isRemoved func(crash) bool) {
-	e.crashes = slices.DeleteFunc(e.crashes, isRemoved)
-	e.blamedWith = min(e.blamedWith, len(e.crashes))
-}
-
-func (e *evidence) lastCrash() time.Time {
-	if len(e.crashes) == 0 {
-		return time.Time{}
-	}
-	return e.crashes[len(e.crashes)-1].at
-}
-
 // dropWeakest drops the quarter of the parts with the fewest and oldest crashes.
 func (d *Detector) dropWeakest() {
 	parts := slices.Collect(maps.Keys(d.suspects))
@@ -236,14 +194,22 @@
 }
 
 // Answered records that a request was answered in part and did not complete, as happens to
-// those that are at an endpoint when it crashes.
-func (d *Detector) Answered() {
+// those that are at an endpoint when it crashes. If it ran for SurvivalTime, it
+// exonerates its parts.
+func (d *Detector) Answered(parts []ident.PromptPart, ranFor time.Duration, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.answered++
+	if ranFor < SurvivalTime {
+		return
+	}
+	for _, part := range parts {
+		d.exonerate(part, now)
+	}
 }
 
-// Exonerate records that a request with a part completed at another node.
+// Exonerate records that a request with a part completed at another node, or has run for
+// SurvivalTime.
 func (d *Detector) Exonerate(part ident.PromptPart, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -290,13 +256,16 @@
 
 // Suspects returns the parts with enough crashes to be blamed, each once until a further
 // crash after it was blamed. IsPending reports whether crashes wait for their
-// confirmation; then Suspects should be called again within a fraction of a second.
+// confirmation, or suspects for answers to other requests; then Suspects should be called
+// again within a fraction of a second.
 func (d *Detector) Suspects(now time.Time) (suspects []Suspect, isPending bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forgetOld(now)
 	for part, e := range d.suspects {
-		isPending = isPending || now.Sub(e.lastCrash()) < confirmDelay
+		d.noteAnswered(e, now)
+		confirmed, isEnough := e.confirmed(now)
+		isPending = isPending || now.Sub(e.lastCrash()) < confirmDelay || isEnough && len(confirmed) > e.blamedWith
 		if s, ok := d.suspect(part, now); ok {
 			suspects = append(suspects, s)
 		}
@@ -317,8 +286,9 @@
 	if e == nil || len(e.crashes) <= e.blamedWith {
 		return Suspect{}, false
 	}
-	confirmed, moments := e.confirmed(now)
-	if moments < minCrashes || len(confirmed) <= e.blamedWith || d.answered-confirmed[0].answered < minAnswered {
+	confirmed, isEnough := e.confirmed(now)
+	// Those that were answered need SurvivalTime to exonerate their parts.
+	if !isEnough || len(confirmed) <= e.blamedWith || e.answeredAt.IsZero() || now.Sub(e.answeredAt) < SurvivalTime {
 		return Suspect{}, false
 	}
 	s := Suspect{Part: part, Since: confirmed[0].at}
@@ -328,21 +298,11 @@
 	return s, true
 }
 
-// confirmed returns the crashes that are confirmed, and the number of moments at which
-// they happened.
-func (e *evidence) confirmed(now time.Time) (crashes []crash, moments int) {
-	var last time.Time
-	for _, c := range e.crashes {
-		if now.Sub(c.at) < confirmDelay {
-			break
-		}
-		crashes = append(crashes, c)
-		if moments == 0 || c.at.Sub(last) >= minSeparation {
-			moments++
-			last = c.at
-		}
+// noteAnswered records when enough requests have been answered since the first crash.
+func (d *Detector) noteAnswered(e *evidence, now time.Time) {
+	if e.answeredAt.IsZero() && len(e.crashes) > 0 && d.answered-e.crashes[0].answered >= minAnswered {
+		e.answeredAt = now
 	}
-	return crashes, moments
 }
 
 // Blame returns those of the suspects that are to blame. Suspects that were exonerated
--- a/internal/process/poison/script_test.go
+++ b/internal/process/poison/script_test.go
@@ -20,6 +20,7 @@
 //	wait T                     advances the clock
 //	others ENDPOINT            an endpoint completed ten requests with parts of their own
 //	answered N                 N requests were answered in part
+//	ran T PART...              a request of these parts broke off T after its first token
 //	elsewhere PART             a request with the part completed at another node
 //	blamed PART...             checks the parts that are blamed, in any order
 //	pending yes|no             checks what Suspects returned for the last blamed line
@@ -42,12 +43,22 @@
 			}
 		case "answered":
 			for range line.ParseInt(line.Args[0]) {
-				d.Answered()
+				d.Answered(nil, 0, time.Now())
 			}
+		case "ran":
+			d.Answered(partsOf(line.Args[1:]), line.ParseDuration(line.Args[0]), time.Now())
 		case "elsewhere":
 			d.Exonerate(partsOf(line.Args)[0], time.Now())
 		case "wait":
-			time.Sleep(line.ParseDuration(line.Args[0]))
+			// A node looks for suspects at intervals while there is reason to.
+			left := line.ParseDuration(line.Args[0])
+			for ; left > 0; left -= checkInterval {
+				if _, isPending := d.Suspects(time.Now()); !isPending {
+					break
+				}
+				time.Sleep(min(left, checkInterval))
+			}
+			time.Sleep(max(left, 0))
 		case "blamed":
 			var blamed []Suspect
 			blamed, isPending = d.Suspects(time.Now())
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -262,6 +262,9 @@
 			s := &c.classStats[g.class]
 			s.timeToFirstToken = ewma(s.timeToFirstToken, now.Sub(g.grantedAt))
 		}
+		if !g.isPrefillDone {
+			g.firstTokenAt = now
+		}
 		c.finishPrefill(g)
 		c.grantWaiting(now)
 	}
@@ -301,7 +304,7 @@
 		g.endpoint.updateLimit(completion.Statement.RateLimit, g.grantedAt, now)
 	}
 	if c.Ended != nil && !g.isAdopted {
-		c.Ended(Ended{g.endpoint.EndpointSpec, g.parts, g.isPrefillDone, completion})
+		c.Ended(Ended{g.endpoint.EndpointSpec, g.parts, g.isPrefillDone, now.Sub(g.firstTokenAt), completion})
 	}
 	c.finishPrefill(g)
 	c.recordCompletion(g, completion, now)
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -25,6 +25,7 @@
 	// isPrefillDone is set when the first token has come; the request then no
 	// longer counts in the endpoint's backlog.
 	isPrefillDone bool
+	firstTokenAt  time.Time
 	// isAdopted is set on requests that another node's cell granted; their
 	// completions may be reported to that node.
 	isAdopted bool
--- a/internal/process/sched/shed.go
+++ b/internal/process/sched/shed.go
@@ -233,26 +233,3 @@
 	return time.Duration(float64(expected) * (1 + retryAfterJitter*(2*rand.Float64()-1)))
 }
 
-// ShedQuarantined sheds the waiting requests whose prompts have a quarantined part. Find
-// returns the end of the quarantine.
-func (c *Cell) ShedQuarantined(find func([]ident.PromptPart) (until time.Time, ok bool)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.now()
-	for class := range c.queues {
-		var quarantined []*GrantRequest
-		c.queues[class].each(func(r *GrantRequest) bool {
-			if _, ok := find(r.PromptParts); ok {
-				quarantined = append(quarantined, r)
-			}
-			return true
-		})
-		for _, r := range quarantined {
-			until, _ := find(r.PromptParts)
-			c.queues[class].remove(r)
-			c.respond(r, GrantResponse{
-				Outcome: Shed, Reason: ReasonPromptQuarantined, RetryAfter: until.Sub(now), Waited: now.Sub(r.arrived),
-			})
-		}
-	}
-}
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -175,8 +175,9 @@
 	Endpoint EndpointSpec
 	// PromptParts is that of the grant request.
 	PromptParts []ident.PromptPart
-	// IsAnswered is set if the first token was reported.
+	// IsAnswered is set if the first token was reported, RanFor before the end.
 	IsAnswered bool
+	RanFor     time.Duration
 	Completion Completion
 }
 
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"flag"
+	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -23,8 +25,10 @@
 	out, err := exec.Command("go", "build", "-o", program, "goldcrestwick/cmd/goldcrestwick").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
 	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
+		dir := filepath.Join(t.ArtifactDir(), fmt.Sprint("seed_", seed))
+		qt.Assert(t, os.MkdirAll(dir, 0o700), qt.IsNil)
 		report, err := Run(t.Context(), Options{
-			Program: program, Dir: t.ArtifactDir(), Seed: seed, Duration: *duration, Nodes: *nodeCount,
+			Program: program, Dir: dir, Seed: seed, Duration: *duration, Nodes: *nodeCount,
 		})
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("seed %d", seed))
 		t.Logf("seed %d: %d sent, %d whole, %d refused, %d crashes, %d faults, %d violations",
