--- a/internal/process/sched/shed.go
+++ b/internal/process/sched/shed.go
@@ -232,4 +232,3 @@
 	expected := min(max(now.Sub(c.overloadSince), minRetryAfter), maxOverloadRetryAfter)
 	return time.Duration(float64(expected) * (1 + retryAfterJitter*(2*rand.Float64()-1)))
 }
-
