Keep the test's fetch in progress until all gossip has come

Seen: node.TestFetchIfNewer failed once beside load and once in 405 runs of its package: two fetches where it wants one. Cause: the test is wrong there. Its Open fails at once; when the goroutine of the first fetch was over before the fifth message came, a second fetch was right, as the first had failed. Change: Open fails after a millisecond of the bubble's time, which passes only when the messages have come. The check is the same: one fetch for five messages.

--- a/internal/process/node/settings_test.go
+++ b/internal/process/node/settings_test.go
@@ -32,6 +32,8 @@
 			opened := 0
 			n := &Node{Log: log.New(io.Discard), Open: func(context.Context, string) (*link.Stream, error) {
 				opened++
+				// The fetch is in progress until all gossip has come.
+				time.Sleep(time.Millisecond)
 				return nil, errUnreachable
 			}}
 			n.tree.Store(&config.Tree{Version: 3})
