--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -363,8 +363,7 @@
 		return eris.Wrap(err, "create a log")
 	}
 	defer logFile.Close() //nolint:errcheck // the process has its own descriptor.
-	n.process = exec.Command(n.program, "entry")
-	n.process.Env = append(os.Environ(), "GOLDCRESTWICK_CONFIG="+settings)
+	n.process = exec.Command(n.program, "entry", "--settings", settings)
 	n.process.Stdout, n.process.Stderr = logFile, logFile
 	return eris.Wrap(n.process.Start(), "start a node")
 }
