--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -7,10 +7,10 @@
 // the requests at an endpoint share their parts with sound ones. Detector
 // therefore counts, for each part, the crashes of endpoints that held a request with the
 // part and had sent nothing of its answer. A part becomes a suspect after minCrashes such
-// crashes at different endpoints and times, if no request with it has completed meanwhile
-// but other requests have been answered. Of several suspects, those are blamed with which
-// no request has completed for the longest time, and crashes that they explain no longer
-// count against the others.
+// crashes at different endpoints and times, if no request with it has completed meanwhile,
+// or run on for SurvivalTime, but other requests have been answered. Of several suspects,
+// those are blamed with which no request has completed for the longest time, and crashes
+// that they explain no longer count against the others.
 //
 // The load pattern behind it is a stream of requests that share a document which crashes
 // the engines, among sound requests of the same callers.
@@ -101,8 +101,8 @@
 	// unconfirmed holds the time of the latest crash of each endpoint run, until it is
 	// confirmed.
 	unconfirmed map[Endpoint]time.Time
-	// answered counts the requests that were answered at least in part, and recent and
-	// older hold when requests with a part last completed.
+	// answered counts the requests that were answered at least in part. Recent and older
+	// hold when requests with a part last completed or were seen to run on.
 	answered      int
 	recent, older map[ident.PromptPart]time.Time
 }
