Log the tokens that a request states when it ends or is refused

Cause: the users report that of one route the largest tenth of the requests is served far less often than all. Our lines name the request, its route, its account and the reason of a refusal, but not its size, so that refusals by the account's limit, by the cell and by time-outs can't be set against it. Change: request_ended and request_refused have prompt_tokens and max_output_tokens.

--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -243,6 +243,7 @@
 	rt.Log.Info("request_refused", "request_id", string(req.ID), "reason", refusal.Reason, "run", refusal.RunState,
 		"status", status, "retry_after", refusal.RetryAfter, "message", refusal.Message,
 		"account", accountName(req.Account), "route", routeName(req.Route), "caller_gone", r.Context().Err() != nil,
+		"prompt_tokens", int64(req.Info.PromptTokens), "max_output_tokens", int64(req.Info.MaxOutputTokens),
 		"took", time.Since(req.Arrived), "settings_version", uint64(req.Version))
 	if refusal.RetryAfter > 0 && !refusal.MayHaveRun() {
 		// Round up, since callers retry at once on 0.00.
@@ -285,6 +286,7 @@
 	rt.Log.Info("request_ended", "request_id", string(req.ID), "account", accountName(req.Account), "route", req.Route.Name, "pool", req.Pool.ID,
 		"endpoint", result.Endpoint, "status", result.Status, "attempts", result.Attempts, "cut", result.Truncated,
 		"reason", result.Reason, "interrupted", result.Interrupted, "events", result.Events, "prompt_parts", failedParts(req, result),
+		"prompt_tokens", int64(req.Info.PromptTokens), "max_output_tokens", int64(req.Info.MaxOutputTokens),
 		"first_answer", result.TimeToFirstAnswer, "took", time.Since(req.Arrived),
 		"settings_version", uint64(req.Version))
 }
