Choose the request to shed by the number that waits, not by tokens

Seen by callers: in an overload large requests were refused far more often than small ones of the same route; of the largest tenth fewer than half as many were answered as of all. Cause: a queue sheds from the account with the most waiting tokens. With a short first-token target most accounts have one request waiting, so the account with the most tokens is the one with the largest request. The sizes in the lines of the entry nodes rule out the accounts' limits and answers that broke off. Change: accounts are compared by their number of waiting requests relative to weight, and the last request is shed among equals. This does not depend on size. Shares in tokens remain in the order of grants, which counts over time.

--- a/internal/process/sched/queue.go
+++ b/internal/process/sched/queue.go
@@ -103,24 +103,25 @@
 }
 
 // shedCandidate returns the request to shed first: the last one in order of the
-// account with the most waiting tokens relative to its weight.
+// account with the most waiting requests relative to its weight, and the last of all
+// among such accounts. Sizes do not count, since the account with the most waiting
+// tokens is the one with the largest request where most accounts have one waiting.
 func (q *queue) shedCandidate() *GrantRequest {
-	var largest *accountQueue
-	var largestTokens float64
+	var candidate *GrantRequest
+	var most float64
 	for _, a := range q.active {
-		var tokens float64
-		for _, r := range a.heap {
-			tokens += float64(r.charge)
-		}
-		if tokens /= a.weight; largest == nil || tokens > largestTokens {
-			largest, largestTokens = a, tokens
+		backlog, last := float64(len(a.heap))/a.weight, a.last()
+		if candidate == nil || backlog > most || backlog == most && candidate.precedes(last) {
+			candidate, most = last, backlog
 		}
 	}
-	if largest == nil {
-		return nil
-	}
-	last := largest.heap[0]
-	for _, r := range largest.heap {
+	return candidate
+}
+
+// last returns the account's last request in order. There must be one.
+func (a *accountQueue) last() *GrantRequest {
+	last := a.heap[0]
+	for _, r := range a.heap {
 		if last.precedes(r) {
 			last = r
 		}
