--- a/internal/connection/wire/crash.go
+++ b/internal/connection/wire/crash.go
@@ -17,7 +17,7 @@
 	Endpoint string   `cbor:"1,keyasint"`
 	Started  int64    `cbor:"2,keyasint,omitempty"`
 	Age      int64    `cbor:"3,keyasint"`
-	Parts    []uint64 `cbor:"4,keyasint"`
+	Traits   []uint64 `cbor:"4,keyasint"`
 }
 
 // FromCrashes converts crashes.
@@ -25,7 +25,7 @@
 	var m Crashes
 	for _, c := range crashes {
 		m.Crashes = append(m.Crashes, Crash{
-			string(c.Endpoint.ID), c.Endpoint.StartedUnixMilli, int64(now.Sub(c.At)), convertInts[uint64](c.Parts),
+			string(c.Endpoint.ID), c.Endpoint.StartedUnixMilli, int64(now.Sub(c.At)), convertInts[uint64](c.Traits),
 		})
 	}
 	return m
@@ -37,42 +37,42 @@
 	for _, c := range m.Crashes {
 		crashes = append(crashes, poison.Crash{
 			Endpoint: poison.Endpoint{ID: ident.Endpoint(c.Endpoint), StartedUnixMilli: c.Started},
-			At:       now.Add(-max(time.Duration(c.Age), 0)), Parts: convertInts[ident.PromptPart](c.Parts),
+			At:       now.Add(-max(time.Duration(c.Age), 0)), Traits: convertInts[ident.Trait](c.Traits),
 		})
 	}
 	return crashes
 }
 
-// CompletedParts asks when requests with parts of prompts last completed. The reply has
-// the time since then in Ages, for each part of which it is known.
-type CompletedParts struct {
-	Parts []uint64         `cbor:"1,keyasint,omitempty"`
-	Ages  map[uint64]int64 `cbor:"2,keyasint,omitempty"`
+// CompletedTraits asks when requests with traits last completed. The reply has
+// the time since then in Ages, for each trait of which it is known.
+type CompletedTraits struct {
+	Traits []uint64         `cbor:"1,keyasint,omitempty"`
+	Ages   map[uint64]int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // FromSuspects asks about suspects.
-func FromSuspects(suspects []poison.Suspect) CompletedParts {
-	var m CompletedParts
+func FromSuspects(suspects []poison.Suspect) CompletedTraits {
+	var m CompletedTraits
 	for _, s := range suspects {
-		m.Parts = append(m.Parts, uint64(s.Part))
+		m.Traits = append(m.Traits, uint64(s.Trait))
 	}
 	return m
 }
 
-// ToParts returns the parts that are asked about.
-func (m CompletedParts) ToParts() []ident.PromptPart { return convertInts[ident.PromptPart](m.Parts) }
+// ToTraits returns the traits that are asked about.
+func (m CompletedTraits) ToTraits() []ident.Trait { return convertInts[ident.Trait](m.Traits) }
 
-// FromPartTimes converts the times of a reply to ages, or the ends of quarantines to
+// FromTraitTimes converts the times of a reply to ages, or the ends of quarantines to
 // remaining times if isEnd is set.
-func FromPartTimes(times map[ident.PromptPart]time.Time, now time.Time, isEnd bool) map[uint64]int64 {
+func FromTraitTimes(times map[ident.Trait]time.Time, now time.Time, isEnd bool) map[uint64]int64 {
 	if len(times) == 0 {
 		return nil
 	}
 	m := map[uint64]int64{}
-	for part, at := range times {
-		m[uint64(part)] = int64(now.Sub(at))
+	for trait, at := range times {
+		m[uint64(trait)] = int64(now.Sub(at))
 		if isEnd {
-			m[uint64(part)] = -m[uint64(part)]
+			m[uint64(trait)] = -m[uint64(trait)]
 		}
 	}
 	return m
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -83,10 +83,10 @@
 	// KindIdleSlots is a call that reports the free slots of a cell.
 	KindIdleSlots
 	// KindCrashes is a call that reports crashed endpoints and the parts of prompts that
-	// may be to blame, and KindCompletedParts a call for when requests with such parts last
+	// may be to blame, and KindCompletedTraits a call for when requests with such parts last
 	// completed.
 	KindCrashes
-	KindCompletedParts
+	KindCompletedTraits
 )
 
 // Empty is a message without content.
@@ -122,7 +122,7 @@
 	BlockTokens []int64 `cbor:"18,keyasint,omitempty"` // tokens of each block of Prefix
 	// MayRedirect allows the response sched.Redirected.
 	MayRedirect bool     `cbor:"19,keyasint,omitempty"`
-	PromptParts []uint64 `cbor:"20,keyasint,omitempty"`
+	Traits      []uint64 `cbor:"20,keyasint,omitempty"`
 	// KnownLimits holds requests per second by endpoint.
 	KnownLimits map[string]float64 `cbor:"21,keyasint,omitempty"`
 }
@@ -136,7 +136,7 @@
 		Pool: string(cell.Pool), Cell: cell.Index, SettingsVersion: uint64(version),
 		FirstTokenTarget: int64(r.FirstTokenTarget), Zone: string(r.Zone), Avoid: convertNames[string](r.Avoid),
 		BlockTokens: convertInts[int64](r.BlockTokens), MayRedirect: r.MayRedirect,
-		PromptParts: convertInts[uint64](r.PromptParts), KnownLimits: FromLimits(r.KnownLimits),
+		Traits: convertInts[uint64](r.Traits), KnownLimits: FromLimits(r.KnownLimits),
 	}
 }
 
@@ -174,7 +174,7 @@
 		Deadline: now.Add(time.Duration(m.Remaining)), Prefix: convertInts[ident.Fingerprint](m.Prefix),
 		FirstTokenTarget: time.Duration(m.FirstTokenTarget), Zone: ident.AvailabilityZone(m.Zone), Avoid: convertNames[ident.Endpoint](m.Avoid),
 		BlockTokens: convertInts[ident.Tokens](m.BlockTokens), MayRedirect: m.MayRedirect,
-		PromptParts: convertInts[ident.PromptPart](m.PromptParts), KnownLimits: ToLimits(m.KnownLimits),
+		Traits: convertInts[ident.Trait](m.Traits), KnownLimits: ToLimits(m.KnownLimits),
 	}
 }
 
--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -48,9 +48,9 @@
 		Statement: &sched.Statement{Occupancy: &sched.Occupancy{Running: 1, Waiting: 2}, RateLimit: 2.5},
 	}
 	equal(roundTrip(t, FromCompletion(completion)).ToCompletion(), completion)
-	crashes := []poison.Crash{{Endpoint: poison.Endpoint{ID: "e", StartedUnixMilli: 7}, At: now.Add(-time.Second), Parts: []ident.PromptPart{1 << 63, 2}}}
+	crashes := []poison.Crash{{Endpoint: poison.Endpoint{ID: "e", StartedUnixMilli: 7}, At: now.Add(-time.Second), Traits: []ident.Trait{1 << 63, 2}}}
 	equal(roundTrip(t, FromCrashes(crashes, now)).ToCrashes(now), crashes)
-	equal(roundTrip(t, FromSuspects([]poison.Suspect{{Part: 5}})).ToParts(), []ident.PromptPart{5})
+	equal(roundTrip(t, FromSuspects([]poison.Suspect{{Trait: 5}})).ToTraits(), []ident.Trait{5})
 	limits := map[ident.Endpoint]ident.Rate{"e": 0.5}
 	equal(ToLimits(roundTrip(t, InFlightReply{Limits: FromLimits(limits)}).Limits), limits)
 	acquire := quota.AcquireRequest{Tokens: 1, Refund: quota.Refund{Requests: 2, Tokens: 3}, RefundOnly: true}
@@ -101,7 +101,7 @@
 // that the receiver computes the deadline from its own clock.
 func TestGrantRequest(t *testing.T) {
 	sent := testGrantRequest(9)
-	sent.PromptParts, sent.KnownLimits = []ident.PromptPart{1 << 63, 7}, map[ident.Endpoint]ident.Rate{"e": 2.5}
+	sent.Traits, sent.KnownLimits = []ident.Trait{1 << 63, 7}, map[ident.Endpoint]ident.Rate{"e": 2.5}
 	message := roundTrip(t, FromGrantRequest(sent, ident.CellID{Pool: "ekin/reports", Index: 3}, 7, now))
 	receiverNow := now.Add(time.Hour)
 	got := message.ToGrantRequest(receiverNow)
@@ -109,7 +109,7 @@
 	got.Deadline = sent.Deadline
 	qt.Assert(t, got.Request, qt.Equals, sent.Request)
 	qt.Assert(t, got.Prefix, qt.DeepEquals, sent.Prefix)
-	qt.Assert(t, got.PromptParts, qt.DeepEquals, sent.PromptParts)
+	qt.Assert(t, got.Traits, qt.DeepEquals, sent.Traits)
 	qt.Assert(t, got.KnownLimits, qt.DeepEquals, sent.KnownLimits)
 	qt.Assert(t, [4]int{int(got.Tier), got.Weight, int(got.Prompt), int(got.Output)}, qt.Equals, [4]int{3, 4, 6000, 600})
 	qt.Assert(t, message.CellID(), qt.Equals, ident.CellID{Pool: "ekin/reports", Index: 3})
--- a/internal/process/cells/closures.go
+++ b/internal/process/cells/closures.go
@@ -96,7 +96,7 @@
 }
 
 // ShedQuarantined calls sched.Cell.ShedQuarantined for all cells that run here.
-func (m *Manager) ShedQuarantined(find func([]ident.PromptPart) (until time.Time, ok bool)) {
+func (m *Manager) ShedQuarantined(find func([]ident.Trait) (until time.Time, ok bool)) {
 	for _, lc := range m.localCells() {
 		lc.cell.ShedQuarantined(find)
 	}
@@ -106,13 +106,13 @@
 }
 
 // RunningFor returns what sched.Cell.RunningFor returns for all cells that run here.
-func (m *Manager) RunningFor(parts []ident.PromptPart, atLeast time.Duration) []ident.PromptPart {
-	var running []ident.PromptPart
+func (m *Manager) RunningFor(traits []ident.Trait, atLeast time.Duration) []ident.Trait {
+	var running []ident.Trait
 	for _, lc := range m.localCells() {
-		running = append(running, lc.cell.RunningFor(parts, atLeast)...)
+		running = append(running, lc.cell.RunningFor(traits, atLeast)...)
 	}
 	for _, c := range m.standbyCells() {
-		running = append(running, c.RunningFor(parts, atLeast)...)
+		running = append(running, c.RunningFor(traits, atLeast)...)
 	}
 	return running
 }
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -29,7 +29,7 @@
 	link.Handle(mux, wire.KindVersion, n.serveVersion)
 	link.Handle(mux, wire.KindFollow, n.serveFollow)
 	link.Handle(mux, wire.KindCrashes, n.serveCrashes)
-	link.Handle(mux, wire.KindCompletedParts, n.serveCompletedParts)
+	link.Handle(mux, wire.KindCompletedTraits, n.serveCompletedTraits)
 }
 
 func (n *Node) probe(ctx context.Context, to member.Member, updates []member.Member) ([]member.Member, error) {
@@ -67,7 +67,7 @@
 		g.StoreReadAge = int64(max(time.Since(at), 1))
 	}
 	now := time.Now()
-	g.Quarantined = wire.FromPartTimes(n.poison.quarantined.All(now), now, true)
+	g.Quarantined = wire.FromTraitTimes(n.poison.quarantined.All(now), now, true)
 	return g
 }
 
--- a/internal/process/node/poison.go
+++ b/internal/process/node/poison.go
@@ -23,18 +23,18 @@
 	// crashInterval is the time between two looks at new crashes, and between the calls
 	// that report them.
 	crashInterval = 100 * time.Millisecond
-	// quarantineTable has a row for each quarantined part of prompts. It outlives a
+	// quarantineTable has a row for each quarantined trait of prompts. It outlives a
 	// restart of all nodes; among running ones, quarantines spread by gossip.
 	quarantineTable = "quarantine"
 	// quarantineReadPause is the pause between attempts to read that table at the start.
 	quarantineReadPause = 300 * time.Millisecond
 )
 
-// poisonState holds what the node knows of parts of prompts that crash endpoints.
+// poisonState holds what the node knows of traits of requests that crash endpoints.
 //
 // The node of a cell sees the crashes and the completions of its requests. The nodes of
 // several cells report crashes to each other, and ask each other for completions before
-// they blame a part.
+// they blame a trait.
 type poisonState struct {
 	detector    poison.Detector
 	quarantined poison.List
@@ -48,27 +48,26 @@
 // recordEnded records the end of a request that one of this node's cells granted. It is
 // called with the cell's lock held.
 func (n *Node) recordEnded(e sched.Ended) {
-	if len(e.PromptParts) == 0 {
+	if len(e.Traits) == 0 {
 		return
 	}
 	endpoint := poison.Endpoint{ID: e.Endpoint.ID, StartedUnixMilli: e.Endpoint.StartedUnixMilli}
 	switch {
 	case e.Completion.NoAnswer:
-		c := poison.Crash{Endpoint: endpoint, At: time.Now(), Parts: e.PromptParts}
+		c := poison.Crash{Endpoint: endpoint, At: time.Now(), Traits: e.Traits}
 		n.poison.detector.Crashed(c)
 		n.poison.mu.Lock()
 		n.poison.unreported = append(n.poison.unreported, c)
 		n.poison.mu.Unlock()
 		n.poison.hasCrashes.Set()
 	case e.Completion.IsWhole:
-		n.poison.detector.Completed(endpoint, e.PromptParts, time.Now())
+		n.poison.detector.Completed(endpoint, e.Traits, time.Now())
 	case e.IsAnswered:
-		n.poison.detector.Answered(e.PromptParts, e.RanFor, time.Now())
+		n.poison.detector.Answered(e.Traits, e.RanFor, time.Now())
 	}
 }
 
-// watchCrashes reports crashes to the other nodes of cells and quarantines the parts of
-// prompts that are to blame, until ctx is done.
+// watchCrashes reports crashes to the other nodes of cells and quarantines the traits of// prompts that are to blame, until ctx is done.
 func (n *Node) watchCrashes(ctx context.Context) {
 	tick.OnDemand(ctx, crashInterval, &n.poison.hasCrashes, func(ctx context.Context) bool {
 		others, ownsCell := n.otherCellOwners()
@@ -128,33 +127,33 @@
 
 // exonerateRunning exonerates the suspects with which requests run well at present.
 func (n *Node) exonerateRunning(suspects []poison.Suspect) {
-	var parts []ident.PromptPart
+	var traits []ident.Trait
 	for _, s := range suspects {
-		parts = append(parts, s.Part)
+		traits = append(traits, s.Trait)
 	}
-	for _, part := range n.cells.RunningFor(parts, poison.SurvivalTime) {
-		n.poison.detector.Exonerate(part, time.Now())
+	for _, trait := range n.cells.RunningFor(traits, poison.SurvivalTime) {
+		n.poison.detector.Exonerate(trait, time.Now())
 	}
 }
 
 // askForCompletions asks other nodes for the latest completions of requests with the
 // suspects, and reports whether any has replied.
 func (n *Node) askForCompletions(ctx context.Context, others []member.Member, suspects []poison.Suspect) bool {
-	replies := callAll[wire.CompletedParts, wire.CompletedParts](ctx, n, others, wire.KindCompletedParts, wire.FromSuspects(suspects))
+	replies := callAll[wire.CompletedTraits, wire.CompletedTraits](ctx, n, others, wire.KindCompletedTraits, wire.FromSuspects(suspects))
 	for _, reply := range replies {
-		for part, age := range reply.Ages {
-			n.poison.detector.Exonerate(ident.PromptPart(part), time.Now().Add(-time.Duration(age)))
+		for trait, age := range reply.Ages {
+			n.poison.detector.Exonerate(ident.Trait(trait), time.Now().Add(-time.Duration(age)))
 		}
 	}
 	return len(replies) > 0
 }
 
-func (n *Node) serveCompletedParts(_ context.Context, s *link.Stream, m wire.CompletedParts) {
-	for _, part := range n.cells.RunningFor(m.ToParts(), poison.SurvivalTime) {
-		n.poison.detector.Exonerate(part, time.Now())
+func (n *Node) serveCompletedTraits(_ context.Context, s *link.Stream, m wire.CompletedTraits) {
+	for _, trait := range n.cells.RunningFor(m.ToTraits(), poison.SurvivalTime) {
+		n.poison.detector.Exonerate(trait, time.Now())
 	}
-	times := n.poison.detector.CompletedAt(m.ToParts())
-	s.Send(wire.KindCompletedParts, wire.CompletedParts{Ages: wire.FromPartTimes(times, time.Now(), false)}) //nolint:errcheck // the asker decides without it.
+	times := n.poison.detector.CompletedAt(m.ToTraits())
+	s.Send(wire.KindCompletedTraits, wire.CompletedTraits{Ages: wire.FromTraitTimes(times, time.Now(), false)}) //nolint:errcheck // the asker decides without it.
 }
 
 // callAll makes a call to several nodes at once and returns the replies.
@@ -180,28 +179,28 @@
 	return replies
 }
 
-// quarantine quarantines a part on this node, tells its neighbors and writes the part's
+// quarantine quarantines a trait on this node, tells its neighbors and writes the trait's
 // row.
 func (n *Node) quarantine(ctx context.Context, s poison.Suspect) {
 	now := time.Now()
 	until := now.Add(poison.QuarantineTime)
-	isNew := n.poison.quarantined.Add(s.Part, until, now)
-	n.Log.Warn("prompt_part_quarantined", "part", partKey(s.Part), "crashed_endpoints", joinEndpoints(s.Endpoints),
+	isNew := n.poison.quarantined.Add(s.Trait, until, now)
+	n.Log.Warn("trait_quarantined", "trait", traitKey(s.Trait), "crashed_endpoints", joinEndpoints(s.Endpoints),
 		"first_crash", now.Sub(s.Since), "new", isNew)
 	if isNew {
 		n.applyQuarantine()
 	}
-	n.tasks.Go(func() { n.writeQuarantines(ctx, map[ident.PromptPart]time.Time{s.Part: until}) }) //nolint:errcheck // gossip spreads it as well.
+	n.tasks.Go(func() { n.writeQuarantines(ctx, map[ident.Trait]time.Time{s.Trait: until}) }) //nolint:errcheck // gossip spreads it as well.
 }
 
 // learnQuarantines adds the quarantines that another node knows, and passes new ones on
 // to the neighbors at once.
 func (n *Node) learnQuarantines(g wire.Gossip) {
 	hasNew, now := false, time.Now()
-	for part, remaining := range g.Quarantined {
-		if n.poison.quarantined.Add(ident.PromptPart(part), now.Add(time.Duration(remaining)), now) {
+	for trait, remaining := range g.Quarantined {
+		if n.poison.quarantined.Add(ident.Trait(trait), now.Add(time.Duration(remaining)), now) {
 			hasNew = true
-			n.Log.Info("prompt_part_quarantine_learned", "part", partKey(ident.PromptPart(part)), "from", g.PeerAddress)
+			n.Log.Info("quarantine_learned", "trait", traitKey(ident.Trait(trait)), "from", g.PeerAddress)
 		}
 	}
 	if hasNew {
@@ -210,23 +209,23 @@
 }
 
 // applyQuarantine refuses the requests that wait in this node's cells and have a
-// quarantined part, and tells the neighbors of the quarantine.
+// quarantined trait, and tells the neighbors of the quarantine.
 func (n *Node) applyQuarantine() {
-	n.cells.ShedQuarantined(func(parts []ident.PromptPart) (time.Time, bool) {
-		_, until, ok := n.findQuarantined(parts)
+	n.cells.ShedQuarantined(func(traits []ident.Trait) (time.Time, bool) {
+		_, until, ok := n.findQuarantined(traits)
 		return until, ok
 	})
 	n.tasks.Go(n.broadcastState)
 }
 
-// findQuarantined returns the first of the parts that is quarantined, and until when.
-func (n *Node) findQuarantined(parts []ident.PromptPart) (part ident.PromptPart, until time.Time, ok bool) {
-	return n.poison.quarantined.Find(parts, time.Now())
+// findQuarantined returns the first of the traits that is quarantined, and until when.
+func (n *Node) findQuarantined(traits []ident.Trait) (trait ident.Trait, until time.Time, ok bool) {
+	return n.poison.quarantined.Find(traits, time.Now())
 }
 
-func partKey(part ident.PromptPart) string { return strconv.FormatUint(uint64(part), 16) }
+func traitKey(trait ident.Trait) string { return strconv.FormatUint(uint64(trait), 16) }
 
-// quarantineRow is the value of a row of quarantineTable, whose key is the part.
+// quarantineRow is the value of a row of quarantineTable, whose key is the trait.
 type quarantineRow struct {
 	UntilUnixMilli int64 `json:"until_unix_ms"`
 }
@@ -251,38 +250,38 @@
 	now := time.Now()
 	for _, r := range rows {
 		var row quarantineRow
-		part, err := strconv.ParseUint(r.Key, 16, 64)
+		trait, err := strconv.ParseUint(r.Key, 16, 64)
 		if err != nil || json.Unmarshal(r.Value, &row) != nil {
 			n.Log.Warn("quarantine_row_unreadable", "key", r.Key)
 			continue
 		}
-		if n.poison.quarantined.Add(ident.PromptPart(part), time.UnixMilli(row.UntilUnixMilli), now) {
-			n.Log.Info("prompt_part_quarantine_learned", "part", r.Key, "from", "store")
+		if n.poison.quarantined.Add(ident.Trait(trait), time.UnixMilli(row.UntilUnixMilli), now) {
+			n.Log.Info("quarantine_learned", "trait", r.Key, "from", "store")
 		}
 	}
 }
 
-// writeQuarantines writes the rows of quarantined parts.
-func (n *Node) writeQuarantines(ctx context.Context, parts map[ident.PromptPart]time.Time) error {
+// writeQuarantines writes the rows of quarantined traits.
+func (n *Node) writeQuarantines(ctx context.Context, traits map[ident.Trait]time.Time) error {
 	var writes []store.Write
-	for _, part := range slices.Sorted(maps.Keys(parts)) {
-		value, err := json.Marshal(quarantineRow{parts[part].UnixMilli()})
+	for _, trait := range slices.Sorted(maps.Keys(traits)) {
+		value, err := json.Marshal(quarantineRow{traits[trait].UnixMilli()})
 		if err != nil {
 			panic(err) // encoding an integer cannot fail.
 		}
-		writes = append(writes, store.Write{Table: quarantineTable, Key: partKey(part), Value: value})
+		writes = append(writes, store.Write{Table: quarantineTable, Key: traitKey(trait), Value: value})
 	}
 	if len(writes) == 0 {
 		return nil
 	}
 	err := n.writeRows(ctx, writes)
 	if err != nil {
-		n.Log.Warn("quarantine_not_written", "parts", len(writes), "error", err)
+		n.Log.Warn("quarantine_not_written", "traits", len(writes), "error", err)
 	}
 	return err
 }
 
-// rewriteQuarantines writes the rows of all quarantined parts again. One node does so for
+// rewriteQuarantines writes the rows of all quarantined traits again. One node does so for
 // the fleet.
 func (n *Node) rewriteQuarantines(ctx context.Context) error {
 	owner, ok := n.members.View().Owner(n.Process.Region, quarantineTable)
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -59,7 +59,7 @@
 		return time.Since(n.tables.endpointsReadAt()).Seconds()
 	})
 	n.meter.Gauge("goldcrestwick_limited_endpoints", func() float64 { return float64(len(n.proxy.KnownLimits())) })
-	n.meter.Gauge("goldcrestwick_quarantined_prompt_parts", func() float64 { return float64(len(n.poison.quarantined.All(time.Now()))) })
+	n.meter.Gauge("goldcrestwick_quarantined_traits", func() float64 { return float64(len(n.poison.quarantined.All(time.Now()))) })
 	n.meter.Gauge("goldcrestwick_endpoint_connections_opened", func() float64 { return float64(n.conns.DialCount()) })
 }
 
--- a/internal/process/poison/evidence.go
+++ b/internal/process/poison/evidence.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// evidence is what is known of one part.
+// evidence is what is known of one trait.
 type evidence struct {
 	// crashes holds at most one crash of each endpoint run since the last completion,
 	// in order of time.
 	crashes []crash
-	// isBlamed is set once the part was blamed. Then its own crashes count although they
+	// isBlamed is set once the trait was blamed. Then its own crashes count although they
 	// are explained, and blamedWith is the number of them at that time.
 	isBlamed   bool
 	blamedWith int
--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -1,12 +1,12 @@
-// Package poison finds the parts of prompts that crash endpoints, and holds the
+// Package poison finds the traits of requests that crash endpoints, and holds the
 // quarantined ones.
 //
 // A request that crashes its endpoint is lost with all other requests there. If the
-// cause lies in a part of its prompt, other requests carry the same part to the next
-// endpoints. A crash alone blames nothing, as endpoints also crash by themselves, and
-// the requests at an endpoint share their parts with sound ones. Detector
-// therefore counts, for each part, the crashes of endpoints that held a request with the
-// part and had sent nothing of its answer. A part becomes a suspect after minCrashes such
+// cause lies in a trait, such as a part of its prompt, other requests carry it to the
+// next endpoints. A crash alone blames nothing, as endpoints also crash by themselves, and
+// the requests at an endpoint share their traits with sound ones. Detector
+// therefore counts, for each trait, the crashes of endpoints that held a request with the
+// trait and had sent nothing of its answer. A trait becomes a suspect after minCrashes such
 // crashes at different endpoints and times, if no request with it has completed meanwhile,
 // or run on for SurvivalTime, but other requests have been answered. Of several suspects,
 // those are blamed with which no request has completed for the longest time, and crashes
@@ -18,15 +18,15 @@
 // # Usage
 //
 //	d := &poison.Detector{}
-//	d.Crashed(poison.Crash{Endpoint: id, At: now, Parts: parts})
-//	d.Completed(endpoint, parts, now)
+//	d.Crashed(poison.Crash{Endpoint: id, At: now, Traits: traits})
+//	d.Completed(endpoint, traits, now)
 //	suspects, isPending := d.Suspects(now)
 //	// call d.Exonerate with what other nodes report of the suspects, then:
 //	for _, s := range d.Blame(suspects, now) {
-//		list.Add(s.Part, now.Add(poison.QuarantineTime), now)
+//		list.Add(s.Trait, now.Add(poison.QuarantineTime), now)
 //	}
 //	...
-//	if part, until, ok := list.Find(parts, now); ok { /* refuse */ }
+//	if trait, until, ok := list.Find(traits, now); ok { /* refuse */ }
 package poison
 
 import (
@@ -40,10 +40,10 @@
 )
 
 const (
-	// minCrashes is the number of crashes at different times that make a part a suspect.
+	// minCrashes is the number of crashes at different times that make a trait a suspect.
 	minCrashes = 3
 	// SurvivalTime is how long after its first token a request must have run to show that
-	// its parts crash nothing.
+	// its traits crash nothing.
 	SurvivalTime = 300 * time.Millisecond
 	// minSeparation is the least time between two crashes that both count. Endpoints
 	// that crash at the same moment have a common cause outside of the requests.
@@ -55,16 +55,16 @@
 	reportDelay  = 100 * time.Millisecond
 	// evidenceTime is how long crashes and completions are remembered.
 	evidenceTime = 30 * time.Minute
-	// maxSuspects bounds the parts with evidence. The weakest ones are dropped.
+	// maxSuspects bounds the traits with evidence. The weakest ones are dropped.
 	maxSuspects = 4096
 	// minAnswered is the number of requests that must have been answered, at least in part,
 	// since the first crash. If fewer were, the endpoints fail with any request.
 	minAnswered = 8
-	// maxCrashes bounds the crashes that are kept for a part, the latest ones.
+	// maxCrashes bounds the crashes that are kept for a trait, the latest ones.
 	maxCrashes = 16
-	// historyParts is the number of parts after which the older half of the completions
+	// historyTraits is the number of traits after which the older half of the completions
 	// is forgotten.
-	historyParts = 8192
+	historyTraits = 8192
 )
 
 // Endpoint identifies one run of an endpoint.
@@ -78,13 +78,13 @@
 type Crash struct {
 	Endpoint Endpoint
 	At       time.Time
-	// Parts holds the parts of the request's prompt.
-	Parts []ident.PromptPart
+	// Traits holds the traits of the request.
+	Traits []ident.Trait
 }
 
-// Suspect is a part with the time of the first crash that counts against it.
+// Suspect is a trait with the time of the first crash that counts against it.
 type Suspect struct {
-	Part  ident.PromptPart
+	Trait ident.Trait
 	Since time.Time
 	// Endpoints holds the endpoints that crashed.
 	Endpoints []ident.Endpoint
@@ -94,17 +94,17 @@
 // for concurrent use.
 type Detector struct {
 	mu       sync.Mutex
-	suspects map[ident.PromptPart]*evidence
-	// explained holds the endpoint runs whose crashes a blamed part explains, and when
+	suspects map[ident.Trait]*evidence
+	// explained holds the endpoint runs whose crashes a blamed trait explains, and when
 	// they were explained.
 	explained map[Endpoint]time.Time
 	// unconfirmed holds the time of the latest crash of each endpoint run, until it is
 	// confirmed.
 	unconfirmed map[Endpoint]time.Time
 	// answered counts the requests that were answered at least in part. Recent and older
-	// hold when requests with a part last completed or were seen to run on.
+	// hold when requests with a trait last completed or were seen to run on.
 	answered      int
-	recent, older map[ident.PromptPart]time.Time
+	recent, older map[ident.Trait]time.Time
 }
 
 // Crashed records a crash.
@@ -112,13 +112,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.suspects == nil {
-		d.suspects = map[ident.PromptPart]*evidence{}
+		d.suspects = map[ident.Trait]*evidence{}
 		d.unconfirmed = map[Endpoint]time.Time{}
 	}
 	d.unconfirmed[c.Endpoint] = c.At
 	if !d.isExplained(c) {
-		for _, part := range c.Parts {
-			d.evidenceOf(part).add(crash{c.Endpoint, c.At, d.answered}, d.completedAt(part))
+		for _, trait := range c.Traits {
+			d.evidenceOf(trait).add(crash{c.Endpoint, c.At, d.answered}, d.completedAt(trait))
 		}
 	}
 	if len(d.suspects) > maxSuspects {
@@ -126,12 +126,12 @@
 	}
 }
 
-// isExplained reports whether a blamed part explains a crash. If a part of this request
-// does, the crash is counted against that part only.
+// isExplained reports whether a blamed trait explains a crash. If a trait of this request
+// does, the crash is counted against that trait only.
 func (d *Detector) isExplained(c Crash) bool {
-	for _, part := range c.Parts {
-		if e := d.suspects[part]; e != nil && e.isBlamed {
-			e.add(crash{c.Endpoint, c.At, d.answered}, d.completedAt(part))
+	for _, trait := range c.Traits {
+		if e := d.suspects[trait]; e != nil && e.isBlamed {
+			e.add(crash{c.Endpoint, c.At, d.answered}, d.completedAt(trait))
 			d.explain(c.Endpoint, c.At)
 		}
 	}
@@ -139,7 +139,7 @@
 	return explained
 }
 
-// explain removes the crash of an endpoint's run from the evidence against all parts
+// explain removes the crash of an endpoint's run from the evidence against all traits
 // that are not blamed.
 func (d *Detector) explain(endpoint Endpoint, at time.Time) {
 	if d.explained == nil {
@@ -153,35 +153,35 @@
 	}
 }
 
-func (d *Detector) evidenceOf(part ident.PromptPart) *evidence {
-	e := d.suspects[part]
+func (d *Detector) evidenceOf(trait ident.Trait) *evidence {
+	e := d.suspects[trait]
 	if e == nil {
 		e = &evidence{}
-		d.suspects[part] = e
+		d.suspects[trait] = e
 	}
 	return e
 }
 
-// dropWeakest drops the quarter of the parts with the fewest and oldest crashes.
+// dropWeakest drops the quarter of the traits with the fewest and oldest crashes.
 func (d *Detector) dropWeakest() {
-	parts := slices.Collect(maps.Keys(d.suspects))
-	slices.SortFunc(parts, func(a, b ident.PromptPart) int {
+	traits := slices.Collect(maps.Keys(d.suspects))
+	slices.SortFunc(traits, func(a, b ident.Trait) int {
 		x, y := d.suspects[a], d.suspects[b]
 		return cmp.Or(cmp.Compare(len(x.crashes), len(y.crashes)), x.lastCrash().Compare(y.lastCrash()))
 	})
-	for _, part := range parts[:len(parts)/4] {
-		delete(d.suspects, part)
+	for _, trait := range traits[:len(traits)/4] {
+		delete(d.suspects, trait)
 	}
 }
 
 // Completed records that an endpoint completed a request. It exonerates the request's
-// parts, and an endpoint that seemed to have crashed shortly before.
-func (d *Detector) Completed(endpoint Endpoint, parts []ident.PromptPart, now time.Time) {
+// traits, and an endpoint that seemed to have crashed shortly before.
+func (d *Detector) Completed(endpoint Endpoint, traits []ident.Trait, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.answered++
-	for _, part := range parts {
-		d.exonerate(part, now)
+	for _, trait := range traits {
+		d.exonerate(trait, now)
 	}
 	at, ok := d.unconfirmed[endpoint]
 	if age := now.Sub(at); !ok || age < reportDelay || age >= confirmDelay {
@@ -195,66 +195,66 @@
 
 // Answered records that a request was answered in part and did not complete, as happens to
 // those that are at an endpoint when it crashes. If it ran for SurvivalTime, it
-// exonerates its parts.
-func (d *Detector) Answered(parts []ident.PromptPart, ranFor time.Duration, now time.Time) {
+// exonerates its traits.
+func (d *Detector) Answered(traits []ident.Trait, ranFor time.Duration, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.answered++
 	if ranFor < SurvivalTime {
 		return
 	}
-	for _, part := range parts {
-		d.exonerate(part, now)
+	for _, trait := range traits {
+		d.exonerate(trait, now)
 	}
 }
 
-// Exonerate records that a request with a part completed at another node, or has run for
+// Exonerate records that a request with a trait completed at another node, or has run for
 // SurvivalTime.
-func (d *Detector) Exonerate(part ident.PromptPart, at time.Time) {
+func (d *Detector) Exonerate(trait ident.Trait, at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.exonerate(part, at)
+	d.exonerate(trait, at)
 }
 
-func (d *Detector) exonerate(part ident.PromptPart, at time.Time) {
-	if !at.After(d.completedAt(part)) {
+func (d *Detector) exonerate(trait ident.Trait, at time.Time) {
+	if !at.After(d.completedAt(trait)) {
 		return
 	}
-	if d.recent == nil || len(d.recent) >= historyParts {
-		d.recent, d.older = map[ident.PromptPart]time.Time{}, d.recent
+	if d.recent == nil || len(d.recent) >= historyTraits {
+		d.recent, d.older = map[ident.Trait]time.Time{}, d.recent
 	}
-	d.recent[part] = at
-	if e := d.suspects[part]; e != nil && at.After(e.lastCrash()) {
-		delete(d.suspects, part)
+	d.recent[trait] = at
+	if e := d.suspects[trait]; e != nil && at.After(e.lastCrash()) {
+		delete(d.suspects, trait)
 	} else if e != nil {
 		e.remove(func(c crash) bool { return c.at.Before(at) })
 	}
 }
 
-// completedAt returns when a request with a part last completed, as far as that is
+// completedAt returns when a request with a trait last completed, as far as that is
 // remembered, or the zero time.
-func (d *Detector) completedAt(part ident.PromptPart) time.Time {
-	if at, ok := d.recent[part]; ok {
+func (d *Detector) completedAt(trait ident.Trait) time.Time {
+	if at, ok := d.recent[trait]; ok {
 		return at
 	}
-	return d.older[part]
+	return d.older[trait]
 }
 
-// CompletedAt returns when requests with each of the parts last completed, as far as that
+// CompletedAt returns when requests with each of the traits last completed, as far as that
 // is remembered.
-func (d *Detector) CompletedAt(parts []ident.PromptPart) map[ident.PromptPart]time.Time {
+func (d *Detector) CompletedAt(traits []ident.Trait) map[ident.Trait]time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	completed := map[ident.PromptPart]time.Time{}
-	for _, part := range parts {
-		if at := d.completedAt(part); !at.IsZero() {
-			completed[part] = at
+	completed := map[ident.Trait]time.Time{}
+	for _, trait := range traits {
+		if at := d.completedAt(trait); !at.IsZero() {
+			completed[trait] = at
 		}
 	}
 	return completed
 }
 
-// Suspects returns the parts with enough crashes to be blamed, each once until a further
+// Suspects returns the traits with enough crashes to be blamed, each once until a further
 // crash after it was blamed. IsPending reports whether crashes wait for their
 // confirmation, or suspects for answers to other requests; then Suspects should be called
 // again within a fraction of a second.
@@ -262,11 +262,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.forgetOld(now)
-	for part, e := range d.suspects {
+	for trait, e := range d.suspects {
 		d.noteAnswered(e, now)
 		confirmed, isEnough := e.confirmed(now)
 		isPending = isPending || now.Sub(e.lastCrash()) < confirmDelay || isEnough && len(confirmed) > e.blamedWith
-		if s, ok := d.suspect(part, now); ok {
+		if s, ok := d.suspect(trait, now); ok {
 			suspects = append(suspects, s)
 		}
 	}
@@ -275,23 +275,23 @@
 
 func (d *Detector) forgetOld(now time.Time) {
 	isOld := func(at time.Time) bool { return now.Sub(at) > evidenceTime }
-	maps.DeleteFunc(d.suspects, func(_ ident.PromptPart, e *evidence) bool { return isOld(e.lastCrash()) })
+	maps.DeleteFunc(d.suspects, func(_ ident.Trait, e *evidence) bool { return isOld(e.lastCrash()) })
 	maps.DeleteFunc(d.unconfirmed, func(_ Endpoint, at time.Time) bool { return now.Sub(at) >= confirmDelay })
 	maps.DeleteFunc(d.explained, func(_ Endpoint, at time.Time) bool { return isOld(at) })
 }
 
-// suspect reports whether a part has enough confirmed crashes.
-func (d *Detector) suspect(part ident.PromptPart, now time.Time) (Suspect, bool) {
-	e := d.suspects[part]
+// suspect reports whether a trait has enough confirmed crashes.
+func (d *Detector) suspect(trait ident.Trait, now time.Time) (Suspect, bool) {
+	e := d.suspects[trait]
 	if e == nil || len(e.crashes) <= e.blamedWith {
 		return Suspect{}, false
 	}
 	confirmed, isEnough := e.confirmed(now)
-	// Those that were answered need SurvivalTime to exonerate their parts.
+	// Those that were answered need SurvivalTime to exonerate their traits.
 	if !isEnough || len(confirmed) <= e.blamedWith || e.answeredAt.IsZero() || now.Sub(e.answeredAt) < SurvivalTime {
 		return Suspect{}, false
 	}
-	s := Suspect{Part: part, Since: confirmed[0].at}
+	s := Suspect{Trait: trait, Since: confirmed[0].at}
 	for _, c := range confirmed {
 		s.Endpoints = append(s.Endpoints, c.endpoint.ID)
 	}
@@ -310,16 +310,16 @@
 func (d *Detector) Blame(suspects []Suspect, now time.Time) []Suspect {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	completed := map[ident.PromptPart]time.Time{}
+	completed := map[ident.Trait]time.Time{}
 	for _, s := range suspects {
-		completed[s.Part] = d.completedAt(s.Part)
+		completed[s.Trait] = d.completedAt(s.Trait)
 	}
-	slices.SortStableFunc(suspects, func(a, b Suspect) int { return completed[a.Part].Compare(completed[b.Part]) })
+	slices.SortStableFunc(suspects, func(a, b Suspect) int { return completed[a.Trait].Compare(completed[b.Trait]) })
 	var blamed []Suspect
 	for len(suspects) > 0 {
-		// Parts that have equally long not completed cannot be told apart.
+		// Traits that have equally long not completed cannot be told apart.
 		equal := 1
-		for equal < len(suspects) && completed[suspects[equal].Part].Equal(completed[suspects[0].Part]) {
+		for equal < len(suspects) && completed[suspects[equal].Trait].Equal(completed[suspects[0].Trait]) {
 			equal++
 		}
 		blamed = append(blamed, d.blameTogether(suspects[:equal], now)...)
@@ -328,17 +328,17 @@
 	return blamed
 }
 
-// blameTogether blames those of the parts that still are suspects.
+// blameTogether blames those of the traits that still are suspects.
 func (d *Detector) blameTogether(suspects []Suspect, now time.Time) []Suspect {
 	var blamed []Suspect
 	for _, old := range suspects {
-		if s, ok := d.suspect(old.Part, now); ok {
+		if s, ok := d.suspect(old.Trait, now); ok {
 			blamed = append(blamed, s)
-			d.suspects[s.Part].isBlamed = true
+			d.suspects[s.Trait].isBlamed = true
 		}
 	}
 	for _, s := range blamed {
-		e := d.suspects[s.Part]
+		e := d.suspects[s.Trait]
 		e.blamedWith = len(s.Endpoints)
 		for _, c := range e.crashes {
 			d.explain(c.endpoint, c.at)
--- a/internal/process/poison/script_test.go
+++ b/internal/process/poison/script_test.go
@@ -34,21 +34,21 @@
 		comment := qt.Commentf("%s", line.Position)
 		switch line.Command {
 		case "crash":
-			d.Crashed(Crash{endpointOf(line.Args[0]), time.Now(), partsOf(line.Args[1:])})
+			d.Crashed(Crash{endpointOf(line.Args[0]), time.Now(), traitsOf(line.Args[1:])})
 		case "complete":
-			d.Completed(endpointOf(line.Args[0]), partsOf(line.Args[1:]), time.Now())
+			d.Completed(endpointOf(line.Args[0]), traitsOf(line.Args[1:]), time.Now())
 		case "others":
 			for i := range 10 {
-				d.Completed(endpointOf(line.Args[0]), []ident.PromptPart{ident.PromptPart(500 + i)}, time.Now())
+				d.Completed(endpointOf(line.Args[0]), []ident.Trait{ident.Trait(500 + i)}, time.Now())
 			}
 		case "answered":
 			for range line.ParseInt(line.Args[0]) {
 				d.Answered(nil, 0, time.Now())
 			}
 		case "ran":
-			d.Answered(partsOf(line.Args[1:]), line.ParseDuration(line.Args[0]), time.Now())
+			d.Answered(traitsOf(line.Args[1:]), line.ParseDuration(line.Args[0]), time.Now())
 		case "elsewhere":
-			d.Exonerate(partsOf(line.Args)[0], time.Now())
+			d.Exonerate(traitsOf(line.Args)[0], time.Now())
 		case "wait":
 			// A node looks for suspects at intervals while there is reason to.
 			left := line.ParseDuration(line.Args[0])
@@ -63,17 +63,17 @@
 			var blamed []Suspect
 			blamed, isPending = d.Suspects(time.Now())
 			blamed = d.Blame(blamed, time.Now())
-			parts := []ident.PromptPart{}
+			traits := []ident.Trait{}
 			for _, s := range blamed {
-				parts = append(parts, s.Part)
+				traits = append(traits, s.Trait)
 			}
-			slices.Sort(parts)
-			qt.Check(t, parts, qt.DeepEquals, partsOf(line.Args), comment)
+			slices.Sort(traits)
+			qt.Check(t, traits, qt.DeepEquals, traitsOf(line.Args), comment)
 		case "pending":
 			qt.Check(t, isPending, qt.Equals, line.Args[0] == "yes", comment)
 		case "flood":
 			for i := range line.ParseInt(line.Args[0]) {
-				d.Crashed(Crash{Endpoint{"flood", int64(i)}, time.Now(), []ident.PromptPart{ident.PromptPart(1000 + i)}})
+				d.Crashed(Crash{Endpoint{"flood", int64(i)}, time.Now(), []ident.Trait{ident.Trait(1000 + i)}})
 			}
 			qt.Check(t, len(d.suspects) <= maxSuspects, qt.IsTrue, comment)
 		default:
@@ -88,39 +88,39 @@
 	return Endpoint{ident.Endpoint(name), int64(len(run))}
 }
 
-func partsOf(names []string) []ident.PromptPart {
-	parts := []ident.PromptPart{}
+func traitsOf(names []string) []ident.Trait {
+	traits := []ident.Trait{}
 	for _, name := range names {
-		parts = append(parts, ident.PromptPart(name[0]))
+		traits = append(traits, ident.Trait(name[0]))
 	}
-	return parts
+	return traits
 }
 
 // TestList checks that the list bounds its size and the time of a quarantine, and that
 // a part leaves it when its time ends.
 func TestList(t *testing.T) {
 	l, now := &List{}, time.Unix(1000, 0)
-	_, _, ok := l.Find([]ident.PromptPart{1}, now)
+	_, _, ok := l.Find([]ident.Trait{1}, now)
 	qt.Assert(t, ok, qt.IsFalse)
 	qt.Check(t, l.Add(1, now.Add(time.Hour), now), qt.IsTrue)
 	qt.Check(t, l.Add(1, now.Add(time.Minute), now), qt.IsFalse)
-	part, until, ok := l.Find([]ident.PromptPart{2, 1}, now)
+	trait, until, ok := l.Find([]ident.Trait{2, 1}, now)
 	qt.Check(t, ok, qt.IsTrue)
-	qt.Check(t, part, qt.Equals, ident.PromptPart(1))
+	qt.Check(t, trait, qt.Equals, ident.Trait(1))
 	qt.Check(t, until, qt.Equals, now.Add(QuarantineTime))
-	_, _, ok = l.Find([]ident.PromptPart{1}, until)
+	_, _, ok = l.Find([]ident.Trait{1}, until)
 	qt.Check(t, ok, qt.IsFalse)
 	// Remaining times that are passed from node to node do not prolong a quarantine.
 	for i := range 100 {
 		l.Add(1, until.Add(time.Duration(i+1)*time.Second), now.Add(time.Duration(i)*time.Second))
 	}
-	_, kept, _ := l.Find([]ident.PromptPart{1}, now)
+	_, kept, _ := l.Find([]ident.Trait{1}, now)
 	qt.Check(t, kept, qt.Equals, until.Add(time.Minute))
 	qt.Check(t, l.Add(3, now, now), qt.IsFalse)
 	for i := range maxQuarantined {
-		qt.Check(t, l.Add(ident.PromptPart(10+i), now.Add(time.Minute), now), qt.IsTrue)
+		qt.Check(t, l.Add(ident.Trait(10+i), now.Add(time.Minute), now), qt.IsTrue)
 	}
 	qt.Check(t, len(l.All(now)), qt.Equals, maxQuarantined)
-	_, _, ok = l.Find([]ident.PromptPart{1}, now)
+	_, _, ok = l.Find([]ident.Trait{1}, now)
 	qt.Check(t, ok, qt.IsTrue)
 }
--- a/internal/process/poison/traffic_test.go
+++ b/internal/process/poison/traffic_test.go
@@ -21,12 +21,12 @@
 	blameLimit    = 3 * time.Second
 	checkInterval = 100 * time.Millisecond
 	// crashingPart is the part that crashes endpoints; all other parts are larger.
-	crashingPart ident.PromptPart = 1
+	crashingTrait ident.Trait = 1
 )
 
 // trafficRequest is a request at an endpoint.
 type trafficRequest struct {
-	parts           []ident.PromptPart
+	traits          []ident.Trait
 	firstAt, doneAt time.Time
 }
 
@@ -61,22 +61,22 @@
 		}
 		blamed := s.run()
 		comment := qt.Commentf("seed %d: interval %v, other crashes every %v, %d crashes", seed, s.interval, s.crashInterval, s.crashes)
-		qt.Assert(t, blamed, qt.DeepEquals, []ident.PromptPart{crashingPart}, comment)
+		qt.Assert(t, blamed, qt.DeepEquals, []ident.Trait{crashingTrait}, comment)
 		qt.Assert(t, s.fifthCrash.IsZero() || s.blamedAt.Sub(s.fifthCrash) <= blameLimit, qt.IsTrue, comment)
 		worst = max(worst, s.crashes)
 	}
-	t.Log("seeds 0 to 59; most crashes until the part was blamed: " + fmt.Sprint(worst))
+	t.Log("seeds 0 to 59; most crashes until the trait was blamed: " + fmt.Sprint(worst))
 }
 
 // run returns the parts that were blamed. Requests with a blamed part are refused.
-func (s *traffic) run() (blamed []ident.PromptPart) {
-	isQuarantined := map[ident.PromptPart]bool{}
+func (s *traffic) run() (blamed []ident.Trait) {
+	isQuarantined := map[ident.Trait]bool{}
 	for end := s.now.Add(trafficTime); s.now.Before(end); s.now = s.now.Add(trafficStep) {
 		for range 2 + s.rand.IntN(3) {
 			s.start(0)
 		}
-		if !isQuarantined[crashingPart] && s.happens(s.interval) {
-			s.start(crashingPart)
+		if !isQuarantined[crashingTrait] && s.happens(s.interval) {
+			s.start(crashingTrait)
 		}
 		if s.happens(s.crashInterval) {
 			s.crashOthers()
@@ -89,11 +89,11 @@
 		}
 		suspects, _ := s.detector.Suspects(s.now)
 		for _, b := range s.detector.Blame(suspects, s.now) {
-			if !isQuarantined[b.Part] {
-				blamed = append(blamed, b.Part)
+			if !isQuarantined[b.Trait] {
+				blamed = append(blamed, b.Trait)
 				s.blamedAt = s.now
 			}
-			isQuarantined[b.Part] = true
+			isQuarantined[b.Trait] = true
 		}
 	}
 	return blamed
@@ -106,18 +106,18 @@
 
 // start starts a request with a part of all, one of its account, one of a document,
 // which may be rare, and one of its own. Part, if not 0, replaces the document's.
-func (s *traffic) start(part ident.PromptPart) {
+func (s *traffic) start(trait ident.Trait) {
 	e := s.rand.IntN(trafficEndpoints)
 	if s.now.Before(s.downTill[e]) {
 		return
 	}
-	document := ident.PromptPart(200 + int(300*s.rand.Float64()*s.rand.Float64()))
-	if part == 0 {
-		part = document
+	document := ident.Trait(200 + int(300*s.rand.Float64()*s.rand.Float64()))
+	if trait == 0 {
+		trait = document
 	}
 	first := s.now.Add(time.Duration(20+s.rand.IntN(150)) * time.Millisecond)
 	s.running[e] = append(s.running[e], trafficRequest{
-		parts:   []ident.PromptPart{100, ident.PromptPart(110 + s.rand.IntN(5)), part, ident.PromptPart(s.rand.Uint64() | 1<<40)},
+		traits:  []ident.Trait{100, ident.Trait(110 + s.rand.IntN(5)), trait, ident.Trait(s.rand.Uint64() | 1<<40)},
 		firstAt: first, doneAt: first.Add(time.Duration(50+s.rand.IntN(3000)) * time.Millisecond),
 	})
 }
@@ -125,13 +125,13 @@
 // advance completes requests of an endpoint, or crashes it.
 func (s *traffic) advance(e int) {
 	s.running[e] = slices.DeleteFunc(s.running[e], func(r trafficRequest) bool {
-		isDone := r.parts[2] != crashingPart && !s.now.Before(r.doneAt)
+		isDone := r.traits[2] != crashingTrait && !s.now.Before(r.doneAt)
 		if isDone {
-			s.detector.Completed(s.endpoint(e), r.parts, s.now)
+			s.detector.Completed(s.endpoint(e), r.traits, s.now)
 		}
 		return isDone
 	})
-	isCrash := func(r trafficRequest) bool { return r.parts[2] == crashingPart && !s.now.Before(r.firstAt) }
+	isCrash := func(r trafficRequest) bool { return r.traits[2] == crashingTrait && !s.now.Before(r.firstAt) }
 	if slices.ContainsFunc(s.running[e], isCrash) {
 		s.crashes++
 		if s.crashes == 5 {
@@ -147,8 +147,8 @@
 
 func (s *traffic) crash(e int) {
 	for _, r := range s.running[e] {
-		if s.now.Before(r.firstAt) || r.parts[2] == crashingPart {
-			s.detector.Crashed(Crash{s.endpoint(e), s.now, r.parts})
+		if s.now.Before(r.firstAt) || r.traits[2] == crashingTrait {
+			s.detector.Crashed(Crash{s.endpoint(e), s.now, r.traits})
 		}
 	}
 	s.running[e] = nil
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -30,7 +30,7 @@
 	// completions may be reported to that node.
 	isAdopted bool
 	prefix    []ident.Fingerprint
-	parts     []ident.PromptPart
+	traits    []ident.Trait
 }
 
 // targets are a pool's latency targets.
@@ -195,7 +195,7 @@
 	g := c.newGrant()
 	*g = grant{
 		node: r.Node, class: r.class, endpoint: e, charge: r.charge, uncached: r.Prompt - cached,
-		cached: cached, grantedAt: now, backlogAhead: e.backlog, prefix: r.Prefix, parts: r.PromptParts,
+		cached: cached, grantedAt: now, backlogAhead: e.backlog, prefix: r.Prefix, traits: r.Traits,
 	}
 	e.addGrant(g.charge, g.uncached)
 	e.spaceGrants(cmp.Or(c.LimitShare, 1), now)
--- a/internal/process/sched/script_test.go
+++ b/internal/process/sched/script_test.go
@@ -126,7 +126,7 @@
 		}
 		for part := range strings.SplitSeq(args["parts"], ",") {
 			if part != "" {
-				r.PromptParts = append(r.PromptParts, ident.PromptPart(part[0]))
+				r.Traits = append(r.Traits, ident.Trait(part[0]))
 			}
 		}
 		if limit := s.intArg(args, "known_limit", 0); limit > 0 {
@@ -155,8 +155,8 @@
 
 // quarantine sheds the waiting requests that have a part.
 func (s *scriptRunner) quarantine(names []string, _ map[string]string) {
-	s.cell.ShedQuarantined(func(parts []ident.PromptPart) (time.Time, bool) {
-		return time.Now().Add(time.Minute), slices.Contains(parts, ident.PromptPart(names[0][0]))
+	s.cell.ShedQuarantined(func(parts []ident.Trait) (time.Time, bool) {
+		return time.Now().Add(time.Minute), slices.Contains(parts, ident.Trait(names[0][0]))
 	})
 }
 
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -35,8 +35,8 @@
 	// BlockTokens holds the tokens of each block of Prefix if the blocks differ
 	// in size.
 	BlockTokens []ident.Tokens
-	// PromptParts identifies the parts of the prompt, each whatever stands before it.
-	PromptParts []ident.PromptPart
+	// Traits holds what other requests may have in common with this one.
+	Traits []ident.Trait
 	// KnownLimits holds the rate limits that endpoints stated to the entry node, in a
 	// request for a standby cell. They apply to endpoints that have stated nothing to the
 	// cell yet.
@@ -100,7 +100,7 @@
 	ReasonTierClosed          Reason = "tier_closed_for_overload"
 	ReasonDeadlineUnreachable Reason = "deadline_unreachable"
 	ReasonDeadlinePassed      Reason = "deadline_passed"
-	ReasonPromptQuarantined   Reason = "prompt_quarantined"
+	ReasonQuarantined         Reason = "quarantined"
 	ReasonCellMoved           Reason = "cell_moved"
 	ReasonIdleCell            Reason = "idle_cell"
 )
@@ -173,8 +173,8 @@
 // Ended reports the end of a granted request to Cell.Ended.
 type Ended struct {
 	Endpoint EndpointSpec
-	// PromptParts is that of the grant request.
-	PromptParts []ident.PromptPart
+	// Traits is that of the grant request.
+	Traits []ident.Trait
 	// IsAnswered is set if the first token was reported, RanFor before the end.
 	IsAnswered bool
 	RanFor     time.Duration
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -60,9 +60,9 @@
 	// BlockTokens holds the tokens of each block of the prompt, nil if all blocks
 	// have the same size.
 	BlockTokens []ident.Tokens
-	// PromptParts identifies the parts of the prompt, each whatever stands before it. If it
-	// is nil, the beginnings of the prompt stand for them.
-	PromptParts []ident.PromptPart
+	// Traits holds what other requests may have in common with this one. If it is nil,
+	// the beginnings of the prompt are used.
+	Traits []ident.Trait
 	// Avoid lists endpoints at which the request has already failed.
 	Avoid []ident.Endpoint
 
@@ -87,9 +87,9 @@
 	Client *client.Client
 	// Clock is the node's hybrid logical clock.
 	Clock *clock.Clock
-	// Quarantined returns the first of the parts of a prompt that is quarantined, and
+	// Quarantined returns the first of a request's traits that is quarantined, and
 	// until when; nil means that none is.
-	Quarantined func([]ident.PromptPart) (part ident.PromptPart, until time.Time, ok bool)
+	Quarantined func([]ident.Trait) (trait ident.Trait, until time.Time, ok bool)
 	// KnownLimits returns the rate limits that endpoints stated to this node; nil means
 	// none.
 	KnownLimits func() map[ident.Endpoint]ident.Rate
@@ -152,8 +152,8 @@
 // run requests grants until one can be used, dispatches the request, and reports
 // its completion to the cell. Sent is true if anything was sent to an endpoint.
 func (e *Entry) run(ctx context.Context, j *Job, sink answer.Sink) (sent bool, refusal *refuse.Refusal) {
-	if j.PromptParts == nil {
-		j.PromptParts = partsOf(j.Request.Prefix)
+	if j.Traits == nil {
+		j.Traits = traitsOf(j.Request.Prefix)
 	}
 	for attempt := 1; ; attempt++ {
 		if refusal := e.quarantineRefusal(j); refusal != nil {
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -110,7 +110,7 @@
 	sched.ReasonOverload:            "the pool has more waiting requests than it can hold",
 	sched.ReasonTierClosed:          "the pool is overloaded and the tier is closed in favour of higher ones",
 	sched.ReasonDeadlineUnreachable: "no endpoint could finish the answer by the deadline",
-	sched.ReasonPromptQuarantined:   "endpoints crashed under requests with a part of this prompt",
+	sched.ReasonQuarantined:         "endpoints crashed under requests with a part of this prompt",
 	sched.ReasonDeadlinePassed:      "the deadline passed while the request waited",
 }
 
@@ -174,7 +174,7 @@
 		Weight: j.Account.Weight, Prompt: j.Request.PromptTokens, Output: j.Request.OutputTokens,
 		Deadline: j.Request.Deadline, Prefix: j.Request.Prefix,
 		FirstTokenTarget: j.FirstTokenTarget, Zone: e.Zone, Avoid: j.Avoid, BlockTokens: j.BlockTokens,
-		PromptParts: j.PromptParts,
+		Traits: j.Traits,
 	}
 	if local := e.Cells.LocalCell(cell); local != nil {
 		req.MayRedirect = !j.hasBeenRedirected
--- a/internal/request/entry/known.go
+++ b/internal/request/entry/known.go
@@ -6,30 +6,30 @@
 	"goldcrestwick/internal/request/refuse"
 )
 
-// maxPromptParts bounds the beginnings of a prompt that stand for its parts, and thereby
+// maxTraits bounds the beginnings of a prompt that are its traits, and thereby
 // the size of its grant request.
-const maxPromptParts = 16
+const maxTraits = 16
 
-// partsOf returns the shortest beginnings of a prompt as its parts.
-func partsOf(prefix []ident.Fingerprint) []ident.PromptPart {
-	var parts []ident.PromptPart
-	for _, f := range prefix[:min(len(prefix), maxPromptParts)] {
-		parts = append(parts, ident.PromptPart(f))
+// traitsOf returns the shortest beginnings of a prompt as its traits.
+func traitsOf(prefix []ident.Fingerprint) []ident.Trait {
+	var traits []ident.Trait
+	for _, f := range prefix[:min(len(prefix), maxTraits)] {
+		traits = append(traits, ident.Trait(f))
 	}
-	return parts
+	return traits
 }
 
-// quarantineRefusal returns the refusal of a job with a quarantined part in its prompt,
+// quarantineRefusal returns the refusal of a job with a quarantined trait,
 // or nil.
 func (e *Entry) quarantineRefusal(j *Job) *refuse.Refusal {
 	if e.Quarantined == nil {
 		return nil
 	}
-	part, until, ok := e.Quarantined(j.PromptParts)
+	trait, until, ok := e.Quarantined(j.Traits)
 	if !ok {
 		return nil
 	}
-	return refuse.NewQuarantined(part, until)
+	return refuse.NewQuarantined(trait, until)
 }
 
 // addKnownLimits adds the endpoints' rate limits to a request for a standby cell, which
--- a/internal/request/ident/ident.go
+++ b/internal/request/ident/ident.go
@@ -60,8 +60,9 @@
 // Fingerprint is a hash that identifies a prompt prefix.
 type Fingerprint uint64
 
-// PromptPart identifies one part of a prompt, whatever parts stand before it.
-type PromptPart uint64
+// Trait identifies something that requests have in common, such as a part of their prompts,
+// whatever parts stand before it.
+type Trait uint64
 
 // MaxTiers bounds the number of tiers in one settings tree.
 const MaxTiers = 16
--- a/internal/request/proxy/prefix.go
+++ b/internal/request/proxy/prefix.go
@@ -12,11 +12,11 @@
 // its grant request.
 const maxPromptParts = 16
 
-// partIDs returns the identifiers of the parts of a prompt.
-func partIDs(parts []PromptPart) []ident.PromptPart {
-	var ids []ident.PromptPart
+// partTraits returns the identifiers of the parts of a prompt.
+func partTraits(parts []PromptPart) []ident.Trait {
+	var ids []ident.Trait
 	for _, part := range parts[:min(len(parts), maxPromptParts)] {
-		ids = append(ids, ident.PromptPart(part.ID))
+		ids = append(ids, ident.Trait(part.ID))
 	}
 	return ids
 }
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -176,9 +176,9 @@
 	// LimitChanged is called when an endpoint names another limit than in its last answer
 	// to this node, with 0 when it names none any more; it may be nil.
 	LimitChanged func(ident.Endpoint, ident.Rate)
-	// Quarantined returns the first of the parts of a prompt that is quarantined, and
+	// Quarantined returns the first of a request's traits that is quarantined, and
 	// until when; nil means that none is.
-	Quarantined func([]ident.PromptPart) (part ident.PromptPart, until time.Time, ok bool)
+	Quarantined func([]ident.Trait) (trait ident.Trait, until time.Time, ok bool)
 	// Record is called for each dispatch and each retry; it may be nil.
 	Record func(trace.Record)
 
@@ -239,17 +239,16 @@
 	}
 }
 
-// quarantineRefusal returns the refusal of a request with a quarantined part in its
-// prompt, or nil.
+// quarantineRefusal returns the refusal of a request with a quarantined trait, or nil.
 func (p *Proxy) quarantineRefusal(s *requestState) *refuse.Refusal {
 	if p.Quarantined == nil {
 		return nil
 	}
-	part, until, ok := p.Quarantined(s.job.PromptParts)
+	trait, until, ok := p.Quarantined(s.job.Traits)
 	if !ok {
 		return nil
 	}
-	return refuse.NewQuarantined(part, until)
+	return refuse.NewQuarantined(trait, until)
 }
 
 func (p *Proxy) newJob(r *Request) *entry.Job {
@@ -259,7 +258,7 @@
 	}
 	prefix, partTokens := fingerprints(r.Info.PromptParts)
 	return &entry.Job{
-		BlockTokens: partTokens, PromptParts: partIDs(r.Info.PromptParts),
+		BlockTokens: partTokens, Traits: partTraits(r.Info.PromptParts),
 		Request: &intake.Request{
 			ID: r.ID, Kind: r.Pool.Kind, Arrived: r.Arrived, Deadline: r.Deadline,
 			PromptTokens: r.Info.PromptTokens, OutputTokens: p.lengths.estimate(r), Prefix: prefix,
--- a/internal/request/refuse/refuse.go
+++ b/internal/request/refuse/refuse.go
@@ -72,12 +72,11 @@
 	OutcomeNoLongerHeld Reason = "outcome_no_longer_held"
 	EndpointFailed      Reason = "endpoint_failed"
 	AnswerIncomplete    Reason = "answer_incomplete"
-	// PromptQuarantined means that endpoints crashed under requests with a part of this
-	// request's prompt.
-	PromptQuarantined Reason = "prompt_quarantined"
-	LedgerFull        Reason = "ledger_full"
-	CallerGone        Reason = "caller_gone"
-	HeaderTooLarge    Reason = "header_too_large"
+	// Quarantined means that endpoints crashed under requests with a trait of this one.
+	Quarantined    Reason = "quarantined"
+	LedgerFull     Reason = "ledger_full"
+	CallerGone     Reason = "caller_gone"
+	HeaderTooLarge Reason = "header_too_large"
 	// NodeNotReady means that the node has not loaded its settings yet.
 	NodeNotReady Reason = "node_not_ready"
 )
@@ -97,7 +96,7 @@
 	OutcomeNoLongerHeld: http.StatusConflict, EndpointFailed: http.StatusBadGateway,
 	AnswerIncomplete: http.StatusBadGateway, LedgerFull: http.StatusServiceUnavailable,
 	CallerGone: http.StatusRequestTimeout, HeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
-	NodeNotReady: http.StatusServiceUnavailable, PromptQuarantined: http.StatusServiceUnavailable,
+	NodeNotReady: http.StatusServiceUnavailable, Quarantined: http.StatusServiceUnavailable,
 }
 
 // Refusal is the error of a refused or failed request.
@@ -117,9 +116,9 @@
 	return &Refusal{Reason: reason, Message: message, RunState: NotRun}
 }
 
-// NewQuarantined returns the refusal of a request with a quarantined part in its prompt.
-func NewQuarantined(part ident.PromptPart, until time.Time) *Refusal {
-	r := New(PromptQuarantined, "endpoints crashed under requests with the part "+strconv.FormatUint(uint64(part), 16)+" of this prompt")
+// NewQuarantined returns the refusal of a request with a quarantined trait.
+func NewQuarantined(trait ident.Trait, until time.Time) *Refusal {
+	r := New(Quarantined, "endpoints crashed under requests with the trait "+strconv.FormatUint(uint64(trait), 16)+" of this one")
 	r.RetryAfter = time.Until(until)
 	return r
 }
--- a/internal/tool/fleet/crash_test.go
+++ b/internal/tool/fleet/crash_test.go
@@ -60,7 +60,7 @@
 		for i := range 20 {
 			a := send(i, "crash ")
 			if i >= 6 {
-				qt.Check(t, a.reason, qt.Equals, string(refuse.PromptQuarantined), qt.Commentf("request %d", i))
+				qt.Check(t, a.reason, qt.Equals, string(refuse.Quarantined), qt.Commentf("request %d", i))
 				qt.Check(t, a.run, qt.Equals, string(refuse.NotRun))
 			}
 			for range 3 {
