Log the fingerprint of interrupted requests

Cause: a caller's request has a new identifier each time it comes, and a request to an application has no prompt whose parts would be logged. The logs can't tell whether requests under which endpoints end are the same.

--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -285,7 +285,7 @@
 	}
 	rt.Log.Info("request_ended", "request_id", string(req.ID), "account", accountName(req.Account), "route", req.Route.Name, "pool", req.Pool.ID,
 		"endpoint", result.Endpoint, "status", result.Status, "attempts", result.Attempts, "cut", result.Truncated,
-		"reason", result.Reason, "interrupted", result.Interrupted, "events", result.Events, "prompt_parts", failedParts(req, result),
+		"reason", result.Reason, "interrupted", result.Interrupted, "events", result.Events, "prompt_parts", failedParts(req, result), "fingerprint", failedFingerprint(req, result),
 		"prompt_tokens", int64(req.Info.PromptTokens), "max_output_tokens", int64(req.Info.MaxOutputTokens),
 		"first_answer", result.TimeToFirstAnswer, "took", time.Since(req.Arrived),
 		"settings_version", uint64(req.Version))
@@ -307,6 +307,15 @@
 	return b.String()
 }
 
+// failedFingerprint returns a request's fingerprint as log text, "" for a request without
+// an interrupted attempt.
+func failedFingerprint(req *proxy.Request, result proxy.Result) string {
+	if result.Interrupted == 0 {
+		return ""
+	}
+	return strconv.FormatUint(uint64(req.Fingerprint()), 16)
+}
+
 func accountName(a *config.Account) ident.ClientAccount {
 	if a == nil {
 		return ""
--- a/internal/request/proxy/prefix.go
+++ b/internal/request/proxy/prefix.go
@@ -12,15 +12,6 @@
 // its grant request.
 const maxPromptParts = 16
 
-// partTraits returns the identifiers of the parts of a prompt.
-func partTraits(parts []PromptPart) []ident.Trait {
-	var ids []ident.Trait
-	for _, part := range parts[:min(len(parts), maxPromptParts)] {
-		ids = append(ids, ident.Trait(part.ID))
-	}
-	return ids
-}
-
 // fingerprints returns the fingerprint and the number of tokens of each part of
 // a prompt. The fingerprint of a part covers it and all parts before it.
 func fingerprints(parts []PromptPart) (prefix []ident.Fingerprint, partTokens []ident.Tokens) {
