--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -145,8 +145,8 @@
 	// RateLimit, if not nil, returns the value of LimitHeader in all answers, "" for none.
 	RateLimit func() string
 	// Crash, if not nil, is called when Batch generates the first token of a prompt, with
-	// its parts. If it returns true, the engine has crashed.
-	Crash func([]batch.PromptPart) bool
+	// its parts, and before any other answer. If it returns true, the engine has crashed.
+	Crash func(target string, parts []batch.PromptPart) bool
 
 	mu       sync.Mutex
 	received []ReceivedRequest
@@ -243,6 +243,9 @@
 		return e.generate(c, r, req)
 	}
 	time.Sleep(b.EventInterval)
+	if e.Crash != nil && e.Crash(req.RequestURI, nil) {
+		return false
+	}
 	if b.Endless != "" {
 		e.writeEndless(c, req.Header.Get(AttemptIDHeader), b)
 		return false
--- a/internal/stand/engine/generate.go
+++ b/internal/stand/engine/generate.go
@@ -90,7 +90,7 @@
 			default:
 				return false
 			}
-			if generated == generation.GeneratedTokens && e.Crash != nil && e.Crash(generation.Parts) {
+			if generated == generation.GeneratedTokens && e.Crash != nil && e.Crash(req.RequestURI, generation.Parts) {
 				return false
 			}
 			if generated == generation.GeneratedTokens && !send(w, e.head(id, Behaviour{}, -2)) {
--- a/internal/tool/fleet/crash_test.go
+++ b/internal/tool/fleet/crash_test.go
@@ -74,10 +74,11 @@
 	})
 }
 
-// crashLog holds the part of a prompt that crashes engines, and the crashes.
+// crashLog holds what crashes engines, the part of a prompt or the path of a request below
+// its route, and the crashes.
 type crashLog struct {
-	mu   sync.Mutex
-	part string
+	mu         sync.Mutex
+	part, path string
 	// down is the time until a crashed engine is back, as another incarnation.
 	down time.Duration
 	at   []time.Time
@@ -93,12 +94,25 @@
 	p.crashes.part, p.crashes.down = names[0], p.ParseDuration(given["down"])
 }
 
-// crash crashes an engine if the prompt has the crashing part, and starts it again
-// later.
-func (p *proxyCase) crash(name string, parts []batch.PromptPart) bool {
+// crashingRequest sets the path below its route of the request that crashes each engine
+// that runs it.
+func (p *proxyCase) crashingRequest(names []string, given map[string]string) {
 	p.crashes.mu.Lock()
 	defer p.crashes.mu.Unlock()
-	if !slices.ContainsFunc(parts, func(part batch.PromptPart) bool { return part.ID == p.crashes.part }) {
+	p.crashes.path, p.crashes.down = names[0], p.ParseDuration(given["down"])
+}
+
+func (c *crashLog) isRequest(target string) bool {
+	return c.path != "" && strings.HasSuffix(target, "/"+c.path)
+}
+
+// crash crashes an engine if the prompt has the crashing part or the request is the crashing
+// one, and starts it again later.
+func (p *proxyCase) crash(name, target string, parts []batch.PromptPart) bool {
+	p.crashes.mu.Lock()
+	defer p.crashes.mu.Unlock()
+	hasPart := slices.ContainsFunc(parts, func(part batch.PromptPart) bool { return part.ID == p.crashes.part })
+	if !hasPart && !p.crashes.isRequest(target) {
 		return false
 	}
 	p.crashes.at = append(p.crashes.at, time.Now())
@@ -135,23 +149,46 @@
 	}
 }
 
-// checkCrashes bounds the requests with the crashing part that have reached engines
-// later than after= from the fifth crash.
+// reads sends requests at intervals to nodes in turn for a duration: sound ones with a few
+// paths, and the crashing one.
+func (p *proxyCase) reads(names []string, given map[string]string) {
+	nodes, step := strings.Split(given["to"], ","), 10*time.Millisecond
+	for elapsed := time.Duration(0); elapsed < p.ParseDuration(names[0]); elapsed += step {
+		for kind, path := range map[string]string{"sound": fmt.Sprint("stock", p.crashes.sent%7), "crashing": p.crashes.path} {
+			interval := p.ParseDuration(given[kind])
+			if interval == 0 || elapsed%interval != 0 {
+				continue
+			}
+			p.crashes.sent++
+			n := p.crashes.sent
+			p.send([]string{fmt.Sprintf("%s_%s%d", given["prefix"], kind, n)}, map[string]string{
+				"to": nodes[n%len(nodes)], "route": given["route"], "key": given["key"], "path": path,
+				"tokens": given["tokens"], "parts": given["parts"],
+			})
+		}
+		time.Sleep(step)
+	}
+}
+
+// checkCrashes bounds the requests with the crashing part, or the crashing requests, that
+// have reached engines later than after= from the crash of a number, by default the fifth.
 func (p *proxyCase) checkCrashes(_ []string, given map[string]string) {
 	p.crashes.mu.Lock()
 	at := slices.Clone(p.crashes.at)
 	p.crashes.mu.Unlock()
-	if len(at) < 5 {
+	first := p.IntOption("from", 5)
+	if len(at) < first {
 		return
 	}
-	from, late := at[4].Add(p.ParseDuration(given["after"])), 0
+	from, late := at[first-1].Add(p.ParseDuration(given["after"])), 0
 	for _, e := range p.engines {
 		for _, r := range e.ReceivedRequests() {
-			if strings.Contains(r.Header.Get(engine.PromptPrefixHeader), ","+p.crashes.part+":") && r.At.After(from) {
+			hasPart := p.crashes.part != "" && strings.Contains(r.Header.Get(engine.PromptPrefixHeader), ","+p.crashes.part+":")
+			if (hasPart || p.crashes.isRequest(r.Target)) && r.At.After(from) {
 				late++
 			}
 		}
 	}
 	qt.Check(p.T, late <= p.IntOption("at_most", 0), qt.IsTrue,
-		qt.Commentf("%s: %d crashes, %d requests with the part after %v", p.Position, len(at), late, from))
+		qt.Commentf("%s: %d crashes, %d such requests after %v", p.Position, len(at), late, from))
 }
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -143,7 +143,7 @@
 		"wait": p.wait, "freeze": p.freeze, "unfreeze": p.unfreeze, "kill": p.kill, "restart": p.restart,
 		"store": p.store, "shutdown": p.shutdown, "ready": p.ready, "cut": p.cut, "heal": p.heal, "malformed_entry": p.malformedEntry,
 		"batch": p.batch, "fleet": p.fleet, "engines": p.manyEngines, "calls": p.checkCalls, "in_force": p.inForce,
-		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "traffic": p.traffic, "crashes": p.checkCrashes,
+		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "crashing_request": p.crashingRequest, "reads": p.reads, "traffic": p.traffic, "crashes": p.checkCrashes,
 	}
 	run, ok := commands[command]
 	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.Position, command))
@@ -232,7 +232,7 @@
 			defer e.mu.Unlock()
 			return e.limit
 		}
-		e.Crash = func(parts []batch.PromptPart) bool { return p.crash(name, parts) }
+		e.Crash = func(target string, parts []batch.PromptPart) bool { return p.crash(name, target, parts) }
 		e.NextBehaviour = func() engine.Behaviour {
 			e.mu.Lock()
 			defer e.mu.Unlock()
@@ -373,7 +373,7 @@
 	for _, name := range names {
 		call := &proxyCall{}
 		p.calls[name] = call
-		req, err := http.NewRequest(http.MethodPost, "http://"+given["to"]+":80/"+given["route"]+"/x", strings.NewReader("body")) //nolint:noctx // it ends with the test.
+		req, err := http.NewRequest(http.MethodPost, "http://"+given["to"]+":80/"+given["route"]+"/"+cmp.Or(given["path"], "x"), strings.NewReader("body")) //nolint:noctx // it ends with the test.
 		qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.Position))
 		req.Host = "h.example"
 		req.Header.Set(engine.AttemptIDHeader, name)
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -304,7 +304,7 @@
 }
 
 // crashUnder crashes the endpoint if a prompt has crashingPart.
-func (e *endpoint) crashUnder(parts []batch.PromptPart) bool {
+func (e *endpoint) crashUnder(_ string, parts []batch.PromptPart) bool {
 	if !slices.ContainsFunc(parts, func(p batch.PromptPart) bool { return p.ID == crashingPart }) {
 		return false
 	}
