Blame a request as a whole for the crashes that follow it

Seen by callers: a request that ends each endpoint which runs it came again every few seconds and ended all four endpoints of an application each time, 15 and 18 in all; claims and reads of others were refused until the endpoints were back. Cause: what crashes may be attributed to were parts of prompts alone. A request to an application has none, and a request to a model may share all of them with sound ones, so that nothing remembered the crashes: each repeat has a new identifier and was a new request. Change: the fingerprint of a request is one of its traits. Four endpoints that crash within a fifth of a second counted as one event before, since crashes at the same moment have a common cause; now a crash counts by itself if its request was sent after the last one, to an endpoint of which no crash was known. With few endpoints other requests follow the crashing one from endpoint to endpoint, so that among traits that never completed the one with the most crashes is blamed first. Answers of other pools no longer show that a pool's endpoints are sound.

--- a/internal/connection/wire/crash.go
+++ b/internal/connection/wire/crash.go
@@ -18,6 +18,8 @@
 	Started  int64    `cbor:"2,keyasint,omitempty"`
 	Age      int64    `cbor:"3,keyasint"`
 	Traits   []uint64 `cbor:"4,keyasint"`
+	Pool     string   `cbor:"5,keyasint,omitempty"`
+	SentAge  int64    `cbor:"6,keyasint,omitempty"`
 }
 
 // FromCrashes converts crashes.
@@ -25,7 +27,8 @@
 	var m Crashes
 	for _, c := range crashes {
 		m.Crashes = append(m.Crashes, Crash{
-			string(c.Endpoint.ID), c.Endpoint.StartedUnixMilli, int64(now.Sub(c.At)), convertInts[uint64](c.Traits),
+			Endpoint: string(c.Endpoint.ID), Started: c.Endpoint.StartedUnixMilli, Pool: string(c.Endpoint.Pool),
+			Age: int64(now.Sub(c.At)), SentAge: int64(now.Sub(c.SentAt)), Traits: convertInts[uint64](c.Traits),
 		})
 	}
 	return m
@@ -36,8 +39,9 @@
 	var crashes []poison.Crash
 	for _, c := range m.Crashes {
 		crashes = append(crashes, poison.Crash{
-			Endpoint: poison.Endpoint{ID: ident.Endpoint(c.Endpoint), StartedUnixMilli: c.Started},
-			At:       now.Add(-max(time.Duration(c.Age), 0)), Traits: convertInts[ident.Trait](c.Traits),
+			Endpoint: poison.Endpoint{Pool: ident.PoolID(c.Pool), ID: ident.Endpoint(c.Endpoint), StartedUnixMilli: c.Started},
+			SentAt:   now.Add(-max(time.Duration(c.SentAge), 0)), At: now.Add(-max(time.Duration(c.Age), 0)),
+			Traits: convertInts[ident.Trait](c.Traits),
 		})
 	}
 	return crashes
--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -48,7 +48,7 @@
 		Statement: &sched.Statement{Occupancy: &sched.Occupancy{Running: 1, Waiting: 2}, RateLimit: 2.5},
 	}
 	equal(roundTrip(t, FromCompletion(completion)).ToCompletion(), completion)
-	crashes := []poison.Crash{{Endpoint: poison.Endpoint{ID: "e", StartedUnixMilli: 7}, At: now.Add(-time.Second), Traits: []ident.Trait{1 << 63, 2}}}
+	crashes := []poison.Crash{{Endpoint: poison.Endpoint{Pool: "p", ID: "e", StartedUnixMilli: 7}, SentAt: now.Add(-2 * time.Second), At: now.Add(-time.Second), Traits: []ident.Trait{1 << 63, 2}}}
 	equal(roundTrip(t, FromCrashes(crashes, now)).ToCrashes(now), crashes)
 	equal(roundTrip(t, FromSuspects([]poison.Suspect{{Trait: 5}})).ToTraits(), []ident.Trait{5})
 	limits := map[ident.Endpoint]ident.Rate{"e": 0.5}
--- a/internal/process/node/poison.go
+++ b/internal/process/node/poison.go
@@ -51,10 +51,10 @@
 	if len(e.Traits) == 0 {
 		return
 	}
-	endpoint := poison.Endpoint{ID: e.Endpoint.ID, StartedUnixMilli: e.Endpoint.StartedUnixMilli}
+	endpoint := poison.Endpoint{Pool: e.Pool, ID: e.Endpoint.ID, StartedUnixMilli: e.Endpoint.StartedUnixMilli}
 	switch {
 	case e.Completion.NoAnswer:
-		c := poison.Crash{Endpoint: endpoint, At: time.Now(), Traits: e.Traits}
+		c := poison.Crash{Endpoint: endpoint, SentAt: e.GrantedAt, At: time.Now(), Traits: e.Traits}
 		n.poison.detector.Crashed(c)
 		n.poison.mu.Lock()
 		n.poison.unreported = append(n.poison.unreported, c)
@@ -63,7 +63,7 @@
 	case e.Completion.IsWhole:
 		n.poison.detector.Completed(endpoint, e.Traits, time.Now())
 	case e.IsAnswered:
-		n.poison.detector.Answered(e.Traits, e.RanFor, time.Now())
+		n.poison.detector.Answered(e.Pool, e.Traits, e.RanFor, time.Now())
 	}
 }
 
--- a/internal/process/poison/evidence.go
+++ b/internal/process/poison/evidence.go
@@ -20,7 +20,9 @@
 
 type crash struct {
 	endpoint Endpoint
-	at       time.Time
+	// sentAt is a time before the request was sent. It is zero if the endpoint may have
+	// crashed before.
+	sentAt, at time.Time
 	// answered is the Detector's count at the time of the report.
 	answered int
 }
@@ -64,7 +66,7 @@
 			break
 		}
 		crashes = append(crashes, c)
-		if moments == 0 || c.at.Sub(last) >= minSeparation {
+		if moments == 0 || c.sentAt.After(last) || c.at.Sub(last) >= minSeparation {
 			moments++
 			last = c.at
 		}
--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -2,23 +2,24 @@
 // quarantined ones.
 //
 // A request that crashes its endpoint is lost with all other requests there. If the
-// cause lies in a trait, such as a part of its prompt, other requests carry it to the
-// next endpoints. A crash alone blames nothing, as endpoints also crash by themselves, and
+// cause lies in a trait, such as a part of its prompt or all of a request that its caller
+// sends again, other requests carry it to the next endpoints. A crash alone blames nothing, as endpoints also crash by themselves, and
 // the requests at an endpoint share their traits with sound ones. Detector
 // therefore counts, for each trait, the crashes of endpoints that held a request with the
 // trait and had sent nothing of its answer. A trait becomes a suspect after minCrashes such
 // crashes at different endpoints and times, if no request with it has completed meanwhile,
 // or run on for SurvivalTime, but other requests have been answered. Of several suspects,
-// those are blamed with which no request has completed for the longest time, and crashes
-// that they explain no longer count against the others.
+// those are blamed with which no request has completed for the longest time, and then those
+// with the most crashes; crashes that they explain no longer count against the others.
 //
-// The load pattern behind it is a stream of requests that share a document which crashes
-// the engines, among sound requests of the same callers.
+// The load patterns behind it are a stream of requests that share a document which crashes
+// the engines, among sound requests of the same callers, and one request that ends all
+// endpoints of a small pool within a second and comes again.
 //
 // # Usage
 //
 //	d := &poison.Detector{}
-//	d.Crashed(poison.Crash{Endpoint: id, At: now, Traits: traits})
+//	d.Crashed(poison.Crash{Endpoint: endpoint, SentAt: sent, At: now, Traits: traits})
 //	d.Completed(endpoint, traits, now)
 //	suspects, isPending := d.Suspects(now)
 //	// call d.Exonerate with what other nodes report of the suspects, then:
@@ -45,8 +46,9 @@
 	// SurvivalTime is how long after its first token a request must have run to show that
 	// its traits crash nothing.
 	SurvivalTime = 300 * time.Millisecond
-	// minSeparation is the least time between two crashes that both count. Endpoints
-	// that crash at the same moment have a common cause outside of the requests.
+	// minSeparation is the least time between two crashes that both count, unless the
+	// second request was sent after the first crash to an endpoint that was running.
+	// Endpoints that crash at the same moment have a common cause outside of the requests.
 	minSeparation = 200 * time.Millisecond
 	// confirmDelay is the time after which a crash counts, unless the endpoint has
 	// completed a request since. Completions in the first part of that time, reportDelay,
@@ -57,19 +59,20 @@
 	evidenceTime = 30 * time.Minute
 	// maxSuspects bounds the traits with evidence. The weakest ones are dropped.
 	maxSuspects = 4096
-	// minAnswered is the number of requests that must have been answered, at least in part,
-	// since the first crash. If fewer were, the endpoints fail with any request.
+	// minAnswered is the number of requests that the pool must have answered, at least in
+	// part, since the first crash. If fewer were, its endpoints fail with any request.
 	minAnswered = 8
 	// maxCrashes bounds the crashes that are kept for a trait, the latest ones.
 	maxCrashes = 16
 	// historyTraits is the number of traits after which the older half of the completions
 	// is forgotten.
-	historyTraits = 8192
+	historyTraits = 16384
 )
 
-// Endpoint identifies one run of an endpoint.
+// Endpoint identifies one run of an endpoint of a pool.
 type Endpoint struct {
-	ID ident.Endpoint
+	Pool ident.PoolID
+	ID   ident.Endpoint
 	// StartedUnixMilli is the time of its start, 0 if unknown.
 	StartedUnixMilli int64
 }
@@ -77,7 +80,8 @@
 // Crash reports that an endpoint ended a connection without any part of the answer.
 type Crash struct {
 	Endpoint Endpoint
-	At       time.Time
+	// SentAt is a time before the request was sent, and At that of the crash.
+	SentAt, At time.Time
 	// Traits holds the traits of the request.
 	Traits []ident.Trait
 }
@@ -101,9 +105,12 @@
 	// unconfirmed holds the time of the latest crash of each endpoint run, until it is
 	// confirmed.
 	unconfirmed map[Endpoint]time.Time
-	// answered counts the requests that were answered at least in part. Recent and older
-	// hold when requests with a trait last completed or were seen to run on.
-	answered      int
+	// downSince holds the first crash of each endpoint run.
+	downSince map[Endpoint]time.Time
+	// answered counts the requests of each pool that were answered at least in part.
+	answered map[ident.PoolID]int
+	// Recent and older hold when requests with a trait last completed or were seen to run
+	// on.
 	recent, older map[ident.Trait]time.Time
 }
 
@@ -113,12 +120,15 @@
 	defer d.mu.Unlock()
 	if d.suspects == nil {
 		d.suspects = map[ident.Trait]*evidence{}
-		d.unconfirmed = map[Endpoint]time.Time{}
+		d.unconfirmed, d.downSince = map[Endpoint]time.Time{}, map[Endpoint]time.Time{}
 	}
 	d.unconfirmed[c.Endpoint] = c.At
+	if down, ok := d.downSince[c.Endpoint]; !ok || c.At.Before(down) {
+		d.downSince[c.Endpoint] = c.At
+	}
 	if !d.isExplained(c) {
 		for _, trait := range c.Traits {
-			d.evidenceOf(trait).add(crash{c.Endpoint, c.At, d.answered}, d.completedAt(trait))
+			d.evidenceOf(trait).add(d.newCrash(c), d.completedAt(trait))
 		}
 	}
 	if len(d.suspects) > maxSuspects {
@@ -126,12 +136,28 @@
 	}
 }
 
+func (d *Detector) newCrash(c Crash) crash {
+	known := crash{endpoint: c.Endpoint, at: c.At, answered: d.answered[c.Endpoint.Pool]}
+	if c.SentAt.Before(d.downSince[c.Endpoint]) {
+		known.sentAt = c.SentAt
+	}
+	return known
+}
+
+// countAnswered counts a request that a pool answered at least in part.
+func (d *Detector) countAnswered(pool ident.PoolID) {
+	if d.answered == nil {
+		d.answered = map[ident.PoolID]int{}
+	}
+	d.answered[pool]++
+}
+
 // isExplained reports whether a blamed trait explains a crash. If a trait of this request
 // does, the crash is counted against that trait only.
 func (d *Detector) isExplained(c Crash) bool {
 	for _, trait := range c.Traits {
 		if e := d.suspects[trait]; e != nil && e.isBlamed {
-			e.add(crash{c.Endpoint, c.At, d.answered}, d.completedAt(trait))
+			e.add(d.newCrash(c), d.completedAt(trait))
 			d.explain(c.Endpoint, c.At)
 		}
 	}
@@ -179,7 +205,7 @@
 func (d *Detector) Completed(endpoint Endpoint, traits []ident.Trait, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.answered++
+	d.countAnswered(endpoint.Pool)
 	for _, trait := range traits {
 		d.exonerate(trait, now)
 	}
@@ -188,6 +214,7 @@
 		return
 	}
 	delete(d.unconfirmed, endpoint)
+	delete(d.downSince, endpoint)
 	for _, e := range d.suspects {
 		e.remove(func(c crash) bool { return c.endpoint == endpoint && now.Sub(c.at) < confirmDelay })
 	}
@@ -196,10 +223,10 @@
 // Answered records that a request was answered in part and did not complete, as happens to
 // those that are at an endpoint when it crashes. If it ran for SurvivalTime, it
 // exonerates its traits.
-func (d *Detector) Answered(traits []ident.Trait, ranFor time.Duration, now time.Time) {
+func (d *Detector) Answered(pool ident.PoolID, traits []ident.Trait, ranFor time.Duration, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.answered++
+	d.countAnswered(pool)
 	if ranFor < SurvivalTime {
 		return
 	}
@@ -277,6 +304,7 @@
 	isOld := func(at time.Time) bool { return now.Sub(at) > evidenceTime }
 	maps.DeleteFunc(d.suspects, func(_ ident.Trait, e *evidence) bool { return isOld(e.lastCrash()) })
 	maps.DeleteFunc(d.unconfirmed, func(_ Endpoint, at time.Time) bool { return now.Sub(at) >= confirmDelay })
+	maps.DeleteFunc(d.downSince, func(_ Endpoint, at time.Time) bool { return isOld(at) })
 	maps.DeleteFunc(d.explained, func(_ Endpoint, at time.Time) bool { return isOld(at) })
 }
 
@@ -300,7 +328,11 @@
 
 // noteAnswered records when enough requests have been answered since the first crash.
 func (d *Detector) noteAnswered(e *evidence, now time.Time) {
-	if e.answeredAt.IsZero() && len(e.crashes) > 0 && d.answered-e.crashes[0].answered >= minAnswered {
+	if !e.answeredAt.IsZero() || len(e.crashes) == 0 {
+		return
+	}
+	first := e.crashes[0]
+	if d.answered[first.endpoint.Pool]-first.answered >= minAnswered {
 		e.answeredAt = now
 	}
 }
@@ -314,12 +346,16 @@
 	for _, s := range suspects {
 		completed[s.Trait] = d.completedAt(s.Trait)
 	}
-	slices.SortStableFunc(suspects, func(a, b Suspect) int { return completed[a.Trait].Compare(completed[b.Trait]) })
+	order := func(a, b Suspect) int {
+		return cmp.Or(completed[a.Trait].Compare(completed[b.Trait]), cmp.Compare(len(b.Endpoints), len(a.Endpoints)))
+	}
+	slices.SortStableFunc(suspects, order)
 	var blamed []Suspect
 	for len(suspects) > 0 {
-		// Traits that have equally long not completed cannot be told apart.
+		// Traits that have equally long not completed, and crashed as many endpoints,
+		// cannot be told apart.
 		equal := 1
-		for equal < len(suspects) && completed[suspects[equal].Trait].Equal(completed[suspects[0].Trait]) {
+		for equal < len(suspects) && order(suspects[equal], suspects[0]) == 0 {
 			equal++
 		}
 		blamed = append(blamed, d.blameTogether(suspects[:equal], now)...)
--- a/internal/process/poison/script_test.go
+++ b/internal/process/poison/script_test.go
@@ -15,11 +15,13 @@
 
 // TestScripts runs the scripts of testdata. Their commands are:
 //
+//	sent                       the requests of the next crashes are sent now
 //	crash ENDPOINT PART...     an endpoint crashed with a request of these parts
 //	complete ENDPOINT PART...  an endpoint completed a request of these parts
 //	wait T                     advances the clock
 //	others ENDPOINT            an endpoint completed ten requests with parts of their own
 //	answered N                 N requests were answered in part
+//	answered_elsewhere N       the same, by another pool
 //	ran T PART...              a request of these parts broke off T after its first token
 //	elsewhere PART             a request with the part completed at another node
 //	blamed PART...             checks the parts that are blamed, in any order
@@ -30,11 +32,14 @@
 func runScript(t *testing.T, lines iter.Seq[script.Line]) {
 	d := &Detector{}
 	isPending := false
+	var sentAt time.Time
 	for line := range lines {
 		comment := qt.Commentf("%s", line.Position)
 		switch line.Command {
 		case "crash":
-			d.Crashed(Crash{endpointOf(line.Args[0]), time.Now(), traitsOf(line.Args[1:])})
+			d.Crashed(Crash{Endpoint: endpointOf(line.Args[0]), SentAt: sentAt, At: time.Now(), Traits: traitsOf(line.Args[1:])})
+		case "sent":
+			sentAt = time.Now()
 		case "complete":
 			d.Completed(endpointOf(line.Args[0]), traitsOf(line.Args[1:]), time.Now())
 		case "others":
@@ -43,10 +48,14 @@
 			}
 		case "answered":
 			for range line.ParseInt(line.Args[0]) {
-				d.Answered(nil, 0, time.Now())
+				d.Answered("", nil, 0, time.Now())
+			}
+		case "answered_elsewhere":
+			for range line.ParseInt(line.Args[0]) {
+				d.Answered("other", nil, 0, time.Now())
 			}
 		case "ran":
-			d.Answered(traitsOf(line.Args[1:]), line.ParseDuration(line.Args[0]), time.Now())
+			d.Answered("", traitsOf(line.Args[1:]), line.ParseDuration(line.Args[0]), time.Now())
 		case "elsewhere":
 			d.Exonerate(traitsOf(line.Args)[0], time.Now())
 		case "wait":
@@ -73,7 +82,7 @@
 			qt.Check(t, isPending, qt.Equals, line.Args[0] == "yes", comment)
 		case "flood":
 			for i := range line.ParseInt(line.Args[0]) {
-				d.Crashed(Crash{Endpoint{"flood", int64(i)}, time.Now(), []ident.Trait{ident.Trait(1000 + i)}})
+				d.Crashed(Crash{Endpoint: Endpoint{ID: "flood", StartedUnixMilli: int64(i)}, At: time.Now(), Traits: []ident.Trait{ident.Trait(1000 + i)}})
 			}
 			qt.Check(t, len(d.suspects) <= maxSuspects, qt.IsTrue, comment)
 		default:
@@ -85,7 +94,7 @@
 // endpointOf parses an endpoint of the form NAME or NAME/RUN.
 func endpointOf(word string) Endpoint {
 	name, run, _ := strings.Cut(word, "/")
-	return Endpoint{ident.Endpoint(name), int64(len(run))}
+	return Endpoint{ID: ident.Endpoint(name), StartedUnixMilli: int64(len(run))}
 }
 
 func traitsOf(names []string) []ident.Trait {
--- a/internal/process/poison/traffic_test.go
+++ b/internal/process/poison/traffic_test.go
@@ -26,8 +26,8 @@
 
 // trafficRequest is a request at an endpoint.
 type trafficRequest struct {
-	traits          []ident.Trait
-	firstAt, doneAt time.Time
+	traits                  []ident.Trait
+	sentAt, firstAt, doneAt time.Time
 }
 
 // traffic simulates endpoints that answer requests, of which some have crashingPart.
@@ -117,8 +117,8 @@
 	}
 	first := s.now.Add(time.Duration(20+s.rand.IntN(150)) * time.Millisecond)
 	s.running[e] = append(s.running[e], trafficRequest{
-		traits:  []ident.Trait{100, ident.Trait(110 + s.rand.IntN(5)), trait, ident.Trait(s.rand.Uint64() | 1<<40)},
-		firstAt: first, doneAt: first.Add(time.Duration(50+s.rand.IntN(3000)) * time.Millisecond),
+		traits: []ident.Trait{100, ident.Trait(110 + s.rand.IntN(5)), trait, ident.Trait(s.rand.Uint64() | 1<<40)},
+		sentAt: s.now, firstAt: first, doneAt: first.Add(time.Duration(50+s.rand.IntN(3000)) * time.Millisecond),
 	})
 }
 
@@ -142,13 +142,13 @@
 }
 
 func (s *traffic) endpoint(e int) Endpoint {
-	return Endpoint{ident.Endpoint(fmt.Sprint("e", e)), s.runs[e]}
+	return Endpoint{ID: ident.Endpoint(fmt.Sprint("e", e)), StartedUnixMilli: s.runs[e]}
 }
 
 func (s *traffic) crash(e int) {
 	for _, r := range s.running[e] {
 		if s.now.Before(r.firstAt) || r.traits[2] == crashingTrait {
-			s.detector.Crashed(Crash{s.endpoint(e), s.now, r.traits})
+			s.detector.Crashed(Crash{Endpoint: s.endpoint(e), SentAt: r.sentAt, At: s.now, Traits: r.traits})
 		}
 	}
 	s.running[e] = nil
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -304,7 +304,7 @@
 		g.endpoint.updateLimit(completion.Statement.RateLimit, g.grantedAt, now)
 	}
 	if c.Ended != nil && !g.isAdopted {
-		c.Ended(Ended{g.endpoint.EndpointSpec, g.traits, g.isPrefillDone, now.Sub(g.firstTokenAt), completion})
+		c.Ended(Ended{c.Pool.ID, g.endpoint.EndpointSpec, g.grantedAt, g.traits, g.isPrefillDone, now.Sub(g.firstTokenAt), completion})
 	}
 	c.finishPrefill(g)
 	c.recordCompletion(g, completion, now)
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -172,7 +172,10 @@
 
 // Ended reports the end of a granted request to Cell.Ended.
 type Ended struct {
+	Pool     ident.PoolID
 	Endpoint EndpointSpec
+	// GrantedAt is when the request was granted.
+	GrantedAt time.Time
 	// Traits is that of the grant request.
 	Traits []ident.Trait
 	// IsAnswered is set if the first token was reported, RanFor before the end.
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -258,7 +258,7 @@
 	}
 	prefix, partTokens := fingerprints(r.Info.PromptParts)
 	return &entry.Job{
-		BlockTokens: partTokens, Traits: partTraits(r.Info.PromptParts),
+		BlockTokens: partTokens, Traits: append(partTraits(r.Info.PromptParts), r.Fingerprint()),
 		Request: &intake.Request{
 			ID: r.ID, Kind: r.Pool.Kind, Arrived: r.Arrived, Deadline: r.Deadline,
 			PromptTokens: r.Info.PromptTokens, OutputTokens: p.lengths.estimate(r), Prefix: prefix,
