Let a bucket fill up for the large request that it refused

Seen in the search for other places where size decides: an account over its limit gets its small requests admitted and its large ones refused, again and again. Cause: a token bucket admits what fits its level. Where an account asks for a multiple of its limit the level is near zero all the time, small requests take each token as it comes in, and a large one that comes back after the Retry-After finds the bucket empty again. Change: after a refusal a bucket admits nothing, whatever its size, until it has enough for the largest request that it refused lately (2 s, exponential decay), at most a quarter of its burst. Buckets that refuse nothing behave as before, and no bucket gives out more.

--- a/internal/process/quota/coordinator.go
+++ b/internal/process/quota/coordinator.go
@@ -30,7 +30,10 @@
 	buckets map[ident.ClientAccount]*buckets
 }
 
-type buckets struct{ requests, tokens *rate.Limiter }
+type buckets struct {
+	requests, tokens *rate.Limiter
+	refused          refusedSize
+}
 
 // Acquire applies the refund in req. Unless req.RefundOnly is set, it then charges
 // one request of req.Tokens tokens to the account's buckets. If a limit refuses it,
@@ -47,7 +50,7 @@
 	if retryAfter, ok := acquire(b.requests, now, 1); !ok {
 		return RequestsLimit, retryAfter
 	}
-	if retryAfter, ok := acquire(b.tokens, now, int(req.Tokens)); !ok {
+	if retryAfter, ok := acquireTokens(b.tokens, &b.refused, now, int(req.Tokens)); !ok {
 		credit(b.requests, 1, now)
 		return TokensLimit, retryAfter
 	}
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -69,6 +69,7 @@
 type account struct {
 	requests    *rate.Limiter
 	tokens      *rate.Limiter
+	refused     refusedSize
 	inFlight    int
 	share       float64
 	isAllocated bool
@@ -163,7 +164,7 @@
 	if retryAfter, ok := acquire(acct.requests, now, 1); !ok {
 		return RequestsLimit, retryAfter
 	}
-	if retryAfter, ok := acquire(acct.tokens, now, int(tokens)); !ok {
+	if retryAfter, ok := acquireTokens(acct.tokens, &acct.refused, now, int(tokens)); !ok {
 		credit(acct.requests, 1, now)
 		return TokensLimit, retryAfter
 	}
