Blame repeated prompts on the nodes' own interface as a whole

Seen in the search for the same cause elsewhere: on the nodes' own interface the traits of a request were the first 16 beginnings of its prompt. A prompt that crashes model runners behind them and comes again had no trait of its own, and its beginnings are those of sound ones. Change: the account and the digest of the request, which covers the whole prompt, are a trait. Requests to application runners still have none there: their body is not read before the dispatch. Result: fleet.TestRepeatedPromptCrashesModelRunners failed before (requests 6 to 19 were sent on) and passes; TestPromptCrashesModelRunners passes in both.

--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -61,7 +61,7 @@
 	// have the same size.
 	BlockTokens []ident.Tokens
 	// Traits holds what other requests may have in common with this one. If it is nil,
-	// the beginnings of the prompt are used.
+	// the beginnings of the prompt and the whole request are used.
 	Traits []ident.Trait
 	// Avoid lists endpoints at which the request has already failed.
 	Avoid []ident.Endpoint
@@ -153,7 +153,7 @@
 // its completion to the cell. Sent is true if anything was sent to an endpoint.
 func (e *Entry) run(ctx context.Context, j *Job, sink answer.Sink) (sent bool, refusal *refuse.Refusal) {
 	if j.Traits == nil {
-		j.Traits = traitsOf(j.Request.Prefix)
+		j.Traits = traitsOf(j)
 	}
 	for attempt := 1; ; attempt++ {
 		if refusal := e.quarantineRefusal(j); refusal != nil {
--- a/internal/request/entry/known.go
+++ b/internal/request/entry/known.go
@@ -1,6 +1,10 @@
 package entry
 
 import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/refuse"
@@ -10,13 +14,21 @@
 // the size of its grant request.
 const maxTraits = 16
 
-// traitsOf returns the shortest beginnings of a prompt as its traits.
-func traitsOf(prefix []ident.Fingerprint) []ident.Trait {
+// traitsOf returns the shortest beginnings of a job's prompt and the account's whole
+// request as its traits. A request to an application runner has none, since its body has
+// not been read.
+func traitsOf(j *Job) []ident.Trait {
+	if j.Request.Kind == ident.ApplicationRunner {
+		return nil
+	}
 	var traits []ident.Trait
-	for _, f := range prefix[:min(len(prefix), maxTraits)] {
+	for _, f := range j.Request.Prefix[:min(len(j.Request.Prefix), maxTraits)] {
 		traits = append(traits, ident.Trait(f))
 	}
-	return traits
+	var digest [8]byte
+	binary.LittleEndian.PutUint64(digest[:], j.Request.Digest)
+	whole := xxhash.Sum64(append(digest[:], j.Account.ID...))
+	return append(traits, ident.Trait(whole))
 }
 
 // quarantineRefusal returns the refusal of a job with a quarantined trait,
--- a/internal/tool/fleet/crash_test.go
+++ b/internal/tool/fleet/crash_test.go
@@ -29,6 +29,18 @@
 // runner is refused after few crashes on the nodes' own interface too, and that prompts
 // which share only a part of it are served.
 func TestPromptCrashesModelRunners(t *testing.T) {
+	checkCrashingPrompts(t, strings.Repeat("system prompt ", 32), func(i int) string { return fmt.Sprint(" question ", i) })
+}
+
+// TestRepeatedPromptCrashesModelRunners checks the same for a prompt that comes again as a
+// whole and shares a long beginning with sound ones.
+func TestRepeatedPromptCrashesModelRunners(t *testing.T) {
+	checkCrashingPrompts(t, strings.Repeat("system prompt ", 512), func(int) string { return "" })
+}
+
+// checkCrashingPrompts sends prompts of a common beginning, a document, which crashes model
+// runners or not, and a question.
+func checkCrashingPrompts(t *testing.T, common string, question func(int) string) {
 	synctest.Test(t, func(t *testing.T) {
 		var crashes atomic.Int32
 		network := &pipes.Network{}
@@ -52,9 +64,8 @@
 			},
 		})
 		qt.Assert(t, err, qt.IsNil)
-		common := strings.Repeat("system prompt ", 32)
 		send := func(i int, document string) attempt {
-			prompt := common + strings.Repeat(document, 64) + fmt.Sprint(" question ", i)
+			prompt := common + strings.Repeat(document, 64) + question(i)
 			return c.sendTo(c.fleet.Nodes[i%3], "chat", "a", prompt)
 		}
 		for i := range 20 {
