--- a/internal/tool/soak/caller.go
+++ b/internal/tool/soak/caller.go
@@ -52,7 +52,8 @@
 			client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: requestTimeout}
 		}
 		rec := record{id: fmt.Sprintf("%d-%d-%d", r.Seed, number, i), kind: kinds[random.IntN(len(kinds))], node: node}
-		rec.isCrashing = r.world.crashing.Load() && strings.HasPrefix(rec.kind, "chat") && random.IntN(12) == 0
+		mayCrash := rec.kind == "chat" || rec.kind == "read"
+		rec.isCrashing = r.world.crashing.Load() && mayCrash && random.IntN(12) == 0
 		rec.send(ctx, client, address)
 		if ctx.Err() != nil {
 			return
@@ -79,7 +80,11 @@
 func (rec *record) send(ctx context.Context, client *http.Client, address string) {
 	rec.start = time.Now()
 	defer func() { rec.end = time.Now() }()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/"+rec.kind+"/x", io.NopCloser(strings.NewReader("body")))
+	path := "/" + rec.kind + "/x"
+	if rec.isCrashing && rec.kind == "read" {
+		path = crashingPath
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, io.NopCloser(strings.NewReader("body")))
 	if err != nil {
 		rec.err = err
 		return
--- a/internal/tool/soak/check.go
+++ b/internal/tool/soak/check.go
@@ -17,8 +17,8 @@
 	// graceTime is the time after SIGTERM for which requests are served, with a margin.
 	graceTime = 6 * time.Second
 	// limitWindow, limitFactor and limitSlack bound the requests at an endpoint that
-	// names a limit; maxLateCrashing bounds those with crashingPart later than
-	// stableWindow after the fifth crash.
+	// names a limit; maxLateCrashing bounds those that crash endpoints, later
+	// than stableWindow after the fifth crash under a part or the third under a request.
 	limitWindow     = 4 * time.Second
 	limitFactor     = 1.5
 	limitSlack      = 5
@@ -39,7 +39,8 @@
 		r.report.Sent++
 		r.checkRecord(rec, arrivals[rec.id])
 	}
-	r.checkCrashing()
+	r.checkCrashing(r.world.models, 5, hasCrashingPart)
+	r.checkCrashing(r.world.apps, 3, func(a engine.ReceivedRequest) bool { return a.Target == crashingPath })
 	for _, e := range r.world.models {
 		r.checkLimit(e)
 	}
@@ -103,33 +104,36 @@
 // just been sent.
 const lostTime = 200 * time.Millisecond
 
-// checkCrashing checks that few requests with crashingPart reach endpoints after the
-// fifth crash. Those that a node sent within stableWindow after it was frozen don't
-// count.
-func (r *run) checkCrashing() {
+// checkCrashing checks that few of the requests that crash endpoints of a pool reach it
+// later than stableWindow after the crash of the given number. Those that a node sent
+// within stableWindow after it was frozen don't count.
+func (r *run) checkCrashing(pool []*endpoint, number int, isCrashing func(engine.ReceivedRequest) bool) {
 	var crashes []time.Time
-	for _, e := range r.world.models {
+	for _, e := range pool {
 		crashes = append(crashes, e.crashedAt...)
 	}
-	r.report.Crashes = len(crashes)
-	if len(crashes) < 5 {
+	r.report.Crashes += len(crashes)
+	if len(crashes) < number {
 		return
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
-	late := 0
-	for _, e := range r.world.models {
+	from, late := crashes[number-1].Add(stableWindow), 0
+	for _, e := range pool {
 		for _, a := range e.ReceivedRequests() {
-			if strings.Contains(a.Header.Get(engine.PromptPrefixHeader), ","+crashingPart+":") &&
-				a.At.After(crashes[4].Add(stableWindow)) && !r.isNearUnplanned(a.At, stableWindow) {
+			if isCrashing(a) && a.At.After(from) && !r.isNearUnplanned(a.At, stableWindow) {
 				late++
 			}
 		}
 	}
 	if late > maxLateCrashing {
-		r.violation("%d requests with the part %s reached endpoints after the fifth of %d crashes", late, crashingPart, len(crashes))
+		r.violation("%d crashing requests reached endpoints after the crash %d of %d", late, number, len(crashes))
 	}
 }
 
+func hasCrashingPart(r engine.ReceivedRequest) bool {
+	return strings.Contains(r.Header.Get(engine.PromptPrefixHeader), ","+crashingPart+":")
+}
+
 // isNearUnplanned reports whether any node was killed or frozen in a time before at.
 func (r *run) isNearUnplanned(at time.Time, before time.Duration) bool {
 	for _, times := range r.unplanned {
--- a/internal/tool/soak/plan.go
+++ b/internal/tool/soak/plan.go
@@ -17,7 +17,7 @@
 		r.changeSettings, r.crashEndpoint, r.drainEndpoint, r.limitEndpoint, r.truncateHistory,
 	}
 	if r.rand.IntN(2) == 0 {
-		r.note("requests with the part %s crash endpoints", crashingPart)
+		r.note("requests with the part %s, and to %s, crash endpoints", crashingPart, crashingPath)
 		r.world.crashing.Store(true)
 	}
 	var faults sync.WaitGroup
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -27,9 +27,11 @@
 const (
 	modelCount, applicationCount = 8, 2
 	modelSlots                   = 6
-	// crashingPart is the part of a prompt that crashes models.
+	// crashingPart is the part of a prompt that crashes models, and crashingPath the path
+	// of the request that crashes applications.
 	crashingPart = "bad"
-	// downTime is how long a crashed model is down.
+	crashingPath = "/read/bad"
+	// downTime is how long a crashed endpoint is down.
 	downTime = 1500 * time.Millisecond
 	// limitRate is the limit on requests per second that models name.
 	limitRate = 2.0
@@ -221,7 +223,7 @@
 	isDown    bool
 	conns     map[net.Conn]bool
 	limitedAt time.Time
-	// crashedAt holds the crashes under crashingPart.
+	// crashedAt holds the crashes under crashingPart and crashingPath.
 	crashedAt []time.Time
 }
 
@@ -235,9 +237,9 @@
 		e.Batch = &batch.Engine{
 			Slots: modelSlots, MaxWaiting: modelSlots, CacheTokens: 50000, StepTime: 4 * time.Millisecond, PrefillTimePerToken: 50 * time.Microsecond,
 		}
-		e.Crash = e.crashUnder
 		e.RateLimit = e.limit
 	}
+	e.Crash = e.crashUnder
 	var err error
 	if e.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, eris.Wrap(err, "start an endpoint")
@@ -303,9 +305,10 @@
 	return fmt.Sprint(limitRate)
 }
 
-// crashUnder crashes the endpoint if a prompt has crashingPart.
-func (e *endpoint) crashUnder(_ string, parts []batch.PromptPart) bool {
-	if !slices.ContainsFunc(parts, func(p batch.PromptPart) bool { return p.ID == crashingPart }) {
+// crashUnder crashes the endpoint if a prompt has crashingPart or a request crashingPath.
+func (e *endpoint) crashUnder(target string, parts []batch.PromptPart) bool {
+	hasPart := slices.ContainsFunc(parts, func(p batch.PromptPart) bool { return p.ID == crashingPart })
+	if !hasPart && target != crashingPath {
 		return false
 	}
 	e.mu.Lock()
