--- a/internal/process/poison/evidence.go
+++ b/internal/process/poison/evidence.go
@@ -23,7 +23,7 @@
 	// sentAt is a time before the request was sent. It is zero if the endpoint may have
 	// crashed before.
 	sentAt, at time.Time
-	// answered is the Detector's count at the time of the report.
+	// answered is the Detector's count for the pool at the time of the report.
 	answered int
 }
 
--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -3,14 +3,15 @@
 //
 // A request that crashes its endpoint is lost with all other requests there. If the
 // cause lies in a trait, such as a part of its prompt or all of a request that its caller
-// sends again, other requests carry it to the next endpoints. A crash alone blames nothing, as endpoints also crash by themselves, and
-// the requests at an endpoint share their traits with sound ones. Detector
-// therefore counts, for each trait, the crashes of endpoints that held a request with the
-// trait and had sent nothing of its answer. A trait becomes a suspect after minCrashes such
-// crashes at different endpoints and times, if no request with it has completed meanwhile,
-// or run on for SurvivalTime, but other requests have been answered. Of several suspects,
-// those are blamed with which no request has completed for the longest time, and then those
-// with the most crashes; crashes that they explain no longer count against the others.
+// sends again, other requests carry it to the next endpoints. A crash alone blames nothing,
+// as endpoints also crash by themselves, and the requests at an endpoint share their traits
+// with sound ones. Detector therefore counts, for each trait, the crashes of endpoints that
+// held a request with the trait and had sent nothing of its answer. A trait becomes a
+// suspect after minCrashes such crashes at different endpoints and times, if no request with
+// it has completed meanwhile, or run on for SurvivalTime, but other requests have been
+// answered. Of several suspects, those are blamed with which no request has completed for
+// the longest time, and among these the ones with the most crashes; crashes that they
+// explain no longer count against the others.
 //
 // The load patterns behind it are a stream of requests that share a document which crashes
 // the engines, among sound requests of the same callers, and one request that ends all
@@ -109,7 +110,7 @@
 	downSince map[Endpoint]time.Time
 	// answered counts the requests of each pool that were answered at least in part.
 	answered map[ident.PoolID]int
-	// Recent and older hold when requests with a trait last completed or were seen to run
+	// recent and older hold when requests with a trait last completed or were seen to run
 	// on.
 	recent, older map[ident.Trait]time.Time
 }
@@ -136,6 +137,8 @@
 	}
 }
 
+// newCrash returns what evidence keeps of a crash. If the endpoint may have crashed before
+// the request was sent, sentAt is zero.
 func (d *Detector) newCrash(c Crash) crash {
 	known := crash{endpoint: c.Endpoint, at: c.At, answered: d.answered[c.Endpoint.Pool]}
 	if c.SentAt.Before(d.downSince[c.Endpoint]) {
--- a/internal/tool/fleet/crash_test.go
+++ b/internal/tool/fleet/crash_test.go
@@ -142,40 +142,40 @@
 // traffic sends requests at intervals to nodes in turn for a duration: sound ones,
 // and ones with the crashing part, which share all other parts but the last with them.
 func (p *proxyCase) traffic(names []string, given map[string]string) {
-	nodes, step := strings.Split(given["to"], ","), 10*time.Millisecond
-	for elapsed := time.Duration(0); elapsed < p.ParseDuration(names[0]); elapsed += step {
-		for kind, part := range map[string]string{"sound": "c", "crashing": p.crashes.part} {
-			interval := p.ParseDuration(given[kind])
-			if interval == 0 || elapsed%interval != 0 {
-				continue
-			}
-			p.crashes.sent++
-			n := p.crashes.sent
-			p.send([]string{fmt.Sprintf("%s_%s%d", given["prefix"], kind, n)}, map[string]string{
-				"to": nodes[n%len(nodes)], "route": given["route"], "key": given["key"], "tokens": "160,60",
-				"parts": fmt.Sprintf("a:50,b:40,%s:50,%x:20", part, 1000+n),
-			})
+	p.sendAtIntervals(names, given, func(n int, isCrashing bool) map[string]string {
+		part := "c"
+		if isCrashing {
+			part = p.crashes.part
 		}
-		time.Sleep(step)
-	}
+		return map[string]string{"tokens": "160,60", "parts": fmt.Sprintf("a:50,b:40,%s:50,%x:20", part, 1000+n)}
+	})
 }
 
-// reads sends requests at intervals to nodes in turn for a duration: sound ones with a few
-// paths, and the crashing one.
+// reads does the same with the crashing request, and sound ones with a few other paths.
 func (p *proxyCase) reads(names []string, given map[string]string) {
+	p.sendAtIntervals(names, given, func(n int, isCrashing bool) map[string]string {
+		path := fmt.Sprint("stock", n%7)
+		if isCrashing {
+			path = p.crashes.path
+		}
+		return map[string]string{"path": path, "tokens": given["tokens"], "parts": given["parts"]}
+	})
+}
+
+// sendAtIntervals sends sound and crashing requests with the arguments of the n-th one.
+func (p *proxyCase) sendAtIntervals(names []string, given map[string]string, argumentsOf func(n int, isCrashing bool) map[string]string) {
 	nodes, step := strings.Split(given["to"], ","), 10*time.Millisecond
 	for elapsed := time.Duration(0); elapsed < p.ParseDuration(names[0]); elapsed += step {
-		for kind, path := range map[string]string{"sound": fmt.Sprint("stock", p.crashes.sent%7), "crashing": p.crashes.path} {
+		for _, kind := range []string{"sound", "crashing"} {
 			interval := p.ParseDuration(given[kind])
 			if interval == 0 || elapsed%interval != 0 {
 				continue
 			}
 			p.crashes.sent++
 			n := p.crashes.sent
-			p.send([]string{fmt.Sprintf("%s_%s%d", given["prefix"], kind, n)}, map[string]string{
-				"to": nodes[n%len(nodes)], "route": given["route"], "key": given["key"], "path": path,
-				"tokens": given["tokens"], "parts": given["parts"],
-			})
+			arguments := argumentsOf(n, kind == "crashing")
+			arguments["to"], arguments["route"], arguments["key"] = nodes[n%len(nodes)], given["route"], given["key"]
+			p.send([]string{fmt.Sprintf("%s_%s%d", given["prefix"], kind, n)}, arguments)
 		}
 		time.Sleep(step)
 	}
