--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -106,7 +106,8 @@
 	// unconfirmed holds the time of the latest crash of each endpoint run, until it is
 	// confirmed.
 	unconfirmed map[Endpoint]time.Time
-	// downSince holds the first crash of each endpoint run.
+	// downSince holds the first crash of each endpoint run that has not completed a request
+	// since.
 	downSince map[Endpoint]time.Time
 	// answered counts the requests of each pool that were answered at least in part.
 	answered map[ident.PoolID]int
@@ -212,12 +213,14 @@
 	for _, trait := range traits {
 		d.exonerate(trait, now)
 	}
+	if down, ok := d.downSince[endpoint]; ok && now.Sub(down) >= reportDelay {
+		delete(d.downSince, endpoint)
+	}
 	at, ok := d.unconfirmed[endpoint]
 	if age := now.Sub(at); !ok || age < reportDelay || age >= confirmDelay {
 		return
 	}
 	delete(d.unconfirmed, endpoint)
-	delete(d.downSince, endpoint)
 	for _, e := range d.suspects {
 		e.remove(func(c crash) bool { return c.endpoint == endpoint && now.Sub(c.at) < confirmDelay })
 	}
