Charge a node's share for what the coordinator admits

Cause: the account's coordinator ran slow and answered some acquires in time and not others. Where it did not, the entry nodes charged their own shares, which add up to the limit and were full, as nothing had been taken from them. Both together give up to twice the limit. Evidence: the tokens in request_ended lines, 360,000 to 390,000 a second as the limit says, then 550,000 to 740,000 while the coordinator was slow. Change: what the coordinator admits is taken from the node's share as well, which may be in debt by its burst. Each node then gives out the larger of the two, not both. Sizes and limits are tested in load_test.go.

--- a/internal/process/quota/size_test.go
+++ b/internal/process/quota/load_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"context"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -51,3 +52,36 @@
 		qt.Check(t, float64(used) >= 0.95*perSecond*duration.Seconds(), qt.IsTrue, qt.Commentf("%d tokens", used))
 	}
 }
+
+// TestSlowCoordinatorDoublesLimit replays a coordinator that answers every second request in
+// time. An account that asks for several times its limit must get no more than the limit and
+// the tolerated tenth, whichever bucket its requests are charged to.
+func TestSlowCoordinatorDoublesLimit(t *testing.T) {
+	const seed, perSecond, nodes, window = 20261204, 100_000, 6, 8 * time.Second
+	random := rand.New(rand.NewPCG(seed, 0))
+	coordinator := &Coordinator{}
+	a := &config.Account{ID: "a", TokensPerSecond: perSecond, BurstTokens: perSecond}
+	now := time.Unix(1000, 0)
+	var limiters []*Limiter
+	for range nodes {
+		limiters = append(limiters, &Limiter{
+			EqualShare: func() float64 { return 1.0 / nodes },
+			Acquire: func(_ context.Context, a *config.Account, req AcquireRequest) (Result, time.Duration, bool) {
+				if random.IntN(2) == 0 {
+					return "", 0, false
+				}
+				result, retryAfter := coordinator.Acquire(a, req, now)
+				return result, retryAfter, true
+			},
+		})
+	}
+	var used ident.Tokens
+	for start := now; now.Sub(start) < window; now = now.Add(time.Millisecond) {
+		tokens := ident.Tokens(100 + random.IntN(800))
+		if _, result, _ := limiters[random.IntN(nodes)].Admit(t.Context(), a, tokens, now); result == Admitted {
+			used += tokens
+		}
+	}
+	t.Logf("seed %d: %d tokens", seed, used)
+	qt.Check(t, float64(used) <= 1.1*perSecond*(window.Seconds()+1), qt.IsTrue, qt.Commentf("%d tokens", used))
+}
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -108,8 +108,12 @@
 	if !isUnlimited && l.Acquire != nil {
 		result, retryAfter, isFromCoordinator = l.Acquire(ctx, a, AcquireRequest{Tokens: tokens, Refund: refund})
 	}
-	if !isUnlimited && !isFromCoordinator {
+	switch {
+	case isUnlimited:
+	case !isFromCoordinator:
 		result, retryAfter = l.acquireFromShare(acct, tokens, now)
+	case result == Admitted:
+		l.drawFromShare(acct, tokens, now)
 	}
 	if result != Admitted {
 		l.releaseSlot(acct)
@@ -171,6 +175,26 @@
 	return Admitted, 0
 }
 
+// drawFromShare takes what the coordinator admitted from this node's share too, which may
+// leave the share in debt by about its burst.
+//
+// The load pattern behind it is a slow coordinator, which answers some requests in time
+// and not others. Without it the nodes would give out their shares, which add up to the
+// limit, besides what the coordinator admits.
+func (l *Limiter) drawFromShare(acct *account, tokens ident.Tokens, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	draw(acct.requests, 1, now)
+	draw(acct.tokens, int(tokens), now)
+}
+
+// draw takes n tokens from a bucket, unless it is in debt by its burst already.
+func draw(l *rate.Limiter, n int, now time.Time) {
+	for ; n > 0 && l.Limit() != rate.Inf && l.TokensAt(now) > -float64(l.Burst()); n -= l.Burst() {
+		l.ReserveN(now, min(n, l.Burst()))
+	}
+}
+
 // limitFraction returns the fraction of the account's limits per second that a
 // request uses, for the limit of which it uses the largest fraction.
 func limitFraction(a *config.Account, tokens ident.Tokens) float64 {
