Charge shares only while an account is over its limit

Change: a node charges its share while the coordinator has refused requests of the account within 2 s. Only then can shares and coordinator together exceed the limit.

--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -46,6 +46,9 @@
 	demandWeight = 0.3
 	// demandTTL is how long the demand that a node reported is used.
 	demandTTL = 3 * time.Second
+	// refusedWindow is the time after a refusal by the coordinator in which an account
+	// counts as over its limit.
+	refusedWindow = 2 * time.Second
 	// burstPeriod times the rate is the default burst.
 	burstPeriod = time.Second
 )
@@ -67,9 +70,11 @@
 }
 
 type account struct {
-	requests    *rate.Limiter
-	tokens      *rate.Limiter
-	refused     refusedSize
+	requests *rate.Limiter
+	tokens   *rate.Limiter
+	refused  refusedSize
+	// refusedAt is when the coordinator last refused a request of this node.
+	refusedAt   time.Time
 	inFlight    int
 	share       float64
 	isAllocated bool
@@ -112,8 +117,8 @@
 	case isUnlimited:
 	case !isFromCoordinator:
 		result, retryAfter = l.acquireFromShare(acct, tokens, now)
-	case result == Admitted:
-		l.drawFromShare(acct, tokens, now)
+	default:
+		l.drawFromShare(acct, tokens, result, now)
 	}
 	if result != Admitted {
 		l.releaseSlot(acct)
@@ -175,17 +180,23 @@
 	return Admitted, 0
 }
 
-// drawFromShare takes what the coordinator admitted from this node's share too, which may
-// leave the share in debt by about its burst.
+// drawFromShare takes what the coordinator admitted from this node's share too, if it has
+// refused requests of the account lately. That may leave the share in debt by about its
+// burst.
 //
 // The load pattern behind it is a slow coordinator, which answers some requests in time
 // and not others. Without it the nodes would give out their shares, which add up to the
 // limit, besides what the coordinator admits.
-func (l *Limiter) drawFromShare(acct *account, tokens ident.Tokens, now time.Time) {
+func (l *Limiter) drawFromShare(acct *account, tokens ident.Tokens, result Result, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	draw(acct.requests, 1, now)
-	draw(acct.tokens, int(tokens), now)
+	switch {
+	case result != Admitted:
+		acct.refusedAt = now
+	case now.Sub(acct.refusedAt) < refusedWindow:
+		draw(acct.requests, 1, now)
+		draw(acct.tokens, int(tokens), now)
+	}
 }
 
 // draw takes n tokens from a bucket, unless it is in debt by its burst already.
