Log why a cell closes the lower tiers of its pool

Change: closing_lower_tiers has the cell, the tier, its waiting requests, their expected wait, and whether one has waited for half of its time; once when the level is lowered. Result: the tests of sched, admit, cells and node pass.

--- a/internal/process/admit/admit.go
+++ b/internal/process/admit/admit.go
@@ -109,15 +109,18 @@
 }
 
 // CloseLower sets this node's wanted level of a pool to the given tier for
-// levelTTL, unless a stricter level is active.
-func (c *Controller) CloseLower(id ident.PoolID, tier ident.Tier, now time.Time) {
+// levelTTL, unless a stricter level is active. It reports whether the level was not
+// as strict before.
+func (c *Controller) CloseLower(id ident.PoolID, tier ident.Tier, now time.Time) (isNew bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(id)
 	if p.wanted.isActive(now) && p.wanted.level < tier {
-		return
+		return false
 	}
+	isNew = !p.wanted.isActive(now) || p.wanted.level > tier
 	p.wanted = expiringLevel{tier, now.Add(levelTTL)}
+	return isNew
 }
 
 // Pending returns the close requests to send to every member now.
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -108,6 +108,9 @@
 	// OwnershipChanged is called when this node begins or ceases to own a cell; nil
 	// ignores changes. It must not call the Manager.
 	OwnershipChanged func(id ident.CellID, isOwner bool)
+	// ClosingLower is called when a cell of this node begins to request that the tiers
+	// below the given one are closed, with the cell's lock held; nil ignores it.
+	ClosingLower func(id ident.CellID, tier ident.Tier, cause sched.CloseCause)
 	// Ended is called when a granted request ends, with the cell's lock held; nil ignores
 	// it.
 	Ended func(sched.Ended)
@@ -317,7 +320,11 @@
 			}
 		},
 		Admits:     func(t ident.Tier) bool { return m.admission.Admits(id.Pool, t, time.Now()) },
-		CloseLower: func(t ident.Tier) { m.admission.CloseLower(id.Pool, t, time.Now()) },
+		CloseLower: func(t ident.Tier, cause sched.CloseCause) {
+			if m.admission.CloseLower(id.Pool, t, time.Now()) && m.ClosingLower != nil {
+				m.ClosingLower(id, t, cause)
+			}
+		},
 		CanShed:    func(t ident.Tier) bool { return m.canShed(id.Pool, t) },
 	}
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -184,7 +184,7 @@
 		RecentlyFailed: func() int { return n.members.RecentlyFailed(recentFailureWindow) },
 		InFlight:       n.entry.InFlight, Policy: n.Policy, Observe: n.recordDecision, Ended: n.recordEnded,
 		KnownLimits: n.proxy.KnownLimits,
-		Clock:       &n.hybridClock, OwnershipChanged: n.logOwnership,
+		Clock:       &n.hybridClock, OwnershipChanged: n.logOwnership, ClosingLower: n.logClosing,
 		CloseRequestFailed: func(to ident.NodeID, err error) {
 			n.Log.Debug("floor_not_acknowledged", "peer", to, "error", err)
 		},
--- a/internal/process/node/observe.go
+++ b/internal/process/node/observe.go
@@ -113,6 +113,15 @@
 	}
 }
 
+// logClosing logs that a cell begins to request the closure of lower tiers. It is called
+// with the cell's lock held.
+func (n *Node) logClosing(id ident.CellID, tier ident.Tier, cause sched.CloseCause) {
+	n.tasks.Go(func() {
+		n.Log.Info("closing_lower_tiers", "cell", id.String(), "below", n.tierName(id.Pool, tier), "for", n.tierName(id.Pool, cause.Class),
+			"waiting", cause.Waiting, "expected_wait", cause.ExpectedWait, "has_waited_long", cause.HasWaitedLong)
+	})
+}
+
 // endpointsAge returns the time from the last read of the table of endpoints to the
 // given time, or 0 if the table has not been read.
 func (n *Node) endpointsAge(at time.Time) time.Duration {
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -117,7 +117,7 @@
 	CanShed func(ident.Tier) bool
 	// CloseLower requests to close the tiers below the given one in the whole
 	// pool.
-	CloseLower func(ident.Tier)
+	CloseLower func(ident.Tier, CloseCause)
 
 	mu        sync.Mutex
 	endpoints []*endpoint
--- a/internal/process/sched/script_test.go
+++ b/internal/process/sched/script_test.go
@@ -37,7 +37,7 @@
 		ID: ident.CellID{Pool: "team/pool"}, Pool: testPool(),
 		Admits:     func(tier ident.Tier) bool { return tier < s.closedFrom },
 		CanShed:    func(ident.Tier) bool { return s.canShed },
-		CloseLower: func(tier ident.Tier) { s.closeLowerRequests = append(s.closeLowerRequests, tier) },
+		CloseLower: func(tier ident.Tier, _ CloseCause) { s.closeLowerRequests = append(s.closeLowerRequests, tier) },
 	}
 	for line := range lines {
 		s.location = line.Position
--- a/internal/process/sched/shed.go
+++ b/internal/process/sched/shed.go
@@ -28,14 +28,14 @@
 			return
 		}
 		if !c.canShed(class) {
-			c.closeLower(class)
+			c.closeLower(class, false)
 			return
 		}
 		q := &c.queues[class]
 		r := q.shedCandidate()
 		q.remove(r)
 		c.refuse(r, ReasonOverload)
-		c.closeLower(class)
+		c.closeLower(class, false)
 	}
 }
 
@@ -138,9 +138,9 @@
 // group are not closed in favour of each other.
 func (c *Cell) canShed(t ident.Tier) bool { return c.CanShed == nil || c.CanShed(c.groupEnd[t]) }
 
-func (c *Cell) closeLower(t ident.Tier) {
+func (c *Cell) closeLower(t ident.Tier, hasWaitedLong bool) {
 	if c.CloseLower != nil {
-		c.CloseLower(c.groupEnd[t])
+		c.CloseLower(c.groupEnd[t], CloseCause{t, c.queues[t].length, c.expectedClassWait(t, c.now()), hasWaitedLong})
 	}
 }
 
@@ -157,7 +157,7 @@
 				expired = append(expired, r)
 			case !requested && shouldCloseLower(r, now):
 				requested = true
-				c.closeLower(r.Tier)
+				c.closeLower(r.Tier, true)
 			}
 			return true
 		})
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -170,6 +170,18 @@
 	Output ident.Tokens
 }
 
+// CloseCause says why a cell requests to close the lower tiers.
+type CloseCause struct {
+	// Class is the class that has to wait or shed, and Waiting its number of waiting
+	// requests.
+	Class   ident.Tier
+	Waiting int
+	// ExpectedWait is the expected wait of the class, 0 if unknown.
+	ExpectedWait time.Duration
+	// HasWaitedLong is set if a request has waited for a large part of its time.
+	HasWaitedLong bool
+}
+
 // Ended reports the end of a granted request to Cell.Ended.
 type Ended struct {
 	Pool     ident.PoolID
