Do not close tiers by the rate of a cell that grants nothing yet

Cause: after nodes were killed a cell had a new owner, which collects what is in flight and grants nothing at first, then only the highest tier. The expected wait of three requests of that tier was taken from its grants so far, none, as 3 s; so the cell asked for the closure of all lower tiers in the whole pool, and repeated it. Evidence: closing_lower_tiers at 9.68 s by the node that had just become owner, for rank_0_2, waiting=3 expected_wait=3s; tier_closed_for_overload on all nodes from 9.9 s on. Change: while a cell does not grant all tiers there is no expected wait; requests wait at most their longest wait, as before. Afterwards the rate is taken over the time since then and not over 3 s.

--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -319,13 +319,13 @@
 				m.Observe(d)
 			}
 		},
-		Admits:     func(t ident.Tier) bool { return m.admission.Admits(id.Pool, t, time.Now()) },
+		Admits: func(t ident.Tier) bool { return m.admission.Admits(id.Pool, t, time.Now()) },
 		CloseLower: func(t ident.Tier, cause sched.CloseCause) {
 			if m.admission.CloseLower(id.Pool, t, time.Now()) && m.ClosingLower != nil {
 				m.ClosingLower(id, t, cause)
 			}
 		},
-		CanShed:    func(t ident.Tier) bool { return m.canShed(id.Pool, t) },
+		CanShed: func(t ident.Tier) bool { return m.canShed(id.Pool, t) },
 	}
 }
 
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -158,6 +158,8 @@
 	tierLimit ident.Tier
 	// hasTierLimit is false until the first Resume; all tiers are granted then.
 	hasTierLimit bool
+	// grantsAllSince is when Resume began to grant all tiers, zero before the first time.
+	grantsAllSince time.Time
 }
 
 func (c *Cell) now() time.Time {
@@ -377,6 +379,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isPaused = false
+	if limit == ident.MaxTiers-1 && (c.grantsAllSince.IsZero() || c.tierLimit < limit) {
+		c.grantsAllSince = c.now()
+	}
 	c.hasTierLimit = true
 	c.tierLimit = limit
 	c.grantWaiting(c.now())
--- a/internal/process/sched/class.go
+++ b/internal/process/sched/class.go
@@ -17,6 +17,8 @@
 	// minArrivals is the decayed number of arrivals below which a class's grant
 	// ratio and expected wait are not meaningful.
 	minArrivals = 4.0
+	// minCountedTime is the least time over which a rate of grants is taken.
+	minCountedTime = 50 * time.Millisecond
 	// minWaitFraction is the fraction of its first-token target that a request
 	// may always wait.
 	minWaitFraction = 0.25
@@ -50,6 +52,16 @@
 	return s.grants / s.arrivals
 }
 
+// countedFraction returns the part of a steady rate of grants that the decayed counts
+// hold, as they begin at 0 when the cell begins to grant all classes.
+func (c *Cell) countedFraction(now time.Time) float64 {
+	if c.grantsAllSince.IsZero() {
+		return 1
+	}
+	age := max(now.Sub(c.grantsAllSince), minCountedTime)
+	return 1 - math.Exp(-age.Seconds()/serviceTimeConstant.Seconds())
+}
+
 // grantsPerSecond returns the decayed rate of grants.
 func (s *classStats) grantsPerSecond() float64 { return s.grants / serviceTimeConstant.Seconds() }
 
@@ -100,14 +112,15 @@
 // expectedClassWait estimates how long the last request of a class waits, from
 // the rate of grants of the class and of the lower groups, which it precedes as soon
 // as it has to wait, taken as at least one per second. It returns 0 while there are
-// fewer than minArrivals. Unlike expectedWait, it does not consider higher classes.
+// fewer than minArrivals, and while the cell does not grant all classes: then the rate
+// is not that of its endpoints. Unlike expectedWait, it does not consider higher classes.
 //
 // The load pattern behind it is a high tier with few requests: its own rate is low
 // because it asks for little, not because the cell is slow.
 func (c *Cell) expectedClassWait(class ident.Tier, now time.Time) time.Duration {
 	s := &c.classStats[class]
 	s.decay(now)
-	if s.arrivals < minArrivals {
+	if s.arrivals < minArrivals || c.isPaused || c.hasTierLimit && c.tierLimit < ident.MaxTiers-1 {
 		return 0
 	}
 	rate := s.grantsPerSecond()
@@ -115,6 +128,6 @@
 		c.classStats[lower].decay(now)
 		rate += c.classStats[lower].grantsPerSecond()
 	}
-	rate = max(rate, 1)
+	rate = max(rate/c.countedFraction(now), 1)
 	return time.Duration(float64(c.queues[class].length) / rate * float64(time.Second))
 }
