Take no rate from a cell that has just begun

Change: a cell that has granted all classes for less than 3 s has no expected wait before four grants. The time counts from the first configuration, or from Resume if it was paused then.

--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -158,7 +158,8 @@
 	tierLimit ident.Tier
 	// hasTierLimit is false until the first Resume; all tiers are granted then.
 	hasTierLimit bool
-	// grantsAllSince is when Resume began to grant all tiers, zero before the first time.
+	// grantsAllSince is when the cell began to grant all tiers: its first configuration
+	// or, if it was paused then, Resume.
 	grantsAllSince time.Time
 }
 
@@ -378,13 +379,14 @@
 func (c *Cell) Resume(limit ident.Tier) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isPaused = false
-	if limit == ident.MaxTiers-1 && (c.grantsAllSince.IsZero() || c.tierLimit < limit) {
-		c.grantsAllSince = c.now()
+	now := c.now()
+	if c.grantingTime(now) == 0 {
+		c.grantsAllSince = now
 	}
+	c.isPaused = false
 	c.hasTierLimit = true
 	c.tierLimit = limit
-	c.grantWaiting(c.now())
+	c.grantWaiting(now)
 }
 
 func (c *Cell) drain(q *queue, response GrantResponse) {
--- a/internal/process/sched/class.go
+++ b/internal/process/sched/class.go
@@ -17,8 +17,6 @@
 	// minArrivals is the decayed number of arrivals below which a class's grant
 	// ratio and expected wait are not meaningful.
 	minArrivals = 4.0
-	// minCountedTime is the least time over which a rate of grants is taken.
-	minCountedTime = 50 * time.Millisecond
 	// minWaitFraction is the fraction of its first-token target that a request
 	// may always wait.
 	minWaitFraction = 0.25
@@ -52,19 +50,6 @@
 	return s.grants / s.arrivals
 }
 
-// countedFraction returns the part of a steady rate of grants that the decayed counts
-// hold, as they begin at 0 when the cell begins to grant all classes.
-func (c *Cell) countedFraction(now time.Time) float64 {
-	if c.grantsAllSince.IsZero() {
-		return 1
-	}
-	age := max(now.Sub(c.grantsAllSince), minCountedTime)
-	return 1 - math.Exp(-age.Seconds()/serviceTimeConstant.Seconds())
-}
-
-// grantsPerSecond returns the decayed rate of grants.
-func (s *classStats) grantsPerSecond() float64 { return s.grants / serviceTimeConstant.Seconds() }
-
 // setClassGroups sets groupEnd from the settings. Classes are numbered like the tiers of the pool's team. Classes of one group are
 // served in proportion to their arrivals, all others in strict priority order.
 func (c *Cell) setClassGroups() {
@@ -112,22 +97,38 @@
 // expectedClassWait estimates how long the last request of a class waits, from
 // the rate of grants of the class and of the lower groups, which it precedes as soon
 // as it has to wait, taken as at least one per second. It returns 0 while there are
-// fewer than minArrivals, and while the cell does not grant all classes: then the rate
-// is not that of its endpoints. Unlike expectedWait, it does not consider higher classes.
+// fewer than minArrivals, and while too few grants show the rate of a cell that has just
+// begun to grant all classes. Unlike expectedWait, it does not consider higher classes.
 //
-// The load pattern behind it is a high tier with few requests: its own rate is low
-// because it asks for little, not because the cell is slow.
+// The load patterns behind it are a high tier with few requests, whose own rate is low
+// because it asks for little, and a cell that is taken over under load, which has granted
+// nothing or the highest tier alone; neither is slow.
 func (c *Cell) expectedClassWait(class ident.Tier, now time.Time) time.Duration {
 	s := &c.classStats[class]
 	s.decay(now)
-	if s.arrivals < minArrivals || c.isPaused || c.hasTierLimit && c.tierLimit < ident.MaxTiers-1 {
+	granting := c.grantingTime(now)
+	if s.arrivals < minArrivals || granting == 0 {
 		return 0
 	}
-	rate := s.grantsPerSecond()
+	grants := s.grants
 	for lower := int(c.groupEnd[class]) + 1; lower < len(c.classStats); lower++ {
 		c.classStats[lower].decay(now)
-		rate += c.classStats[lower].grantsPerSecond()
+		grants += c.classStats[lower].grants
 	}
-	rate = max(rate/c.countedFraction(now), 1)
+	if granting < serviceTimeConstant && grants < minArrivals {
+		return 0
+	}
+	// At a steady rate the decayed count reaches the rate times this time.
+	counted := serviceTimeConstant.Seconds() * (1 - math.Exp(-granting.Seconds()/serviceTimeConstant.Seconds()))
+	rate := max(grants/counted, 1)
 	return time.Duration(float64(c.queues[class].length) / rate * float64(time.Second))
 }
+
+// grantingTime returns how long the cell has been granting all classes, 0 while it does
+// not.
+func (c *Cell) grantingTime(now time.Time) time.Duration {
+	if c.isPaused || c.hasTierLimit && c.tierLimit < ident.MaxTiers-1 {
+		return 0
+	}
+	return now.Sub(c.grantsAllSince)
+}
--- a/internal/process/sched/topology.go
+++ b/internal/process/sched/topology.go
@@ -18,6 +18,7 @@
 	c.setClassGroups()
 	if c.byID == nil {
 		c.byID = map[ident.Endpoint]*endpoint{}
+		c.grantsAllSince = c.now()
 	}
 	kept := make([]*endpoint, 0, len(specs))
 	previous := c.byID
