--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -117,7 +117,7 @@
 	CanShed func(ident.Tier) bool
 	// CloseLower requests to close the tiers below the given one in the whole
 	// pool.
-	CloseLower func(ident.Tier)
+	CloseLower func(ident.Tier, CloseCause)
 
 	mu        sync.Mutex
 	endpoints []*endpoint
@@ -158,6 +158,9 @@
 	tierLimit ident.Tier
 	// hasTierLimit is false until the first Resume; all tiers are granted then.
 	hasTierLimit bool
+	// grantsAllSince is when the cell began to grant all tiers: its first configuration
+	// or, if it was paused then, Resume.
+	grantsAllSince time.Time
 }
 
 func (c *Cell) now() time.Time {
@@ -376,10 +379,14 @@
 func (c *Cell) Resume(limit ident.Tier) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.now()
+	if c.grantingTime(now) == 0 {
+		c.grantsAllSince = now
+	}
 	c.isPaused = false
 	c.hasTierLimit = true
 	c.tierLimit = limit
-	c.grantWaiting(c.now())
+	c.grantWaiting(now)
 }
 
 func (c *Cell) drain(q *queue, response GrantResponse) {
