Log closures without a goroutine

A goroutine that a stopping node starts could meet its wait for the others. The log never blocks, and the line comes at most once in the time that a closure lasts. notifyOwnership moves to the file on owners. No other change.

--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -302,12 +302,6 @@
 	return 2*together > len(members)
 }
 
-func (m *Manager) notifyOwnership(id ident.CellID, isOwner bool) {
-	if m.OwnershipChanged != nil {
-		m.OwnershipChanged(id, isOwner)
-	}
-}
-
 func (m *Manager) newCell(id ident.CellID, pool *config.Pool, lc *localCell) *sched.Cell {
 	return &sched.Cell{
 		ID: id, Pool: pool, Policy: m.Policy, Ended: m.Ended,
--- a/internal/process/cells/owners.go
+++ b/internal/process/cells/owners.go
@@ -94,3 +94,9 @@
 	}
 	return list
 }
+
+func (m *Manager) notifyOwnership(id ident.CellID, isOwner bool) {
+	if m.OwnershipChanged != nil {
+		m.OwnershipChanged(id, isOwner)
+	}
+}
--- a/internal/process/node/observe.go
+++ b/internal/process/node/observe.go
@@ -114,12 +114,10 @@
 }
 
 // logClosing logs that a cell begins to request the closure of lower tiers. It is called
-// with the cell's lock held.
+// with the cell's lock held, at most once in the time that a closure lasts.
 func (n *Node) logClosing(id ident.CellID, tier ident.Tier, cause sched.CloseCause) {
-	n.tasks.Go(func() {
-		n.Log.Info("closing_lower_tiers", "cell", id.String(), "below", n.tierName(id.Pool, tier), "for", n.tierName(id.Pool, cause.Class),
-			"waiting", cause.Waiting, "expected_wait", cause.ExpectedWait, "has_waited_long", cause.HasWaitedLong)
-	})
+	n.Log.Info("closing_lower_tiers", "cell", id.String(), "below", n.tierName(id.Pool, tier), "for", n.tierName(id.Pool, cause.Class),
+		"waiting", cause.Waiting, "expected_wait", cause.ExpectedWait, "has_waited_long", cause.HasWaitedLong)
 }
 
 // endpointsAge returns the time from the last read of the table of endpoints to the
