--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -82,9 +82,9 @@
 	KindChanges
 	// KindIdleSlots is a call that reports the free slots of a cell.
 	KindIdleSlots
-	// KindCrashes is a call that reports crashed endpoints and the parts of prompts that
-	// may be to blame, and KindCompletedTraits a call for when requests with such parts last
-	// completed.
+	// KindCrashes is a call that reports crashed endpoints and the traits of requests that
+	// may be to blame, and KindCompletedTraits a call for when requests with such traits
+	// last completed.
 	KindCrashes
 	KindCompletedTraits
 )
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -59,7 +59,7 @@
 }
 
 // gossipOf returns a gossip message with membership updates, this node's settings
-// version, the time since it last read the store and the quarantined parts of prompts.
+// version, the time since it last read the store and the quarantined traits.
 func (n *Node) gossipOf(updates []member.Member) wire.Gossip {
 	g := wire.FromMembers(updates)
 	g.SettingsVersion, g.PeerAddress = uint64(n.tree.Load().Version), n.Process.PeerAddress
--- a/internal/process/node/poison.go
+++ b/internal/process/node/poison.go
@@ -23,7 +23,7 @@
 	// crashInterval is the time between two looks at new crashes, and between the calls
 	// that report them.
 	crashInterval = 100 * time.Millisecond
-	// quarantineTable has a row for each quarantined trait of prompts. It outlives a
+	// quarantineTable has a row for each quarantined trait. It outlives a
 	// restart of all nodes; among running ones, quarantines spread by gossip.
 	quarantineTable = "quarantine"
 	// quarantineReadPause is the pause between attempts to read that table at the start.
@@ -67,7 +67,8 @@
 	}
 }
 
-// watchCrashes reports crashes to the other nodes of cells and quarantines the traits of// prompts that are to blame, until ctx is done.
+// watchCrashes reports crashes to the other nodes of cells and quarantines the traits that
+// are to blame, until ctx is done.
 func (n *Node) watchCrashes(ctx context.Context) {
 	tick.OnDemand(ctx, crashInterval, &n.poison.hasCrashes, func(ctx context.Context) bool {
 		others, ownsCell := n.otherCellOwners()
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -5,7 +5,7 @@
 // nodes as processes, and callers that keep their connections until the process at the
 // other end is gone. A seed gives the plan: signals, kills and restarts of nodes, a store
 // that is away, slow or older, settings that change, endpoints that crash by themselves,
-// under a part of a prompt, or name a limit. Faults overlap. Timing differs from run to
+// under a part of a prompt or a request, or name a limit. Faults overlap. Timing differs from run to
 // run, so a seed repeats the plan, not every event.
 //
 // # Usage
