Log which releases a stream holds and what it takes up

The logs of the streams that went on at another release could not tell repeats within an answer from streams that callers took up at another node, nor show a mix by themselves. request_ended now has the releases whose events a stream holds, one for each attempt that brought any, and for a stream that was taken up the attempt that began it and the last event that the caller had. endpoint_changed has the endpoint's release. No decision changes.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -198,6 +198,7 @@
 	Clock      uint64 `cbor:"11,keyasint,omitempty"`
 	Pool       string `cbor:"12,keyasint,omitempty"` // with Cell, the cell to which it redirects
 	Cell       int    `cbor:"13,keyasint,omitempty"`
+	Release    string `cbor:"14,keyasint,omitempty"`
 }
 
 // FromGrantResponse converts a grant response.
@@ -206,7 +207,7 @@
 		Outcome: uint8(r.Outcome), Reason: string(r.Reason), Endpoint: string(r.Endpoint),
 		Address: r.Address, Sequence: r.Sequence, TTL: int64(r.TTL), Cached: int64(r.Cached),
 		Considered: r.Considered, Waited: int64(r.Waited), RetryAfter: int64(r.RetryAfter),
-		Pool: string(r.Cell.Pool), Cell: r.Cell.Index,
+		Pool: string(r.Cell.Pool), Cell: r.Cell.Index, Release: string(r.Release),
 	}
 }
 
@@ -214,7 +215,7 @@
 func (m GrantResponse) ToGrantResponse() sched.GrantResponse {
 	return sched.GrantResponse{
 		Outcome: sched.Outcome(m.Outcome), Reason: sched.Reason(m.Reason),
-		Endpoint: ident.Endpoint(m.Endpoint), Address: m.Address, Sequence: m.Sequence,
+		Endpoint: ident.Endpoint(m.Endpoint), Release: ident.Release(m.Release), Address: m.Address, Sequence: m.Sequence,
 		TTL: time.Duration(m.TTL), Cached: ident.Tokens(m.Cached), Considered: m.Considered,
 		Waited: time.Duration(m.Waited), RetryAfter: time.Duration(m.RetryAfter),
 		Cell: ident.CellID{Pool: ident.PoolID(m.Pool), Index: m.Cell},
--- a/internal/process/node/observe.go
+++ b/internal/process/node/observe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"strings"
 	"sync"
 	"time"
 
@@ -39,7 +38,7 @@
 	r := trace.Record{
 		Time: time.Now(), Node: n.Process.Name, Request: req.Request, Account: req.Account,
 		Pool: d.Cell.Pool, Cell: d.Cell.String(), Endpoint: resp.Endpoint, Reason: string(resp.Reason),
-		Considered: joinEndpoints(d.Considered), Waiting: d.Queued, Cached: resp.Cached, Sequence: resp.Sequence,
+		Considered: ident.Join(d.Considered), Waiting: d.Queued, Cached: resp.Cached, Sequence: resp.Sequence,
 		Waited: resp.Waited, Settings: n.tree.Load().Version, Event: eventOf(resp.Outcome),
 		Tier: n.tierName(d.Cell.Pool, req.Tier),
 	}
@@ -77,17 +76,6 @@
 	return ""
 }
 
-func joinEndpoints(ids []ident.Endpoint) string {
-	var b strings.Builder
-	for i, id := range ids {
-		if i > 0 {
-			b.WriteByte(' ')
-		}
-		b.WriteString(string(id))
-	}
-	return b.String()
-}
-
 func (n *Node) flushDecisionsPeriodically(ctx context.Context) {
 	tick.OnDemand(ctx, decisionFlushInterval, &n.decisions.added, func(context.Context) bool {
 		n.flushDecisions()
--- a/internal/process/node/poison.go
+++ b/internal/process/node/poison.go
@@ -186,7 +186,7 @@
 	now := time.Now()
 	until := now.Add(poison.QuarantineTime)
 	isNew := n.poison.quarantined.Add(s.Trait, until, now)
-	n.Log.Warn("trait_quarantined", "trait", traitKey(s.Trait), "crashed_endpoints", joinEndpoints(s.Endpoints),
+	n.Log.Warn("trait_quarantined", "trait", traitKey(s.Trait), "crashed_endpoints", ident.Join(s.Endpoints),
 		"first_crash", now.Sub(s.Since), "new", isNew)
 	if isNew {
 		n.applyQuarantine()
--- a/internal/process/node/tables.go
+++ b/internal/process/node/tables.go
@@ -264,7 +264,7 @@
 }
 
 func (n *Node) logEndpoint(message string, in roster.Instance, version int64) {
-	n.Log.Info(message, "endpoint", in.Endpoint, "pool", in.Pool, "address", in.Address,
+	n.Log.Info(message, "endpoint", in.Endpoint, "pool", in.Pool, "address", in.Address, "release", in.Release,
 		"leaving", in.Leaving, "store_version", version)
 }
 
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -35,10 +35,11 @@
 	Address string
 	// PeerAddress is where a node serves other nodes. It is set for nodes only.
 	PeerAddress string
-	// Endpoint, Pool and Generation are set for endpoints only.
+	// Endpoint, Pool, Generation and Release are set for endpoints only.
 	Endpoint   ident.Endpoint
 	Pool       ident.PoolID
 	Generation string
+	Release    ident.Release
 	// Slots is the number of requests that the endpoint runs concurrently; 0
 	// means unknown.
 	Slots int
@@ -111,7 +112,7 @@
 			continue
 		}
 		specs[pool.ID] = append(specs[pool.ID], sched.EndpointSpec{
-			ID: id, Address: in.Address, Kind: pool.Kind, Generation: in.Generation, Leaving: in.Leaving,
+			ID: id, Address: in.Address, Kind: pool.Kind, Generation: in.Generation, Release: in.Release, Leaving: in.Leaving,
 			Zone: in.Zone, Slots: slotsOf(in, pool), StartedUnixMilli: in.StartedUnixMilli, CacheTokens: pool.CacheTokens,
 		})
 	}
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -203,7 +203,7 @@
 	c.addInFlight(r.Request, g)
 	c.grantSequence++
 	c.respond(r, GrantResponse{
-		Outcome: Granted, Reason: reason, Endpoint: e.ID, Address: e.Address,
+		Outcome: Granted, Reason: reason, Endpoint: e.ID, Release: e.Release, Address: e.Address,
 		Sequence: c.grantSequence, TTL: GrantTTL, Cached: cached, Considered: len(c.considered),
 		Waited: now.Sub(r.arrived),
 	})
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -109,9 +109,10 @@
 type GrantResponse struct {
 	Outcome Outcome
 	Reason  Reason
-	// Endpoint, Address, Sequence and TTL are set on a grant. The grant can be
+	// Endpoint, Release, Address, Sequence and TTL are set on a grant. The grant can be
 	// used for TTL after it arrived and never later.
 	Endpoint ident.Endpoint
+	Release  ident.Release
 	Address  string
 	Sequence uint64
 	TTL      time.Duration
@@ -204,6 +205,8 @@
 	// Generation names the hardware. Stragglers are detected by comparison
 	// within a generation.
 	Generation string
+	// Release names the software.
+	Release ident.Release
 	// Leaving is set when the platform is removing the endpoint; it then gets
 	// no new grants.
 	Leaving bool
--- a/internal/request/ident/ident.go
+++ b/internal/request/ident/ident.go
@@ -35,6 +35,9 @@
 // Endpoint identifies a model runner or an application runner.
 type Endpoint string
 
+// Release names a release of the software that an endpoint runs, "" if it is not known.
+type Release string
+
 // PoolID names a pool as "team/pool".
 type PoolID string
 
@@ -120,3 +123,15 @@
 	rand.Read(raw[6:]) //nolint:errcheck // crypto/rand.Read never fails.
 	return raw
 }
+
+// Join returns names separated by spaces, for logs.
+func Join[Name ~string](names []Name) string {
+	var b strings.Builder
+	for i, name := range names {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(string(name))
+	}
+	return b.String()
+}
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -72,6 +72,9 @@
 	// LastEventID is the identifier of the last event of this answer that the caller
 	// has received, 0 for none.
 	LastEventID int
+	// Resumes is the AttemptID of the attempt that brought the first event of this
+	// answer, "" if not given.
+	Resumes string
 }
 
 // ForwardInfo is what the proxy adds to the header of a forwarded request.
@@ -154,6 +157,9 @@
 	// Endpoint is the endpoint of the last grant that was used, whether or not it
 	// answered.
 	Endpoint ident.Endpoint
+	// Releases lists, for a stream, the software releases of the endpoints whose events
+	// were sent to the caller, one for each attempt that brought any.
+	Releases []ident.Release
 	// TimeToFirstAnswer is the time from arrival to the first event of a stream or to
 	// the complete answer. It is 0 for 5xx answers and for answers that are not
 	// streams and are longer than maxBufferedBytes.
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -184,6 +184,7 @@
 	t.lastEvent = now
 	t.events++
 	if t.events == 1 {
+		x.state.result.Releases = append(x.state.result.Releases, x.grant.Response.Release)
 		t.firstEvent, t.reportedAt, t.reportedEvents = now, now, 1
 		x.reportStarted()
 		return
