Test that streams go on at another software release, failing

Two releases serve in one pool. A stream whose endpoint breaks off is repeated within its answer at an endpoint of the other release, and a caller whose node is killed gets one as well when it takes its stream up elsewhere.

The stand-in engine names its release in a comment line of its events; callers of scripts can take a stream up. A check that finds a request unfinished goes on to the end of its script instead of leaving goroutines behind.

--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -22,6 +22,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,6 +39,7 @@
 	NotRunHeader         = "Goldcrestwick-Not-Run"
 	ExpectInstanceHeader = "Goldcrestwick-Expect-Instance"
 	LastEventIDHeader    = "Last-Event-Id"
+	ResumesHeader        = "Resumes"
 	LeavingHeader        = "Server-Leaving"
 	LimitHeader          = "Server-Limit"
 )
@@ -140,6 +142,8 @@
 	// Batch generates the tokens of generation requests whose Behaviour is the
 	// zero value; if nil, the Behaviour defines their answers too.
 	Batch *batch.Engine
+	// Release, if not empty, is the release of its software, which its events name.
+	Release string
 	// TokensPerEvent is the number of tokens in an event; 0 means 1.
 	TokensPerEvent ident.Tokens
 	// RateLimit, if not nil, returns the value of LimitHeader in all answers, "" for none.
@@ -268,7 +272,28 @@
 	return send(w, fmt.Sprintf("%x\r\n%s\r\n", len(text), text))
 }
 
-func eventText(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
+// eventText returns an event, which names the release if that is known.
+func (e *Engine) eventText(n int) string {
+	if e.Release == "" {
+		return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
+	}
+	return fmt.Sprintf("id: %d\ndata: piece %d\n%s%s\n\n", n, n, releaseField, e.Release)
+}
+
+// releaseField begins the comment line of an event that names the release of the engine.
+const releaseField = ": release "
+
+// ReleasesOf returns the releases that the events of a stream name, without repetitions
+// that follow each other.
+func ReleasesOf(stream string) []string {
+	var releases []string
+	for line := range strings.Lines(stream) {
+		if release, ok := strings.CutPrefix(strings.TrimSpace(line), releaseField); ok {
+			releases = append(releases, release)
+		}
+	}
+	return slices.Compact(releases)
+}
 
 // writeAnswer sends the answer that b defines and reports whether the connection
 // can be reused.
@@ -365,7 +390,7 @@
 		if n > first {
 			time.Sleep(b.EventInterval)
 		}
-		text := eventText(n)
+		text := e.eventText(n)
 		if n == b.LastEvent && b.EndMode == EndMidEvent {
 			text = text[:len(text)/2]
 		}
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -81,6 +82,11 @@
 
 // proxyCall is the result of one request of a caller.
 type proxyCall struct {
+	id string
+	// resumed holds the body of the call that this one takes up, and of those before it;
+	// began is the call that brought the first event of all.
+	resumed    string
+	began      *proxyCall
 	status     int
 	retryAfter string
 	body       string
@@ -144,6 +150,7 @@
 		"store": p.store, "shutdown": p.shutdown, "ready": p.ready, "cut": p.cut, "heal": p.heal, "malformed_entry": p.malformedEntry,
 		"batch": p.batch, "fleet": p.fleet, "engines": p.manyEngines, "calls": p.checkCalls, "in_force": p.inForce,
 		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "crashing_request": p.crashingRequest, "reads": p.reads, "traffic": p.traffic, "crashes": p.checkCrashes,
+		"kill_engine": p.killEngine, "one_release": p.oneRelease,
 	}
 	run, ok := commands[command]
 	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.Position, command))
@@ -218,7 +225,7 @@
 func (p *proxyCase) engine(names []string, given map[string]string) {
 	for _, name := range names {
 		e := &proxyEngine{behaviour: engine.Behaviour{LastEvent: 3, EventInterval: 10 * time.Millisecond}}
-		e.ID = name
+		e.ID, e.Release = name, given["release"]
 		if given["slots"] != "" {
 			e.behaviour = engine.Behaviour{}
 			e.TokensPerEvent = 6
@@ -258,6 +265,9 @@
 		if given["born"] != "" {
 			e.entry["born"] = p.IntOption("born", 0)
 		}
+		if e.Release != "" {
+			e.entry["version"] = e.Release
+		}
 		p.engines[name] = e
 		p.listEngine(name)
 	}
@@ -370,10 +380,14 @@
 	for i := range p.IntOption("count", 0) {
 		names = append(names, fmt.Sprintf("%s%02d", given["prefix"], i))
 	}
-	for _, name := range names {
-		call := &proxyCall{}
+	nodes := []string{given["to"]}
+	if given["to"] == "any" {
+		nodes = slices.Sorted(maps.Keys(p.nodes))
+	}
+	for i, name := range names {
+		call := &proxyCall{id: name}
 		p.calls[name] = call
-		req, err := http.NewRequest(http.MethodPost, "http://"+given["to"]+":80/"+given["route"]+"/"+cmp.Or(given["path"], "x"), strings.NewReader("body")) //nolint:noctx // it ends with the test.
+		req, err := http.NewRequest(http.MethodPost, "http://"+nodes[i%len(nodes)]+":80/"+given["route"]+"/"+cmp.Or(given["path"], "x"), strings.NewReader("body")) //nolint:noctx // it ends with the test.
 		qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.Position))
 		req.Host = "h.example"
 		req.Header.Set(engine.AttemptIDHeader, name)
@@ -387,6 +401,9 @@
 		if given["deadline_ms"] != "" {
 			req.Header.Set(engine.DeadlineHeader, given["deadline_ms"])
 		}
+		if earlier := p.calls[cmp.Or(given["resumes"], given["resumes_prefix"]+strings.TrimPrefix(name, given["prefix"]))]; earlier != nil && earlier != call {
+			call.resume(earlier, req.Header)
+		}
 		cancelAfter := p.ParseDuration(given["cancel_after"])
 		p.running.Go(func() { call.send(req, p.net, cancelAfter) })
 	}
@@ -417,21 +434,45 @@
 	c.body, c.complete = string(raw), err == nil
 }
 
-// want checks the results of requests.
-func (p *proxyCase) want(names []string, given map[string]string) {
+// resume makes the call take up the stream of an earlier one, whose body may be cut within
+// an event.
+func (c *proxyCall) resume(earlier *proxyCall, header http.Header) {
+	body := earlier.resumed + earlier.body
+	end := strings.LastIndex(body, "\n\n")
+	if end < 0 {
+		return
+	}
+	c.resumed = body[:end+len("\n\n")]
+	c.began = cmp.Or(earlier.began, earlier)
+	header.Set(engine.ResumesHeader, c.began.id)
+	header.Set(engine.LastEventIDHeader, strconv.Itoa(strings.Count(c.resumed, "id: ")))
+}
+
+// events returns the number of events that the caller has of a stream.
+func (c *proxyCall) events() int { return strings.Count(c.resumed+c.body, "id: ") }
+
+// callNames returns the names and, with prefix=, those of the calls that begin with it.
+func (p *proxyCase) callNames(names []string, given map[string]string) []string {
 	for name := range p.calls {
 		if given["prefix"] != "" && strings.HasPrefix(name, given["prefix"]) {
 			names = append(names, name)
 		}
 	}
-	for _, name := range names {
+	return names
+}
+
+// want checks the results of requests.
+func (p *proxyCase) want(names []string, given map[string]string) {
+	for _, name := range p.callNames(names, given) {
 		c := p.calls[name]
 		comment := qt.Commentf("%s: %s: %+v", p.Position, name, c)
 		if given["pending"] == "yes" {
 			qt.Check(p.T, c.done, qt.IsFalse, comment)
 			continue
 		}
-		qt.Assert(p.T, c.done, qt.IsTrue, comment)
+		if !qt.Check(p.T, c.done, qt.IsTrue, comment) {
+			continue
+		}
 		if given["failed"] == "yes" {
 			qt.Check(p.T, c.err != nil, qt.IsTrue, comment)
 			continue
@@ -440,7 +481,10 @@
 		qt.Check(p.T, c.status, qt.Equals, p.IntOption("status", http.StatusOK), comment)
 		qt.Check(p.T, c.complete, qt.Equals, given["complete"] != "no", comment)
 		if given["events"] != "" {
-			qt.Check(p.T, strings.Count(c.body, "id: "), qt.Equals, p.IntOption("events", 0), comment)
+			qt.Check(p.T, c.events(), qt.Equals, p.IntOption("events", 0), comment)
+		}
+		if given["release"] != "" {
+			qt.Check(p.T, engine.ReleasesOf(c.resumed+c.body), qt.DeepEquals, []string{given["release"]}, comment)
 		}
 		if given["has_retry_after"] == "yes" {
 			qt.Check(p.T, c.retryAfter != "", qt.IsTrue, comment)
@@ -516,8 +560,26 @@
 
 func (p *proxyCase) kill(names []string, given map[string]string) {
 	for _, name := range p.resolveHosts(names, given) {
-		p.nodes[name].kill()
-		delete(p.nodes, name)
+		if n := p.nodes[name]; n != nil {
+			delete(p.nodes, name)
+			n.kill()
+		}
+	}
+}
+
+// killEngine ends engines, whose connections break off.
+func (p *proxyCase) killEngine(names []string, _ map[string]string) {
+	for _, name := range names {
+		p.net.Kill(name)
+	}
+}
+
+// oneRelease checks that no stream holds events of two releases.
+func (p *proxyCase) oneRelease(names []string, given map[string]string) {
+	for _, name := range p.callNames(names, given) {
+		c := p.calls[name]
+		releases := engine.ReleasesOf(c.resumed + c.body)
+		qt.Check(p.T, len(releases) <= 1, qt.IsTrue, qt.Commentf("%s: %s: %v in %+v", p.Position, name, releases, c))
 	}
 }
 
