Keep a stream at the software release that began it

Cause: the release of an endpoint was not read from its row, and a repeat within an answer was granted like any request. For a caller that takes a stream up elsewhere, the only process that knew where the stream began was its entry node, which is the one that was killed. The class: a later decision needs a fact that only one process holds, or none.

The platform's rows give endpoints their release, and a grant names it. Once the first event of a stream has come, the request is bound to that release, and cells grant it nothing else; if no endpoint has it any more, it is refused at once. The origin of each stream is kept by its entry node, by the node of the cell, which learns of the first event anyway, and by the cell's standby nodes, to which that node reports every 100 ms. A node that is asked to take a stream up looks there, by the attempt that the caller names. If nobody knows, the stream goes on only if a node has seen a single release in the pool for longer than streams last, and none has seen another; otherwise it is refused as not run. Why this works: the nodes that decide next are the ones that were told, and without the fact nothing is joined.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -87,6 +87,10 @@
 	// last completed.
 	KindCrashes
 	KindCompletedTraits
+	// KindOrigins is a call that reports the software releases which began streams, and
+	// KindOriginQuery a call for that of one stream.
+	KindOrigins
+	KindOriginQuery
 )
 
 // Empty is a message without content.
@@ -125,6 +129,9 @@
 	Traits      []uint64 `cbor:"20,keyasint,omitempty"`
 	// KnownLimits holds requests per second by endpoint.
 	KnownLimits map[string]float64 `cbor:"21,keyasint,omitempty"`
+	Stream      string             `cbor:"22,keyasint,omitempty"`
+	// Release is nil if any will do.
+	Release *string `cbor:"23,keyasint,omitempty"`
 }
 
 // FromGrantRequest converts a grant request for a cell.
@@ -137,6 +144,7 @@
 		FirstTokenTarget: int64(r.FirstTokenTarget), Zone: string(r.Zone), Avoid: convertNames[string](r.Avoid),
 		BlockTokens: convertInts[int64](r.BlockTokens), MayRedirect: r.MayRedirect,
 		Traits: convertInts[uint64](r.Traits), KnownLimits: FromLimits(r.KnownLimits),
+		Stream: string(r.Stream), Release: convertName[string](r.Release),
 	}
 }
 
@@ -164,6 +172,15 @@
 	return to
 }
 
+// convertName converts an optional name.
+func convertName[To, From ~string](from *From) *To {
+	if from == nil {
+		return nil
+	}
+	to := To(*from)
+	return &to
+}
+
 // ToGrantRequest converts a received grant request. A tier out of range becomes
 // the lowest one, and negative token counts become 0.
 func (m GrantRequest) ToGrantRequest(now time.Time) *sched.GrantRequest {
@@ -175,6 +192,7 @@
 		FirstTokenTarget: time.Duration(m.FirstTokenTarget), Zone: ident.AvailabilityZone(m.Zone), Avoid: convertNames[ident.Endpoint](m.Avoid),
 		BlockTokens: convertInts[ident.Tokens](m.BlockTokens), MayRedirect: m.MayRedirect,
 		Traits: convertInts[ident.Trait](m.Traits), KnownLimits: ToLimits(m.KnownLimits),
+		Stream: ident.RequestID(m.Stream), Release: convertName[ident.Release](m.Release),
 	}
 }
 
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -114,6 +114,9 @@
 	// Ended is called when a granted request ends, with the cell's lock held; nil ignores
 	// it.
 	Ended func(sched.Ended)
+	// Started is called when an endpoint of a cell has begun a stream, or gone on with
+	// one, with the cell's lock held; nil ignores it.
+	Started func(cell ident.CellID, stream ident.RequestID, release ident.Release)
 	// Observe is called with each decision, with the cell's lock held; nil
 	// ignores decisions.
 	Observe func(sched.Decision)
@@ -313,6 +316,11 @@
 				m.Observe(d)
 			}
 		},
+		Started: func(stream ident.RequestID, release ident.Release) {
+			if m.Started != nil {
+				m.Started(id, stream, release)
+			}
+		},
 		Admits: func(t ident.Tier) bool { return m.admission.Admits(id.Pool, t, time.Now()) },
 		CloseLower: func(t ident.Tier, cause sched.CloseCause) {
 			if m.admission.CloseLower(id.Pool, t, time.Now()) && m.ClosingLower != nil {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -138,6 +138,7 @@
 	isFetchingTree atomic.Bool
 	changes        changes
 	poison         poisonState
+	streams        streamState
 
 	claimCoordinatorSet atomic.Pointer[claimCoordinatorSet]
 	quotaCoordinators   atomic.Pointer[viewCoordinators]
@@ -182,7 +183,7 @@
 	n.cells = cells.Manager{
 		Self: n.members.Self, Members: n.members.View, Tree: n.tree.Load, Open: n.Open,
 		RecentlyFailed: func() int { return n.members.RecentlyFailed(recentFailureWindow) },
-		InFlight:       n.entry.InFlight, Policy: n.Policy, Observe: n.recordDecision, Ended: n.recordEnded,
+		InFlight:       n.entry.InFlight, Policy: n.Policy, Observe: n.recordDecision, Ended: n.recordEnded, Started: n.recordOrigin,
 		KnownLimits: n.proxy.KnownLimits,
 		Clock:       &n.hybridClock, OwnershipChanged: n.logOwnership, ClosingLower: n.logClosing,
 		CloseRequestFailed: func(to ident.NodeID, err error) {
@@ -249,6 +250,7 @@
 	n.tasks.Go(func() { n.cells.Run(ctx) })
 	n.tasks.Go(func() { n.claimCoordinator.Run(ctx) })
 	n.tasks.Go(func() { n.watchCrashes(ctx) })
+	n.tasks.Go(func() { n.reportOrigins(ctx) })
 	n.tasks.Go(func() { n.flushDecisionsPeriodically(ctx) })
 	n.startLedger(ctx)
 	if n.Platform != nil {
@@ -392,5 +394,7 @@
 	if known := n.instances.Load(); known != nil {
 		list = *known
 	}
-	n.cells.SetRoster(roster.Build(n.tree.Load(), list, n.Process.Region))
+	v := roster.Build(n.tree.Load(), list, n.Process.Region)
+	n.recordCensus(v)
+	n.cells.SetRoster(v)
 }
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -30,6 +30,8 @@
 	link.Handle(mux, wire.KindFollow, n.serveFollow)
 	link.Handle(mux, wire.KindCrashes, n.serveCrashes)
 	link.Handle(mux, wire.KindCompletedTraits, n.serveCompletedTraits)
+	link.Handle(mux, wire.KindOrigins, n.serveOrigins)
+	link.Handle(mux, wire.KindOriginQuery, n.serveOriginQuery)
 }
 
 func (n *Node) probe(ctx context.Context, to member.Member, updates []member.Member) ([]member.Member, error) {
--- a/internal/process/node/poison.go
+++ b/internal/process/node/poison.go
@@ -159,25 +159,38 @@
 
 // callAll makes a call to several nodes at once and returns the replies.
 func callAll[Query, Reply any](ctx context.Context, n *Node, to []member.Member, kind link.Kind, query Query) []Reply {
+	var replies []Reply
+	callUntil(ctx, n, to, kind, query, func(reply Reply) bool {
+		replies = append(replies, reply)
+		return false
+	})
+	return replies
+}
+
+// callUntil makes a call to several nodes at once and passes the replies to received, one
+// after the other, until it returns true or all nodes have replied or failed.
+func callUntil[Query, Reply any](ctx context.Context, n *Node, to []member.Member, kind link.Kind, query Query, received func(Reply) bool) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	var calls sync.WaitGroup
 	var mu sync.Mutex
-	var replies []Reply
+	isDone := false
 	for _, m := range to {
 		calls.Go(func() {
 			reply, err := link.Call[Query, Reply](ctx, n.Open, m.PeerAddress, kind, query)
-			if err != nil {
-				n.Log.Debug("call_failed", "peer", m.ID, "kind", kind, "error", err)
-				return
-			}
 			mu.Lock()
 			defer mu.Unlock()
-			replies = append(replies, reply)
+			switch {
+			case isDone:
+			case err != nil:
+				n.Log.Debug("call_failed", "peer", m.ID, "kind", kind, "error", err)
+			case received(reply):
+				isDone = true
+				cancel()
+			}
 		})
 	}
 	calls.Wait()
-	return replies
 }
 
 // quarantine quarantines a trait on this node, tells its neighbors and writes the trait's
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -43,7 +43,8 @@
 		LimitChanged: func(id ident.Endpoint, limit ident.Rate) {
 			n.Log.Info("endpoint_limit_changed", "endpoint", id, "requests_per_second", float64(limit))
 		},
-		Quarantined: n.findQuarantined,
+		Quarantined: n.findQuarantined, FindOrigin: n.findOrigin,
+		Started: func(stream ident.RequestID, release ident.Release) { n.streams.known.Add(stream, release, time.Now()) },
 	}
 	n.router = router.Router{
 		Tree: n.settingsOrNil, DecodeRequest: n.Platform.HeaderCodec.DecodeRequest, Serve: n.serveProxied,
--- /dev/null
+++ b/internal/process/node/streams.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/origin"
+	"goldcrestwick/internal/process/roster"
+	"goldcrestwick/internal/process/tick"
+	"goldcrestwick/internal/request/entry"
+	"goldcrestwick/internal/request/ident"
+)
+
+const (
+	// originInterval is the time between the calls that report the origins of streams.
+	originInterval = 100 * time.Millisecond
+	// maxOriginQueries bounds the nodes that are asked for the origin of a stream.
+	maxOriginQueries = 32
+	// maxCensusAge is the age of the list of endpoints up to which it shows that a pool
+	// has a single release. A node reads the list anew within watchTimeout.
+	maxCensusAge = 2*watchTimeout + time.Second
+)
+
+// streamState holds what the node knows of the releases that began streams.
+//
+// The entry node of a stream and the node of its cell learn the origin as the first event
+// arrives. The latter reports it to the cell's standby nodes, so that the nodes that may
+// decide for the cell next know it though both of them are killed.
+type streamState struct {
+	known  origin.Streams
+	census origin.Census
+	// hasUnreported is set when unreported is no longer empty.
+	hasUnreported tick.Signal
+	mu            sync.Mutex
+	// unreported holds the origins that the standby nodes of each cell do not know yet.
+	unreported map[ident.CellID]map[ident.RequestID]ident.Release
+}
+
+// recordOrigin records that an endpoint of a cell of this node began a stream. It is
+// called with the cell's lock held.
+func (n *Node) recordOrigin(cell ident.CellID, stream ident.RequestID, release ident.Release) {
+	n.streams.known.Add(stream, release, time.Now())
+	n.streams.mu.Lock()
+	defer n.streams.mu.Unlock()
+	if n.streams.unreported == nil {
+		n.streams.unreported = map[ident.CellID]map[ident.RequestID]ident.Release{}
+	}
+	if n.streams.unreported[cell] == nil {
+		n.streams.unreported[cell] = map[ident.RequestID]ident.Release{}
+	}
+	n.streams.unreported[cell][stream] = release
+	n.streams.hasUnreported.Set()
+}
+
+// reportOrigins reports new origins to the standby nodes of their cells until ctx is done.
+// A report that is lost leaves the other holders of the origin.
+func (n *Node) reportOrigins(ctx context.Context) {
+	tick.OnDemand(ctx, originInterval, &n.streams.hasUnreported, func(ctx context.Context) bool {
+		n.streams.mu.Lock()
+		unreported := n.streams.unreported
+		n.streams.unreported = nil
+		n.streams.mu.Unlock()
+		for cell, origins := range unreported {
+			others := n.withoutSelf(n.cells.PreferenceList(cell))
+			n.tasks.Go(func() {
+				callAll[wire.Origins, wire.Empty](ctx, n, others, wire.KindOrigins, wire.FromOrigins(origins))
+			})
+		}
+		return false
+	})
+}
+
+func (n *Node) serveOrigins(_ context.Context, s *link.Stream, m wire.Origins) {
+	now := time.Now()
+	for stream, release := range m.ToOrigins() {
+		n.streams.known.Add(stream, release, now)
+	}
+	s.Send(wire.KindAck, wire.Empty{}) //nolint:errcheck // the reporter ignores lost reports.
+}
+
+// recordCensus records the releases of the pools' endpoints.
+func (n *Node) recordCensus(v *roster.View) {
+	releases := map[ident.PoolID][]ident.Release{}
+	for _, c := range v.All() {
+		for _, spec := range c.Endpoints {
+			releases[c.ID.Pool] = append(releases[c.ID.Pool], spec.Release)
+		}
+	}
+	n.streams.census.Observe(releases, time.Now())
+}
+
+// findOrigin returns the release that began the stream which a request takes up. If this
+// node does not know it, it asks others. If none knows the stream, it is the pool's only
+// release, provided that a node has known no other for maxAge, the longest time for which
+// the stream can have run. It returns false if the release cannot be told.
+func (n *Node) findOrigin(ctx context.Context, j *entry.Job, maxAge time.Duration) (ident.Release, bool) {
+	reply := n.originOf(j.Stream, j.Pool.ID)
+	if reply.IsKnown {
+		return ident.Release(reply.Release), true
+	}
+	replies := []wire.OriginReply{reply}
+	query := wire.OriginQuery{Stream: string(j.Stream), Pool: string(j.Pool.ID)}
+	callUntil(ctx, n, n.originHolders(j), wire.KindOriginQuery, query, func(r wire.OriginReply) bool {
+		if r.IsKnown {
+			reply = r
+		}
+		replies = append(replies, r)
+		return r.IsKnown
+	})
+	if reply.IsKnown {
+		return ident.Release(reply.Release), true
+	}
+	release, ok := soleRelease(replies, maxAge)
+	n.Log.Info("stream_origin_unknown", "request_id", j.Request.ID, "stream", j.Stream, "pool", j.Pool.ID,
+		"replies", len(replies), "sole_release", release, "is_sole", ok)
+	return release, ok
+}
+
+// originHolders returns the nodes that may know the origin of a job's stream: in a small
+// fleet all, and in a larger one those that may have decided for the cells that the job
+// can have gone to, the likeliest first.
+func (n *Node) originHolders(j *entry.Job) []member.Member {
+	others := n.withoutSelf(n.members.View().Members)
+	if len(others) <= maxOriginQueries {
+		return others
+	}
+	var holders []member.Member
+	for _, cell := range n.entry.RankCells(j) {
+		for _, m := range n.withoutSelf(n.cells.PreferenceList(cell)) {
+			if !slices.ContainsFunc(holders, func(h member.Member) bool { return h.ID == m.ID }) {
+				holders = append(holders, m)
+			}
+		}
+		if len(holders) >= maxOriginQueries {
+			return holders[:maxOriginQueries]
+		}
+	}
+	return holders
+}
+
+// soleRelease returns the release that all repliers take for the pool's only one, if one of
+// them has known no other for at least maxAge.
+func soleRelease(replies []wire.OriginReply, maxAge time.Duration) (ident.Release, bool) {
+	longest := slices.MaxFunc(replies, func(a, b wire.OriginReply) int { return cmp.Compare(a.SoleFor, b.SoleFor) })
+	if time.Duration(longest.SoleFor) < maxAge {
+		return "", false
+	}
+	for _, r := range replies {
+		if !r.HasSole || r.SoleRelease != longest.SoleRelease {
+			return "", false
+		}
+	}
+	return ident.Release(longest.SoleRelease), true
+}
+
+// originOf returns what this node knows of the origin of a stream.
+func (n *Node) originOf(stream ident.RequestID, pool ident.PoolID) wire.OriginReply {
+	if release, ok := n.streams.known.Find(stream); ok {
+		return wire.OriginReply{IsKnown: true, Release: string(release)}
+	}
+	release, since, ok := n.streams.census.Sole(pool)
+	reply := wire.OriginReply{HasSole: ok, SoleRelease: string(release)}
+	if now := time.Now(); ok && n.endpointsAge(now) <= maxCensusAge {
+		reply.SoleFor = int64(now.Sub(since))
+	}
+	return reply
+}
+
+func (n *Node) serveOriginQuery(_ context.Context, s *link.Stream, m wire.OriginQuery) {
+	s.Send(wire.KindOriginQuery, n.originOf(ident.RequestID(m.Stream), ident.PoolID(m.Pool))) //nolint:errcheck // the asker decides without it.
+}
+
+func (n *Node) withoutSelf(members []member.Member) []member.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m member.Member) bool { return m.ID == n.Process.Name })
+}
--- /dev/null
+++ b/internal/process/origin/origin.go
@@ -0,0 +1,121 @@
+// Package origin remembers which software release began each stream, and which releases
+// a pool has had.
+//
+// What two releases generate does not fit together, and endpoints do not check it. A
+// stream that a caller takes up at another node therefore has to go on at the release that
+// began it, which the node that is asked has to learn: from its own Streams, from those
+// of other nodes, or, if none of them remembers the stream, from a Census that shows that
+// no other release can have begun it.
+//
+// # Usage
+//
+//	streams.Add("9c41d07be2a35f68", "v1.2", time.Now())
+//	release, ok := streams.Find("9c41d07be2a35f68")
+//
+//	census.Observe(releasesByPool, time.Now())
+//	release, since, ok := census.Sole("platform/chat")
+package origin
+
+import (
+	"sync"
+	"time"
+
+	"goldcrestwick/internal/request/ident"
+)
+
+const (
+	// streamTTL is the least time for which a stream is remembered after it was last
+	// added. Streams begin and end within the timeouts of their routes, which are seconds.
+	streamTTL = time.Minute
+	// maxStreams bounds the streams that are added within streamTTL; then older ones
+	// are forgotten earlier.
+	maxStreams = 1 << 16
+)
+
+// Streams remembers the releases that began streams. The zero value is empty. It is safe
+// for concurrent use.
+type Streams struct {
+	mu sync.Mutex
+	// current holds the streams added since rotatedAt, previous those added before.
+	current, previous map[ident.RequestID]ident.Release
+	rotatedAt         time.Time
+}
+
+// Add records the release that began a stream. It reports whether the stream was unknown.
+// The release of a known stream does not change.
+func (s *Streams) Add(stream ident.RequestID, release ident.Release, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.rotatedAt) > streamTTL || len(s.current) >= maxStreams {
+		s.previous, s.current, s.rotatedAt = s.current, nil, now
+	}
+	if s.current == nil {
+		s.current = map[ident.RequestID]ident.Release{}
+	}
+	old, known := s.find(stream)
+	if known {
+		release = old
+	}
+	s.current[stream] = release
+	return !known
+}
+
+// Find returns the release that began a stream.
+func (s *Streams) Find(stream ident.RequestID) (release ident.Release, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.find(stream)
+}
+
+func (s *Streams) find(stream ident.RequestID) (release ident.Release, ok bool) {
+	if release, ok = s.current[stream]; !ok {
+		release, ok = s.previous[stream]
+	}
+	return release, ok
+}
+
+// Census records since when each pool has had endpoints of a single release. The zero
+// value is empty. It is safe for concurrent use.
+type Census struct {
+	mu    sync.Mutex
+	pools map[ident.PoolID]sole
+}
+
+// sole is the only release of a pool; there is none if isMixed is set.
+type sole struct {
+	release ident.Release
+	isMixed bool
+	since   time.Time
+}
+
+// Observe records the releases of the endpoints of all pools. A pool that has no endpoints
+// for now keeps its record.
+func (c *Census) Observe(releases map[ident.PoolID][]ident.Release, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pools == nil {
+		c.pools = map[ident.PoolID]sole{}
+	}
+	for pool, list := range releases {
+		if len(list) == 0 {
+			continue
+		}
+		seen := sole{release: list[0], since: now}
+		for _, release := range list {
+			seen.isMixed = seen.isMixed || release != seen.release
+		}
+		if old, known := c.pools[pool]; known && !seen.isMixed && !old.isMixed && old.release == seen.release {
+			continue
+		}
+		c.pools[pool] = seen
+	}
+}
+
+// Sole returns the only release that a pool's endpoints have, and since when they have had
+// no other. It returns false if they have several, or none is known.
+func (c *Census) Sole(pool ident.PoolID) (release ident.Release, since time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, known := c.pools[pool]
+	return p.release, p.since, known && !p.isMixed
+}
--- /dev/null
+++ b/internal/process/origin/origin_test.go
@@ -0,0 +1,63 @@
+package origin
+
+import (
+	"fmt"
+	"iter"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/stand/script"
+)
+
+// TestScripts runs the scripts of testdata:
+//
+//	at T                        sets the time
+//	add STREAM RELEASE new=no   adds a stream, which is new or not
+//	add_many count=             adds further streams
+//	find STREAM release=        looks for a stream; without release= it is unknown
+//	pool RELEASE...             observes the releases of the pool's endpoints
+//	sole release= since=        checks the pool's only release; without release= it has none
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata/*.script", func(t *testing.T, lines iter.Seq[script.Line]) {
+		var streams Streams
+		var census Census
+		start := time.Now()
+		now := start
+		for line := range lines {
+			comment := qt.Commentf(line.Position)
+			switch line.Command {
+			case "at":
+				now = start.Add(line.ParseDuration(line.Operands[0]))
+			case "add":
+				isNew := streams.Add(ident.RequestID(line.Operands[0]), ident.Release(line.Operands[1]), now)
+				qt.Check(t, isNew, qt.Equals, line.Options["new"] != "no", comment)
+			case "add_many":
+				for i := range line.IntOption("count", 0) {
+					streams.Add(ident.RequestID(fmt.Sprint("further", i)), "v", now)
+				}
+			case "find":
+				release, ok := streams.Find(ident.RequestID(line.Operands[0]))
+				qt.Check(t, ok, qt.Equals, line.Options["release"] != "", comment)
+				qt.Check(t, string(release), qt.Equals, line.Options["release"], comment)
+			case "pool":
+				var releases []ident.Release
+				for _, name := range line.Operands {
+					releases = append(releases, ident.Release(name))
+				}
+				census.Observe(map[ident.PoolID][]ident.Release{"p": releases}, now)
+			case "sole":
+				release, since, ok := census.Sole("p")
+				qt.Check(t, ok, qt.Equals, line.Options["release"] != "", comment)
+				if ok {
+					qt.Check(t, string(release), qt.Equals, line.Options["release"], comment)
+					qt.Check(t, since.Sub(start), qt.Equals, line.ParseDuration(line.Options["since"]), comment)
+				}
+			default:
+				t.Fatalf("%s: unknown command", line.Position)
+			}
+		}
+	})
+}
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -110,6 +110,9 @@
 	// Ended is called when a granted request ends, with the cell's lock held. It is not
 	// called for requests that another node's cell granted.
 	Ended func(Ended)
+	// Started is called when an endpoint has begun a stream, or gone on with one, with the
+	// cell's lock held.
+	Started func(stream ident.RequestID, release ident.Release)
 	// Admits reports whether a tier is open; nil admits all.
 	Admits func(ident.Tier) bool
 	// CanShed reports whether all tiers below the given one are closed in the
@@ -181,6 +184,11 @@
 	r.charge = c.chargeOf(r)
 	c.arrivals++
 	r.class, r.queueAccount, r.sortTime, r.arrivalNumber = r.Tier, r.Account, r.Deadline, c.arrivals
+	if r.Release != nil {
+		// A request that can run at few endpoints must not hold up the others of its
+		// account.
+		r.queueAccount += ident.ClientAccount("@" + *r.Release)
+	}
 	if r.FirstTokenTarget > 0 {
 		r.sortTime = now.Add(r.FirstTokenTarget)
 	}
@@ -205,6 +213,8 @@
 		c.refuse(r, ReasonTierClosed)
 	case !now.Before(r.Deadline):
 		c.refuse(r, ReasonDeadlinePassed)
+	case c.isReleaseGone(r):
+		c.respond(r, GrantResponse{Outcome: Shed, Reason: ReasonReleaseGone})
 	case c.isDeadlineUnreachable(r, now):
 		c.refuse(r, ReasonDeadlineUnreachable)
 	default:
@@ -267,6 +277,9 @@
 		}
 		if !g.isPrefillDone {
 			g.firstTokenAt = now
+			if g.stream != "" && c.Started != nil {
+				c.Started(g.stream, g.release)
+			}
 		}
 		c.finishPrefill(g)
 		c.grantWaiting(now)
--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -197,9 +197,13 @@
 	return int(tokens / prefix.BlockTokens)
 }
 
+func (e *endpoint) isLeaving() bool {
+	return e.Leaving || e.hasAnnouncedLeaving || e.report.Draining
+}
+
 // isOpen reports whether the endpoint may get new requests.
 func (e *endpoint) isOpen(now time.Time) bool {
-	if e.Leaving || e.hasAnnouncedLeaving || e.report.Draining {
+	if e.isLeaving() {
 		return false
 	}
 	switch e.health {
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -31,6 +31,10 @@
 	isAdopted bool
 	prefix    []ident.Fingerprint
 	traits    []ident.Trait
+	// stream is that of the grant request, and release that of the endpoint when the
+	// request was granted.
+	stream  ident.RequestID
+	release ident.Release
 }
 
 // targets are a pool's latency targets.
@@ -128,7 +132,7 @@
 	c.considered = c.considered[:0]
 	remaining := r.Deadline.Sub(now)
 	for _, e := range c.endpoints {
-		if e.reservedRound == c.round || !e.isOpen(now) || !e.isWithinLimit(now) || slices.Contains(r.Avoid, e.ID) {
+		if e.reservedRound == c.round || !e.isOpen(now) || !e.isWithinLimit(now) || slices.Contains(r.Avoid, e.ID) || !r.mayRunAt(e) {
 			continue
 		}
 		uncached := c.uncachedTokens(r, e)
@@ -153,6 +157,17 @@
 	return true
 }
 
+// mayRunAt reports whether the endpoint has the release that the request needs.
+func (r *GrantRequest) mayRunAt(e *endpoint) bool { return r.Release == nil || *r.Release == e.Release }
+
+// isReleaseGone reports whether the request needs a release that only leaving endpoints
+// have, or none.
+func (c *Cell) isReleaseGone(r *GrantRequest) bool {
+	return r.Release != nil && !slices.ContainsFunc(c.endpoints, func(e *endpoint) bool {
+		return r.mayRunAt(e) && !e.isLeaving()
+	})
+}
+
 // zonePenalty returns the cost added for an endpoint in another availability
 // zone: traffic between zones is charged by the platform and adds latency. An
 // unknown zone has no penalty.
@@ -196,6 +211,7 @@
 	*g = grant{
 		node: r.Node, class: r.class, endpoint: e, charge: r.charge, uncached: r.Prompt - cached,
 		cached: cached, grantedAt: now, backlogAhead: e.backlog, prefix: r.Prefix, traits: r.Traits,
+		stream: r.Stream, release: e.Release,
 	}
 	e.addGrant(g.charge, g.uncached)
 	e.spaceGrants(cmp.Or(c.LimitShare, 1), now)
--- a/internal/process/sched/shed.go
+++ b/internal/process/sched/shed.go
@@ -153,7 +153,7 @@
 		requested := false
 		c.queues[class].each(func(r *GrantRequest) bool {
 			switch {
-			case !now.Before(r.Deadline) || c.isDeadlineUnreachable(r, now) || c.isPastMaxWait(r, now):
+			case !now.Before(r.Deadline) || c.isReleaseGone(r) || c.isDeadlineUnreachable(r, now) || c.isPastMaxWait(r, now):
 				expired = append(expired, r)
 			case !requested && shouldCloseLower(r, now):
 				requested = true
@@ -172,6 +172,8 @@
 	switch {
 	case !now.Before(r.Deadline):
 		return ReasonDeadlinePassed
+	case c.isReleaseGone(r):
+		return ReasonReleaseGone
 	case c.isPastMaxWait(r, now):
 		return ReasonOverload
 	}
@@ -200,7 +202,7 @@
 	remaining := r.Deadline.Sub(now)
 	hasOpen := false
 	for _, e := range c.endpoints {
-		if !e.isOpen(now) {
+		if !e.isOpen(now) || !r.mayRunAt(e) {
 			continue
 		}
 		hasOpen = true
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -30,6 +30,12 @@
 	Zone ident.AvailabilityZone
 	// Avoid lists endpoints at which the request has already failed.
 	Avoid []ident.Endpoint
+	// Stream identifies the stream that the request begins or takes up, "" if its answer
+	// is none.
+	Stream ident.RequestID
+	// Release is the only software release at which the request may run, that which began
+	// its stream; nil means any.
+	Release *ident.Release
 	// Prefix holds the chained fingerprints of the prompt's blocks.
 	Prefix []ident.Fingerprint
 	// BlockTokens holds the tokens of each block of Prefix if the blocks differ
@@ -101,6 +107,7 @@
 	ReasonDeadlineUnreachable Reason = "deadline_unreachable"
 	ReasonDeadlinePassed      Reason = "deadline_passed"
 	ReasonQuarantined         Reason = "quarantined"
+	ReasonReleaseGone         Reason = "release_gone"
 	ReasonCellMoved           Reason = "cell_moved"
 	ReasonIdleCell            Reason = "idle_cell"
 )
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -65,6 +65,9 @@
 	Traits []ident.Trait
 	// Avoid lists endpoints at which the request has already failed.
 	Avoid []ident.Endpoint
+	// Stream and Release are those of sched.GrantRequest.
+	Stream  ident.RequestID
+	Release *ident.Release
 
 	// hasBeenRedirected is set once a cell has redirected the request; it then waits
 	// wherever it is sent.
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -111,6 +112,7 @@
 	sched.ReasonTierClosed:          "the pool is overloaded and the tier is closed in favour of higher ones",
 	sched.ReasonDeadlineUnreachable: "no endpoint could finish the answer by the deadline",
 	sched.ReasonQuarantined:         "endpoints crashed under requests with a part of this prompt",
+	sched.ReasonReleaseGone:         "no endpoint runs the software release that began the stream",
 	sched.ReasonDeadlinePassed:      "the deadline passed while the request waited",
 }
 
@@ -123,13 +125,10 @@
 	if len(all) == 0 {
 		return ident.CellID{}, false
 	}
-	key := string(j.Request.ID)
-	if n := len(j.Request.Prefix); n > 0 {
-		key = fingerprintKey(j.Request.Prefix[min(n, affinityBlocks)-1])
-	}
+	key := j.cellKey()
 	best, bestScore, bestIsNear := all[0].ID, uint64(0), false
 	for _, c := range all {
-		if len(all) > 1 && !hasUsableEndpoint(c, j.Avoid) {
+		if len(all) > 1 && !j.hasUsableEndpoint(c) {
 			continue
 		}
 		isNear := c.Zone == e.Zone
@@ -141,11 +140,48 @@
 	return best, true
 }
 
-// hasUsableEndpoint reports whether a cell has an endpoint that is neither leaving
-// nor to be avoided.
-func hasUsableEndpoint(c roster.Cell, avoid []ident.Endpoint) bool {
+// RankCells returns the cells of the request's pool in the order in which chooseCell
+// prefers them, whether or not they have an endpoint for the request.
+func (e *Entry) RankCells(j *Job) []ident.CellID {
+	type candidate struct {
+		id     ident.CellID
+		isNear bool
+		score  uint64
+	}
+	var all []candidate
+	key := j.cellKey()
+	for _, c := range e.Cells.Roster().Cells(j.Pool.ID) {
+		all = append(all, candidate{c.ID, c.Zone == e.Zone, member.Score(key, c.ID.String())})
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		switch {
+		case a.isNear == b.isNear:
+			return cmp.Compare(b.score, a.score)
+		case a.isNear:
+			return -1
+		}
+		return 1
+	})
+	ranked := make([]ident.CellID, len(all))
+	for i, c := range all {
+		ranked[i] = c.id
+	}
+	return ranked
+}
+
+// cellKey returns the key by which the cell of the request is chosen.
+func (j *Job) cellKey() string {
+	if n := len(j.Request.Prefix); n > 0 {
+		return fingerprintKey(j.Request.Prefix[min(n, affinityBlocks)-1])
+	}
+	return string(j.Request.ID)
+}
+
+// hasUsableEndpoint reports whether a cell has an endpoint at which the job may run, and
+// which is neither leaving nor to be avoided.
+func (j *Job) hasUsableEndpoint(c roster.Cell) bool {
 	return slices.ContainsFunc(c.Endpoints, func(s sched.EndpointSpec) bool {
-		return !s.Leaving && !slices.Contains(avoid, s.ID)
+		return !s.Leaving && !slices.Contains(j.Avoid, s.ID) && (j.Release == nil || *j.Release == s.Release)
 	})
 }
 
@@ -174,10 +210,12 @@
 		Weight: j.Account.Weight, Prompt: j.Request.PromptTokens, Output: j.Request.OutputTokens,
 		Deadline: j.Request.Deadline, Prefix: j.Request.Prefix,
 		FirstTokenTarget: j.FirstTokenTarget, Zone: e.Zone, Avoid: j.Avoid, BlockTokens: j.BlockTokens,
-		Traits: j.Traits,
+		Traits: j.Traits, Stream: j.Stream, Release: j.Release,
 	}
+	// A cell with room may have no endpoint of the release.
+	mayRedirect := !j.hasBeenRedirected && j.Release == nil
 	if local := e.Cells.LocalCell(cell); local != nil {
-		req.MayRedirect = !j.hasBeenRedirected
+		req.MayRedirect = mayRedirect
 		return e.requestFromCell(ctx, req, local)
 	}
 	owners := e.Cells.PreferenceList(cell)
@@ -186,7 +224,7 @@
 		if isStandby {
 			e.addKnownLimits(req)
 		}
-		req.MayRedirect = !j.hasBeenRedirected && !isStandby
+		req.MayRedirect = mayRedirect && !isStandby
 		if !isStandby && moves > maxMoves && len(owners) > 1 {
 			continue
 		}
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -185,6 +185,12 @@
 	// Quarantined returns the first of a request's traits that is quarantined, and
 	// until when; nil means that none is.
 	Quarantined func([]ident.Trait) (trait ident.Trait, until time.Time, ok bool)
+	// FindOrigin returns the software release that began the stream which a job takes up
+	// and which is no older than maxAge; it returns false if that cannot be told.
+	FindOrigin func(ctx context.Context, j *entry.Job, maxAge time.Duration) (ident.Release, bool)
+	// Started is called when an endpoint of a release has begun a stream, or gone on with
+	// one; it may be nil.
+	Started func(stream ident.RequestID, release ident.Release)
 	// Record is called for each dispatch and each retry; it may be nil.
 	Record func(trace.Record)
 
@@ -220,6 +226,9 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	p.Budget.RecordRequest(r.Pool.ID, time.Now())
+	if refusal := p.bindRelease(ctx, s); refusal != nil {
+		return p.finishWithoutGrant(ctx, s, refusal)
+	}
 	for {
 		if refusal := p.quarantineRefusal(s); refusal != nil {
 			return p.finishWithoutGrant(ctx, s, refusal)
@@ -245,6 +254,39 @@
 	}
 }
 
+// stream returns the identifier of the stream that the request begins or takes up, "" if
+// its answer is none.
+func (r *Request) stream() ident.RequestID {
+	switch {
+	case r.Route.Kind != config.Stream:
+		return ""
+	case r.Info.LastEventID > 0:
+		return ident.RequestID(r.Info.Resumes)
+	}
+	return ident.RequestID(r.Info.AttemptID)
+}
+
+// maxStreamAge is the time, as a multiple of the route's timeout, after which no caller
+// takes up a stream: the timeout bounds each attempt, and callers rarely wait longer for all
+// of them.
+const maxStreamAge = 2
+
+// bindRelease binds a request that takes up a stream to the release that began it. It
+// returns the refusal of one whose release cannot be told.
+func (p *Proxy) bindRelease(ctx context.Context, s *requestState) *refuse.Refusal {
+	if !s.isStream() || s.Info.LastEventID == 0 || p.FindOrigin == nil {
+		return nil
+	}
+	release, ok := p.FindOrigin(ctx, s.job, maxStreamAge*s.Route.Timeout)
+	if !ok {
+		refusal := refuse.New(refuse.OriginUnknown, "it is not known which software release began the stream")
+		refusal.RetryAfter = noEndpointRetryAfter
+		return refusal
+	}
+	s.job.Release = &release
+	return nil
+}
+
 // quarantineRefusal returns the refusal of a request with a quarantined trait, or nil.
 func (p *Proxy) quarantineRefusal(s *requestState) *refuse.Refusal {
 	if p.Quarantined == nil {
@@ -270,7 +312,7 @@
 			PromptTokens: r.Info.PromptTokens, OutputTokens: p.lengths.estimate(r), Prefix: prefix,
 		},
 		Account: account, Pool: r.Pool, Tier: r.Tier, Version: r.Version,
-		FirstTokenTarget: r.Route.FirstAnswerTarget, Avoid: p.holdOffs.endpoints(time.Now()),
+		FirstTokenTarget: r.Route.FirstAnswerTarget, Avoid: p.holdOffs.endpoints(time.Now()), Stream: r.stream(),
 	}
 }
 
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -184,7 +184,7 @@
 	t.lastEvent = now
 	t.events++
 	if t.events == 1 {
-		x.state.result.Releases = append(x.state.result.Releases, x.grant.Response.Release)
+		x.bindStream()
 		t.firstEvent, t.reportedAt, t.reportedEvents = now, now, 1
 		x.reportStarted()
 		return
@@ -195,6 +195,17 @@
 	}
 }
 
+// bindStream binds the stream, of which the first event has arrived, to the release that
+// sent it.
+func (x *exchange) bindStream() {
+	s, release := x.state, x.grant.Response.Release
+	s.result.Releases = append(s.result.Releases, release)
+	s.job.Release = &release
+	if x.proxy.Started != nil && s.job.Stream != "" {
+		x.proxy.Started(s.job.Stream, release)
+	}
+}
+
 func (t *streamTiming) completion() sched.Completion {
 	c := sched.Completion{}
 	if t.events == 0 {
--- a/internal/request/refuse/refuse.go
+++ b/internal/request/refuse/refuse.go
@@ -73,7 +73,11 @@
 	EndpointFailed      Reason = "endpoint_failed"
 	AnswerIncomplete    Reason = "answer_incomplete"
 	// Quarantined means that endpoints crashed under requests with a trait of this one.
-	Quarantined    Reason = "quarantined"
+	Quarantined Reason = "quarantined"
+	// OriginUnknown means that no node knows which software release began the stream that
+	// the request takes up, and ReleaseGone that no endpoint runs it any more.
+	OriginUnknown  Reason = "origin_unknown"
+	ReleaseGone    Reason = "release_gone"
 	LedgerFull     Reason = "ledger_full"
 	CallerGone     Reason = "caller_gone"
 	HeaderTooLarge Reason = "header_too_large"
@@ -97,6 +101,7 @@
 	AnswerIncomplete: http.StatusBadGateway, LedgerFull: http.StatusServiceUnavailable,
 	CallerGone: http.StatusRequestTimeout, HeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
 	NodeNotReady: http.StatusServiceUnavailable, Quarantined: http.StatusServiceUnavailable,
+	OriginUnknown: http.StatusServiceUnavailable, ReleaseGone: http.StatusServiceUnavailable,
 }
 
 // Refusal is the error of a refused or failed request.
