Let streams go on whose pool has had one release only

A census of each pool's releases is kept now, in a row of the store that the owner of the pool's first cell writes when they change, and read at the start; the first start of a fleet has no history. Nodes that have just started thus know which releases may have begun a stream, also after a restart of all nodes.

--- a/internal/connection/wire/origin.go
+++ b/internal/connection/wire/origin.go
@@ -35,13 +35,14 @@
 }
 
 // OriginReply is the reply to OriginQuery. Release is valid if IsKnown is set. Otherwise
-// SoleRelease is the only release of the pool's endpoints that the replier knows of if
-// HasSole is set, and SoleFor the time for which it has known no other, 0 if its list may be
-// outdated.
+// SoleRelease is the pool's only release if HasSole is set, and SoleFor the time for which
+// the replier knows of no other, 0 if its list of endpoints may be outdated. IsMixed is set if
+// the pool has several.
 type OriginReply struct {
 	IsKnown     bool   `cbor:"1,keyasint,omitempty"`
 	Release     string `cbor:"2,keyasint,omitempty"`
 	HasSole     bool   `cbor:"3,keyasint,omitempty"`
 	SoleRelease string `cbor:"4,keyasint,omitempty"`
 	SoleFor     int64  `cbor:"5,keyasint,omitempty"`
+	IsMixed     bool   `cbor:"6,keyasint,omitempty"`
 }
--- a/internal/process/node/poison.go
+++ b/internal/process/node/poison.go
@@ -26,8 +26,6 @@
 	// quarantineTable has a row for each quarantined trait. It outlives a
 	// restart of all nodes; among running ones, quarantines spread by gossip.
 	quarantineTable = "quarantine"
-	// quarantineReadPause is the pause between attempts to read that table at the start.
-	quarantineReadPause = 300 * time.Millisecond
 )
 
 // poisonState holds what the node knows of traits of requests that crash endpoints.
@@ -244,22 +242,6 @@
 	UntilUnixMilli int64 `json:"until_unix_ms"`
 }
 
-// readQuarantines adds the quarantines of the store's table. It tries until the table was
-// read or ctx is done.
-func (n *Node) readQuarantines(ctx context.Context) {
-	for {
-		rows, _, err := n.Store.Scan(ctx, quarantineTable)
-		if err == nil {
-			n.addQuarantineRows(rows)
-			return
-		}
-		n.Log.Warn("quarantines_not_read", "error", err)
-		if !tick.Sleep(ctx, quarantineReadPause) {
-			return
-		}
-	}
-}
-
 func (n *Node) addQuarantineRows(rows []store.Row) {
 	now := time.Now()
 	for _, r := range rows {
--- a/internal/process/node/restore.go
+++ b/internal/process/node/restore.go
@@ -44,6 +44,7 @@
 		n.retryRestore(ctx, era, "authority", n.StoreRestored)
 	}
 	n.registerNode(ctx)
+	n.rewriteReleases()
 	n.retryRestore(ctx, era, "quarantines", n.rewriteQuarantines)
 	if n.ledger != nil {
 		n.retryRestore(ctx, era, "ledger", n.ledger.Rewrite)
--- a/internal/process/node/streams.go
+++ b/internal/process/node/streams.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +14,7 @@
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/origin"
 	"goldcrestwick/internal/process/roster"
+	"goldcrestwick/internal/process/store"
 	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/request/entry"
 	"goldcrestwick/internal/request/ident"
@@ -22,6 +25,14 @@
 	originInterval = 100 * time.Millisecond
 	// maxOriginQueries bounds the nodes that are asked for the origin of a stream.
 	maxOriginQueries = 32
+	// originQueryTimeout bounds the wait for nodes that do not reply, some of which may have
+	// just been killed.
+	originQueryTimeout = 200 * time.Millisecond
+	// releaseTable has a row for each pool, with the releases that it has or had lately. It
+	// outlives a restart of all nodes.
+	releaseTable = "releases"
+	// releaseInterval is the time between checks whether a row has to be written.
+	releaseInterval = 500 * time.Millisecond
 	// maxCensusAge is the age of the list of endpoints up to which it shows that a pool
 	// has a single release. A node reads the list anew within watchTimeout.
 	maxCensusAge = 2*watchTimeout + time.Second
@@ -40,6 +51,8 @@
 	mu            sync.Mutex
 	// unreported holds the origins that the standby nodes of each cell do not know yet.
 	unreported map[ident.CellID]map[ident.RequestID]ident.Release
+	// written holds the rows of releaseTable as this node last read or wrote them.
+	written map[ident.PoolID][]ident.Release
 }
 
 // recordOrigin records that an endpoint of a cell of this node began a stream. It is
@@ -106,7 +119,9 @@
 	}
 	replies := []wire.OriginReply{reply}
 	query := wire.OriginQuery{Stream: string(j.Stream), Pool: string(j.Pool.ID)}
-	callUntil(ctx, n, n.originHolders(j), wire.KindOriginQuery, query, func(r wire.OriginReply) bool {
+	queryCtx, cancel := context.WithTimeout(ctx, originQueryTimeout)
+	defer cancel()
+	callUntil(queryCtx, n, n.originHolders(j), wire.KindOriginQuery, query, func(r wire.OriginReply) bool {
 		if r.IsKnown {
 			reply = r
 		}
@@ -152,7 +167,7 @@
 		return "", false
 	}
 	for _, r := range replies {
-		if !r.HasSole || r.SoleRelease != longest.SoleRelease {
+		if r.IsMixed || r.HasSole && r.SoleRelease != longest.SoleRelease {
 			return "", false
 		}
 	}
@@ -164,10 +179,11 @@
 	if release, ok := n.streams.known.Find(stream); ok {
 		return wire.OriginReply{IsKnown: true, Release: string(release)}
 	}
-	release, since, ok := n.streams.census.Sole(pool)
-	reply := wire.OriginReply{HasSole: ok, SoleRelease: string(release)}
-	if now := time.Now(); ok && n.endpointsAge(now) <= maxCensusAge {
-		reply.SoleFor = int64(now.Sub(since))
+	now := time.Now()
+	release, age, ok := n.streams.census.Sole(pool, now)
+	reply := wire.OriginReply{HasSole: ok, SoleRelease: string(release), IsMixed: n.streams.census.IsMixed(pool)}
+	if ok && n.endpointsAge(now) <= maxCensusAge {
+		reply.SoleFor = int64(age)
 	}
 	return reply
 }
@@ -176,6 +192,87 @@
 	s.Send(wire.KindOriginQuery, n.originOf(ident.RequestID(m.Stream), ident.PoolID(m.Pool))) //nolint:errcheck // the asker decides without it.
 }
 
+// releaseRow is the value of a row of releaseTable, whose key is the pool.
+type releaseRow struct {
+	Releases []ident.Release `json:"releases"`
+}
+
+// readReleases learns the releases that the pools had lately from the store. If the fleet
+// starts for the first time, pools without a row had none.
+func (n *Node) readReleases(rows []store.Row) {
+	now := time.Now()
+	n.streams.mu.Lock()
+	defer n.streams.mu.Unlock()
+	n.streams.written = map[ident.PoolID][]ident.Release{}
+	for _, r := range rows {
+		var row releaseRow
+		if err := json.Unmarshal(r.Value, &row); err != nil {
+			n.Log.Warn("release_row_unreadable", "key", r.Key, "error", err)
+			continue
+		}
+		n.streams.census.Learn(ident.PoolID(r.Key), row.Releases, now)
+		n.streams.written[ident.PoolID(r.Key)] = row.Releases
+	}
+	if !n.Process.IsFirstStart {
+		return
+	}
+	for _, c := range n.cells.Roster().All() {
+		if _, ok := n.streams.written[c.ID.Pool]; !ok {
+			n.streams.census.Learn(c.ID.Pool, nil, now)
+		}
+	}
+}
+
+// writeReleases writes the rows of the pools whose first cell this node owns, if their
+// releases have changed.
+func (n *Node) writeReleases(ctx context.Context) {
+	n.streams.mu.Lock()
+	known := n.streams.written != nil
+	var writes []store.Write
+	changed := map[ident.PoolID][]ident.Release{}
+	for pool, releases := range n.streams.census.Recent(time.Now()) {
+		if !known || !n.ownsFirstCell(pool) || slices.Equal(n.streams.written[pool], releases) {
+			continue
+		}
+		value, err := json.Marshal(releaseRow{releases})
+		if err != nil {
+			panic(err) // encoding strings cannot fail.
+		}
+		writes = append(writes, store.Write{Table: releaseTable, Key: string(pool), Value: value})
+		changed[pool] = releases
+	}
+	n.streams.mu.Unlock()
+	if len(writes) == 0 {
+		return
+	}
+	if err := n.writeRows(ctx, writes); err != nil {
+		n.Log.Warn("releases_not_written", "pools", len(writes), "error", err)
+		return
+	}
+	n.Log.Info("releases_written", "pools", len(writes))
+	n.streams.mu.Lock()
+	defer n.streams.mu.Unlock()
+	maps.Copy(n.streams.written, changed)
+}
+
+// rewriteReleases makes writeReleases write all rows again, after the store was restored.
+func (n *Node) rewriteReleases() {
+	n.streams.mu.Lock()
+	defer n.streams.mu.Unlock()
+	if n.streams.written != nil {
+		clear(n.streams.written)
+	}
+}
+
+func (n *Node) ownsFirstCell(pool ident.PoolID) bool {
+	cells := n.cells.Roster().Cells(pool)
+	if len(cells) == 0 {
+		return false
+	}
+	owner, ok := n.cells.Owner(cells[0].ID)
+	return ok && owner.ID == n.Process.Name
+}
+
 func (n *Node) withoutSelf(members []member.Member) []member.Member {
 	return slices.DeleteFunc(slices.Clone(members), func(m member.Member) bool { return m.ID == n.Process.Name })
 }
--- a/internal/process/node/tables.go
+++ b/internal/process/node/tables.go
@@ -40,6 +40,9 @@
 	// readyCheckInterval is the time between checks whether a starting node has
 	// read the tables that it needs.
 	readyCheckInterval = 20 * time.Millisecond
+	// tableReadPause is the pause between attempts to read one of the fleet's own tables at
+	// the start.
+	tableReadPause = 300 * time.Millisecond
 	// registerPause is the pause between attempts to write this node's row, and
 	// registerTimeout bounds each attempt.
 	registerPause   = 300 * time.Millisecond
@@ -123,7 +126,7 @@
 	quarantinesRead := make(chan struct{})
 	n.tasks.Go(func() {
 		defer close(quarantinesRead)
-		n.readQuarantines(ctx)
+		n.readTable(ctx, quarantineTable, n.addQuarantineRows)
 	})
 	n.tasks.Go(func() { tick.Every(ctx, idleSweepInterval, func(context.Context) { n.conns.Sweep() }) })
 	for !n.hasInitialRows() {
@@ -131,17 +134,41 @@
 			return
 		}
 	}
+	releasesRead := make(chan struct{})
+	n.tasks.Go(func() {
+		n.readTable(ctx, releaseTable, n.readReleases)
+		close(releasesRead)
+		tick.Every(ctx, releaseInterval, n.writeReleases)
+	})
 	joinCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	n.members.Seed(joinCtx)
-	select {
-	case <-quarantinesRead:
-	case <-joinCtx.Done():
+	for _, read := range []chan struct{}{quarantinesRead, releasesRead} {
+		select {
+		case <-read:
+		case <-joinCtx.Done():
+		}
 	}
 	cancel()
 	n.join(ctx)
 	n.tasks.Go(func() { n.followChanges(ctx) })
 }
 
+// readTable passes the rows of one of this fleet's own tables to apply. It tries until the
+// table was read or ctx is done.
+func (n *Node) readTable(ctx context.Context, table string, apply func([]store.Row)) {
+	for {
+		rows, _, err := n.Store.Scan(ctx, table)
+		if err == nil {
+			apply(rows)
+			return
+		}
+		n.Log.Warn("table_not_read", "table", table, "error", err)
+		if !tick.Sleep(ctx, tableReadPause) {
+			return
+		}
+	}
+}
+
 // hasInitialRows reports whether the node has settings and has read the tables of
 // endpoints and nodes.
 func (n *Node) hasInitialRows() bool {
--- a/internal/process/origin/origin.go
+++ b/internal/process/origin/origin.go
@@ -13,7 +13,7 @@
 //	release, ok := streams.Find("9c41d07be2a35f68")
 //
 //	census.Observe(releasesByPool, time.Now())
-//	release, since, ok := census.Sole("platform/chat")
+//	release, age, ok := census.Sole("platform/chat", time.Now())
 package origin
 
 import (
@@ -73,49 +73,3 @@
 	}
 	return release, ok
 }
-
-// Census records since when each pool has had endpoints of a single release. The zero
-// value is empty. It is safe for concurrent use.
-type Census struct {
-	mu    sync.Mutex
-	pools map[ident.PoolID]sole
-}
-
-// sole is the only release of a pool; there is none if isMixed is set.
-type sole struct {
-	release ident.Release
-	isMixed bool
-	since   time.Time
-}
-
-// Observe records the releases of the endpoints of all pools. A pool that has no endpoints
-// for now keeps its record.
-func (c *Census) Observe(releases map[ident.PoolID][]ident.Release, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.pools == nil {
-		c.pools = map[ident.PoolID]sole{}
-	}
-	for pool, list := range releases {
-		if len(list) == 0 {
-			continue
-		}
-		seen := sole{release: list[0], since: now}
-		for _, release := range list {
-			seen.isMixed = seen.isMixed || release != seen.release
-		}
-		if old, known := c.pools[pool]; known && !seen.isMixed && !old.isMixed && old.release == seen.release {
-			continue
-		}
-		c.pools[pool] = seen
-	}
-}
-
-// Sole returns the only release that a pool's endpoints have, and since when they have had
-// no other. It returns false if they have several, or none is known.
-func (c *Census) Sole(pool ident.PoolID) (release ident.Release, since time.Time, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p, known := c.pools[pool]
-	return p.release, p.since, known && !p.isMixed
-}
--- a/internal/process/origin/origin_test.go
+++ b/internal/process/origin/origin_test.go
@@ -19,7 +19,10 @@
 //	add_many count=             adds further streams
 //	find STREAM release=        looks for a stream; without release= it is unknown
 //	pool RELEASE...             observes the releases of the pool's endpoints
-//	sole release= since=        checks the pool's only release; without release= it has none
+//	learn RELEASE...            learns the releases that the pool had lately
+//	recent RELEASE... unknown=yes  checks the releases that the pool had lately
+//	sole release= age=          checks the pool's only release; without release= it has none
+//	mixed                       checks that the pool has several releases
 func TestScripts(t *testing.T) {
 	script.Run(t, "testdata/*.script", func(t *testing.T, lines iter.Seq[script.Line]) {
 		var streams Streams
@@ -43,21 +46,33 @@
 				qt.Check(t, ok, qt.Equals, line.Options["release"] != "", comment)
 				qt.Check(t, string(release), qt.Equals, line.Options["release"], comment)
 			case "pool":
-				var releases []ident.Release
-				for _, name := range line.Operands {
-					releases = append(releases, ident.Release(name))
-				}
-				census.Observe(map[ident.PoolID][]ident.Release{"p": releases}, now)
+				census.Observe(map[ident.PoolID][]ident.Release{"p": releasesOf(line)}, now)
+			case "learn":
+				census.Learn("p", releasesOf(line), now)
+			case "recent":
+				recent, ok := census.Recent(now)["p"]
+				qt.Check(t, ok, qt.Equals, line.Options["unknown"] != "yes", comment)
+				qt.Check(t, recent, qt.DeepEquals, releasesOf(line), comment)
 			case "sole":
-				release, since, ok := census.Sole("p")
+				release, age, ok := census.Sole("p", now)
 				qt.Check(t, ok, qt.Equals, line.Options["release"] != "", comment)
 				if ok {
 					qt.Check(t, string(release), qt.Equals, line.Options["release"], comment)
-					qt.Check(t, since.Sub(start), qt.Equals, line.ParseDuration(line.Options["since"]), comment)
+					qt.Check(t, age, qt.Equals, line.ParseDuration(line.Options["age"]), comment)
 				}
+			case "mixed":
+				qt.Check(t, census.IsMixed("p"), qt.IsTrue, comment)
 			default:
 				t.Fatalf("%s: unknown command", line.Position)
 			}
 		}
 	})
 }
+
+func releasesOf(line script.Line) []ident.Release {
+	var releases []ident.Release
+	for _, name := range line.Operands {
+		releases = append(releases, ident.Release(name))
+	}
+	return releases
+}
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -58,8 +58,10 @@
 	tenants         []map[string]any
 	version         int
 	// zones holds the zones of the nodes that are not in zone z.
-	zones        map[string]ident.AvailabilityZone
-	frozen       map[string]bool
+	zones  map[string]ident.AvailabilityZone
+	frozen map[string]bool
+	// started holds the nodes that have been started before.
+	started      map[string]bool
 	checkedReads int
 	crashes      crashLog
 }
@@ -99,7 +101,7 @@
 func runProxyScript(t *testing.T, lines iter.Seq[script.Line]) {
 	p := &proxyCase{
 		T: t, net: &pipes.Network{}, nodes: map[string]*proxyNode{}, engines: map[string]*proxyEngine{},
-		calls: map[string]*proxyCall{}, zones: map[string]ident.AvailabilityZone{}, frozen: map[string]bool{},
+		calls: map[string]*proxyCall{}, zones: map[string]ident.AvailabilityZone{}, frozen: map[string]bool{}, started: map[string]bool{},
 	}
 	listener, err := p.net.Listen(PlatformHost + ":80")
 	qt.Assert(t, err, qt.IsNil)
@@ -203,7 +205,8 @@
 	n := &proxyNode{peers: peers, Node: &node.Node{
 		Process: config.Process{
 			Name: ident.NodeID(name), Zone: cmp.Or(p.zones[name], "z"), Region: "r", CallerAddress: name + ":80", PeerAddress: peers.Address,
-			RetryBudget: config.RetryBudget{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+			IsFirstStart: !p.started[name],
+			RetryBudget:  config.RetryBudget{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		},
 		Store: &store.Client{Service: service.Service()}, Open: peers.Open, Log: log.New(io.Discard),
 		Platform: &node.Platform{
@@ -219,6 +222,7 @@
 	n.server.ErrorLog = discardLogger()
 	go n.server.Serve(listener) //nolint:errcheck // it returns when the server is closed.
 	p.nodes[name] = n
+	p.started[name] = true
 	go n.Start(context.Background())
 }
 
@@ -403,6 +407,9 @@
 		}
 		if earlier := p.calls[cmp.Or(given["resumes"], given["resumes_prefix"]+strings.TrimPrefix(name, given["prefix"]))]; earlier != nil && earlier != call {
 			call.resume(earlier, req.Header)
+			if given["named"] == "no" {
+				req.Header.Del(engine.ResumesHeader)
+			}
 		}
 		cancelAfter := p.ParseDuration(given["cancel_after"])
 		p.running.Go(func() { call.send(req, p.net, cancelAfter) })
