--- a/internal/process/node/streams.go
+++ b/internal/process/node/streams.go
@@ -213,13 +213,8 @@
 		n.streams.census.Learn(ident.PoolID(r.Key), row.Releases, now)
 		n.streams.written[ident.PoolID(r.Key)] = row.Releases
 	}
-	if !n.Process.IsFirstStart {
-		return
-	}
-	for _, c := range n.cells.Roster().All() {
-		if _, ok := n.streams.written[c.ID.Pool]; !ok {
-			n.streams.census.Learn(c.ID.Pool, nil, now)
-		}
+	if n.Process.IsFirstStart {
+		n.streams.census.LearnAll()
 	}
 }
 
--- a/internal/process/origin/census.go
+++ b/internal/process/origin/census.go
@@ -22,6 +22,8 @@
 type Census struct {
 	mu    sync.Mutex
 	pools map[ident.PoolID]*poolCensus
+	// isComplete is set if pools that are not known yet had no endpoints before.
+	isComplete bool
 }
 
 type poolCensus struct {
@@ -39,7 +41,7 @@
 		c.pools = map[ident.PoolID]*poolCensus{}
 	}
 	if c.pools[id] == nil {
-		c.pools[id] = &poolCensus{lastSeen: map[ident.Release]time.Time{}, since: now}
+		c.pools[id] = &poolCensus{lastSeen: map[ident.Release]time.Time{}, since: now, hasHistory: c.isComplete}
 	}
 	return c.pools[id]
 }
@@ -78,6 +80,17 @@
 	}
 }
 
+// LearnAll records that no pool had any release but those that it has or Learn has
+// recorded, as in a fleet that starts for the first time.
+func (c *Census) LearnAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isComplete = true
+	for _, p := range c.pools {
+		p.hasHistory = true
+	}
+}
+
 // Recent returns the releases that each pool has or had lately, sorted, for Learn. It
 // leaves out pools of which that is not known.
 func (c *Census) Recent(now time.Time) map[ident.PoolID][]ident.Release {
--- a/internal/process/origin/origin_test.go
+++ b/internal/process/origin/origin_test.go
@@ -20,6 +20,7 @@
 //	find STREAM release=        looks for a stream; without release= it is unknown
 //	pool RELEASE...             observes the releases of the pool's endpoints
 //	learn RELEASE...            learns the releases that the pool had lately
+//	learn_all                   learns that the pool had no others
 //	recent RELEASE... unknown=yes  checks the releases that the pool had lately
 //	sole release= age=          checks the pool's only release; without release= it has none
 //	mixed                       checks that the pool has several releases
@@ -49,6 +50,8 @@
 				census.Observe(map[ident.PoolID][]ident.Release{"p": releasesOf(line)}, now)
 			case "learn":
 				census.Learn("p", releasesOf(line), now)
+			case "learn_all":
+				census.LearnAll()
 			case "recent":
 				recent, ok := census.Recent(now)["p"]
 				qt.Check(t, ok, qt.Equals, line.Options["unknown"] != "yes", comment)
