Soak: models of two releases, and callers that take their streams up

Models of the soak run two releases side by side. A caller whose chat stream is cut takes it up at other nodes, naming the attempt that began it. A stream with events of both, or one that does not go on where it ended, is a violation; the report counts those taken up and those that went on.

--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -272,12 +272,13 @@
 	return send(w, fmt.Sprintf("%x\r\n%s\r\n", len(text), text))
 }
 
-// eventText returns an event, which names the release if that is known.
-func (e *Engine) eventText(n int) string {
-	if e.Release == "" {
+// EventText returns the event with identifier n of an engine with a release. It does not
+// name the release if that is empty.
+func EventText(n int, release string) string {
+	if release == "" {
 		return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n)
 	}
-	return fmt.Sprintf("id: %d\ndata: piece %d\n%s%s\n\n", n, n, releaseField, e.Release)
+	return fmt.Sprintf("id: %d\ndata: piece %d\n%s%s\n\n", n, n, releaseField, release)
 }
 
 // releaseField begins the comment line of an event that names the release of the engine.
@@ -390,7 +391,7 @@
 		if n > first {
 			time.Sleep(b.EventInterval)
 		}
-		text := e.eventText(n)
+		text := EventText(n, e.Release)
 		if n == b.LastEvent && b.EndMode == EndMidEvent {
 			text = text[:len(text)/2]
 		}
--- a/internal/stand/engine/generate.go
+++ b/internal/stand/engine/generate.go
@@ -98,7 +98,7 @@
 			}
 			generated = total
 		}
-		if !sendChunk(w, e.eventText(event)) {
+		if !sendChunk(w, EventText(event, e.Release)) {
 			return false
 		}
 	}
--- a/internal/tool/soak/caller.go
+++ b/internal/tool/soak/caller.go
@@ -1,11 +1,13 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +33,9 @@
 	status         int
 	attempt, stamp string
 	body           string
+	// began is the id of the record that brought the first event of the stream that this
+	// one takes up, "" if it takes up none, and resumed what its caller has of the stream.
+	began, resumed string
 	// isCut is set if the connection ended before the end of the answer.
 	isCut bool
 	err   error
@@ -58,17 +63,62 @@
 		if ctx.Err() != nil {
 			return
 		}
-		r.mu.Lock()
-		r.records = append(r.records, rec)
-		r.mu.Unlock()
+		r.add(rec)
 		if rec.err != nil || rec.isCut {
 			client.CloseIdleConnections()
 			client = nil
+			r.takeUp(ctx, rec)
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(callerPause))))
 	}
 }
 
+func (r *run) add(rec record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records = append(r.records, rec)
+}
+
+// takeUp takes up a stream that was cut at other nodes, one after the other, until it is
+// whole.
+func (r *run) takeUp(ctx context.Context, cut record) {
+	for i := 1; i < r.Nodes && cut.canBeTakenUp(); i++ {
+		next := record{id: fmt.Sprint(cut.id, "-", i), kind: cut.kind, began: cmp.Or(cut.began, cut.id), resumed: cut.wholeEvents()}
+		var address string
+		for name, a := range r.world.addresses() {
+			if name != cut.node && (next.node == "" || name < next.node) {
+				next.node, address = name, a
+			}
+		}
+		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
+		next.send(ctx, client, address)
+		if ctx.Err() != nil {
+			return
+		}
+		r.add(next)
+		if next.err == nil && !next.isCut {
+			return
+		}
+		if next.err != nil || next.body == "" {
+			next.resumed, next.body = cut.wholeEvents(), ""
+		}
+		cut = next
+	}
+}
+
+// canBeTakenUp reports whether a stream that was cut can be taken up.
+func (rec *record) canBeTakenUp() bool { return rec.kind == "chat" && rec.wholeEvents() != "" }
+
+// wholeEvents returns the whole events that the caller has of a stream.
+func (rec *record) wholeEvents() string {
+	all := rec.resumed + rec.body
+	end := strings.LastIndex(all, "\n\n")
+	if end < 0 {
+		return ""
+	}
+	return all[:end+len("\n\n")]
+}
+
 // chooseNode returns a node at random, its address empty if none is known.
 func (r *run) chooseNode(random *rand.Rand) (name, address string) {
 	addresses := r.world.addresses()
@@ -92,6 +142,10 @@
 	req.Host, req.ContentLength = "h.example", int64(len("body"))
 	req.Header.Set(engine.AttemptIDHeader, rec.id)
 	req.Header.Set("X-Api-Key", "k1")
+	if rec.began != "" {
+		req.Header.Set(engine.ResumesHeader, rec.began)
+		req.Header.Set(engine.LastEventIDHeader, strconv.Itoa(strings.Count(rec.resumed, "id: ")))
+	}
 	if rec.kind == "chat" || rec.kind == "label" {
 		part := "c"
 		if rec.isCrashing {
@@ -111,16 +165,20 @@
 	rec.body, rec.isCut = string(raw), err != nil
 }
 
-// isWholeStream reports whether a body has all events in order.
-func isWholeStream(body string) bool { return body == streamText(eventCount) }
+// isWholeStream reports whether a body has all events in order, of one release.
+func isWholeStream(body string) bool {
+	return slices.ContainsFunc(releases, func(release string) bool { return body == streamText(release) })
+}
 
-// isStreamStart reports whether a body is a beginning of a stream.
-func isStreamStart(body string) bool { return strings.HasPrefix(streamText(eventCount), body) }
+// isStreamStart reports whether a body is a beginning of a stream of one release.
+func isStreamStart(body string) bool {
+	return slices.ContainsFunc(releases, func(release string) bool { return strings.HasPrefix(streamText(release), body) })
+}
 
-func streamText(events int) string {
+func streamText(release string) string {
 	var b strings.Builder
-	for n := 1; n <= events; n++ {
-		b.WriteString("id: " + strconv.Itoa(n) + "\ndata: piece " + strconv.Itoa(n) + "\n\n")
+	for n := 1; n <= eventCount; n++ {
+		b.WriteString(engine.EventText(n, release))
 	}
 	return b.String()
 }
--- a/internal/tool/soak/check.go
+++ b/internal/tool/soak/check.go
@@ -37,6 +37,12 @@
 	}
 	for _, rec := range r.records {
 		r.report.Sent++
+		if rec.began != "" {
+			r.report.TakenUp++
+		}
+		if rec.began != "" && rec.status == http.StatusOK {
+			r.report.GoneOn++
+		}
 		r.checkRecord(rec, arrivals[rec.id])
 	}
 	r.checkCrashing(r.world.models, 5, hasCrashingPart)
@@ -73,11 +79,11 @@
 	}
 	isStream := rec.kind == "chat" || rec.kind == "label"
 	switch {
-	case rec.isCut && (!isStream || isStreamStart(rec.body)):
-	case isStream && !rec.isCut && isWholeStream(rec.body), !isStream && rec.body == "done":
+	case rec.isCut && (!isStream || isStreamStart(rec.resumed+rec.body)):
+	case isStream && !rec.isCut && isWholeStream(rec.resumed+rec.body), !isStream && rec.body == "done":
 		r.report.Whole++
 	default:
-		r.violation("%s %s got a wrong body, cut %v: %.200q", rec.kind, rec.id, rec.isCut, rec.body)
+		r.violation("%s %s got a wrong body, cut %v, after %.200q: %.200q", rec.kind, rec.id, rec.isCut, rec.resumed, rec.body)
 	}
 }
 
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -53,6 +53,9 @@
 	// Sent counts the requests, Whole the whole answers, Refused the refusals that state
 	// that the request was not run, and Crashes the endpoints that a prompt crashed.
 	Sent, Whole, Refused, Crashes int
+	// TakenUp counts the streams that callers took up after they were cut, and GoneOn
+	// those of them that went on.
+	TakenUp, GoneOn int
 	// Violations describes each broken promise.
 	Violations []string
 }
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -61,6 +61,9 @@
 `
 )
 
+// releases are the software releases of the models, which serve side by side.
+var releases = []string{"v1", "v1.1"}
+
 // world holds the stand-ins and the nodes.
 type world struct {
 	cloud    cloud.Platform
@@ -80,14 +83,14 @@
 	w.server = httptest.NewServer(&w.cloud)
 	address := strings.TrimPrefix(w.server.URL, "http://")
 	for i := range modelCount {
-		e, err := newEndpoint(w, fmt.Sprint("m", i), "llm")
+		e, err := newEndpoint(w, fmt.Sprint("m", i), "llm", releases[i%len(releases)])
 		if err != nil {
 			return nil, err
 		}
 		w.models = append(w.models, e)
 	}
 	for i := range applicationCount {
-		e, err := newEndpoint(w, fmt.Sprint("a", i), "app")
+		e, err := newEndpoint(w, fmt.Sprint("a", i), "app", "")
 		if err != nil {
 			return nil, err
 		}
@@ -227,9 +230,9 @@
 	crashedAt []time.Time
 }
 
-func newEndpoint(w *world, name, service string) (*endpoint, error) {
+func newEndpoint(w *world, name, service, release string) (*endpoint, error) {
 	e := &endpoint{name: name, service: service, world: w, state: "ready", born: 1, conns: map[net.Conn]bool{}}
-	e.ID = name
+	e.ID, e.Release = name, release
 	e.NextBehaviour = func() engine.Behaviour { return engine.Behaviour{Body: "done", EventInterval: callTime} }
 	if service == "llm" {
 		e.NextBehaviour = func() engine.Behaviour { return engine.Behaviour{} }
@@ -275,7 +278,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return map[string]any{
-		"service": e.service, "address": e.listener.Addr().String(), "zone": "z", "slots": modelSlots, "state": e.state, "seq": 1, "born": e.born,
+		"service": e.service, "address": e.listener.Addr().String(), "zone": "z", "slots": modelSlots, "state": e.state, "version": e.Release, "seq": 1, "born": e.born,
 	}
 }
 
