Free the slots of a stream that its caller takes up elsewhere

While two endpoints of a release serve and a node is killed, its streams still filled their slots in the cell's books for the 2.5 s until the node was known to be gone. The streams that callers took up meanwhile can run nowhere else: they were refused for overload, while new streams began at other releases.

A request that takes up a stream shows that the earlier grant of the stream has ended. The cell releases it before it queues the request. fleet.TestProxy/stream_taken_up_by_many failed before, as did stream_taken_up_at_another_release once nodes of scripts are killed without reporting what they end, as a killed process does.

--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -219,6 +219,7 @@
 		c.refuse(r, ReasonDeadlineUnreachable)
 	default:
 		c.learnLimits(r.KnownLimits)
+		c.releaseEarlier(r)
 		c.queues[r.class].push(r)
 		c.grantWaiting(now)
 		c.shedExcess()
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -238,6 +238,22 @@
 	c.inflight[id] = g
 }
 
+// releaseEarlier releases the earlier grants of the stream that a request takes up. Its
+// caller has lost the connection, and so has the endpoint; the entry node that would report
+// it may have been killed. A stream in a cell that another node ran before is known by the
+// identifier of the request that began it.
+func (c *Cell) releaseEarlier(r *GrantRequest) {
+	if r.Release == nil || r.Stream == "" {
+		return
+	}
+	for id, g := range c.inflight {
+		if g.stream == r.Stream || id == r.Stream {
+			c.releaseGrant(g)
+			delete(c.inflight, id)
+		}
+	}
+}
+
 func (c *Cell) newGrant() *grant {
 	if n := len(c.freeGrants); n > 0 {
 		g := c.freeGrants[n-1]
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -569,6 +569,7 @@
 	for _, name := range p.resolveHosts(names, given) {
 		if n := p.nodes[name]; n != nil {
 			delete(p.nodes, name)
+			p.net.Kill(name) // so that nothing that the node ends is reported.
 			n.kill()
 		}
 	}
