Log the endpoints that cells suspend, and where requests failed there

Whether the refusals of nodes with sound links come from load or from suspended endpoints could not be told from the logs. endpoint_suspended has the endpoint, the number of consecutive failures and the entry nodes at which they occurred. No decision changes.

--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -114,6 +114,9 @@
 	// Ended is called when a granted request ends, with the cell's lock held; nil ignores
 	// it.
 	Ended func(sched.Ended)
+	// Suspended is called when a cell suspends an endpoint for failures, with the cell's
+	// lock held; nil ignores it.
+	Suspended func(ident.CellID, sched.Suspended)
 	// Started is called when an endpoint of a cell has begun a stream, or gone on with
 	// one, with the cell's lock held; nil ignores it.
 	Started func(cell ident.CellID, stream ident.RequestID, release ident.Release)
@@ -316,6 +319,11 @@
 				m.Observe(d)
 			}
 		},
+		Suspended: func(s sched.Suspended) {
+			if m.Suspended != nil {
+				m.Suspended(id, s)
+			}
+		},
 		Started: func(stream ident.RequestID, release ident.Release) {
 			if m.Started != nil {
 				m.Started(id, stream, release)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -184,6 +184,7 @@
 		Self: n.members.Self, Members: n.members.View, Tree: n.tree.Load, Open: n.Open,
 		RecentlyFailed: func() int { return n.members.RecentlyFailed(recentFailureWindow) },
 		InFlight:       n.entry.InFlight, Policy: n.Policy, Observe: n.recordDecision, Ended: n.recordEnded, Started: n.recordOrigin,
+		Suspended:   n.logSuspended,
 		KnownLimits: n.proxy.KnownLimits,
 		Clock:       &n.hybridClock, OwnershipChanged: n.logOwnership, ClosingLower: n.logClosing,
 		CloseRequestFailed: func(to ident.NodeID, err error) {
--- a/internal/process/node/observe.go
+++ b/internal/process/node/observe.go
@@ -108,6 +108,13 @@
 		"waiting", cause.Waiting, "expected_wait", cause.ExpectedWait, "has_waited_long", cause.HasWaitedLong)
 }
 
+// logSuspended logs that a cell suspends an endpoint. It is called with the cell's lock
+// held; a suspension lasts a second or more.
+func (n *Node) logSuspended(id ident.CellID, s sched.Suspended) {
+	n.Log.Info("endpoint_suspended", "endpoint", s.Endpoint.ID, "cell", id.String(), "for", s.For,
+		"failures", s.Failures, "failed_at", ident.Join(s.Nodes))
+}
+
 // endpointsAge returns the time from the last read of the table of endpoints to the
 // given time, or 0 if the table has not been read.
 func (n *Node) endpointsAge(at time.Time) time.Duration {
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -110,6 +110,9 @@
 	// Ended is called when a granted request ends, with the cell's lock held. It is not
 	// called for requests that another node's cell granted.
 	Ended func(Ended)
+	// Suspended is called when an endpoint is suspended for failures of granted requests,
+	// with the cell's lock held.
+	Suspended func(Suspended)
 	// Started is called when an endpoint has begun a stream, or gone on with one, with the
 	// cell's lock held.
 	Started func(stream ident.RequestID, release ident.Release)
--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -126,6 +126,8 @@
 	probeAt             time.Time
 	suspension          time.Duration
 	consecutiveFailures int
+	// failedAt holds the entry nodes of the consecutive failures, without repetitions.
+	failedAt []ident.NodeID
 	// latencySamples is the number of completed requests with a known inter-token
 	// latency since the start or the last recovery.
 	latencySamples int
@@ -354,7 +356,7 @@
 		e.recordFailure(now)
 		return
 	}
-	e.consecutiveFailures = 0
+	e.consecutiveFailures, e.failedAt = 0, nil
 	if e.Kind == ident.ApplicationRunner {
 		e.interTokenLatency = ewma(e.interTokenLatency, completion.TimeToFirstToken)
 		e.recover()
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -75,7 +75,14 @@
 		return
 	}
 	g.endpoint.updateErrorRate(completion.Failed || completion.Erred, now)
+	if completion.Failed && !slices.Contains(g.endpoint.failedAt, g.node) {
+		g.endpoint.failedAt = append(g.endpoint.failedAt, g.node)
+	}
+	wasSuspended := g.endpoint.health == suspended
 	g.endpoint.updateEstimates(completion, g.backlogAhead, c.targets(), now)
+	if e := g.endpoint; e.health == suspended && !wasSuspended && c.Suspended != nil {
+		c.Suspended(Suspended{e.EndpointSpec, e.suspension, e.consecutiveFailures, e.failedAt})
+	}
 	c.detectStraggler(g.endpoint, now)
 }
 
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -204,6 +204,17 @@
 	Completion Completion
 }
 
+// Suspended reports to Cell.Suspended that an endpoint was suspended for failures.
+type Suspended struct {
+	Endpoint EndpointSpec
+	// For is the time until the endpoint is probed.
+	For time.Duration
+	// Failures is the number of consecutive failures, and Nodes the entry nodes at which
+	// they occurred.
+	Failures int
+	Nodes    []ident.NodeID
+}
+
 // EndpointSpec describes an endpoint to a cell.
 type EndpointSpec struct {
 	ID      ident.Endpoint
