Test that callers of partitioned nodes are refused, failing

Nodes lose their path to all endpoints while callers and the other nodes reach them.

The stand-in network refuses dials between two hosts and resets their connections.

--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -81,6 +81,9 @@
 // Router returns the HTTP router for callers whose requests are proxied.
 func (n *Node) Router() *router.Router { return &n.router }
 
+// HasPath reports whether the node reaches the endpoints, as far as it knows.
+func (n *Node) HasPath() bool { return true }
+
 // IsReady reports whether the node accepts new requests.
 func (n *Node) IsReady() bool { return n.isReady() }
 
--- a/internal/stand/pipes/pipes.go
+++ b/internal/stand/pipes/pipes.go
@@ -34,6 +34,7 @@
 	listeners map[string]*listener
 	conns     map[*conn]bool
 	blocked   map[[2]string]bool // by source and destination host
+	refused   map[[2]string]bool // by dialing and listening host
 	frozen    map[string]bool
 	killed    map[string]bool
 	changed   chan struct{} // closed at the next change of the faults
@@ -78,6 +79,7 @@
 		n.listeners = map[string]*listener{}
 		n.conns = map[*conn]bool{}
 		n.blocked = map[[2]string]bool{}
+		n.refused = map[[2]string]bool{}
 		n.frozen = map[string]bool{}
 		n.killed = map[string]bool{}
 		n.changed = make(chan struct{})
@@ -117,7 +119,7 @@
 		}
 		n.mu.Lock()
 		l := n.listeners[addr]
-		isRefused := l == nil || n.killed[from] || n.killed[host(addr)]
+		isRefused := l == nil || n.killed[from] || n.killed[host(addr)] || n.refused[[2]string{from, host(addr)}]
 		n.mu.Unlock()
 		if isRefused {
 			return nil, errRefused
@@ -171,14 +173,26 @@
 	n.update(func() { n.blocked[[2]string{from, to}] = blocked })
 }
 
+// SetRefused refuses the dials from one host to another, or no longer. Connections that
+// are open live on.
+func (n *Network) SetRefused(from, to string, refused bool) {
+	n.update(func() { n.refused[[2]string{from, to}] = refused })
+}
+
+// Reset closes all connections between two hosts.
+func (n *Network) Reset(a, b string) {
+	n.closeConns(func(c *conn) bool { return c.local == a && c.remote == b || c.local == b && c.remote == a })
+}
+
 // SetFrozen blocks or unblocks all that a host sends and receives.
 func (n *Network) SetFrozen(host string, frozen bool) { n.update(func() { n.frozen[host] = frozen }) }
 
-// Heal unblocks all directions and hosts, so that no write or dial waits forever. It
+// Heal unblocks all directions and hosts and refuses no dials, so that no write or dial waits forever. It
 // does not revive killed hosts.
 func (n *Network) Heal() {
 	n.update(func() {
 		clear(n.blocked)
+		clear(n.refused)
 		clear(n.frozen)
 	})
 }
@@ -187,16 +201,21 @@
 // from it and to it.
 func (n *Network) Kill(host string) {
 	n.update(func() { n.killed[host] = true })
+	n.closeConns(func(c *conn) bool { return c.local == host || c.remote == host })
+}
+
+// closeConns closes the connections that are selected.
+func (n *Network) closeConns(isSelected func(*conn) bool) {
 	n.mu.Lock()
 	var conns []*conn
 	for c := range n.conns {
-		if c.local == host || c.remote == host {
+		if isSelected(c) {
 			conns = append(conns, c)
 		}
 	}
 	n.mu.Unlock()
 	for _, c := range conns {
-		c.Close() //nolint:errcheck // simulates a crash.
+		c.Close() //nolint:errcheck // simulates a crash or a reset.
 	}
 }
 
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -152,7 +152,7 @@
 		"store": p.store, "shutdown": p.shutdown, "ready": p.ready, "cut": p.cut, "heal": p.heal, "malformed_entry": p.malformedEntry,
 		"batch": p.batch, "fleet": p.fleet, "engines": p.manyEngines, "calls": p.checkCalls, "in_force": p.inForce,
 		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "crashing_request": p.crashingRequest, "reads": p.reads, "traffic": p.traffic, "crashes": p.checkCrashes,
-		"kill_engine": p.killEngine, "one_release": p.oneRelease,
+		"kill_engine": p.killEngine, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed,
 	}
 	run, ok := commands[command]
 	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.Position, command))
@@ -379,6 +379,26 @@
 	p.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: "servers", Key: names[0], Value: []byte(given["text"])}}})
 }
 
+// mixed sends requests to the routes chat, label, book and read of each node, in rounds.
+func (p *proxyCase) mixed(names []string, given map[string]string) {
+	for round := range p.IntOption("rounds", 1) {
+		for _, node := range strings.Split(given["to"], ",") {
+			for _, route := range []string{"chat", "label", "book", "read"} {
+				request := map[string]string{"to": node, "route": route, "key": "k1"}
+				if route == "chat" || route == "label" {
+					request["tokens"] = "200,20"
+				}
+				p.send([]string{fmt.Sprintf("%s_%s_%s_%d", names[0], node, route, round)}, request)
+			}
+		}
+		time.Sleep(mixedPause)
+	}
+	synctest.Wait()
+}
+
+// mixedPause is the pause between two rounds of the mixed command.
+const mixedPause = 120 * time.Millisecond
+
 // send sends a request in the background; want checks its result.
 func (p *proxyCase) send(names []string, given map[string]string) {
 	for i := range p.IntOption("count", 0) {
@@ -565,6 +585,34 @@
 	p.net.SetBlocked(names[1], names[0], true)
 }
 
+// partition cuts nodes off from all engines: their connections hang, are reset, or live on
+// while new ones are refused.
+func (p *proxyCase) partition(names []string, given map[string]string) {
+	for _, node := range p.resolveHosts(names, given) {
+		for engine := range p.engines {
+			switch given["how"] {
+			case "hang":
+				p.net.SetBlocked(node, engine, true)
+				p.net.SetBlocked(engine, node, true)
+			case "reset":
+				p.net.SetRefused(node, engine, true)
+				p.net.Reset(node, engine)
+			case "refuse":
+				p.net.SetRefused(node, engine, true)
+			default:
+				p.Fatalf("%s: unknown how=%s", p.Position, given["how"])
+			}
+		}
+	}
+}
+
+// checkDirect checks whether nodes send requests to engines themselves.
+func (p *proxyCase) checkDirect(names []string, given map[string]string) {
+	for _, name := range names {
+		qt.Check(p.T, p.nodes[name].HasPath(), qt.Equals, given["is"] != "no", qt.Commentf("%s: %s", p.Position, name))
+	}
+}
+
 func (p *proxyCase) kill(names []string, given map[string]string) {
 	for _, name := range p.resolveHosts(names, given) {
 		if n := p.nodes[name]; n != nil {
@@ -582,6 +630,19 @@
 	}
 }
 
+// atMostOnce checks that each request reached engines at most once.
+func (p *proxyCase) atMostOnce(names []string, given map[string]string) {
+	arrivals := map[string]int{}
+	for _, e := range p.engines {
+		for _, r := range e.ReceivedRequests() {
+			arrivals[r.Header.Get(engine.AttemptIDHeader)]++
+		}
+	}
+	for _, name := range p.callNames(names, given) {
+		qt.Check(p.T, arrivals[name] <= 1, qt.IsTrue, qt.Commentf("%s: %s: %d", p.Position, name, arrivals[name]))
+	}
+}
+
 // oneRelease checks that no stream holds events of two releases.
 func (p *proxyCase) oneRelease(names []string, given map[string]string) {
 	for _, name := range p.callNames(names, given) {
