Serve requests through other nodes while the endpoints cannot be reached

What callers saw: at nodes that had lost their links to all endpoints, 0 of 143 and 7 of 271 first attempts were served, and at the others about half of what they serve otherwise.

Cause: a node took each failure for one of that endpoint. The class: evidence is attributed to the place where it shows; a failure between a node and an endpoint can be of either, and of the path between.

A monitor (process/reach) collects a node's failures at different endpoints and their common silence. From the second endpoint on the node suspects its own path: failures are then no longer reported as the endpoints', and requests that failed go to another node. The caller's node keeps the admission, the deadline, the number of attempts and the release of a stream, so that nothing runs more often than before; heartbeats tell it when the other node is gone. Members gossip that they have no path, and callers are sent elsewhere, while cells stay where they are: decisions need no endpoints.

Calls of scripts are read after a synctest.Wait, which the race detector asked for.

--- a/internal/connection/conn/conn.go
+++ b/internal/connection/conn/conn.go
@@ -133,7 +133,16 @@
 	return c
 }
 
-func (p *Pool) connect(ctx context.Context, address string) (*Conn, error) {
+// Check reports whether an address accepts connections. It opens one and closes it.
+func (p *Pool) Check(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	dial := p.Dial
@@ -142,8 +151,13 @@
 	}
 	p.dialCount.Add(1)
 	c, err := dial(ctx, address)
+	return c, eris.Wrapf(err, "connect to %s", address)
+}
+
+func (p *Pool) connect(ctx context.Context, address string) (*Conn, error) {
+	c, err := p.dial(ctx, address)
 	if err != nil {
-		return nil, eris.Wrapf(err, "connect to %s", address)
+		return nil, err
 	}
 	conn := &Conn{Conn: c, address: address, headLimit: headLimiter{Conn: c}}
 	conn.reader = bufio.NewReaderSize(&conn.headLimit, bufferBytes)
--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -134,34 +134,51 @@
 
 // readRequest finds the route and the account of a request and reads its body.
 func (rt *Router) readRequest(w http.ResponseWriter, r *http.Request, tree *config.Tree, arrived time.Time) (*proxy.Request, *refuse.Refusal) {
-	req := &proxy.Request{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header,
-		Arrived: arrived, Version: tree.Version,
+	req := &proxy.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Arrived: arrived}
+	if refusal := rt.resolve(req, tree); refusal != nil {
+		return req, refusal
 	}
-	info, err := rt.DecodeRequest(r.Header)
-	req.Info = info
+	return req, rt.readBody(w, r, req, tree.Limits)
+}
+
+// resolve decodes the header of a request, reserves its identifier and finds its route,
+// account, tier, pool and deadline.
+func (rt *Router) resolve(req *proxy.Request, tree *config.Tree) *refuse.Refusal {
+	info, err := rt.DecodeRequest(req.Header)
+	req.Info, req.Version = info, tree.Version
 	req.ID = rt.reserveID(info.AttemptID)
 	if err != nil {
-		return req, refuse.New(refuse.BadRequest, err.Error())
+		return refuse.New(refuse.BadRequest, err.Error())
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	req.Route = tree.RouteFor(normalizeHost(r.Host), path)
+	path, _, _ := strings.Cut(req.Target, "?")
+	req.Route = tree.RouteFor(normalizeHost(req.Host), path)
 	if req.Route == nil {
-		return req, refuse.New(refuse.NotFound, "no route for this host and path")
+		return refuse.New(refuse.NotFound, "no route for this host and path")
 	}
 	if !req.Route.Public {
 		req.Account = tree.AccountByKeyHash(sha256.Sum256([]byte(info.APIKey)))
 		if req.Account == nil {
-			return req, refuse.New(refuse.UnknownAccount, "the API key is not known")
+			return refuse.New(refuse.UnknownAccount, "the API key is not known")
 		}
 	}
 	req.Tier = tree.TierFor(req.Account, req.Route)
 	req.Pool = req.Route.PoolAt(rand.Float64())
-	req.Deadline = arrived.Add(req.Route.Timeout)
+	req.Deadline = req.Arrived.Add(req.Route.Timeout)
 	if info.Timeout > 0 && info.Timeout < req.Route.Timeout {
-		req.Deadline = arrived.Add(info.Timeout)
+		req.Deadline = req.Arrived.Add(info.Timeout)
 	}
-	return req, rt.readBody(w, r, req, tree.Limits)
+	return nil
+}
+
+// Resolve fills in a request that this node serves for another one, which has admitted it
+// and has its body. The release function must be called when the request ends.
+func (rt *Router) Resolve(req *proxy.Request) (release func(), refusal *refuse.Refusal) {
+	tree := rt.Tree()
+	if tree == nil {
+		return func() {}, refuse.New(refuse.NodeNotReady, "this node has no settings yet")
+	}
+	refusal = rt.resolve(req, tree)
+	return func() { rt.openIDs.Delete(req.ID) }, refusal
 }
 
 // readBody reads the whole body into memory, so that it can be sent again on a
@@ -284,7 +301,7 @@
 		rt.Meter.Interrupted(string(req.Pool.ID), stage, result.Interrupted)
 	}
 	rt.Log.Info("request_ended", "request_id", string(req.ID), "account", accountName(req.Account), "route", req.Route.Name, "pool", req.Pool.ID,
-		"endpoint", result.Endpoint, "releases", ident.Join(result.Releases), "resumes", req.Info.Resumes, "resumed_after", req.Info.LastEventID, "status", result.Status, "attempts", result.Attempts, "cut", result.Truncated,
+		"endpoint", result.Endpoint, "peer", result.Peer, "releases", ident.Join(result.Releases), "resumes", req.Info.Resumes, "resumed_after", req.Info.LastEventID, "status", result.Status, "attempts", result.Attempts, "cut", result.Truncated,
 		"reason", result.Reason, "interrupted", result.Interrupted, "events", result.Events, "prompt_parts", failedParts(req, result), "fingerprint", failedFingerprint(req, result),
 		"prompt_tokens", int64(req.Info.PromptTokens), "max_output_tokens", int64(req.Info.MaxOutputTokens),
 		"first_answer", result.TimeToFirstAnswer, "took", time.Since(req.Arrived),
--- /dev/null
+++ b/internal/connection/wire/detour.go
@@ -0,0 +1,46 @@
+package wire
+
+// Detour opens the stream on which a node that has no path to the endpoints has another one
+// serve a request. KindDetourBody messages with BodyBytes bytes follow. The reply is
+// KindQueued from time to time, KindDetourHead, KindDetourData and KindDetourEnd; the
+// requester closes the stream when its caller is gone.
+type Detour struct {
+	Method    string              `cbor:"1,keyasint"`
+	Target    string              `cbor:"2,keyasint"`
+	Host      string              `cbor:"3,keyasint"`
+	Header    map[string][]string `cbor:"4,keyasint"`
+	HasBody   bool                `cbor:"5,keyasint,omitempty"`
+	BodyBytes int                 `cbor:"6,keyasint,omitempty"`
+	Remaining int64               `cbor:"7,keyasint"` // until the deadline
+	// Attempts is the number of endpoints that the request was sent to before.
+	Attempts int `cbor:"8,keyasint,omitempty"`
+	// LastEventID is the last event of a stream that the caller has, and Release the release
+	// that began the stream, nil if that is not known.
+	LastEventID int     `cbor:"9,keyasint,omitempty"`
+	Release     *string `cbor:"10,keyasint,omitempty"`
+}
+
+// DetourData is a part of the request's body or of its answer.
+type DetourData struct {
+	Data []byte `cbor:"1,keyasint"`
+}
+
+// DetourHead is the head of the answer.
+type DetourHead struct {
+	Status int                 `cbor:"1,keyasint"`
+	Header map[string][]string `cbor:"2,keyasint,omitempty"`
+}
+
+// DetourEnd is the result of the request. Declined is set if the node did nothing for it.
+type DetourEnd struct {
+	Declined  bool `cbor:"1,keyasint,omitempty"`
+	Truncated bool `cbor:"2,keyasint,omitempty"`
+	// Refusal is nil if an answer was sent.
+	Refusal     *Refusal `cbor:"3,keyasint,omitempty"`
+	Attempts    int      `cbor:"4,keyasint,omitempty"`
+	Interrupted int      `cbor:"5,keyasint,omitempty"`
+	Events      int      `cbor:"6,keyasint,omitempty"`
+	Endpoint    string   `cbor:"7,keyasint,omitempty"`
+	Releases    []string `cbor:"8,keyasint,omitempty"`
+	Reason      string   `cbor:"9,keyasint,omitempty"`
+}
--- a/internal/connection/wire/member.go
+++ b/internal/connection/wire/member.go
@@ -40,13 +40,14 @@
 	Incarnation     uint64 `cbor:"8,keyasint"`
 	SettingsVersion uint64 `cbor:"9,keyasint,omitempty"`
 	Capacity        int    `cbor:"10,keyasint,omitempty"`
+	HasNoPath       bool   `cbor:"11,keyasint,omitempty"`
 }
 
 // FromMember converts a member.
 func FromMember(m member.Member) Member {
 	return Member{
 		string(m.ID), string(m.Region), string(m.Zone), m.PeerAddress, m.CallerAddress,
-		uint8(m.State), m.Suspect, m.Incarnation, uint64(m.Settings), m.Capacity,
+		uint8(m.State), m.Suspect, m.Incarnation, uint64(m.Settings), m.Capacity, m.HasNoPath,
 	}
 }
 
@@ -56,7 +57,7 @@
 		ID: ident.NodeID(m.ID), Region: ident.Region(m.Region), Zone: ident.AvailabilityZone(m.Zone),
 		PeerAddress: m.PeerAddress, CallerAddress: m.CallerAddress, State: min(member.State(m.State), member.Dead),
 		Suspect: m.Suspect, Incarnation: m.Incarnation, Settings: ident.Version(m.SettingsVersion),
-		Capacity: max(m.Capacity, 0),
+		Capacity: max(m.Capacity, 0), HasNoPath: m.HasNoPath,
 	}
 }
 
--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -73,8 +73,8 @@
 	// KindAcquire is a call to the coordinator of an account to charge a single request
 	// to its limits, while KindShareRequest asks for a share of the limits.
 	KindAcquire
-	// KindQueued is sent repeatedly while a grant request waits in its cell, as a
-	// heartbeat.
+	// KindQueued is sent repeatedly while a grant request waits in its cell or another node
+	// serves a request, as a heartbeat.
 	KindQueued
 	// KindFollow opens a stream on which a node that reads the store returns
 	// KindChanges.
@@ -91,6 +91,12 @@
 	// KindOriginQuery a call for that of one stream.
 	KindOrigins
 	KindOriginQuery
+	// KindDetour opens a stream on which another node serves a request; see Detour.
+	KindDetour
+	KindDetourBody
+	KindDetourHead
+	KindDetourData
+	KindDetourEnd
 )
 
 // Empty is a message without content.
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -68,6 +68,9 @@
 	// Capacity is the processor time of the member's instance in thousandths of a
 	// core; 0 means unknown.
 	Capacity int
+	// HasNoPath is set while the member cannot reach the endpoints. Other members serve
+	// its requests; it may own cells.
+	HasNoPath bool
 }
 
 // supersedes reports whether the update m replaces the entry old.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -36,6 +36,7 @@
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/meter"
 	"goldcrestwick/internal/process/quota"
+	"goldcrestwick/internal/process/reach"
 	"goldcrestwick/internal/process/roster"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/store"
@@ -139,6 +140,7 @@
 	changes        changes
 	poison         poisonState
 	streams        streamState
+	reach          reach.Monitor
 
 	claimCoordinatorSet atomic.Pointer[claimCoordinatorSet]
 	quotaCoordinators   atomic.Pointer[viewCoordinators]
@@ -212,7 +214,7 @@
 		IsLedgerFull: n.isLedgerFull,
 	}
 	n.gate = gate.Gate{Limits: n.gateLimits, CanShed: n.cells.CanShedInAllPools, CloseLower: n.cells.CloseLowerInAllPools}
-	n.prepareProxy()
+	n.prepareProxy(mux)
 	n.prepareLedger(mux)
 	n.cells.Register(mux)
 	n.keys.Register(mux)
@@ -252,6 +254,7 @@
 	n.tasks.Go(func() { n.claimCoordinator.Run(ctx) })
 	n.tasks.Go(func() { n.watchCrashes(ctx) })
 	n.tasks.Go(func() { n.reportOrigins(ctx) })
+	n.tasks.Go(func() { n.reach.Run(ctx) })
 	n.tasks.Go(func() { n.flushDecisionsPeriodically(ctx) })
 	n.startLedger(ctx)
 	if n.Platform != nil {
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -1,16 +1,23 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
+	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/router"
+	"goldcrestwick/internal/connection/wire"
 	"goldcrestwick/internal/process/budget"
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/reach"
 	"goldcrestwick/internal/process/roster"
 	"goldcrestwick/internal/process/spread"
 	"goldcrestwick/internal/process/trace"
+	"goldcrestwick/internal/request/detour"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/proxy"
 	"goldcrestwick/internal/version/config"
@@ -28,7 +35,7 @@
 }
 
 // prepareProxy connects the components that proxy requests.
-func (n *Node) prepareProxy() {
+func (n *Node) prepareProxy(mux *link.Mux) {
 	if n.Platform == nil {
 		return
 	}
@@ -50,6 +57,13 @@
 		Tree: n.settingsOrNil, DecodeRequest: n.Platform.HeaderCodec.DecodeRequest, Serve: n.serveProxied,
 		Quota: &n.quotaLimiter, Meter: &n.meter, Record: n.recordLocalStep, Log: n.Log,
 	}
+	n.prepareDetours(mux)
+	n.meter.Gauge("goldcrestwick_endpoint_path_lost", func() float64 {
+		if n.reach.IsLost() {
+			return 1
+		}
+		return 0
+	})
 	n.meter.Gauge("goldcrestwick_reads_store", func() float64 {
 		if n.IsReadingStore() {
 			return 1
@@ -82,7 +96,63 @@
 func (n *Node) Router() *router.Router { return &n.router }
 
 // HasPath reports whether the node reaches the endpoints, as far as it knows.
-func (n *Node) HasPath() bool { return true }
+func (n *Node) HasPath() bool { return !n.reach.IsLost() }
+
+// pathChanged tells the other nodes whether this one reaches the endpoints, so that callers
+// are sent elsewhere.
+func (n *Node) pathChanged(isLost bool) {
+	n.Log.Warn("endpoint_path_changed", "lost", isLost)
+	n.members.SetSelf(func(m *member.Member) { m.HasNoPath = isLost })
+	n.tasks.Go(n.broadcastState)
+}
+
+// endpointAddresses returns the addresses of the endpoints that are not leaving.
+func (n *Node) endpointAddresses() []string {
+	var addresses []string
+	for _, c := range n.cells.Roster().All() {
+		for _, spec := range c.Endpoints {
+			if !spec.Leaving {
+				addresses = append(addresses, spec.Address)
+			}
+		}
+	}
+	return addresses
+}
+
+// detourPeers returns the nodes that may serve a request for this one, in random order, those
+// of its availability zone first.
+func (n *Node) detourPeers() []member.Member {
+	peers := slices.DeleteFunc(n.withoutSelf(n.members.View().Ready(n.Process.Region)), func(m member.Member) bool {
+		return m.HasNoPath || m.Suspect || n.cells.IsUnresponsive(m.ID)
+	})
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	slices.SortStableFunc(peers, func(a, b member.Member) int {
+		return cmp.Compare(distance(a.Zone, n.Process.Zone), distance(b.Zone, n.Process.Zone))
+	})
+	return peers
+}
+
+func distance(a, b ident.AvailabilityZone) int {
+	if a == b {
+		return 0
+	}
+	return 1
+}
+
+// prepareDetours connects the components by which nodes serve requests for each other.
+func (n *Node) prepareDetours(mux *link.Mux) {
+	n.reach = reach.Monitor{Dial: n.conns.Check, Addresses: n.endpointAddresses, Changed: n.pathChanged}
+	client := &detour.Client{Open: n.Open, Peers: n.detourPeers, Log: n.Log}
+	n.proxy.Reach, n.proxy.Detour = &n.reach, client.Serve
+	server := &detour.Server{
+		Resolve: n.router.Resolve, Serve: n.proxy.Serve, IsLost: n.reach.IsLost,
+		Ended: func(r *proxy.Request, result proxy.Result) {
+			n.Log.Info("detour_ended", "request_id", r.ID, "endpoint", result.Endpoint, "status", result.Status,
+				"attempts", result.Attempts, "events", result.Events, "reason", result.Reason)
+		},
+	}
+	link.Handle(mux, wire.KindDetour, server.Handle)
+}
 
 // IsReady reports whether the node accepts new requests.
 func (n *Node) IsReady() bool { return n.isReady() }
@@ -105,9 +175,18 @@
 			zones = append(zones, z)
 		}
 	}
-	for _, m := range spread.ForCallers(n.members.View().Ready(n.Process.Region), zones, zone) {
+	for _, m := range spread.ForCallers(withPath(n.members.View().Ready(n.Process.Region)), zones, zone) {
 		list = append(list, m.CallerAddress)
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list
 }
+
+// withPath returns the members that reach the endpoints, or all if none does.
+func withPath(ready []member.Member) []member.Member {
+	reaching := slices.DeleteFunc(slices.Clone(ready), func(m member.Member) bool { return m.HasNoPath })
+	if len(reaching) == 0 {
+		return ready
+	}
+	return reaching
+}
--- /dev/null
+++ b/internal/request/detour/client.go
@@ -0,0 +1,188 @@
+package detour
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/request/proxy"
+	"goldcrestwick/internal/request/refuse"
+)
+
+// Client has other nodes serve requests. Set the exported fields before use; it is safe for
+// concurrent use.
+type Client struct {
+	Open link.Opener
+	// Peers returns the nodes that may have a path to the endpoints, the preferred ones
+	// first.
+	Peers func() []member.Member
+	Log   *log.Logger
+}
+
+// outcome is how an attempt with one node ended.
+type outcome uint8
+
+const (
+	// done: the node has reported a result.
+	done outcome = iota
+	// untouched: the node has done nothing for the request.
+	untouched
+	// lost: the node is gone, and the request may have run.
+	lost
+)
+
+// Serve has other nodes serve a request, one after the other while they do nothing for it
+// or, if it may be repeated, are lost. It writes the answer to w unless the result has a
+// refusal. It returns false if no node has done anything for the request.
+func (c *Client) Serve(ctx context.Context, r *proxy.Request, w http.ResponseWriter) (proxy.Result, bool) {
+	peers := c.Peers()
+	mayHaveRun := false
+	for _, peer := range peers[:min(len(peers), maxPeers)] {
+		e := &exchange{request: r, w: w}
+		result, out := e.run(ctx, c.Open, peer)
+		c.Log.Debug("request_detoured", "request_id", r.ID, "peer", peer.ID, "outcome", out, "reason", result.Reason)
+		result.Peer = peer.ID
+		switch {
+		case out == done:
+			return result, true
+		case ctx.Err() != nil:
+			return interrupted(result, "the caller went away or the deadline passed"), true
+		case out == untouched:
+			continue
+		case e.hasHead:
+			result.Truncated, result.Reason = true, "the node that served the request is gone"
+			return result, true
+		}
+		mayHaveRun = true
+		if !r.Route.IsRetryable() || r.EarlierAttempts+1 >= r.Route.MaxAttempts {
+			break
+		}
+	}
+	if mayHaveRun {
+		return interrupted(proxy.Result{}, "the node that served the request is gone"), true
+	}
+	return proxy.Result{}, false
+}
+
+func interrupted(result proxy.Result, reason string) proxy.Result {
+	result.Interrupted++
+	result.Reason = reason
+	result.Refusal = refuse.NewMayHaveRun(refuse.EndpointFailed, reason)
+	return result
+}
+
+// exchange is one request at one node.
+type exchange struct {
+	request *proxy.Request
+	w       http.ResponseWriter
+	// hasHead is set when the head of the answer was written to the caller.
+	hasHead bool
+	events  int
+}
+
+func (e *exchange) run(ctx context.Context, open link.Opener, peer member.Member) (proxy.Result, outcome) {
+	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
+	stream, err := open(openCtx, peer.PeerAddress)
+	cancel()
+	if err != nil {
+		return proxy.Result{Reason: err.Error()}, untouched
+	}
+	defer stream.Close()                                      //nolint:errcheck // the exchange is over.
+	defer context.AfterFunc(ctx, func() { stream.Close() })() //nolint:errcheck // unblocks Receive, and ends the run.
+	if err := e.send(stream); err != nil {
+		// The node serves a request only when it has all of it.
+		return proxy.Result{Reason: err.Error()}, untouched
+	}
+	result, isDone, err := e.receive(stream)
+	switch {
+	case err != nil:
+		return proxy.Result{Reason: err.Error()}, lost
+	case !isDone:
+		return result, untouched
+	}
+	return result, done
+}
+
+func (e *exchange) send(stream *link.Stream) error {
+	r := e.request
+	message := wire.Detour{
+		Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, HasBody: r.Body != nil, BodyBytes: len(r.Body),
+		Remaining: int64(time.Until(r.Deadline)), Attempts: r.EarlierAttempts, LastEventID: r.Info.LastEventID,
+	}
+	if r.Release != nil {
+		release := string(*r.Release)
+		message.Release = &release
+	}
+	if err := stream.Send(wire.KindDetour, message); err != nil {
+		return err
+	}
+	return sendData(stream, wire.KindDetourBody, r.Body)
+}
+
+// sendData sends data in messages of at most maxDataBytes.
+func sendData(stream *link.Stream, kind link.Kind, data []byte) error {
+	for len(data) > 0 {
+		n := min(len(data), maxDataBytes)
+		if err := stream.Send(kind, wire.DetourData{Data: data[:n]}); err != nil {
+			return err
+		}
+		data = data[n:]
+	}
+	return nil
+}
+
+// receive writes the answer to the caller. It returns false if the node has done nothing
+// for the request.
+func (e *exchange) receive(stream *link.Stream) (result proxy.Result, isDone bool, err error) {
+	for {
+		if err := stream.SetReadDeadline(time.Now().Add(silenceTimeout)); err != nil {
+			return result, false, err
+		}
+		kind, body, err := stream.Receive()
+		if err != nil {
+			return result, false, err
+		}
+		switch kind {
+		case wire.KindDetourHead:
+			head, err := link.Decode[wire.DetourHead](body)
+			if err != nil {
+				return result, false, err
+			}
+			e.writeHead(head)
+			result.TimeToFirstAnswer = time.Since(e.request.Arrived)
+			result.Status = head.Status
+		case wire.KindDetourData:
+			data, err := link.Decode[wire.DetourData](body)
+			if err != nil {
+				return result, false, err
+			}
+			if _, err := e.w.Write(data.Data); err != nil {
+				return result, false, err
+			}
+			http.NewResponseController(e.w).Flush() //nolint:errcheck // the next write fails.
+		case wire.KindDetourEnd:
+			end, err := link.Decode[wire.DetourEnd](body)
+			if err != nil {
+				return result, false, err
+			}
+			first, status := result.TimeToFirstAnswer, result.Status
+			result = toResult(end)
+			result.TimeToFirstAnswer, result.Status = first, status
+			return result, !end.Declined, nil
+		}
+	}
+}
+
+func (e *exchange) writeHead(head wire.DetourHead) {
+	e.hasHead = true
+	to := e.w.Header()
+	for name, values := range head.Header {
+		to[name] = values
+	}
+	e.w.WriteHeader(head.Status)
+}
--- /dev/null
+++ b/internal/request/detour/server.go
@@ -0,0 +1,143 @@
+package detour
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/tick"
+	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/request/proxy"
+	"goldcrestwick/internal/request/refuse"
+)
+
+// Server serves the requests of nodes that have lost their path. Set the exported fields
+// before use; it is safe for concurrent use.
+type Server struct {
+	// Resolve finds the route and the account of a request. The release function must be
+	// called when the request ends, also if it is refused.
+	Resolve func(r *proxy.Request) (release func(), refusal *refuse.Refusal)
+	// Serve proxies a request. It writes the answer unless its result has a refusal.
+	Serve func(context.Context, *proxy.Request, http.ResponseWriter) proxy.Result
+	// IsLost reports whether this node has lost its path too.
+	IsLost func() bool
+	// Ended is called with each request that was served; it may be nil.
+	Ended func(*proxy.Request, proxy.Result)
+}
+
+// Handle serves one request.
+func (s *Server) Handle(ctx context.Context, stream *link.Stream, m wire.Detour) {
+	body, err := receiveBody(stream, m)
+	if err != nil {
+		return
+	}
+	r := &proxy.Request{
+		Method: m.Method, Target: m.Target, Host: m.Host, Header: m.Header, Body: body,
+		Arrived: time.Now(), IsDetour: true, EarlierAttempts: m.Attempts,
+	}
+	if m.Release != nil {
+		release := ident.Release(*m.Release)
+		r.Release = &release
+	}
+	deadline := r.Arrived.Add(time.Duration(m.Remaining))
+	release, refusal := s.Resolve(r)
+	defer release()
+	if refusal != nil || s.IsLost() {
+		// The settings of the two nodes may differ for a moment: the requester has a route.
+		stream.Send(wire.KindDetourEnd, wire.DetourEnd{Declined: true}) //nolint:errcheck // the requester tries others.
+		return
+	}
+	r.Deadline, r.Info.LastEventID = deadline, m.LastEventID
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	go func() {
+		stream.Receive() //nolint:errcheck // the requester sends nothing more; it returns when the stream ends.
+		cancel()
+	}()
+	w := &writer{stream: stream, header: http.Header{}}
+	stop := w.sendHeartbeats(ctx)
+	result := s.Serve(ctx, r, w)
+	stop()
+	if s.Ended != nil {
+		s.Ended(r, result)
+	}
+	stream.Send(wire.KindDetourEnd, fromResult(result)) //nolint:errcheck // the requester may be gone.
+}
+
+var errBodyTooLong = eris.New("a request's body is longer than announced or allowed")
+
+func receiveBody(stream *link.Stream, m wire.Detour) ([]byte, error) {
+	if !m.HasBody {
+		return nil, nil
+	}
+	if m.BodyBytes < 0 || m.BodyBytes > maxBodyBytes {
+		return nil, errBodyTooLong
+	}
+	if err := stream.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return nil, err
+	}
+	body := []byte{}
+	for len(body) < m.BodyBytes {
+		_, raw, err := stream.Receive()
+		if err != nil {
+			return nil, err
+		}
+		part, err := link.Decode[wire.DetourData](raw)
+		if err != nil {
+			return nil, err
+		}
+		body = append(body, part.Data...)
+	}
+	if len(body) > m.BodyBytes {
+		return nil, errBodyTooLong
+	}
+	return body, stream.SetReadDeadline(time.Time{})
+}
+
+// writer is an http.ResponseWriter that sends the answer to the requester.
+type writer struct {
+	stream  *link.Stream
+	header  http.Header
+	hasHead bool
+}
+
+func (w *writer) Header() http.Header { return w.header }
+
+func (w *writer) WriteHeader(status int) {
+	if w.hasHead {
+		return
+	}
+	w.hasHead = true
+	w.stream.Send(wire.KindDetourHead, wire.DetourHead{Status: status, Header: w.header}) //nolint:errcheck // the next write fails.
+}
+
+func (w *writer) Write(b []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	if err := sendData(w.stream, wire.KindDetourData, b); err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
+// FlushError does nothing, since each message is sent at once.
+func (w *writer) FlushError() error { return nil }
+
+// sendHeartbeats sends heartbeats until stop is called.
+func (w *writer) sendHeartbeats(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var done sync.WaitGroup
+	done.Go(func() {
+		tick.Every(ctx, heartbeatInterval, func(context.Context) {
+			w.stream.Send(wire.KindQueued, wire.Empty{}) //nolint:errcheck // the requester notices the silence.
+		})
+	})
+	return func() {
+		cancel()
+		done.Wait()
+	}
+}
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"goldcrestwick/internal/connection/conn"
+	"goldcrestwick/internal/process/reach"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/entry"
@@ -43,7 +44,11 @@
 	for {
 		c, err := p.Conns.Get(ctx, g.Response.Address)
 		if err != nil {
-			return outcome{notSent, err.Error(), sched.Completion{Failed: ctx.Err() == nil, Unused: ctx.Err() != nil}}
+			isFailure := ctx.Err() == nil && !p.suspectsPath(func(m *reach.Monitor) { m.DialFailed(g.Response.Endpoint) })
+			return outcome{notSent, err.Error(), sched.Completion{Failed: isFailure, Unused: !isFailure}}
+		}
+		if !c.Reused && p.Reach != nil {
+			p.Reach.Dialed()
 		}
 		out := p.exchange(ctx, s, g, c)
 		// A reused connection that was closed before anything was sent is no
@@ -59,6 +64,9 @@
 func (p *Proxy) exchange(ctx context.Context, s *requestState, g *entry.Grant, c *conn.Conn) outcome {
 	x := &exchange{Conn: c, proxy: p, state: s, grant: g, sentAt: time.Now()}
 	stop := c.CloseWhenDone(ctx)
+	if p.Reach != nil {
+		defer p.Reach.Begin()()
+	}
 	out := x.run(ctx)
 	out.completion.Leaving = x.isLeaving
 	if !x.hasReported {
@@ -98,6 +106,9 @@
 	if err != nil {
 		return x.failWithoutAnswer(ctx, err.Error(), err)
 	}
+	if p := x.proxy; p.Reach != nil {
+		p.Reach.Answered()
+	}
 	x.observe(resp.StatusCode, info)
 	switch {
 	case info.NotRun || resp.StatusCode == http.StatusMisdirectedRequest:
@@ -243,15 +254,34 @@
 	return outcome{interrupted, reason, completion}
 }
 
+// failMidway returns the outcome of an exchange whose connection failed.
+func (x *exchange) failMidway(ctx context.Context, reason string) outcome {
+	out := x.fail(ctx, reason)
+	if out.completion.Failed && x.proxy.suspectsPath(func(m *reach.Monitor) { m.Failed(x.grant.Response.Endpoint) }) {
+		out.completion = sched.Completion{Cancelled: true}
+	}
+	return out
+}
+
 // failWithoutAnswer returns the outcome of an exchange that ended with an error before
 // any part of the answer. Unlike fail, it reports to the cell whether the endpoint ended
 // the connection.
 func (x *exchange) failWithoutAnswer(ctx context.Context, reason string, err error) outcome {
-	out := x.fail(ctx, reason)
+	out := x.failMidway(ctx, reason)
 	out.completion.NoAnswer = out.result == interrupted && out.completion.Failed && isConnectionEnd(err)
 	return out
 }
 
+// suspectsPath records a failure and reports whether it may be one of this node's path
+// rather than of the endpoint.
+func (p *Proxy) suspectsPath(record func(*reach.Monitor)) bool {
+	if p.Reach == nil {
+		return false
+	}
+	record(p.Reach)
+	return p.Reach.IsSuspect()
+}
+
 // isConnectionEnd reports whether the peer closed or reset the connection.
 func isConnectionEnd(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe) ||
--- /dev/null
+++ b/internal/request/proxy/detour.go
@@ -0,0 +1,59 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"slices"
+)
+
+// takesDetour reports whether another node should serve the request: this one has lost its
+// path to the endpoints or, after an attempt that failed, may have.
+func (p *Proxy) takesDetour(s *requestState) bool {
+	if p.Detour == nil || s.IsDetour || s.hasNoDetour {
+		return false
+	}
+	hasFailed := s.attempts+s.unsentAttempts > 0
+	return p.Reach.IsLost() || hasFailed && p.Reach.IsSuspect()
+}
+
+// detour has another node serve the request from where it is. It returns false if none has
+// done anything for it.
+func (p *Proxy) detour(ctx context.Context, s *requestState) (Result, bool) {
+	r := *s.Request
+	r.EarlierAttempts, r.Release, r.Info.LastEventID = s.attempts, s.job.Release, s.stream.lastEventID
+	w := s.w
+	if s.stream.headSent {
+		w = bodyWriter{w}
+	}
+	result, ok := p.Detour(ctx, &r, w)
+	if !ok {
+		s.hasNoDetour = true
+		return Result{}, false
+	}
+	result.Interrupted += s.result.Interrupted
+	result.Events += s.result.Events
+	result.Releases = slices.Concat(s.result.Releases, result.Releases)
+	if s.stream.headSent {
+		result.Status, result.TimeToFirstAnswer = s.result.Status, s.result.TimeToFirstAnswer
+	}
+	if result.Refusal == nil || !s.mayHaveRun && s.failureAnswer == nil && !s.stream.headSent {
+		return result, true
+	}
+	// The refusal speaks of the other node's attempts only.
+	reason := string(result.Refusal.Reason)
+	s.attempts = max(s.attempts, result.Attempts)
+	s.result, s.result.Refusal = result, nil
+	return p.finish(ctx, s, outcome{result: interrupted, reason: reason}), true
+}
+
+// bodyWriter drops the head of an answer, which the caller has already.
+type bodyWriter struct{ http.ResponseWriter }
+
+// Header returns a header that is not sent.
+func (w bodyWriter) Header() http.Header { return http.Header{} }
+
+// WriteHeader does nothing.
+func (w bodyWriter) WriteHeader(int) {}
+
+// Unwrap returns the underlying writer, for http.ResponseController.
+func (w bodyWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -29,6 +29,7 @@
 
 	"goldcrestwick/internal/connection/conn"
 	"goldcrestwick/internal/process/budget"
+	"goldcrestwick/internal/process/reach"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/entry"
@@ -138,6 +139,13 @@
 	Account *config.Account
 	Tier    *config.Tier
 	Version ident.Version
+	// IsDetour is set if this node serves the request for another one, which has sent it to
+	// EarlierAttempts endpoints before and has charged it to the retry budget.
+	IsDetour        bool
+	EarlierAttempts int
+	// Release is the release that began the stream which the request takes up, nil if it
+	// is not known.
+	Release *ident.Release
 }
 
 // Result describes how a request ended.
@@ -164,6 +172,8 @@
 	// the complete answer. It is 0 for 5xx answers and for answers that are not
 	// streams and are longer than maxBufferedBytes.
 	TimeToFirstAnswer time.Duration
+	// Peer is the node through which the request was served, "" for this one.
+	Peer ident.NodeID
 	// Reason says why the last attempt or grant request failed, "" if it did not.
 	Reason string
 }
@@ -191,6 +201,11 @@
 	// Started is called when an endpoint of a release has begun a stream, or gone on with
 	// one; it may be nil.
 	Started func(stream ident.RequestID, release ident.Release)
+	// Reach tells whether this node has a path to the endpoints, and Detour has other nodes
+	// serve a request; it returns false if they have done nothing for it. Nil means that
+	// requests are never served through other nodes.
+	Reach  *reach.Monitor
+	Detour func(context.Context, *Request, http.ResponseWriter) (Result, bool)
 	// Record is called for each dispatch and each retry; it may be nil.
 	Record func(trace.Record)
 
@@ -212,7 +227,9 @@
 	unsentAttempts int
 	// mayHaveRun is set once an endpoint may have run the request.
 	mayHaveRun bool
-	stream     streamState
+	// hasNoDetour is set once no other node would serve the request.
+	hasNoDetour bool
+	stream      streamState
 	// failureAnswer is an endpoint's answer with a failure status, which the
 	// caller gets if no retry succeeds.
 	failureAnswer *bufferedAnswer
@@ -221,11 +238,13 @@
 
 // Serve forwards a request and writes the answer to w.
 func (p *Proxy) Serve(ctx context.Context, r *Request, w http.ResponseWriter) Result {
-	s := &requestState{Request: r, w: w, parent: ctx, job: p.newJob(r)}
+	s := &requestState{Request: r, w: w, parent: ctx, job: p.newJob(r), attempts: r.EarlierAttempts}
 	s.stream.resumeFrom(r)
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	p.Budget.RecordRequest(r.Pool.ID, time.Now())
+	if !r.IsDetour {
+		p.Budget.RecordRequest(r.Pool.ID, time.Now())
+	}
 	if refusal := p.bindRelease(ctx, s); refusal != nil {
 		return p.finishWithoutGrant(ctx, s, refusal)
 	}
@@ -233,6 +252,11 @@
 		if refusal := p.quarantineRefusal(s); refusal != nil {
 			return p.finishWithoutGrant(ctx, s, refusal)
 		}
+		if p.takesDetour(s) {
+			if result, ok := p.detour(ctx, s); ok {
+				return result
+			}
+		}
 		grant, refusal := p.RequestGrant(ctx, s.job)
 		if refusal != nil {
 			return p.finishWithoutGrant(ctx, s, refusal)
@@ -274,6 +298,10 @@
 // bindRelease binds a request that takes up a stream to the release that began it. It
 // returns the refusal of one whose release cannot be told.
 func (p *Proxy) bindRelease(ctx context.Context, s *requestState) *refuse.Refusal {
+	if s.Release != nil {
+		s.job.Release = s.Release
+		return nil
+	}
 	if !s.isStream() || s.Info.LastEventID == 0 || p.FindOrigin == nil {
 		return nil
 	}
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -111,7 +111,7 @@
 			return x.failWithoutAnswer(ctx, "the stream broke off: "+err.Error(), err)
 		}
 		if err != nil {
-			return x.fail(ctx, "the stream broke off: "+err.Error())
+			return x.failMidway(ctx, "the stream broke off: "+err.Error())
 		}
 		if err := s.stream.advance(e); err != nil {
 			return x.fail(ctx, err.Error())
@@ -180,6 +180,9 @@
 // recordEvent counts an event. It reports the first event to the cell, and the
 // inter-token latency at most once per progressInterval.
 func (x *exchange) recordEvent(t *streamTiming) {
+	if p := x.proxy; p.Reach != nil {
+		p.Reach.Heard()
+	}
 	now := time.Now()
 	t.lastEvent = now
 	t.events++
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -408,6 +408,7 @@
 	if given["to"] == "any" {
 		nodes = slices.Sorted(maps.Keys(p.nodes))
 	}
+	synctest.Wait() // earlier calls that have ended can be read.
 	for i, name := range names {
 		call := &proxyCall{id: name}
 		p.calls[name] = call
