Take a path for lost when most endpoints cannot be reached

A node took its path for regained whenever one of three dialed endpoints accepted, and changed its mind up to five times a second. A check dials eight now; the path is lost from 0.6 of them and regained up to 0.3, so that crashes of a quarter of the endpoints are no lost path, and a node that reaches a fifth of them does not flap.

--- a/internal/process/reach/reach.go
+++ b/internal/process/reach/reach.go
@@ -3,9 +3,9 @@
 //
 // A node that is partitioned from all endpoints sees each of them fail. A Monitor collects
 // failures at different endpoints, and the silence of all of them while requests wait for
-// answers. Either makes the node suspect its own path, which it then checks: it dials a few
-// endpoints at random, and has lost its path if none of them accepts. While it has, it
-// dials on, until one does.
+// answers. Either makes the node suspect its own path, which it then checks: it dials some
+// endpoints at random, and has lost its path if most of them cannot be reached. While it
+// has, it dials on, until most can.
 //
 // # Usage
 //
@@ -39,9 +39,15 @@
 	// checkInterval is the time between two checks, and dialTimeout bounds each.
 	checkInterval = 200 * time.Millisecond
 	dialTimeout   = 400 * time.Millisecond
-	// sampleSize is the number of endpoints that a check dials. A few that have crashed do
-	// not look like a lost path.
-	sampleSize = 3
+	// sampleSize is the number of endpoints that a check dials.
+	sampleSize = 8
+	// lostFraction is the fraction of the dialed endpoints from which the path is lost if
+	// they cannot be reached, and regainedFraction that up to which it is regained. Crashes
+	// of a third of the endpoints look like a lost path once in twenty checks; the
+	// distance between the two keeps a node that reaches some of them from changing its
+	// mind with every sample.
+	lostFraction     = 0.6
+	regainedFraction = 0.3
 )
 
 // Monitor tells whether this node reaches the endpoints. Set the function fields, then call
@@ -150,7 +156,7 @@
 	return m.waiting > 0 && now.Sub(m.waitingSince) > silenceTime && now.Sub(time.Unix(0, m.heardAt.Load())) > silenceTime
 }
 
-// check dials a sample of the endpoints. One that accepts shows that there is a path.
+// check dials a sample of the endpoints and decides whether the path is lost.
 func (m *Monitor) check(ctx context.Context) {
 	addresses := m.Addresses()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
@@ -161,14 +167,14 @@
 	for _, address := range addresses {
 		go func() { accepted <- m.Dial(ctx, address) == nil }()
 	}
-	hasPath := len(addresses) == 0
+	unreached := 0
 	for range addresses {
-		if <-accepted {
-			hasPath = true
-			cancel()
+		if !<-accepted {
+			unreached++
 		}
 	}
-	m.settle(!hasPath)
+	fraction := float64(unreached) / float64(max(len(addresses), 1))
+	m.settle(fraction >= lostFraction || m.IsLost() && fraction > regainedFraction)
 }
 
 // settle records the result of a check.
