Keep connections to endpoints that fall silent for a second

A sound endpoint may be silent for a second or so. Connections to endpoints set TCP_USER_TIMEOUT to 900 ms, which on Linux also decides when keep-alive probes give up: a stream from a silent endpoint was cut after the first probe at 1 s, and a request whose retransmissions were not acknowledged after 0.9 s. The timeout is 3.2 s now, which the retransmission at 3.0 s precedes. A dead peer is noticed as much later.

conn.TestSilentPeerCut reads the options of a socket and failed before (timeout 900ms, retransmission after 3s, probe after 2s). fleet.TestProxy/silent_endpoint plays the silence for the rest of the path; it passed before, as pipes have no such timeout.

--- a/internal/connection/conn/conn.go
+++ b/internal/connection/conn/conn.go
@@ -38,13 +38,16 @@
 	// milliseconds away.
 	dialTimeout = 400 * time.Millisecond
 	// unackedTimeout is the time after which a connection is closed if its peer
-	// has not acknowledged the bytes sent.
-	unackedTimeout = 900 * time.Millisecond
+	// has not acknowledged the bytes sent. A sound peer may be silent for a second or so,
+	// and the retransmission that it then acknowledges may come 3.0 s after the first
+	// transmission, as the intervals double from 200 ms.
+	unackedTimeout = 3200 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure the TCP
-	// keep-alive probes, which detect a dead peer while an answer is outstanding.
+	// keep-alive probes, which detect a dead peer while an answer is outstanding. On Linux
+	// unackedTimeout decides when they give up, whatever their count.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
+	keepAliveCount    = 5
 	// defaultIdleTimeout applies to a connection whose endpoint announces no idle
 	// timeout.
 	defaultIdleTimeout = 10 * time.Second
