Let the simulated engines end before a load script does

sched.TestLoads failed now and then, once in 12 to 40 runs, also on the code before this work: a deadlock in synctest, since a script could end while an engine slept through the step in which its last request was canceled.

--- a/internal/process/sched/load_test.go
+++ b/internal/process/sched/load_test.go
@@ -105,6 +105,8 @@
 			t.Fatalf("%s: unknown command %s", line.Position, line.Command)
 		}
 	}
+	// An engine whose last request was canceled ends with its current step.
+	time.Sleep(time.Second)
 }
 
 func (l *loadRunner) addEngines(line script.Line) {
