--- a/internal/process/sched/script_test.go
+++ b/internal/process/sched/script_test.go
@@ -96,7 +96,7 @@
 		s.specs = append(s.specs, EndpointSpec{
 			ID: ident.Endpoint(name), Address: "http://" + name, Generation: args["generation"],
 			Slots: s.intArg(args, "slots", 0), StartedUnixMilli: int64(s.intArg(args, "started", 0)),
-			CacheTokens: ident.Tokens(s.intArg(args, "cache_tokens", 0)),
+			CacheTokens: ident.Tokens(s.intArg(args, "cache_tokens", 0)), Release: ident.Release(args["release"]),
 		})
 	}
 	s.cell.Configure(s.cell.Pool, s.specs)
@@ -120,10 +120,14 @@
 			Tier: ident.Tier(s.intArg(args, "tier", 0)), Weight: s.intArg(args, "weight", 1),
 			Prompt: ident.Tokens(s.intArg(args, "prompt", 100)), Output: ident.Tokens(s.intArg(args, "output", 100)),
 			Deadline: time.Now().Add(deadline), FirstTokenTarget: s.duration(args["first_token_target"]),
+			MaxRejections: s.intArg(args, "max_rejections", 0), Stream: ident.RequestID(args["stream"]),
 		}
 		for id := range strings.SplitSeq(args["avoid"], ",") {
 			r.Avoid = append(r.Avoid, ident.Endpoint(id))
 		}
+		if release := ident.Release(args["release"]); release != "" {
+			r.Release = &release
+		}
 		for part := range strings.SplitSeq(args["parts"], ",") {
 			if part != "" {
 				r.Traits = append(r.Traits, ident.Trait(part[0]))
