Risk few rejections at endpoints that would fall over

Endpoints of a pool may be brittle, as they say in each answer: one that rejects more than so many requests in a second for want of room falls over. A cell grants what it takes for free slots, all at once. When it is wrong, since a dark node's requests still run there or the cell has just moved, each grant is a rejection: 4 of 4 endpoints fell over after a node went dark, and 6 endpoints 25 times while the cell's node was silent and two others went dark.

While the pool is fragile, grants to an endpoint that may still be rejected, those of the last 60 ms without an answer, and the rejections of the last 1.2 s together stay within half of what it stands; a rejection also tells how many requests are there. Every entry node learns from its own answers that a pool is fragile and says so with each grant request, so that any cell knows, wherever it has begun.

The stand-in engine can be brittle.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -137,7 +137,8 @@
 	KnownLimits map[string]float64 `cbor:"21,keyasint,omitempty"`
 	Stream      string             `cbor:"22,keyasint,omitempty"`
 	// Release is nil if any will do.
-	Release *string `cbor:"23,keyasint,omitempty"`
+	Release       *string `cbor:"23,keyasint,omitempty"`
+	MaxRejections int     `cbor:"24,keyasint,omitempty"`
 }
 
 // FromGrantRequest converts a grant request for a cell.
@@ -150,7 +151,7 @@
 		FirstTokenTarget: int64(r.FirstTokenTarget), Zone: string(r.Zone), Avoid: convertNames[string](r.Avoid),
 		BlockTokens: convertInts[int64](r.BlockTokens), MayRedirect: r.MayRedirect,
 		Traits: convertInts[uint64](r.Traits), KnownLimits: FromLimits(r.KnownLimits),
-		Stream: string(r.Stream), Release: convertName[string](r.Release),
+		Stream: string(r.Stream), Release: convertName[string](r.Release), MaxRejections: r.MaxRejections,
 	}
 }
 
@@ -198,7 +199,7 @@
 		FirstTokenTarget: time.Duration(m.FirstTokenTarget), Zone: ident.AvailabilityZone(m.Zone), Avoid: convertNames[ident.Endpoint](m.Avoid),
 		BlockTokens: convertInts[ident.Tokens](m.BlockTokens), MayRedirect: m.MayRedirect,
 		Traits: convertInts[ident.Trait](m.Traits), KnownLimits: ToLimits(m.KnownLimits),
-		Stream: ident.RequestID(m.Stream), Release: convertName[ident.Release](m.Release),
+		Stream: ident.RequestID(m.Stream), Release: convertName[ident.Release](m.Release), MaxRejections: max(m.MaxRejections, 0),
 	}
 }
 
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -149,6 +149,10 @@
 	isClosed      bool
 	isPaused      bool
 	residenceTime residenceTime
+	// maxRejections is how many requests per second the endpoints stand to reject, until
+	// fragileUntil.
+	maxRejections int
+	fragileUntil  time.Time
 	// overloadSince is the start of the current overload. lastShed is when a
 	// request was last refused, or moved by Close. Both are updated only for
 	// endpoints with known slots.
@@ -222,6 +226,7 @@
 		c.refuse(r, ReasonDeadlineUnreachable)
 	default:
 		c.learnLimits(r.KnownLimits)
+		c.learnFragile(r, now)
 		c.releaseEarlier(r)
 		c.queues[r.class].push(r)
 		c.grantWaiting(now)
@@ -320,6 +325,9 @@
 	if completion.Leaving {
 		g.endpoint.hasAnnouncedLeaving = true
 	}
+	if completion.Refused && !completion.Failed {
+		c.recordRejection(g.endpoint, completion.Statement, now)
+	}
 	if completion.Statement != nil {
 		g.endpoint.updateLimit(completion.Statement.RateLimit, g.grantedAt, now)
 	}
--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -173,6 +173,8 @@
 	hasStated bool
 	// nextGrantAt is the earliest time of the next grant within the limit.
 	nextGrantAt time.Time
+	// risk is kept while the pool is fragile.
+	risk rejections
 	// reservedRound is the last round in which a waiting request reserved the
 	// endpoint's next free capacity.
 	reservedRound uint64
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -139,7 +139,7 @@
 	c.considered = c.considered[:0]
 	remaining := r.Deadline.Sub(now)
 	for _, e := range c.endpoints {
-		if e.reservedRound == c.round || !e.isOpen(now) || !e.isWithinLimit(now) || slices.Contains(r.Avoid, e.ID) || !r.mayRunAt(e) {
+		if e.reservedRound == c.round || !e.isOpen(now) || !e.isWithinLimit(now) || slices.Contains(r.Avoid, e.ID) || !r.mayRunAt(e) || !c.mayRisk(e, now) {
 			continue
 		}
 		uncached := c.uncachedTokens(r, e)
@@ -222,6 +222,7 @@
 	}
 	e.addGrant(g.charge, g.uncached)
 	e.spaceGrants(cmp.Or(c.LimitShare, 1), now)
+	c.recordGrant(e, now)
 	c.prefixes.Insert(r.Prefix, r.BlockTokens, e.prefixSlot)
 	c.addInFlight(r.Request, g)
 	c.grantSequence++
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -47,6 +47,9 @@
 	// request for a standby cell. They apply to endpoints that have stated nothing to the
 	// cell yet.
 	KnownLimits map[ident.Endpoint]ident.Rate
+	// MaxRejections is how many requests per second an endpoint of the pool can reject for
+	// want of room without falling over, 0 for any number or if the entry node does not know.
+	MaxRejections int
 	// MayRedirect allows the outcome Redirected.
 	MayRedirect bool
 	// Wake, unless it is nil, is called once, with the cell's lock held, when a
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -68,6 +68,8 @@
 	// Stream and Release are those of sched.GrantRequest.
 	Stream  ident.RequestID
 	Release *ident.Release
+	// MaxRejections is that of sched.GrantRequest.
+	MaxRejections int
 
 	// hasBeenRedirected is set once a cell has redirected the request; it then waits
 	// wherever it is sent.
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -210,7 +210,7 @@
 		Weight: j.Account.Weight, Prompt: j.Request.PromptTokens, Output: j.Request.OutputTokens,
 		Deadline: j.Request.Deadline, Prefix: j.Request.Prefix,
 		FirstTokenTarget: j.FirstTokenTarget, Zone: e.Zone, Avoid: j.Avoid, BlockTokens: j.BlockTokens,
-		Traits: j.Traits, Stream: j.Stream, Release: j.Release,
+		Traits: j.Traits, Stream: j.Stream, Release: j.Release, MaxRejections: j.MaxRejections,
 	}
 	// A cell with room may have no endpoint of the release.
 	mayRedirect := !j.hasBeenRedirected && j.Release == nil
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -133,6 +133,7 @@
 		return // another endpoint has the address now.
 	}
 	id := x.grant.Response.Endpoint
+	x.proxy.fragile.observe(x.state.Pool.ID, info.MaxRejections, time.Now())
 	x.statement = &sched.Statement{Occupancy: info.Occupancy, RateLimit: info.RateLimit}
 	if status == http.StatusServiceUnavailable && info.RetryAfter > 0 {
 		x.proxy.holdOffs.add(id, time.Now(), info.RetryAfter)
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -108,6 +108,9 @@
 	// RateLimit is how many requests the endpoint takes from all nodes together, 0 if it
 	// names no limit.
 	RateLimit ident.Rate
+	// MaxRejections is how many requests per second the endpoint can reject for want of
+	// room without falling over, 0 for any number. It applies to all endpoints of the pool.
+	MaxRejections int
 }
 
 // HeaderCodec reads and writes the headers of one platform.
@@ -212,6 +215,7 @@
 	lengths  lengthEstimator
 	holdOffs holdOffs
 	limits   endpointLimits
+	fragile  fragilePools
 }
 
 // requestState is a request with the state of its attempts.
@@ -341,6 +345,7 @@
 		},
 		Account: account, Pool: r.Pool, Tier: r.Tier, Version: r.Version,
 		FirstTokenTarget: r.Route.FirstAnswerTarget, Avoid: p.holdOffs.endpoints(time.Now()), Stream: r.stream(),
+		MaxRejections: p.fragile.maxRejections(r.Pool.ID, time.Now()),
 	}
 }
 
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -42,6 +42,7 @@
 	ResumesHeader        = "Resumes"
 	LeavingHeader        = "Server-Leaving"
 	LimitHeader          = "Server-Limit"
+	BrittleHeader        = "Server-Brittle"
 )
 
 // EndMode defines how an answer ends. The empty string means EndComplete.
@@ -148,6 +149,11 @@
 	TokensPerEvent ident.Tokens
 	// RateLimit, if not nil, returns the value of LimitHeader in all answers, "" for none.
 	RateLimit func() string
+	// Brittle, if not nil, returns how many requests per second the engine can refuse for
+	// want of room without falling over, 0 for any number; it is the value of BrittleHeader
+	// in all answers. Refused is called for each such refusal; it may be nil.
+	Brittle func() int
+	Refused func()
 	// Crash, if not nil, is called when Batch generates the first token of a prompt, with
 	// its parts, and before any other answer. If it returns true, the engine has crashed.
 	Crash func(target string, parts []batch.PromptPart) bool
@@ -350,6 +356,11 @@
 			fmt.Fprintf(&h, "%s: %s\r\n", LimitHeader, limit)
 		}
 	}
+	if e.Brittle != nil {
+		if n := e.Brittle(); n > 0 {
+			fmt.Fprintf(&h, "%s: %d\r\n", BrittleHeader, n)
+		}
+	}
 	if b.RetryAfter != "" {
 		fmt.Fprintf(&h, "Retry-After: %s\r\n", b.RetryAfter)
 	}
--- a/internal/stand/engine/generate.go
+++ b/internal/stand/engine/generate.go
@@ -45,6 +45,9 @@
 	}
 	seq, err := e.Batch.Submit(generation)
 	if err != nil {
+		if e.Refused != nil {
+			e.Refused()
+		}
 		return e.reject(w, req, http.StatusServiceUnavailable)
 	}
 	defer seq.Cancel()
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -80,6 +80,12 @@
 	behaviour engine.Behaviour
 	limit     string
 	limitedAt time.Time
+	// brittle is how many refusals per second the engine survives, 0 for any number, and
+	// refusedAt holds the latest ones. It falls over for down.
+	brittle   int
+	down      time.Duration
+	refusedAt []time.Time
+	falls     int
 }
 
 // proxyCall is the result of one request of a caller.
@@ -152,7 +158,7 @@
 		"store": p.store, "shutdown": p.shutdown, "ready": p.ready, "cut": p.cut, "heal": p.heal, "malformed_entry": p.malformedEntry,
 		"batch": p.batch, "fleet": p.fleet, "engines": p.manyEngines, "calls": p.checkCalls, "in_force": p.inForce,
 		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "crashing_request": p.crashingRequest, "reads": p.reads, "traffic": p.traffic, "crashes": p.checkCrashes,
-		"kill_engine": p.killEngine, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed,
+		"kill_engine": p.killEngine, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed, "brittle": p.setBrittle, "falls": p.checkFalls,
 	}
 	run, ok := commands[command]
 	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.Position, command))
@@ -243,6 +249,12 @@
 			defer e.mu.Unlock()
 			return e.limit
 		}
+		e.Brittle = func() int {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.brittle
+		}
+		e.Refused = func() { p.recordRefusal(name) }
 		e.Crash = func(target string, parts []batch.PromptPart) bool { return p.crash(name, target, parts) }
 		e.NextBehaviour = func() engine.Behaviour {
 			e.mu.Lock()
