Tell a cell's next node which release began the streams in flight

The node that granted a stream learns its origin with the first event and tells its standbys. Killed before that, it tells nobody: only the entry node knew, and when that was killed too, 3 of 6 streams were taken up, those of surviving entry nodes.

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -334,11 +334,13 @@
 	Endpoint string `cbor:"2,keyasint"`
 	Charge   int64  `cbor:"3,keyasint"`
 	Started  bool   `cbor:"4,keyasint,omitempty"`
+	Stream   string `cbor:"5,keyasint,omitempty"`
+	Release  string `cbor:"6,keyasint,omitempty"`
 }
 
 // FromInFlight converts a request in flight.
 func FromInFlight(r sched.InFlight) InFlight {
-	return InFlight{string(r.Request), string(r.Endpoint), int64(r.Charge), r.Started}
+	return InFlight{string(r.Request), string(r.Endpoint), int64(r.Charge), r.Started, string(r.Stream), string(r.Release)}
 }
 
 // ToInFlight converts a request that node has in flight.
@@ -346,6 +348,7 @@
 	return sched.InFlight{
 		Request: ident.RequestID(m.Request), Node: node, Endpoint: ident.Endpoint(m.Endpoint),
 		Charge: ident.Tokens(m.Charge), Started: m.Started,
+		Stream: ident.RequestID(m.Stream), Release: ident.Release(m.Release),
 	}
 }
 
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -118,7 +118,8 @@
 	// lock held; nil ignores it.
 	Suspended func(ident.CellID, sched.Suspended)
 	// Started is called when an endpoint of a cell has begun a stream, or gone on with
-	// one, with the cell's lock held; nil ignores it.
+	// one, or had when this node took the cell over. A cell's lock may be held; nil ignores
+	// it.
 	Started func(cell ident.CellID, stream ident.RequestID, release ident.Release)
 	// Observe is called with each decision, with the cell's lock held; nil
 	// ignores decisions.
@@ -325,9 +326,7 @@
 			}
 		},
 		Started: func(stream ident.RequestID, release ident.Release) {
-			if m.Started != nil {
-				m.Started(id, stream, release)
-			}
+			m.ReportStarted(id, stream, release)
 		},
 		Admits: func(t ident.Tier) bool { return m.admission.Admits(id.Pool, t, time.Now()) },
 		CloseLower: func(t ident.Tier, cause sched.CloseCause) {
@@ -356,6 +355,14 @@
 	m.knownMembers = present
 }
 
+// ReportStarted reports to Started that an endpoint of a cell has begun a stream, or gone on
+// with one.
+func (m *Manager) ReportStarted(cell ident.CellID, stream ident.RequestID, release ident.Release) {
+	if m.Started != nil {
+		m.Started(cell, stream, release)
+	}
+}
+
 // Run runs the periodic work of the cells until ctx is done. Then it closes them, so
 // that no request waits in a cell that decides nothing any more.
 func (m *Manager) Run(ctx context.Context) {
--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -225,7 +225,7 @@
 	defer m.checkAdopted(ctx, cell)
 	replied := map[ident.NodeID]bool{m.Self().ID: true}
 	for _, f := range m.InFlight(cell.ID) {
-		cell.Adopt(f)
+		m.adopt(cell, f)
 	}
 	if m.KnownLimits != nil {
 		cell.LearnLimits(m.KnownLimits())
@@ -337,7 +337,7 @@
 
 func (m *Manager) applyInFlightReply(cell *sched.Cell, from ident.NodeID, r wire.InFlightReply) {
 	for _, f := range r.InFlight {
-		cell.Adopt(f.ToInFlight(from))
+		m.adopt(cell, f.ToInFlight(from))
 	}
 	cell.LearnLimits(wire.ToLimits(r.Limits))
 	for _, estimate := range r.Estimates {
@@ -347,3 +347,11 @@
 		m.admission.Close(request.ToCloseRequest(), time.Now())
 	}
 }
+
+// adopt adds a request in flight that another node's cell granted.
+func (m *Manager) adopt(cell *sched.Cell, f sched.InFlight) {
+	cell.Adopt(f)
+	if f.Started && f.Stream != "" {
+		m.ReportStarted(cell.ID, f.Stream, f.Release)
+	}
+}
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -276,6 +276,9 @@
 	Endpoint ident.Endpoint
 	Charge   ident.Tokens
 	Started  bool
+	// Stream and Release are those of the grant.
+	Stream  ident.RequestID
+	Release ident.Release
 }
 
 // EndpointEstimate is a cell's estimate of an endpoint, passed on to the cell's
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -272,6 +272,16 @@
 	e.inFlight[cell][r.Request] = r
 }
 
+// markStarted records that an endpoint has begun to answer a request in flight.
+func (e *Entry) markStarted(cell ident.CellID, id ident.RequestID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r, ok := e.inFlight[cell][id]; ok {
+		r.Started = true
+		e.inFlight[cell][id] = r
+	}
+}
+
 func (e *Entry) removeInFlight(cell ident.CellID, id ident.RequestID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -312,6 +312,7 @@
 	}
 	e.addInFlight(cell.ID, inFlightOf(req, g))
 	g.ReportStarted = func(s *sched.Statement) {
+		e.markStarted(cell.ID, req.Request)
 		if s != nil {
 			cell.UpdateEndpoint(req.Request, *s)
 		}
@@ -328,7 +329,7 @@
 func inFlightOf(req *sched.GrantRequest, g *Grant) sched.InFlight {
 	return sched.InFlight{
 		Request: req.Request, Node: req.Node, Endpoint: g.Response.Endpoint,
-		Charge: req.Prompt + req.Output,
+		Charge: req.Prompt + req.Output, Stream: req.Stream, Release: g.Response.Release,
 	}
 }
 
@@ -368,6 +369,11 @@
 	}
 	e.addInFlight(cell, inFlightOf(req, grant))
 	grant.ReportStarted = func(s *sched.Statement) {
+		e.markStarted(cell, req.Request)
+		if owner, ok := e.Cells.Owner(cell); ok && owner.ID != remote.node.ID && req.Stream != "" {
+			// The node that granted the request may be gone.
+			e.Cells.ReportStarted(cell, req.Stream, grant.Response.Release)
+		}
 		stream.Send(wire.KindStarted, wire.FromStatement(s)) //nolint:errcheck // the completion is reported in any case.
 	}
 	grant.ReportProgress = func(interToken time.Duration) {
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -158,7 +158,7 @@
 		"store": p.store, "shutdown": p.shutdown, "ready": p.ready, "cut": p.cut, "heal": p.heal, "malformed_entry": p.malformedEntry,
 		"batch": p.batch, "fleet": p.fleet, "engines": p.manyEngines, "calls": p.checkCalls, "in_force": p.inForce,
 		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "crashing_request": p.crashingRequest, "reads": p.reads, "traffic": p.traffic, "crashes": p.checkCrashes,
-		"kill_engine": p.killEngine, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed, "brittle": p.setBrittle, "falls": p.checkFalls,
+		"kill_engine": p.killEngine, "kill_all_but": p.killAllBut, "taken_up": p.checkTakenUp, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed, "brittle": p.setBrittle, "falls": p.checkFalls,
 	}
 	run, ok := commands[command]
 	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.Position, command))
@@ -636,6 +636,26 @@
 	}
 }
 
+// killAllBut kills the nodes that are not named.
+func (p *proxyCase) killAllBut(names []string, _ map[string]string) {
+	for _, name := range slices.Sorted(maps.Keys(p.nodes)) {
+		if !slices.Contains(names, name) {
+			p.kill([]string{name}, nil)
+		}
+	}
+}
+
+// checkTakenUp checks how many of the streams that were cut and taken up went on.
+func (p *proxyCase) checkTakenUp(names []string, given map[string]string) {
+	wentOn := 0
+	for _, name := range p.callNames(names, given) {
+		if c := p.calls[name]; c.resumed != "" && c.status == http.StatusOK && c.body != "" || c.resumed == "" {
+			wentOn++
+		}
+	}
+	qt.Check(p.T, wentOn >= p.IntOption("at_least", 0), qt.IsTrue, qt.Commentf("%s: %d", p.Position, wentOn))
+}
+
 // killEngine ends engines, whose connections break off.
 func (p *proxyCase) killEngine(names []string, _ map[string]string) {
 	for _, name := range names {
