--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -150,21 +150,6 @@
 	startedAt time.Time
 }
 
-// localCell is a cell that this node runs.
-type localCell struct {
-	cell          *sched.Cell
-	specs         []sched.EndpointSpec
-	recentPrompts promptHistory
-	// reportedFree is the number of free slots in the last report to other owners.
-	reportedFree int
-
-	mu sync.Mutex
-	// eventCursors holds the sequence number from which to read each endpoint's
-	// cache events.
-	eventCursors map[ident.Endpoint]int
-	pollCounts   map[ident.Endpoint]int
-}
-
 // Register adds the handlers for messages from other nodes.
 func (m *Manager) Register(mux *link.Mux) {
 	link.Handle(mux, wire.KindGrantRequest, m.serveGrantRequest)
@@ -201,27 +186,6 @@
 	return true
 }
 
-// LocalCell returns a cell that this node runs, or nil.
-func (m *Manager) LocalCell(id ident.CellID) *sched.Cell {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if lc := m.local[id]; lc != nil {
-		return lc.cell
-	}
-	return nil
-}
-
-// localOrRetired returns a cell that this node runs or recently handed over, or
-// nil.
-func (m *Manager) localOrRetired(id ident.CellID) *sched.Cell {
-	if c := m.LocalCell(id); c != nil {
-		return c
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.retired[id]
-}
-
 // Reconcile starts the cells that this node now owns, hands over those that it
 // no longer owns, and drops the requests of members that left the view. It must
 // be called after each change of the members, the settings or the endpoints.
@@ -383,28 +347,6 @@
 	m.tasks.Wait()
 }
 
-func (m *Manager) localCells() []*localCell {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	all := make([]*localCell, 0, len(m.local))
-	for _, lc := range m.local {
-		all = append(all, lc)
-	}
-	return all
-}
-
-func (lc *localCell) endpoints() []sched.EndpointSpec {
-	lc.mu.Lock()
-	defer lc.mu.Unlock()
-	return lc.specs
-}
-
-func (lc *localCell) setEndpoints(specs []sched.EndpointSpec) {
-	lc.mu.Lock()
-	defer lc.mu.Unlock()
-	lc.specs = specs
-}
-
 // tick performs the time-dependent work of the cells and reports whether there are
 // any.
 func (m *Manager) tick(context.Context) bool {
--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"math"
 	"time"
 
 	"goldcrestwick/internal/process/prefix"
@@ -245,50 +244,6 @@
 	return e.running+external < e.Slots && (e.CacheTokens == 0 || e.used+charge <= e.CacheTokens)
 }
 
-// updateErrorRate adds the outcome of a request to the error rate.
-func (e *endpoint) updateErrorRate(isFailure bool, now time.Time) {
-	e.errorRate = e.errorRateAt(now)
-	e.errorRateUpdated = now
-	sample := 0.0
-	if isFailure {
-		sample = 1
-	}
-	e.errorRate += ewmaWeight * (sample - e.errorRate)
-}
-
-// errorRateAt returns the error rate, which decays with time so that a
-// recovered endpoint is tried again.
-func (e *endpoint) errorRateAt(now time.Time) float64 {
-	if e.errorRate == 0 {
-		return 0
-	}
-	return e.errorRate * math.Exp(-now.Sub(e.errorRateUpdated).Seconds()/errorRateTimeConstant.Seconds())
-}
-
-// failurePenalty returns the cost added for the endpoint's recent failures.
-func (e *endpoint) failurePenalty(now time.Time) time.Duration {
-	return time.Duration(e.errorRateAt(now) * float64(failureCost))
-}
-
-// updateExternalLoad computes the external load from the endpoint's count of
-// its requests. Granted requests that have not arrived there yet are not in the
-// count, so the external load may be too low. It is too high by the counted
-// requests that the cell has already ended.
-func (e *endpoint) updateExternalLoad(o Occupancy, now time.Time) {
-	e.externalLoad = max(o.Running+o.Waiting-e.running, 0)
-	e.externalLoadUpdated = now
-}
-
-// externalLoadAt returns the number of external requests, which decreases
-// linearly with the age of the count.
-func (e *endpoint) externalLoadAt(now time.Time) int {
-	if e.externalLoad == 0 {
-		return 0
-	}
-	freshness := 1 - float64(now.Sub(e.externalLoadUpdated))/float64(maxExternalLoadAge)
-	return int(max(freshness, 0)*float64(e.externalLoad) + 0.5)
-}
-
 func (e *endpoint) prefillTime(tokens ident.Tokens) time.Duration {
 	return time.Duration(float64(tokens) / e.prefillRate * float64(time.Second))
 }
@@ -323,18 +278,6 @@
 		time.Duration(output)*e.interTokenLatency/decodeCostDivisor
 }
 
-// reportedDelay estimates the delay from requests in the endpoint's load report
-// that this cell did not grant. It decreases linearly with the report's age on
-// receipt.
-func (e *endpoint) reportedDelay() time.Duration {
-	external := e.report.Waiting + e.report.Running - e.running + e.grantsSinceReport
-	if e.reportedAt.IsZero() || external <= 0 {
-		return 0
-	}
-	freshness := 1 - float64(e.report.Age)/float64(maxLoadReportAge)
-	return time.Duration(max(freshness, 0) * float64(external) * float64(e.interTokenLatency))
-}
-
 func (e *endpoint) addGrant(charge, uncached ident.Tokens) {
 	e.used += charge
 	e.running++
@@ -427,39 +370,6 @@
 
 func (e *endpoint) isWindowInUse() bool { return float64(e.used) > growMinUsage*float64(e.window) }
 
-// recordFailure counts a failure and suspends the endpoint after several
-// consecutive ones or after a failed probe.
-func (e *endpoint) recordFailure(now time.Time) {
-	e.consecutiveFailures++
-	if e.consecutiveFailures >= failuresToSuspend || e.health == probing {
-		e.suspend(now)
-	}
-}
-
-// suspend suspends the endpoint with exponential backoff.
-func (e *endpoint) suspend(now time.Time) {
-	e.suspension = min(max(2*e.suspension, minSuspension), maxSuspension)
-	e.health = suspended
-	e.probeAt = now.Add(e.suspension)
-}
-
-// recover ends the suspension of a probed endpoint. Its window restarts at the
-// minimum, or at twice the minimum for an application runner, and grows with
-// use.
-func (e *endpoint) recover() {
-	if e.health == healthy {
-		return
-	}
-	e.health = healthy
-	e.isStraggler = false
-	e.suspension = 0
-	e.latencySamples = 0
-	e.window = minWindow
-	if e.Kind == ident.ApplicationRunner {
-		e.window = minWindow * 2
-	}
-}
-
 // ewma returns the exponentially weighted moving average after a sample.
 func ewma(old, sample time.Duration) time.Duration {
 	return old + time.Duration(ewmaWeight*float64(sample-old))
--- /dev/null
+++ b/internal/request/proxy/finish.go
@@ -0,0 +1,78 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"goldcrestwick/internal/request/refuse"
+)
+
+// canRetry reports whether another attempt may follow one with the given outcome.
+// Unless that attempt sent nothing, it also takes a retry from the budget.
+func (p *Proxy) canRetry(ctx context.Context, s *requestState, out outcome) bool {
+	if ctx.Err() != nil || time.Until(s.Deadline) < minRetryTime {
+		return false
+	}
+	switch out.result {
+	case notSent:
+		s.unsentAttempts++
+		return s.unsentAttempts < maxUnsentAttempts
+	case rejected:
+	case runFailed, interrupted:
+		if !s.Route.IsRetryable() {
+			return false
+		}
+	default:
+		return false
+	}
+	return s.attempts < s.Route.MaxAttempts && p.Budget.TakeRetry(s.Pool.ID, time.Now())
+}
+
+// finish returns the result of a request after its last attempt. If no answer was
+// started, it writes the last failure answer to the caller, if there is one.
+func (p *Proxy) finish(ctx context.Context, s *requestState, out outcome) Result {
+	s.result.Attempts = s.attempts
+	if out.reason != "" {
+		s.result.Reason = out.reason
+	}
+	switch {
+	case out.result == answered:
+	case s.stream.headSent:
+		s.result.Truncated = true
+	case s.failureAnswer != nil:
+		s.failureAnswer.write(s.w)
+		s.result.Status = s.failureAnswer.status
+	case s.parent.Err() != nil:
+		s.result.Refusal = refuse.NewMayHaveRun(refuse.CallerGone, "the caller went away")
+	case !s.mayHaveRun:
+		s.result.Refusal = noEndpointRefusal(out)
+	case ctx.Err() != nil:
+		s.result.Refusal = refuse.NewMayHaveRun(refuse.DeadlinePassed, "no whole answer came by the deadline")
+	default:
+		s.result.Refusal = refuse.NewMayHaveRun(refuse.EndpointFailed, out.reason)
+	}
+	return s.result
+}
+
+// noEndpointRetryAfter is the wait after which an endpoint without capacity may
+// accept a request again.
+const noEndpointRetryAfter = 300 * time.Millisecond
+
+func noEndpointRefusal(out outcome) *refuse.Refusal {
+	r := refuse.New(refuse.NoEndpoint, "no endpoint took the request: "+out.reason)
+	r.RetryAfter = noEndpointRetryAfter
+	return r
+}
+
+// finishWithoutGrant returns the result of a request whose last grant request was
+// refused: that refusal, or the result of the earlier attempts if one of them may
+// have run or produced an answer.
+func (p *Proxy) finishWithoutGrant(ctx context.Context, s *requestState, refusal *refuse.Refusal) Result {
+	if s.mayHaveRun || s.failureAnswer != nil || s.stream.headSent {
+		return p.finish(ctx, s, outcome{result: interrupted, reason: "no endpoint for a repeat: " + string(refusal.Reason)})
+	}
+	s.result.Attempts = s.attempts
+	s.result.Reason = string(refusal.Reason)
+	s.result.Refusal = refusal
+	return s.result
+}
