Soak: endpoints that fall silent and models that are brittle

Beside the plan of a seed, with draws of their own, endpoints fall silent for 0.8 to 1.4 s one at a time, and from some moment on models fall over when they refuse more than 2 to 4 requests in a second, as they say. A stream that is cut without a fault of its node or a crash of a model, and more falls than 2 and a tenth of the models, are violations. A silent endpoint's host goes on acknowledging: making its sockets drop packets is not supported here.

--- a/internal/tool/soak/check.go
+++ b/internal/tool/soak/check.go
@@ -23,6 +23,10 @@
 	limitFactor     = 1.5
 	limitSlack      = 5
 	maxLateCrashing = 3
+	// maxFalls and a tenth of their number bound how often brittle models fall over.
+	maxFalls = 2
+	// cutSlack is the time before the start of a request within which a fault may cut it.
+	cutSlack = 2 * time.Second
 )
 
 // check checks all records against what the endpoints received.
@@ -47,8 +51,14 @@
 	}
 	r.checkCrashing(r.world.models, 5, hasCrashingPart)
 	r.checkCrashing(r.world.apps, 3, func(a engine.ReceivedRequest) bool { return a.Target == crashingPath })
+	falls := 0
 	for _, e := range r.world.models {
 		r.checkLimit(e)
+		falls += e.falls
+	}
+	r.report.Falls = falls
+	if falls > maxFalls+len(r.world.models)/10 {
+		r.violation("models that survive %d refusals a second fell over %d times", r.world.brittle.Load(), falls)
 	}
 }
 
@@ -78,6 +88,10 @@
 		r.violation("%s %s got the answer to %q, stamp %q", rec.kind, rec.id, rec.attempt, rec.stamp)
 	}
 	isStream := rec.kind == "chat" || rec.kind == "label"
+	if rec.isCut && !r.mayBeCut(rec) {
+		r.violation("%s %s at %s was cut between %s and %s with no fault but silent endpoints", rec.kind, rec.id, rec.node,
+			r.sinceStart(rec.start), r.sinceStart(rec.end))
+	}
 	switch {
 	case rec.isCut && (!isStream || isStreamStart(rec.resumed+rec.body)):
 	case isStream && !rec.isCut && isWholeStream(rec.resumed+rec.body), !isStream && rec.body == "done":
@@ -87,6 +101,20 @@
 	}
 }
 
+// mayBeCut reports whether a fault other than the silence of an endpoint may have cut the
+// answer to a request: one of its node or any crash of a model, or that its time was over.
+func (r *run) mayBeCut(rec record) bool {
+	from := rec.start.Add(-cutSlack)
+	isWithin := func(at time.Time) bool { return at.After(from) && at.Before(rec.end) }
+	if slices.ContainsFunc(r.unplanned[rec.node], isWithin) || rec.end.Sub(rec.start) > routeTimeout {
+		return true
+	}
+	if stopped := r.stopped[rec.node]; stopped.After(rec.start.Add(-graceTime)) && stopped.Before(rec.end) {
+		return true
+	}
+	return slices.ContainsFunc(r.world.models, func(e *endpoint) bool { return slices.ContainsFunc(e.downAt, isWithin) })
+}
+
 // checkCut checks a request that got no answer: its node was killed or frozen, was not
 // reached, ended its grace time, or ended an idle connection at the same moment.
 func (r *run) checkCut(rec record, arrivals int) {
--- a/internal/tool/soak/plan.go
+++ b/internal/tool/soak/plan.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -21,6 +23,7 @@
 		r.world.crashing.Store(true)
 	}
 	var faults sync.WaitGroup
+	faults.Go(func() { r.playEndpoints(ctx) })
 	for end := r.start.Add(r.Duration); time.Now().Before(end) && ctx.Err() == nil; {
 		actions[r.rand.IntN(len(actions))](&faults)
 		time.Sleep(minPause + time.Duration(r.rand.Int64N(int64(maxPause-minPause))))
@@ -28,6 +31,27 @@
 	faults.Wait()
 }
 
+// playEndpoints lets endpoints fall silent, one at a time, and makes the models brittle from
+// some moment on. Its draws are its own, so that those of playPlan stay as they are.
+func (r *run) playEndpoints(ctx context.Context) {
+	random := rand.New(rand.NewPCG(r.Seed, 1<<32))
+	all := slices.Concat(r.world.models, r.world.apps)
+	for end := r.start.Add(r.Duration); time.Now().Before(end) && ctx.Err() == nil; {
+		time.Sleep(time.Duration(500+random.IntN(1500)) * time.Millisecond)
+		if refusals := 2 + random.IntN(3); random.IntN(4) == 0 && r.world.brittle.CompareAndSwap(0, int32(refusals)) {
+			r.note("models survive %d refusals a second", refusals)
+			r.mu.Lock()
+			r.brittleAt = time.Now()
+			r.mu.Unlock()
+		}
+		e, silence := all[random.IntN(len(all))], time.Duration(800+random.IntN(600))*time.Millisecond
+		r.note("%s is silent for %v", e.name, silence)
+		e.setSilent(true)
+		time.Sleep(silence)
+		e.setSilent(false)
+	}
+}
+
 // restartAfter ends a node by a signal and starts it again after a time. It leaves at
 // least two nodes alone.
 func (r *run) restartAfter(faults *sync.WaitGroup, signal syscall.Signal, pause time.Duration) {
--- /dev/null
+++ b/internal/tool/soak/silence.go
@@ -0,0 +1,45 @@
+package soak
+
+import "net"
+
+// setSilent holds up all that an endpoint reads and sends, or ends that. Its host goes on
+// acknowledging packets; conn.TestSilentPeerCut is for one that does not.
+func (e *endpoint) setSilent(isSilent bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if isSilent {
+		e.spoken = make(chan struct{})
+		return
+	}
+	close(e.spoken)
+	e.spoken = nil
+}
+
+// waitSpoken waits until the endpoint is not silent.
+func (e *endpoint) waitSpoken() {
+	e.mu.Lock()
+	spoken := e.spoken
+	e.mu.Unlock()
+	if spoken != nil {
+		<-spoken
+	}
+}
+
+// mutableConn is a connection of an endpoint, which waits while the endpoint is silent.
+type mutableConn struct {
+	net.Conn
+	endpoint *endpoint
+}
+
+// Read reads, and returns when the endpoint is not silent.
+func (c *mutableConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.endpoint.waitSpoken()
+	return n, err
+}
+
+// Write writes when the endpoint is not silent.
+func (c *mutableConn) Write(b []byte) (int, error) {
+	c.endpoint.waitSpoken()
+	return c.Conn.Write(b)
+}
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -5,7 +5,9 @@
 // nodes as processes, and callers that keep their connections until the process at the
 // other end is gone. A seed gives the plan: signals, kills and restarts of nodes, a store
 // that is away, slow or older, settings that change, endpoints that crash by themselves,
-// under a part of a prompt or a request, or name a limit. Faults overlap. Timing differs from run to
+// under a part of a prompt or a request, name a limit, fall silent for a moment, or are
+// brittle. Models of two software releases serve, and callers take up streams that are cut
+// at other nodes. Faults overlap. Timing differs from run to
 // run, so a seed repeats the plan, not every event.
 //
 // # Usage
@@ -56,6 +58,8 @@
 	// TakenUp counts the streams that callers took up after they were cut, and GoneOn
 	// those of them that went on.
 	TakenUp, GoneOn int
+	// Falls counts how often brittle models fell over.
+	Falls int
 	// Violations describes each broken promise.
 	Violations []string
 }
@@ -74,6 +78,8 @@
 	// stopped holds the time of the latest SIGTERM of each node.
 	stopped map[string]time.Time
 	records []record
+	// brittleAt is when the models became brittle.
+	brittleAt time.Time
 }
 
 // Run plays the plan of a seed. The error is that of a run that could not be played.
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -31,8 +31,8 @@
 			Program: program, Dir: dir, Seed: seed, Duration: *duration, Nodes: *nodeCount,
 		})
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("seed %d", seed))
-		t.Logf("seed %d: %d sent, %d whole, %d refused, %d of %d streams went on, %d crashes, %d faults, %d violations",
-			seed, report.Sent, report.Whole, report.Refused, report.GoneOn, report.TakenUp, report.Crashes, len(report.Plan), len(report.Violations))
+		t.Logf("seed %d: %d sent, %d whole, %d refused, %d of %d streams went on, %d crashes, %d falls, %d faults, %d violations",
+			seed, report.Sent, report.Whole, report.Refused, report.GoneOn, report.TakenUp, report.Crashes, report.Falls, len(report.Plan), len(report.Violations))
 		for _, v := range report.Violations {
 			t.Errorf("seed %d: %s", seed, v)
 		}
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -35,6 +35,8 @@
 	downTime = 1500 * time.Millisecond
 	// limitRate is the limit on requests per second that models name.
 	limitRate = 2.0
+	// routeTimeout is the least timeout of the routes.
+	routeTimeout = 4 * time.Second
 	// callTime is the duration of a call to an application.
 	callTime = 20 * time.Millisecond
 
@@ -69,9 +71,12 @@
 	cloud    cloud.Platform
 	server   *httptest.Server
 	crashing atomic.Bool
-	models   []*endpoint
-	apps     []*endpoint
-	nodes    []*nodeProcess
+	// brittle is how many refusals for want of room in a second models survive, 0 for any
+	// number.
+	brittle atomic.Int32
+	models  []*endpoint
+	apps    []*endpoint
+	nodes   []*nodeProcess
 
 	mu      sync.Mutex
 	version int
@@ -181,7 +186,7 @@
 	w.version++
 	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
-			"name": name, "host": "h.example", "prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": 4000 + w.version%5,
+			"name": name, "host": "h.example", "prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": routeTimeout.Milliseconds() + int64(w.version%5),
 			"target_latency_ms": 1000, "gap_aim_ms": 600, "attempts": attempts, "resumable": resumable,
 		}
 	}
@@ -226,8 +231,14 @@
 	isDown    bool
 	conns     map[net.Conn]bool
 	limitedAt time.Time
-	// crashedAt holds the crashes under crashingPart and crashingPath.
-	crashedAt []time.Time
+	// crashedAt holds the crashes under crashingPart and crashingPath, and downAt all.
+	crashedAt, downAt []time.Time
+	// spoken is not nil while the endpoint is silent, and closed at the end of that.
+	spoken chan struct{}
+	// refusedAt holds the latest refusals for want of room, and falls counts how often the
+	// endpoint fell over for too many.
+	refusedAt []time.Time
+	falls     int
 }
 
 func newEndpoint(w *world, name, service, release string) (*endpoint, error) {
@@ -241,6 +252,8 @@
 			Slots: modelSlots, MaxWaiting: modelSlots, CacheTokens: 50000, StepTime: 4 * time.Millisecond, PrefillTimePerToken: 50 * time.Microsecond,
 		}
 		e.RateLimit = e.limit
+		e.Brittle = func() int { return int(w.brittle.Load()) }
+		e.Refused = e.recordRefusal
 	}
 	e.Crash = e.crashUnder
 	var err error
@@ -263,6 +276,7 @@
 			c.Close() //nolint:errcheck // it acts like a closed port.
 			continue
 		}
+		c = &mutableConn{c, e}
 		e.conns[c] = true
 		e.mu.Unlock()
 		go func() {
@@ -321,6 +335,22 @@
 	return true
 }
 
+// recordRefusal records that the endpoint refused a request for want of room. A brittle one
+// that refuses too many in a second falls over.
+func (e *endpoint) recordRefusal() {
+	limit, now := int(e.world.brittle.Load()), time.Now()
+	e.mu.Lock()
+	e.refusedAt = slices.DeleteFunc(append(e.refusedAt, now), func(at time.Time) bool { return now.Sub(at) > time.Second })
+	hasFallen := limit > 0 && len(e.refusedAt) > limit
+	if hasFallen {
+		e.refusedAt, e.falls = nil, e.falls+1
+	}
+	e.mu.Unlock()
+	if hasFallen {
+		e.crash(nil)
+	}
+}
+
 // crash closes all connections and refuses new ones for downTime.
 func (e *endpoint) crash(faults *sync.WaitGroup) {
 	e.mu.Lock()
@@ -329,6 +359,7 @@
 		return
 	}
 	e.isDown = true
+	e.downAt = append(e.downAt, time.Now())
 	for c := range e.conns {
 		c.Close() //nolint:errcheck // it acts like a crash.
 	}
