Keep a stream in the pool that began it

The release that began a stream means nothing in another pool: a stream whose route is split could be taken up in the other pool and bound there to a release of the same name, or be refused if there is none; one whose route was moved to another service was refused. The origin of a stream has its pool now. A request moves to it if the route leads there, and is bound to no release if it does not: the rest comes from another service then, as the operator wants.

--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -13,6 +13,7 @@
 	"goldcrestwick/internal/connection/wire"
 	"goldcrestwick/internal/process/budget"
 	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/origin"
 	"goldcrestwick/internal/process/reach"
 	"goldcrestwick/internal/process/roster"
 	"goldcrestwick/internal/process/spread"
@@ -51,7 +52,7 @@
 			n.Log.Info("endpoint_limit_changed", "endpoint", id, "requests_per_second", float64(limit))
 		},
 		Quarantined: n.findQuarantined, FindOrigin: n.findOrigin,
-		Started: func(stream ident.RequestID, release ident.Release) { n.streams.known.Add(stream, release, time.Now()) },
+		Started: func(stream ident.RequestID, o origin.Origin) { n.streams.known.Add(stream, o, time.Now()) },
 	}
 	n.router = router.Router{
 		Tree: n.settingsOrNil, DecodeRequest: n.Platform.HeaderCodec.DecodeRequest, Serve: n.serveProxied,
--- a/internal/process/node/streams.go
+++ b/internal/process/node/streams.go
@@ -58,7 +58,7 @@
 // recordOrigin records that an endpoint of a cell of this node began a stream. It is
 // called with the cell's lock held.
 func (n *Node) recordOrigin(cell ident.CellID, stream ident.RequestID, release ident.Release) {
-	n.streams.known.Add(stream, release, time.Now())
+	n.streams.known.Add(stream, origin.Origin{Pool: cell.Pool, Release: release}, time.Now())
 	n.streams.mu.Lock()
 	defer n.streams.mu.Unlock()
 	if n.streams.unreported == nil {
@@ -82,7 +82,7 @@
 		for cell, origins := range unreported {
 			others := n.withoutSelf(n.cells.PreferenceList(cell))
 			n.tasks.Go(func() {
-				callAll[wire.Origins, wire.Empty](ctx, n, others, wire.KindOrigins, wire.FromOrigins(origins))
+				callAll[wire.Origins, wire.Empty](ctx, n, others, wire.KindOrigins, wire.FromOrigins(cell.Pool, origins))
 			})
 		}
 		return false
@@ -91,8 +91,8 @@
 
 func (n *Node) serveOrigins(_ context.Context, s *link.Stream, m wire.Origins) {
 	now := time.Now()
-	for stream, release := range m.ToOrigins() {
-		n.streams.known.Add(stream, release, now)
+	for stream, o := range m.ToOrigins() {
+		n.streams.known.Add(stream, o, now)
 	}
 	s.Send(wire.KindAck, wire.Empty{}) //nolint:errcheck // the reporter ignores lost reports.
 }
@@ -108,14 +108,14 @@
 	n.streams.census.Observe(releases, time.Now())
 }
 
-// findOrigin returns the release that began the stream which a request takes up. If this
-// node does not know it, it asks others. If none knows the stream, it is the pool's only
-// release, provided that a node has known no other for maxAge, the longest time for which
-// the stream can have run. It returns false if the release cannot be told.
-func (n *Node) findOrigin(ctx context.Context, j *entry.Job, maxAge time.Duration) (ident.Release, bool) {
+// findOrigin returns the origin of the stream that a request takes up. If this node does not
+// know it, it asks others. If none knows the stream, its release is the pool's only one,
+// provided that a node has known no other for maxAge, the longest time for which the stream
+// can have run. It returns false if the origin cannot be told.
+func (n *Node) findOrigin(ctx context.Context, j *entry.Job, maxAge time.Duration) (origin.Origin, bool) {
 	reply := n.originOf(j.Stream, j.Pool.ID)
 	if reply.IsKnown {
-		return ident.Release(reply.Release), true
+		return reply.ToOrigin(), true
 	}
 	replies := []wire.OriginReply{reply}
 	query := wire.OriginQuery{Stream: string(j.Stream), Pool: string(j.Pool.ID)}
@@ -129,12 +129,12 @@
 		return r.IsKnown
 	})
 	if reply.IsKnown {
-		return ident.Release(reply.Release), true
+		return reply.ToOrigin(), true
 	}
 	release, ok := soleRelease(replies, maxAge)
 	n.Log.Info("stream_origin_unknown", "request_id", j.Request.ID, "stream", j.Stream, "pool", j.Pool.ID,
 		"replies", len(replies), "sole_release", release, "is_sole", ok)
-	return release, ok
+	return origin.Origin{Pool: j.Pool.ID, Release: release}, ok
 }
 
 // originHolders returns the nodes that may know the origin of a job's stream: in a small
@@ -176,8 +176,8 @@
 
 // originOf returns what this node knows of the origin of a stream.
 func (n *Node) originOf(stream ident.RequestID, pool ident.PoolID) wire.OriginReply {
-	if release, ok := n.streams.known.Find(stream); ok {
-		return wire.OriginReply{IsKnown: true, Release: string(release)}
+	if o, ok := n.streams.known.Find(stream); ok {
+		return wire.OriginReply{IsKnown: true, Pool: string(o.Pool), Release: string(o.Release)}
 	}
 	now := time.Now()
 	release, age, ok := n.streams.census.Sole(pool, now)
--- a/internal/process/origin/origin.go
+++ b/internal/process/origin/origin.go
@@ -9,8 +9,8 @@
 //
 // # Usage
 //
-//	streams.Add("9c41d07be2a35f68", "v1.2", time.Now())
-//	release, ok := streams.Find("9c41d07be2a35f68")
+//	streams.Add("9c41d07be2a35f68", origin.Origin{Pool: "platform/chat", Release: "v1.2"}, time.Now())
+//	o, ok := streams.Find("9c41d07be2a35f68")
 //
 //	census.Observe(releasesByPool, time.Now())
 //	release, age, ok := census.Sole("platform/chat", time.Now())
@@ -32,44 +32,50 @@
 	maxStreams = 1 << 16
 )
 
-// Streams remembers the releases that began streams. The zero value is empty. It is safe
+// Origin is where a stream began.
+type Origin struct {
+	Pool    ident.PoolID
+	Release ident.Release
+}
+
+// Streams remembers the origins of streams. The zero value is empty. It is safe
 // for concurrent use.
 type Streams struct {
 	mu sync.Mutex
 	// current holds the streams added since rotatedAt, previous those added before.
-	current, previous map[ident.RequestID]ident.Release
+	current, previous map[ident.RequestID]Origin
 	rotatedAt         time.Time
 }
 
-// Add records the release that began a stream. It reports whether the stream was unknown.
-// The release of a known stream does not change.
-func (s *Streams) Add(stream ident.RequestID, release ident.Release, now time.Time) bool {
+// Add records the origin of a stream. It reports whether the stream was unknown. The origin
+// of a known stream does not change.
+func (s *Streams) Add(stream ident.RequestID, o Origin, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if now.Sub(s.rotatedAt) > streamTTL || len(s.current) >= maxStreams {
 		s.previous, s.current, s.rotatedAt = s.current, nil, now
 	}
 	if s.current == nil {
-		s.current = map[ident.RequestID]ident.Release{}
+		s.current = map[ident.RequestID]Origin{}
 	}
 	old, known := s.find(stream)
 	if known {
-		release = old
+		o = old
 	}
-	s.current[stream] = release
+	s.current[stream] = o
 	return !known
 }
 
-// Find returns the release that began a stream.
-func (s *Streams) Find(stream ident.RequestID) (release ident.Release, ok bool) {
+// Find returns the origin of a stream.
+func (s *Streams) Find(stream ident.RequestID) (o Origin, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.find(stream)
 }
 
-func (s *Streams) find(stream ident.RequestID) (release ident.Release, ok bool) {
-	if release, ok = s.current[stream]; !ok {
-		release, ok = s.previous[stream]
+func (s *Streams) find(stream ident.RequestID) (o Origin, ok bool) {
+	if o, ok = s.current[stream]; !ok {
+		o, ok = s.previous[stream]
 	}
-	return release, ok
+	return o, ok
 }
--- a/internal/process/origin/origin_test.go
+++ b/internal/process/origin/origin_test.go
@@ -36,16 +36,16 @@
 			case "at":
 				now = start.Add(line.ParseDuration(line.Operands[0]))
 			case "add":
-				isNew := streams.Add(ident.RequestID(line.Operands[0]), ident.Release(line.Operands[1]), now)
+				isNew := streams.Add(ident.RequestID(line.Operands[0]), Origin{"p", ident.Release(line.Operands[1])}, now)
 				qt.Check(t, isNew, qt.Equals, line.Options["new"] != "no", comment)
 			case "add_many":
 				for i := range line.IntOption("count", 0) {
-					streams.Add(ident.RequestID(fmt.Sprint("further", i)), "v", now)
+					streams.Add(ident.RequestID(fmt.Sprint("further", i)), Origin{"p", "v"}, now)
 				}
 			case "find":
-				release, ok := streams.Find(ident.RequestID(line.Operands[0]))
+				o, ok := streams.Find(ident.RequestID(line.Operands[0]))
 				qt.Check(t, ok, qt.Equals, line.Options["release"] != "", comment)
-				qt.Check(t, string(release), qt.Equals, line.Options["release"], comment)
+				qt.Check(t, string(o.Release), qt.Equals, line.Options["release"], comment)
 			case "pool":
 				census.Observe(map[ident.PoolID][]ident.Release{"p": releasesOf(line)}, now)
 			case "learn":
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -29,6 +29,7 @@
 
 	"goldcrestwick/internal/connection/conn"
 	"goldcrestwick/internal/process/budget"
+	"goldcrestwick/internal/process/origin"
 	"goldcrestwick/internal/process/reach"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/trace"
@@ -198,12 +199,12 @@
 	// Quarantined returns the first of a request's traits that is quarantined, and
 	// until when; nil means that none is.
 	Quarantined func([]ident.Trait) (trait ident.Trait, until time.Time, ok bool)
-	// FindOrigin returns the software release that began the stream which a job takes up
-	// and which is no older than maxAge; it returns false if that cannot be told.
-	FindOrigin func(ctx context.Context, j *entry.Job, maxAge time.Duration) (ident.Release, bool)
-	// Started is called when an endpoint of a release has begun a stream, or gone on with
-	// one; it may be nil.
-	Started func(stream ident.RequestID, release ident.Release)
+	// FindOrigin returns the origin of the stream that a job takes up and that is no older
+	// than maxAge; it returns false if that cannot be told.
+	FindOrigin func(ctx context.Context, j *entry.Job, maxAge time.Duration) (origin.Origin, bool)
+	// Started is called when an endpoint has begun a stream, or gone on with one; it may be
+	// nil.
+	Started func(stream ident.RequestID, o origin.Origin)
 	// Reach tells whether this node has a path to the endpoints, and Detour has other nodes
 	// serve a request; it returns false if they have done nothing for it. Nil means that
 	// requests are never served through other nodes.
@@ -309,16 +310,30 @@
 	if !s.isStream() || s.Info.LastEventID == 0 || p.FindOrigin == nil {
 		return nil
 	}
-	release, ok := p.FindOrigin(ctx, s.job, maxStreamAge*s.Route.Timeout)
+	o, ok := p.FindOrigin(ctx, s.job, maxStreamAge*s.Route.Timeout)
 	if !ok {
 		refusal := refuse.New(refuse.OriginUnknown, "it is not known which software release began the stream")
 		refusal.RetryAfter = noEndpointRetryAfter
 		return refusal
 	}
-	s.job.Release = &release
+	if o.Pool == s.Pool.ID || s.moveToPool(o.Pool) {
+		s.job.Release = &o.Release
+	}
 	return nil
 }
 
+// moveToPool moves the request to another pool of its route. It returns false if the route
+// leads there no longer: the releases of another pool say nothing of the stream's.
+func (s *requestState) moveToPool(id ident.PoolID) bool {
+	for _, share := range s.Route.Shares {
+		if share.Pool.ID == id {
+			s.Pool, s.job.Pool = share.Pool, share.Pool
+			return true
+		}
+	}
+	return false
+}
+
 // quarantineRefusal returns the refusal of a request with a quarantined trait, or nil.
 func (p *Proxy) quarantineRefusal(s *requestState) *refuse.Refusal {
 	if p.Quarantined == nil {
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"goldcrestwick/internal/connection/conn"
+	"goldcrestwick/internal/process/origin"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/version/config"
@@ -205,7 +206,7 @@
 	s.result.Releases = append(s.result.Releases, release)
 	s.job.Release = &release
 	if x.proxy.Started != nil && s.job.Stream != "" {
-		x.proxy.Started(s.job.Stream, release)
+		x.proxy.Started(s.job.Stream, origin.Origin{Pool: s.Pool.ID, Release: release})
 	}
 }
 
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -366,6 +366,7 @@
 		"version": p.version, "routes": p.routes, "tenants": p.tenants,
 		"services": []map[string]any{
 			{"name": "llm", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "increment": 1}},
+			{"name": "llm2", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "increment": 1}},
 			{"name": "app"},
 		},
 	})
