--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -153,6 +153,8 @@
 	// fragileUntil.
 	maxRejections int
 	fragileUntil  time.Time
+	// rejectedAt holds the times of the latest rejections while the pool is fragile.
+	rejectedAt []time.Time
 	// overloadSince is the start of the current overload. lastShed is when a
 	// request was last refused, or moved by Close. Both are updated only for
 	// endpoints with known slots.
--- a/internal/process/sched/endpoint.go
+++ b/internal/process/sched/endpoint.go
@@ -173,7 +173,7 @@
 	// nextGrantAt is the earliest time of the next grant within the limit.
 	nextGrantAt time.Time
 	// risk is kept while the pool is fragile.
-	risk rejections
+	risk risk
 	// reservedRound is the last round in which a waiting request reserved the
 	// endpoint's next free capacity.
 	reservedRound uint64
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		c.considered = append(c.considered, e.ID)
-		if cost := e.cost(uncached, r.Output, remaining) + zonePenalty(r, e) + e.failurePenalty(now); best == nil || cost < bestCost {
+		if cost := e.cost(uncached, r.Output, remaining) + zonePenalty(r, e) + e.failurePenalty(now) + c.fragileJitter(now); best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
