Cut no detour when the node that serves it stops

A node that stops waits for its callers' requests and then closes its connections to the endpoints: requests that it served for partitioned nodes were cut. It waits for them too now.

Found on reading. fleet.TestProxy/partitioned_node_peer_leaves; nodes of scripts now close after a stop as the program does.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -272,6 +272,7 @@
 	defer cancel()
 	tick.Sleep(ctx, e.drainDelay)
 	err := e.callerServer.Shutdown(ctx)
+	e.node.WaitDetours(ctx)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -170,14 +170,22 @@
 	return nil
 }
 
-// Resolve fills in a request that this node serves for another one, which has admitted it
-// and has its body. The release function must be called when the request ends.
-func (rt *Router) Resolve(req *proxy.Request) (release func(), refusal *refuse.Refusal) {
+// Resolve fills in a request that this node serves for another one, which has admitted it,
+// has its body and has chosen the given pool if the route leads there. The release function
+// must be called when the request ends.
+func (rt *Router) Resolve(req *proxy.Request, pool ident.PoolID) (release func(), refusal *refuse.Refusal) {
 	tree := rt.Tree()
 	if tree == nil {
 		return func() {}, refuse.New(refuse.NodeNotReady, "this node has no settings yet")
 	}
 	refusal = rt.resolve(req, tree)
+	if refusal == nil {
+		for _, share := range req.Route.Shares {
+			if share.Pool.ID == pool {
+				req.Pool = share.Pool
+			}
+		}
+	}
 	return func() { rt.openIDs.Delete(req.ID) }, refusal
 }
 
--- a/internal/connection/wire/detour.go
+++ b/internal/connection/wire/detour.go
@@ -18,6 +18,8 @@
 	// that began the stream, nil if that is not known.
 	LastEventID int     `cbor:"9,keyasint,omitempty"`
 	Release     *string `cbor:"10,keyasint,omitempty"`
+	// Pool is the one of the route's pools that the request has gone to or is to go to.
+	Pool string `cbor:"11,keyasint,omitempty"`
 }
 
 // DetourData is a part of the request's body or of its answer.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -42,6 +42,7 @@
 	"goldcrestwick/internal/process/store"
 	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/process/trace"
+	"goldcrestwick/internal/request/detour"
 	"goldcrestwick/internal/request/entry"
 	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/proxy"
@@ -141,6 +142,7 @@
 	poison         poisonState
 	streams        streamState
 	reach          reach.Monitor
+	detours        detour.Server
 
 	claimCoordinatorSet atomic.Pointer[claimCoordinatorSet]
 	quotaCoordinators   atomic.Pointer[viewCoordinators]
@@ -293,7 +295,7 @@
 
 // Wait returns when every request of Front has ended and every late completion
 // has been reported or given up. It does not wait for proxied requests; the
-// Shutdown method of the HTTP server that serves Router does.
+// Shutdown method of the HTTP server that serves Router does, and WaitDetours.
 func (n *Node) Wait() { n.entry.Wait() }
 
 // Stop ends the node's background work and closes its connections to endpoints.
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -17,6 +17,7 @@
 	"goldcrestwick/internal/process/reach"
 	"goldcrestwick/internal/process/roster"
 	"goldcrestwick/internal/process/spread"
+	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/detour"
 	"goldcrestwick/internal/request/ident"
@@ -145,16 +146,26 @@
 	n.reach = reach.Monitor{Dial: n.conns.Check, Addresses: n.endpointAddresses, Changed: n.pathChanged}
 	client := &detour.Client{Open: n.Open, Peers: n.detourPeers, Log: n.Log}
 	n.proxy.Reach, n.proxy.Detour = &n.reach, client.Serve
-	server := &detour.Server{
+	n.detours = detour.Server{
 		Resolve: n.router.Resolve, Serve: n.proxy.Serve, IsLost: n.reach.IsLost,
 		Ended: func(r *proxy.Request, result proxy.Result) {
 			n.Log.Info("detour_ended", "request_id", r.ID, "endpoint", result.Endpoint, "status", result.Status,
 				"attempts", result.Attempts, "events", result.Events, "reason", result.Reason)
 		},
 	}
-	link.Handle(mux, wire.KindDetour, server.Handle)
+	link.Handle(mux, wire.KindDetour, n.detours.Handle)
 }
 
+// WaitDetours waits until this node serves no request for another one, or ctx is done.
+func (n *Node) WaitDetours(ctx context.Context) {
+	for n.detours.Active() > 0 && tick.Sleep(ctx, detourWaitInterval) {
+		continue
+	}
+}
+
+// detourWaitInterval is the time between two looks of WaitDetours.
+const detourWaitInterval = 50 * time.Millisecond
+
 // IsReady reports whether the node accepts new requests.
 func (n *Node) IsReady() bool { return n.isReady() }
 
--- a/internal/request/detour/server.go
+++ b/internal/request/detour/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,19 +20,27 @@
 // Server serves the requests of nodes that have lost their path. Set the exported fields
 // before use; it is safe for concurrent use.
 type Server struct {
-	// Resolve finds the route and the account of a request. The release function must be
-	// called when the request ends, also if it is refused.
-	Resolve func(r *proxy.Request) (release func(), refusal *refuse.Refusal)
+	// Resolve finds the route, the account and the pool of a request, the given one if the
+	// route leads there. The release function must be called when the request ends, also if
+	// it is refused.
+	Resolve func(r *proxy.Request, pool ident.PoolID) (release func(), refusal *refuse.Refusal)
 	// Serve proxies a request. It writes the answer unless its result has a refusal.
 	Serve func(context.Context, *proxy.Request, http.ResponseWriter) proxy.Result
 	// IsLost reports whether this node has lost its path too.
 	IsLost func() bool
 	// Ended is called with each request that was served; it may be nil.
 	Ended func(*proxy.Request, proxy.Result)
+
+	active atomic.Int64
 }
 
+// Active returns the number of requests that are served.
+func (s *Server) Active() int { return int(s.active.Load()) }
+
 // Handle serves one request.
 func (s *Server) Handle(ctx context.Context, stream *link.Stream, m wire.Detour) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
 	body, err := receiveBody(stream, m)
 	if err != nil {
 		return
@@ -45,7 +54,7 @@
 		r.Release = &release
 	}
 	deadline := r.Arrived.Add(time.Duration(m.Remaining))
-	release, refusal := s.Resolve(r)
+	release, refusal := s.Resolve(r, ident.PoolID(m.Pool))
 	defer release()
 	if refusal != nil || s.IsLost() {
 		// The settings of the two nodes may differ for a moment: the requester has a route.
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -706,6 +706,9 @@
 		if err := n.server.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 			p.Errorf("shut down node: %v", err)
 		}
+		n.WaitDetours(ctx)
+		n.Stop()
+		n.peers.Close()
 	})
 	synctest.Wait()
 }
