Stop a node that has not joined yet

A process that got TERM within some tenths of a second after its start, before it had loaded the fleet's authority, ended by a panic with exit status 2: it marked its entry as leaving in a list of members that had not been started, and would next have called a nil function.

--- a/internal/process/member/list.go
+++ b/internal/process/member/list.go
@@ -80,9 +80,13 @@
 }
 
 // SetSelf changes this node's own entry and raises its incarnation, so that the
-// change spreads.
+// change spreads. Before Start there is no entry, and it does nothing.
 func (l *List) SetSelf(change func(*Member)) {
 	l.mu.Lock()
+	if l.all == nil {
+		l.mu.Unlock()
+		return
+	}
 	change(&l.self)
 	l.self.Incarnation++
 	l.all[l.self.ID] = &record{Member: l.self, since: time.Now()}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -149,7 +149,9 @@
 	follower            follow.Follower
 	resumeKey           []byte
 	ctx                 context.Context
-	cancel              context.CancelFunc
+	// stopping is done when Stop is called, which calls cancel.
+	stopping context.Context
+	cancel   context.CancelFunc
 	tasks               sync.WaitGroup
 }
 
@@ -171,6 +173,7 @@
 // Prepare connects the components and registers the handlers for peer requests
 // on mux. The resume key signs resume tokens and is shared by all nodes.
 func (n *Node) Prepare(mux *link.Mux, resumeKey []byte) {
+	n.stopping, n.cancel = context.WithCancel(context.Background())
 	n.tree.Store(n.Tree)
 	if n.Tree == nil {
 		n.tree.Store(&config.Tree{})
@@ -244,7 +247,8 @@
 // it waits without a limit until it has read the settings, the endpoints and the
 // nodes from the store, and then at most joinTimeout for the peers.
 func (n *Node) Start(ctx context.Context) {
-	ctx, n.cancel = context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(n.stopping, cancel)
 	n.ctx = ctx
 	n.members.Start(member.Member{
 		ID: n.Process.Name, Region: n.Process.Region, Zone: n.Process.Zone,
@@ -298,8 +302,8 @@
 // Shutdown method of the HTTP server that serves Router does, and WaitDetours.
 func (n *Node) Wait() { n.entry.Wait() }
 
-// Stop ends the node's background work and closes its connections to endpoints.
-// Call it only after Start. For a graceful shutdown call it after Leave and Wait;
+// Stop ends the node's background work and closes its connections to endpoints. A node
+// that is stopped before Start does not start. For a graceful shutdown call it after Leave and Wait;
 // called alone it acts like a crash, which the other nodes have to detect.
 func (n *Node) Stop() {
 	n.cancel()
