Count crashes as evidence while a node suspects its path

Two endpoints that crash under one node's requests make it suspect its path, and it reported the second failure without saying that the connection had ended unanswered. The failure is not held against the endpoint, and is reported as a possible crash as before.

--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -157,8 +157,9 @@
 	// Cancelled is set when the caller left or the deadline passed while the
 	// endpoint was running the request.
 	Cancelled bool
-	// NoAnswer is set with Failed if the endpoint ended the connection before any part of
-	// the answer, as one that crashes does.
+	// NoAnswer is set with Failed, or with Cancelled if the entry node suspects its own path,
+	// if the endpoint ended the connection before any part of the answer, as one that
+	// crashes does.
 	NoAnswer bool
 	// IsWhole is set when the endpoint ran the request and gave the whole answer.
 	IsWhole bool
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -257,19 +257,27 @@
 
 // failMidway returns the outcome of an exchange whose connection failed.
 func (x *exchange) failMidway(ctx context.Context, reason string) outcome {
-	out := x.fail(ctx, reason)
-	if out.completion.Failed && x.proxy.suspectsPath(func(m *reach.Monitor) { m.Failed(x.grant.Response.Endpoint) }) {
-		out.completion = sched.Completion{Cancelled: true}
-	}
-	return out
+	return x.excuseEndpoint(x.fail(ctx, reason))
 }
 
 // failWithoutAnswer returns the outcome of an exchange that ended with an error before
-// any part of the answer. Unlike fail, it reports to the cell whether the endpoint ended
-// the connection.
+// any part of the answer. Unlike failMidway, it reports to the cell whether the endpoint
+// ended the connection.
 func (x *exchange) failWithoutAnswer(ctx context.Context, reason string, err error) outcome {
-	out := x.failMidway(ctx, reason)
-	out.completion.NoAnswer = out.result == interrupted && out.completion.Failed && isConnectionEnd(err)
+	out := x.fail(ctx, reason)
+	noAnswer := out.result == interrupted && out.completion.Failed && isConnectionEnd(err)
+	out = x.excuseEndpoint(out)
+	// It may be a crash though the path is suspect: the cells' nodes see whether the
+	// endpoint completes other requests, and what several crashes have in common.
+	out.completion.NoAnswer = noAnswer
+	return out
+}
+
+// excuseEndpoint reports a failure as a cancellation if it may be one of this node's path.
+func (x *exchange) excuseEndpoint(out outcome) outcome {
+	if out.completion.Failed && x.proxy.suspectsPath(func(m *reach.Monitor) { m.Failed(x.grant.Response.Endpoint) }) {
+		out.completion = sched.Completion{Cancelled: true}
+	}
 	return out
 }
 
