Try the next node when one that serves a detour reaches no endpoint

partitioned_nodes_refuse failed once in four runs: a request of one partitioned node was served through another one that did not know yet that it had no path either, and was refused by it as not run (no_endpoint).

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -152,7 +152,7 @@
 	// stopping is done when Stop is called, which calls cancel.
 	stopping context.Context
 	cancel   context.CancelFunc
-	tasks               sync.WaitGroup
+	tasks    sync.WaitGroup
 }
 
 // claimCoordinatorSet caches the claim coordinators of one view, that is, the nodes
--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -36,18 +36,23 @@
 	lost
 )
 
-// Serve has other nodes serve a request, one after the other while they do nothing for it
-// or, if it may be repeated, are lost. It writes the answer to w unless the result has a
-// refusal. It returns false if no node has done anything for the request.
+// Serve has other nodes serve a request, one after the other while they do nothing for it,
+// reach no endpoint or, if it may be repeated, are lost. It writes the answer to w unless the
+// result has a refusal. It returns false if no node has done anything for the request.
 func (c *Client) Serve(ctx context.Context, r *proxy.Request, w http.ResponseWriter) (proxy.Result, bool) {
 	peers := c.Peers()
 	mayHaveRun := false
+	var refused *proxy.Result
 	for _, peer := range peers[:min(len(peers), maxPeers)] {
 		e := &exchange{request: r, w: w}
 		result, out := e.run(ctx, c.Open, peer)
 		c.Log.Debug("request_detoured", "request_id", r.ID, "peer", peer.ID, "outcome", out, "reason", result.Reason)
 		result.Peer = peer.ID
 		switch {
+		case out == done && reachedNone(result):
+			// The node has no path either and does not know it yet.
+			refused = &result
+			continue
 		case out == done:
 			return result, true
 		case ctx.Err() != nil:
@@ -63,12 +68,20 @@
 			break
 		}
 	}
-	if mayHaveRun {
+	switch {
+	case mayHaveRun:
 		return interrupted(proxy.Result{}, "the node that served the request is gone"), true
+	case refused != nil:
+		return *refused, true
 	}
 	return proxy.Result{}, false
 }
 
+// reachedNone reports whether a request was refused because no endpoint could be reached.
+func reachedNone(r proxy.Result) bool {
+	return r.Refusal != nil && r.Refusal.Reason == refuse.NoEndpoint && !r.Refusal.MayHaveRun()
+}
+
 func interrupted(result proxy.Result, reason string) proxy.Result {
 	result.Interrupted++
 	result.Reason = reason
