Take a detour that failed while it was sent for one that may have run

A write that fails does not show that the other node lacks the end of the request: it could serve it while the next one does so too. What may not run twice gets 502 then, as for a node that is lost later. Found on reading; not seen.

--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -108,8 +108,8 @@
 	defer stream.Close()                                      //nolint:errcheck // the exchange is over.
 	defer context.AfterFunc(ctx, func() { stream.Close() })() //nolint:errcheck // unblocks Receive, and ends the run.
 	if err := e.send(stream); err != nil {
-		// The node serves a request only when it has all of it.
-		return proxy.Result{Reason: err.Error()}, untouched
+		// The node may have all of the request nevertheless.
+		return proxy.Result{Reason: err.Error()}, lost
 	}
 	result, isDone, err := e.receive(stream)
 	switch {
