--- a/internal/process/reach/reach_test.go
+++ b/internal/process/reach/reach_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"iter"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,10 +36,12 @@
 }
 
 func runScript(t *testing.T, lines iter.Seq[script.Line]) {
+	var mu sync.Mutex
 	endpoints, unreachable, hangs, changes, dials := 0, 0, false, 0, 0
-	counted := make(chan struct{}, 1<<16)
 	m := &Monitor{
 		Addresses: func() []string {
+			mu.Lock()
+			defer mu.Unlock()
 			var all []string
 			for i := range endpoints {
 				all = append(all, fmt.Sprintf("%04d", i))
@@ -46,16 +49,23 @@
 			return all
 		},
 		Dial: func(ctx context.Context, address string) error {
-			counted <- struct{}{}
-			if address < fmt.Sprintf("%04d", endpoints-unreachable) {
+			mu.Lock()
+			dials++
+			isReached, isHanging := address < fmt.Sprintf("%04d", endpoints-unreachable), hangs
+			mu.Unlock()
+			if isReached {
 				return nil
 			}
-			if hangs {
+			if isHanging {
 				<-ctx.Done()
 			}
 			return errUnreachable
 		},
-		Changed: func(bool) { changes++ },
+		Changed: func(bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			changes++
+		},
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -69,9 +79,13 @@
 		want := line.Options["is"] != "no"
 		switch line.Command {
 		case "endpoints":
+			mu.Lock()
 			endpoints = line.ParseInt(line.Operands[0])
+			mu.Unlock()
 		case "unreachable":
+			mu.Lock()
 			unreachable, hangs = line.ParseInt(line.Operands[0]), line.Options["hang"] == "yes"
+			mu.Unlock()
 		case "fail":
 			for _, id := range line.Operands {
 				m.Failed(ident.Endpoint(id))
@@ -99,13 +113,14 @@
 		case "lost":
 			qt.Check(t, m.IsLost(), qt.Equals, want, comment)
 		case "changes":
+			mu.Lock()
 			qt.Check(t, changes, qt.Equals, line.ParseInt(line.Operands[0]), comment)
+			mu.Unlock()
 		case "dials":
-			dials = len(counted)
-			for range dials {
-				<-counted
-			}
+			mu.Lock()
 			qt.Check(t, dials <= line.IntOption("at_most", 0), qt.IsTrue, qt.Commentf("%s: %d", line.Position, dials))
+			dials = 0
+			mu.Unlock()
 		default:
 			t.Fatalf("%s: unknown command %s", line.Position, strings.Join(line.Args, " "))
 		}
