--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -95,7 +95,6 @@
 	w       http.ResponseWriter
 	// hasHead is set when the head of the answer was written to the caller.
 	hasHead bool
-	events  int
 }
 
 func (e *exchange) run(ctx context.Context, open link.Opener, peer member.Member) (proxy.Result, outcome) {
