--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -5,8 +5,9 @@
 	"slices"
 	"time"
 
+	"goldcrestwick/internal/process/adapt"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/prefix"
-	"goldcrestwick/internal/request/ident"
 )
 
 // grant is a granted request that has not ended.
@@ -22,6 +23,8 @@
 	// backlogAhead is the endpoint's backlog when the request was granted.
 	backlogAhead ident.Tokens
 	grantedAt    time.Time
+	// span is the start of the request for the endpoint's load.
+	span adapt.Span
 	// isPrefillDone is set when the first token has come; the request then no
 	// longer counts in the endpoint's backlog.
 	isPrefillDone bool
@@ -35,6 +38,16 @@
 	// request was granted.
 	stream  ident.RequestID
 	release ident.Release
+	route   string
+	// deadline is that of the grant request.
+	deadline time.Time
+	// isOrphaned is set while the entry node does not respond.
+	isOrphaned bool
+	// isAnswerReported is set when the answer was reported to Cell.Answered.
+	isAnswerReported bool
+	// number is the grant's number within the cell, 0 if isAdopted is set. A request has
+	// several grants one after the other if its attempts fail.
+	number uint64
 }
 
 // targets are a pool's latency targets.
@@ -46,13 +59,21 @@
 	if !g.isPrefillDone {
 		g.isPrefillDone = true
 		g.endpoint.backlog = max(g.endpoint.backlog-g.uncached, 0)
+		g.endpoint.generating++
 	}
 }
 
-// releaseGrant releases the capacity of a grant whose completion is not known.
-func (c *Cell) releaseGrant(g *grant) {
+// releaseGrant releases the capacity of a grant that has ended. Completion is nil if it is
+// not known how.
+func (c *Cell) releaseGrant(g *grant, completion *Completion) {
 	c.finishPrefill(g)
+	if g.isOrphaned {
+		g.setOrphaned(false)
+	}
+	g.endpoint.generating = max(g.endpoint.generating-1, 0)
 	g.endpoint.removeGrant(g.charge)
+	g.endpoint.recordTransit(g, completion, c.now())
+	g.endpoint.endLoad(g.span, completion, c.now())
 }
 
 // recordCompletion updates the prefix index and the estimates of the endpoint
@@ -98,6 +119,8 @@
 // fits no endpoint, it reserves the one with the most free window, so that
 // smaller requests and those of lower classes cannot starve it.
 func (c *Cell) grantWaiting(now time.Time) {
+	c.round++
+	c.held = 0
 	if c.isPaused || c.isClosed {
 		return
 	}
@@ -107,61 +130,144 @@
 	if c.Policy != Fair {
 		return
 	}
+	c.limitsFrom = 0
+	for c.grantRound(now) {
+	}
+	c.scheduleCheck(now)
+}
+
+// grantRound grants what fits. It returns true if a request must exceed an endpoint's
+// limit while requests of a higher group are held back at the limits. These then go first:
+// it has set limitsFrom so that the limits do not apply to them in the next round.
+func (c *Cell) grantRound(now time.Time) bool {
 	c.round++
+	c.held, c.holdUntil = 0, time.Time{}
 	skipped := 0
 	for first := ident.Tier(0); first < ident.MaxTiers; first = c.groupEnd[first] + 1 {
 		if c.hasTierLimit && first > c.tierLimit {
-			return
+			return false
 		}
+		heldAbove := c.held
 		for skipped < maxSkippedAccounts {
 			class, account, ok := c.nextInGroup(first, c.groupEnd[first])
 			if !ok {
 				break
 			}
-			if c.tryGrant(account.heap[0], now) {
-				c.queues[class].dequeue(account)
+			result := c.tryGrant(account.heap[0], heldAbove > 0, now)
+			if result == exceedsLimit {
+				c.limitsFrom = first
+				return true
+			}
+			if result == granted {
+				c.queues[class].serve(c.served, account)
 				c.classStats[class].decay(now)
 				c.classStats[class].grants++
+				c.classStats[class].granted++
 				continue
 			}
 			account.skippedRound = c.round
+			if result == isHeld {
+				account.heap[0].heldRound = c.round
+				c.held++
+				continue
+			}
 			skipped++
 		}
 	}
+	return false
 }
 
-// tryGrant grants the request if an endpoint has capacity for it. Otherwise it
-// reserves an endpoint for this round and returns false.
-func (c *Cell) tryGrant(r *GrantRequest, now time.Time) bool {
+// attemptResult is the result of the attempt to grant a request.
+type attemptResult uint8
+
+const (
+	// fitsNone: no endpoint has capacity.
+	fitsNone attemptResult = iota
+	granted
+	// isHeld: the endpoints with capacity are at their limits, and the request can wait.
+	isHeld
+	// exceedsLimit: they are, and the request cannot wait, but others have to go first.
+	exceedsLimit
+)
+
+// tryGrant grants the request if an endpoint has capacity for it. If none has, it
+// reserves an endpoint for this round. Endpoints at their limits are used if no other one
+// has capacity and the request cannot wait; hasHeldAbove says that requests of a higher
+// group wait for a place below a limit.
+func (c *Cell) tryGrant(r *GrantRequest, hasHeldAbove bool, now time.Time) attemptResult {
 	c.prefixes.Find(r.Prefix, &c.prefixMatch)
-	var best, toReserve *endpoint
-	var bestCost time.Duration
+	if r.Release != nil {
+		if c.rollout.isSealedFor(*r.Release) {
+			return fitsNone
+		}
+		return c.tryGrantAt(anyRelease, r, hasHeldAbove, now)
+	}
+	// A request that has no room at the target in its turn is not held up there.
+	if c.rollout.isTargetsTurn() && c.tryGrantAt(targetRelease, r, hasHeldAbove, now) == granted {
+		return granted
+	}
+	return c.tryGrantAt(c.rollout.mainSide(), r, hasHeldAbove, now)
+}
+
+// tryGrantAt is tryGrant for the endpoints of one side of the pool's rollout. It does not
+// reserve an endpoint of a side that the request need not wait for.
+func (c *Cell) tryGrantAt(at side, r *GrantRequest, hasHeldAbove bool, now time.Time) attemptResult {
+	var best, far, toReserve *endpoint
+	var bestCost, farCost time.Duration
+	var crowded crowd
 	c.considered = c.considered[:0]
 	remaining := r.Deadline.Sub(now)
 	for _, e := range c.endpoints {
-		if e.reservedRound == c.round || !e.isOpen(now) || !e.isWithinLimit(now) || slices.Contains(r.Avoid, e.ID) || !r.mayRunAt(e) || !c.mayRisk(e, now) {
+		if e.reservedRound == c.round || !e.isOpen(now) || !e.isWithinLimit(now) || slices.Contains(r.Avoid, e.ID) || !r.mayRunAt(e) || !c.rollout.allows(e, at) || !c.mayRisk(e, now) {
 			continue
 		}
 		uncached := c.uncachedTokens(r, e)
-		if !e.fits(r.charge, uncached, c.firstTokenTarget(r), now) {
+		if !e.fits(r.charge, uncached, c.maxPrefillTime(r, e), now) {
 			if toReserve == nil || e.window-e.used > toReserve.window-toReserve.used {
 				toReserve = e
 			}
 			continue
 		}
 		c.considered = append(c.considered, e.ID)
-		if cost := e.cost(uncached, r.Output, remaining) + zonePenalty(r, e) + e.failurePenalty(now) + c.fragileJitter(now); best == nil || cost < bestCost {
+		penalty := zonePenalty(r, e)
+		cost := e.cost(uncached, r.Output, remaining, now) + penalty + e.failurePenalty(now) + c.fragileJitter(now) + c.costOfPauses(e, uncached)
+		switch {
+		case e.isAtLimit(now):
+			c.addCrowded(&crowded, e, uncached, cost, now)
+		case best == nil || cost < bestCost:
 			best, bestCost = e, cost
 		}
+		if penalty > 0 && !e.isAtLimit(now) && (far == nil || cost < farCost) {
+			far, farCost = e, cost
+		}
 	}
-	if best == nil {
-		if toReserve != nil {
+	best = c.preferInTime(best, far, bestCost, farCost, r, now)
+	switch {
+	case best != nil && (crowded.best == nil || c.mustGrantHeld || !c.isTooSlow(best, r, now)):
+	case best != nil && c.mayHold(r, &crowded, now):
+		return isHeld
+	case best != nil && c.isTooSlow(crowded.best, r, now):
+		// It would miss its target everywhere; the endpoint with room costs others least.
+	case crowded.best == nil:
+		if toReserve != nil && (r.Release != nil || at == c.rollout.mainSide()) {
 			toReserve.reservedRound = c.round
 		}
-		return false
+		return fitsNone
+	case c.mayHold(r, &crowded, now):
+		return isHeld
+	case hasHeldAbove:
+		return exceedsLimit
+	default:
+		best = crowded.best
+	}
+	c.mustGrantHeld = false
+	r = c.preferOwnZone(r, best, now)
+	if r.Release == nil {
+		c.rollout.record(best.Release)
 	}
 	c.grant(r, best, now)
-	return true
+	c.served = r
+	return granted
 }
 
 // mayRunAt reports whether the endpoint has the release that the request needs.
@@ -175,16 +281,6 @@
 	})
 }
 
-// zonePenalty returns the cost added for an endpoint in another availability
-// zone: traffic between zones is charged by the platform and adds latency. An
-// unknown zone has no penalty.
-func zonePenalty(r *GrantRequest, e *endpoint) time.Duration {
-	if r.Zone == "" || e.Zone == "" || r.Zone == e.Zone {
-		return 0
-	}
-	return crossZonePenalty
-}
-
 func (c *Cell) firstTokenTarget(r *GrantRequest) time.Duration {
 	if r.FirstTokenTarget > 0 {
 		return r.FirstTokenTarget
@@ -211,21 +307,25 @@
 		reason = ReasonProbe
 	case c.Policy != Fair:
 		reason = ReasonBaseline
+	case e.isAtLimit(now):
+		reason = ReasonAboveLimit
 	case cached > 0:
 		reason = ReasonCachedPrefix
 	}
 	g := c.newGrant()
+	c.grantSequence++
 	*g = grant{
 		node: r.Node, class: r.class, endpoint: e, charge: r.charge, uncached: r.Prompt - cached,
 		cached: cached, grantedAt: now, backlogAhead: e.backlog, prefix: r.Prefix, traits: r.Traits,
-		stream: r.Stream, release: e.Release,
+		stream: r.Stream, release: e.Release, route: r.Route, deadline: r.Deadline,
+		number: c.grantSequence,
 	}
 	e.addGrant(g.charge, g.uncached)
+	g.span = e.startLoad(now)
 	e.spaceGrants(cmp.Or(c.LimitShare, 1), now)
 	c.recordGrant(e, now)
 	c.prefixes.Insert(r.Prefix, r.BlockTokens, e.prefixSlot)
 	c.addInFlight(r.Request, g)
-	c.grantSequence++
 	c.respond(r, GrantResponse{
 		Outcome: Granted, Reason: reason, Endpoint: e.ID, Release: e.Release, Address: e.Address,
 		Sequence: c.grantSequence, TTL: GrantTTL, Cached: cached, Considered: len(c.considered),
@@ -235,13 +335,13 @@
 
 // addInFlight records a grant until the request ends. An earlier grant for the
 // same request is released: its requester lost the response and requested
-// again, so its completion will never be reported.
+// again, or the completion is late and is applied to that grant when it arrives.
 func (c *Cell) addInFlight(id ident.RequestID, g *grant) {
 	if c.inflight == nil {
 		c.inflight = map[ident.RequestID]*grant{}
 	}
 	if previous := c.inflight[id]; previous != nil {
-		c.releaseGrant(previous)
+		c.supersede(previous)
 	}
 	c.inflight[id] = g
 }
@@ -256,7 +356,7 @@
 	}
 	for id, g := range c.inflight {
 		if g.stream == r.Stream || id == r.Stream {
-			c.releaseGrant(g)
+			c.releaseGrant(g, nil)
 			delete(c.inflight, id)
 		}
 	}
--- a/internal/process/sched/health.go
+++ b/internal/process/sched/health.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // updateErrorRate adds the outcome of a request to the error rate.
@@ -48,6 +48,26 @@
 	e.probeAt = now.Add(e.suspension)
 }
 
+// liftSuspensions ends the suspensions of endpoints that a request needs to take up a stream, if
+// one other entry node alone has seen the failures. That node may have lost its path or be
+// ending, rather than the endpoint. The failures still count, so that one more suspends the
+// endpoint again, for all nodes if another one has seen it.
+//
+// The load pattern behind it is an entry node that dies, whose broken connections suspend
+// one of the few endpoints that can go on with its streams. Their callers come back at once
+// and may wait less than the suspension takes.
+func (c *Cell) liftSuspensions(r *GrantRequest) {
+	if r.Release == nil || r.Stream == "" {
+		return
+	}
+	for _, e := range c.endpoints {
+		isOfOther := len(e.failedAt) == 1 && e.failedAt[0] != r.Node
+		if e.health == suspended && !e.isStraggler && isOfOther && r.mayRunAt(e) {
+			e.recover()
+		}
+	}
+}
+
 // recover ends the suspension of a probed endpoint. Its window restarts at the
 // minimum, or at twice the minimum for an application runner, and grows with
 // use.
--- a/internal/process/sched/limit.go
+++ b/internal/process/sched/limit.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // UpdateEndpoint records what an endpoint stated of itself when it began to answer the
@@ -11,14 +11,24 @@
 func (c *Cell) UpdateEndpoint(id ident.RequestID, s Statement) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	g := c.inflight[id]
+	c.updateEndpoint(c.inflight[id], s)
+}
+
+func (c *Cell) updateEndpoint(g *grant, s Statement) {
 	if g == nil {
 		return
 	}
-	if s.Occupancy != nil {
-		g.endpoint.updateExternalLoad(*s.Occupancy, c.now())
+	e, now := g.endpoint, c.now()
+	e.updateLimit(s.RateLimit, g.grantedAt, now)
+	if s.Occupancy == nil {
+		return
+	}
+	running := e.running
+	c.releaseOrphans(e, *s.Occupancy, now)
+	e.updateExternalLoad(*s.Occupancy, now)
+	if e.running < running {
+		c.grantWaiting(now)
 	}
-	g.endpoint.updateLimit(s.RateLimit, g.grantedAt, c.now())
 }
 
 // LearnLimits applies the rate limits that an entry node knows of endpoints that have
--- a/internal/process/sched/pause.go
+++ b/internal/process/sched/pause.go
@@ -1,7 +1,7 @@
 package sched
 
 import (
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // ShedClosedTiers sheds the waiting requests of all tiers that are no longer
--- a/internal/process/sched/queue.go
+++ b/internal/process/sched/queue.go
@@ -1,7 +1,7 @@
 package sched
 
 import (
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // queue holds the waiting requests of one class. Accounts share the class by
@@ -67,10 +67,18 @@
 // virtual time by its charge.
 func (q *queue) dequeue(a *accountQueue) *GrantRequest {
 	r := a.heap[0]
-	q.virtualTime = max(q.virtualTime, a.virtualTime)
+	q.serve(r, a)
+	return r
+}
+
+// serve removes a waiting request and advances its account's virtual time by its charge. The
+// queue's virtual time, at which accounts start, becomes that of next, the account that was next:
+// the request can be of an account that is ahead, for which a call of next was passed over.
+func (q *queue) serve(r *GrantRequest, next *accountQueue) {
+	a := q.accounts[r.queueAccount]
+	q.virtualTime = max(q.virtualTime, next.virtualTime)
 	a.virtualTime += float64(r.charge) / a.weight
 	q.remove(r)
-	return r
 }
 
 // remove removes a waiting request. It reports whether the request was queued.
--- a/internal/process/sched/script_test.go
+++ b/internal/process/sched/script_test.go
@@ -10,7 +10,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/adapt"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/stand/script"
 	"goldcrestwick/internal/version/config"
 )
@@ -59,7 +60,8 @@
 		"can_shed": s.setCanShed, "granted": s.expectGranted, "waiting": s.expectWaiting, "refused": s.expectRefused,
 		"close_lower_requested": s.closeLowerRequested, "close_cell": s.closeCell, "pause": s.pause, "resume": s.resume, "window": s.expectWindow,
 		"adopt": s.adopt, "drop_node": s.dropNode, "load_report": s.loadReport, "mark_unreachable": s.markUnreachable,
-		"close_lower_not_requested": s.closeLowerNotRequested, "class_group": s.classGroup, "reconcile_adopted": s.reconcileAdopted, "statement": s.statement, "quarantine": s.quarantine,
+		"close_lower_not_requested": s.closeLowerNotRequested, "class_group": s.classGroup, "reconcile_adopted": s.reconcileAdopted, "statement": s.statement, "orphan": s.orphan, "quarantine": s.quarantine,
+		"estimate": s.estimate,
 	}
 	do, ok := commands[command]
 	qt.Assert(s.t, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", s.location, command))
@@ -88,6 +90,7 @@
 func (s *scriptRunner) setLimits(_ []string, args map[string]string) {
 	s.cell.Pool.QueueRequests = s.intArg(args, "requests", s.cell.Pool.QueueRequests)
 	s.cell.Pool.QueueTokens = ident.Tokens(s.intArg(args, "tokens", int(s.cell.Pool.QueueTokens)))
+	s.cell.Pool.EventGapTarget, s.cell.Pool.TokensPerEvent = s.duration(args["gap"]), s.intArg(args, "event", 1)
 	s.cell.Pool.InitialWindow = ident.Tokens(s.intArg(args, "window", int(s.cell.Pool.InitialWindow)))
 }
 
@@ -97,11 +100,26 @@
 			ID: ident.Endpoint(name), Address: "http://" + name, Generation: args["generation"],
 			Slots: s.intArg(args, "slots", 0), StartedUnixMilli: int64(s.intArg(args, "started", 0)),
 			CacheTokens: ident.Tokens(s.intArg(args, "cache_tokens", 0)), Release: ident.Release(args["release"]),
+			Kind: endpointKinds[args["kind"]],
 		})
 	}
 	s.cell.Configure(s.cell.Pool, s.specs)
 }
 
+var endpointKinds = map[string]ident.EndpointKind{"": ident.ModelRunner, "application": ident.ApplicationRunner}
+
+// estimate sets what another node learned of an endpoint's load.
+func (s *scriptRunner) estimate(names []string, args map[string]string) {
+	load := adapt.Estimate{Limit: s.intArg(args, "limit", 0)}
+	for text := range strings.SplitSeq(args["per_unit"], ",") {
+		load.PerUnit = append(load.PerUnit, s.duration(text))
+	}
+	load.Slots = len(load.PerUnit)
+	for _, name := range names {
+		s.cell.SetEstimate(EndpointEstimate{Endpoint: ident.Endpoint(name), PrefillRate: 1e4, InterTokenLatency: 1, Load: load})
+	}
+}
+
 func (s *scriptRunner) leaveEndpoint(names []string, _ map[string]string) {
 	for i := range s.specs {
 		s.specs[i].Leaving = s.specs[i].Leaving || string(s.specs[i].ID) == names[0]
@@ -117,9 +135,9 @@
 		}
 		r := &GrantRequest{
 			Request: ident.RequestID(name), Node: ident.NodeID(args["node"]), Account: ident.ClientAccount(args["account"]),
-			Tier: ident.Tier(s.intArg(args, "tier", 0)), Weight: s.intArg(args, "weight", 1),
+			Tier: ident.Tier(s.intArg(args, "tier", 0)), HasOtherCells: args["other_cells"] == "yes", Weight: s.intArg(args, "weight", 1),
 			Prompt: ident.Tokens(s.intArg(args, "prompt", 100)), Output: ident.Tokens(s.intArg(args, "output", 100)),
-			Deadline: time.Now().Add(deadline), FirstTokenTarget: s.duration(args["first_token_target"]),
+			Deadline: time.Now().Add(deadline), FirstTokenTarget: s.duration(args["first_token_target"]), FullTarget: s.duration(args["full_target"]),
 			MaxRejections: s.intArg(args, "max_rejections", 0), Stream: ident.RequestID(args["stream"]),
 		}
 		for id := range strings.SplitSeq(args["avoid"], ",") {
@@ -167,7 +185,26 @@
 // statement reports that endpoints began to answer requests and stated a limit.
 func (s *scriptRunner) statement(names []string, args map[string]string) {
 	for _, name := range names {
-		s.cell.UpdateEndpoint(ident.RequestID(name), Statement{RateLimit: ident.Rate(s.intArg(args, "limit", 0))})
+		statement := Statement{RateLimit: ident.Rate(s.intArg(args, "limit", 0))}
+		if args["running"] != "" {
+			statement.Occupancy = &Occupancy{Running: s.intArg(args, "running", 0), Waiting: s.intArg(args, "waiting", 0)}
+		}
+		s.cell.UpdateEndpoint(ident.RequestID(name), statement)
+	}
+}
+
+func (s *scriptRunner) orphan(names []string, args map[string]string) {
+	for _, name := range names {
+		s.cell.Track(s.requests[name]).SetOrphaned(args["responds"] != "yes")
+	}
+	orphans := map[*endpoint]int{}
+	for _, g := range s.cell.inflight {
+		if g.isOrphaned {
+			orphans[g.endpoint]++
+		}
+	}
+	for _, e := range s.cell.endpoints {
+		qt.Check(s.t, e.orphans, qt.Equals, orphans[e], qt.Commentf("%s: orphans of %s", s.location, e.ID))
 	}
 }
 
--- a/internal/process/sched/shed.go
+++ b/internal/process/sched/shed.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
+	"goldcrestwick/internal/version/config"
 )
 
 // refuse responds with Shed to a request, which must not be in a queue.
@@ -27,16 +29,43 @@
 		if !ok {
 			return
 		}
+		if c.grantHeld(c.now()) {
+			continue
+		}
+		r := c.queues[class].shedCandidate()
+		needsRoom := c.hasTiersBelow(class) && c.needsRoom(class, r, c.now())
 		if !c.canShed(class) {
-			c.closeLower(class, false)
+			if needsRoom {
+				c.closeLower(class, false)
+			}
 			return
 		}
-		q := &c.queues[class]
-		r := q.shedCandidate()
-		q.remove(r)
+		c.queues[class].remove(r)
 		c.refuse(r, ReasonOverload)
-		c.closeLower(class, false)
+		if needsRoom {
+			c.closeLower(class, false)
+		}
+	}
+}
+
+// hasTiersBelow reports whether the settings have a tier below the class's group, or are unknown.
+func (c *Cell) hasTiersBelow(class ident.Tier) bool {
+	if c.Pool == nil || c.Pool.Team == nil || len(c.Pool.Team.Tiers) == 0 {
+		return c.groupEnd[class] < ident.MaxTiers-1
 	}
+	return slices.ContainsFunc(c.Pool.Team.Tiers, func(t *config.Tier) bool { return t.Rank > c.groupEnd[class] })
+}
+
+// needsRoom reports whether a class that sheds the request r, or would if it could, needs the lower tiers
+// closed: the queue is over its limits, or the class is expected to wait for longer than is
+// acceptable and has waited already. A request that is shed because it would only probably be
+// late closes none, and neither does one with a target that has come too late itself.
+func (c *Cell) needsRoom(class ident.Tier, r *GrantRequest, now time.Time) bool {
+	if c.isOverLimits() {
+		return true
+	}
+	isTooLong := r == nil || r.FirstTokenTarget == 0 || c.expectedBacklogWait(class, now) > c.acceptableWait(r)
+	return isTooLong && c.hasWaited(class, now)
 }
 
 // classToShed returns the class that has to shed a request. If the queue is
@@ -56,6 +85,66 @@
 	return 0, false
 }
 
+// closeWaitFraction is the fraction of its acceptable wait that a request of a class must have
+// waited before an expected wait closes the lower tiers. A burst that is served within its
+// target raises the expectation for some milliseconds; a closure holds in all cells.
+const closeWaitFraction = 0.5
+
+// hasWaited reports whether a request of the class has waited long enough to close the lower
+// tiers.
+func (c *Cell) hasWaited(class ident.Tier, now time.Time) bool {
+	waited := false
+	c.queues[class].each(func(r *GrantRequest) bool {
+		waited = r.FirstTokenTarget == 0 || float64(now.Sub(r.arrived)) > closeWaitFraction*float64(c.acceptableWait(r))
+		return !waited
+	})
+	return waited
+}
+
+// keepWaitFraction is the fraction of its acceptable wait that a request must have waited to show
+// that a closure is still needed. A tier that sends in bursts has short queues most of the time,
+// also when half of the capacity is idle; in an overload, requests wait for nearly as long as
+// they may.
+const keepWaitFraction = 0.25
+
+// NeedsClosed returns for each tier whether a request has waited for long enough to keep the lower
+// tiers closed. In a cell whose endpoints are all leaving, none has.
+func (c *Cell) NeedsClosed() (needs [ident.MaxTiers]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isDrained() {
+		return needs
+	}
+	now := c.now()
+	for tier := range c.queues {
+		if !c.hasTiersBelow(ident.Tier(tier)) {
+			break
+		}
+		c.queues[tier].each(func(r *GrantRequest) bool {
+			needs[tier] = float64(now.Sub(r.arrived)) > keepWaitFraction*float64(c.keepWait(r)) && c.canBeHelped(r, now)
+			return !needs[tier]
+		})
+	}
+	return needs
+}
+
+// keepWait is the wait of which a request must have waited keepWaitFraction to keep a closure. For
+// one without a target it is the time to its deadline, by which it closes the lower tiers as well.
+func (c *Cell) keepWait(r *GrantRequest) time.Duration {
+	if r.FirstTokenTarget == 0 {
+		return r.Deadline.Sub(r.arrived)
+	}
+	return c.acceptableWait(r)
+}
+
+// canBeHelped reports whether a closure can bring a waiting request its grant earlier: it is not
+// held back below an endpoint's limit, and an endpoint that it may run at is open.
+func (c *Cell) canBeHelped(r *GrantRequest, now time.Time) bool {
+	return !c.isHeldBack(r) && slices.ContainsFunc(c.endpoints, func(e *endpoint) bool {
+		return e.isOpen(now) && r.mayRunAt(e) && !slices.Contains(r.Avoid, e.ID)
+	})
+}
+
 // isOverLimits reports whether the cell's waiting requests exceed the pool's limit
 // of requests or tokens. A single waiting request never does.
 func (c *Cell) isOverLimits() bool {
@@ -103,13 +192,33 @@
 	return time.Duration(float64(ahead) / float64(used) * float64(c.residenceTime.mean()))
 }
 
-// residenceTime is the mean time from a grant to the end of the request,
-// weighted by tokens and with exponential decay by request.
-type residenceTime struct{ tokens, seconds float64 }
+// residenceTime is the mean time from a grant to the end of the request, with
+// exponential decay by request: mean is weighted by tokens, meanOfRequests is not.
+type residenceTime struct {
+	tokens, seconds          float64
+	requests, requestSeconds float64
+	// updated is when the last request ended that its endpoint had not rejected.
+	updated time.Time
+}
 
-func (t *residenceTime) add(charge ident.Tokens, residence time.Duration) {
+// add adds a request that has ended now. One that its endpoint rejected says nothing of the
+// time that others take and does not count for meanOfRequests.
+func (t *residenceTime) add(charge ident.Tokens, residence time.Duration, wasRejected bool, now time.Time) {
 	t.tokens = residenceDecay*t.tokens + float64(charge)
 	t.seconds = residenceDecay*t.seconds + float64(charge)*residence.Seconds()
+	if wasRejected {
+		return
+	}
+	t.requests = residenceDecay*t.requests + 1
+	t.requestSeconds = residenceDecay*t.requestSeconds + residence.Seconds()
+	t.updated = now
+}
+
+func (t *residenceTime) meanOfRequests() time.Duration {
+	if t.requests == 0 {
+		return 0
+	}
+	return time.Duration(t.requestSeconds / t.requests * float64(time.Second))
 }
 
 func (t *residenceTime) mean() time.Duration {
@@ -139,8 +248,46 @@
 func (c *Cell) canShed(t ident.Tier) bool { return c.CanShed == nil || c.CanShed(c.groupEnd[t]) }
 
 func (c *Cell) closeLower(t ident.Tier, hasWaitedLong bool) {
-	if c.CloseLower != nil {
-		c.CloseLower(c.groupEnd[t], CloseCause{t, c.queues[t].length, c.expectedClassWait(t, c.now()), hasWaitedLong})
+	if c.CloseLower != nil && (!c.isDrained() || c.isOverLimits()) {
+		c.CloseLower(c.groupEnd[t], CloseCause{t, c.queues[t].length, c.expectedBacklogWait(t, c.now()), hasWaitedLong})
+	}
+}
+
+// isDrained reports whether all endpoints of the cell are leaving by the platform's list,
+// which entry nodes see as well. Its requests wait because it has no endpoints, and closing
+// lower tiers in other cells does not help them.
+func (c *Cell) isDrained() bool {
+	for _, e := range c.endpoints {
+		if !e.Leaving {
+			return false
+		}
+	}
+	return len(c.endpoints) > 0
+}
+
+// moveFromDrained responds with Moved to the waiting requests that other cells may grant, if
+// the cell is drained, so that their entry nodes choose a cell again.
+//
+// The load pattern behind it is a small service in several availability zones, one of which
+// loses its last endpoint. Its cell would have the lower tiers closed in the whole pool for
+// the few requests of a high tier that still wait there.
+func (c *Cell) moveFromDrained() {
+	if !c.isDrained() {
+		return
+	}
+	var moved []*GrantRequest
+	for class := range c.queues {
+		c.queues[class].each(func(r *GrantRequest) bool {
+			if r.HasOtherCells {
+				moved = append(moved, r)
+			}
+			return true
+		})
+	}
+	for _, r := range moved {
+		c.queues[r.class].remove(r)
+		c.classStats[r.class].arrivals = max(c.classStats[r.class].arrivals-1, 0)
+		c.respond(r, GrantResponse{Outcome: Moved, Reason: ReasonCellMoved})
 	}
 }
 
@@ -180,10 +327,10 @@
 	return ReasonDeadlineUnreachable
 }
 
-// isPastMaxWait reports whether a request has exceeded its maximum wait and no
-// request of a lower class group waits, which would have to be shed first.
+// isPastMaxWait reports whether a request has exceeded its maximum wait, other than for a
+// place below an endpoint's limit, and no request of a lower class group waits, which would have to be shed first.
 func (c *Cell) isPastMaxWait(r *GrantRequest, now time.Time) bool {
-	return r.FirstTokenTarget > 0 && now.Sub(r.arrived) > c.maxWait(r) && c.groupEnd[r.class] >= c.groupEnd[c.lowestWaitingClass()]
+	return r.FirstTokenTarget > 0 && now.Sub(r.arrived) > c.maxWait(r) && !c.isHeldBack(r) && c.groupEnd[r.class] >= c.groupEnd[c.lowestWaitingClass()]
 }
 
 func shouldCloseLower(r *GrantRequest, now time.Time) bool {
--- a/internal/process/sched/topology.go
+++ b/internal/process/sched/topology.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/version/config"
 )
 
@@ -100,7 +100,12 @@
 		return
 	}
 	e.addGrant(f.Charge, 0)
-	c.addInFlight(f.Request, &grant{node: f.Node, endpoint: e, charge: f.Charge, grantedAt: c.now(), isPrefillDone: true, isAdopted: true})
+	e.generating++
+	now := c.now()
+	c.addInFlight(f.Request, &grant{
+		node: f.Node, endpoint: e, charge: f.Charge, grantedAt: now, isPrefillDone: true, isAdopted: true, span: e.startLoad(now),
+		release: e.Release,
+	})
 }
 
 // NodesWithAdopted returns the entry nodes of this cell's adopted requests.
@@ -123,7 +128,7 @@
 	defer c.mu.Unlock()
 	for id, g := range c.inflight {
 		if g.isAdopted && g.node == node && !inFlight[id] {
-			c.releaseGrant(g)
+			c.releaseGrant(g, nil)
 			delete(c.inflight, id)
 		}
 	}
@@ -147,7 +152,7 @@
 		if g.node != node {
 			continue
 		}
-		c.releaseGrant(g)
+		c.releaseGrant(g, nil)
 		delete(c.inflight, id)
 	}
 	for class := range c.queues {
@@ -178,7 +183,7 @@
 	defer c.mu.Unlock()
 	all := make([]EndpointEstimate, len(c.endpoints))
 	for i, e := range c.endpoints {
-		all[i] = EndpointEstimate{Endpoint: e.ID, Window: e.window, PrefillRate: e.prefillRate, InterTokenLatency: e.interTokenLatency}
+		all[i] = EndpointEstimate{Endpoint: e.ID, Window: e.window, PrefillRate: e.prefillRate, InterTokenLatency: e.interTokenLatency, Load: e.load.Estimate()}
 	}
 	return all
 }
@@ -196,6 +201,7 @@
 	e.window = min(max(estimate.Window, minWindow), maxWindow)
 	e.prefillRate = estimate.PrefillRate
 	e.interTokenLatency = estimate.InterTokenLatency
+	e.load.Set(estimate.Load, c.now())
 }
 
 // Load summarizes the load of a cell, for the choice between cells and for
@@ -254,18 +260,26 @@
 	now := c.now()
 	free := 0
 	for _, e := range c.endpoints {
-		slots := max(e.Slots-e.running-e.externalLoadAt(now), 0)
+		slots := max(e.Slots-e.inFlightAt(now), 0)
 		switch {
-		case e.health != healthy || !e.isOpen(now) || !e.isWithinLimit(now):
+		case e.health != healthy || !e.isOpen(now) || !e.isWithinLimit(now) || !c.rollout.allows(e, c.rollout.mainSide()):
 		case e.Kind == ident.ApplicationRunner:
 			free += slots
-		case e.prefillTime(e.backlog) <= time.Duration(prefillFreeFraction*float64(c.Pool.FirstTokenTarget)):
+		case c.isPrefillFree(e):
 			free += min(slots, maxFreePerEngine)
 		}
 	}
 	return free
 }
 
+// isPrefillFree reports whether an engine could begin another prompt at once: it is busy with
+// others for a short time only, and its streams would get their next event in time.
+func (c *Cell) isPrefillFree(e *endpoint) bool {
+	busy := e.prefillTime(e.backlog)
+	allowance := c.eventGapAllowance(e)
+	return busy <= time.Duration(prefillFreeFraction*float64(c.Pool.FirstTokenTarget)) && (allowance == 0 || busy < allowance)
+}
+
 // detectStraggler compares an endpoint with the median of its generation and
 // suspends it if it is much slower. The threshold for suspension is higher than
 // the one for recovery, so that noise does not make an endpoint alternate
--- a/internal/process/sched/traits.go
+++ b/internal/process/sched/traits.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // RunningFor returns those of the traits that belong to requests which had
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -3,7 +3,8 @@
 import (
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/adapt"
+	"goldcrestwick/internal/process/ident"
 )
 
 // GrantRequest requests a grant: the right to dispatch one request. The entry
@@ -26,6 +27,9 @@
 	// If it is 0, the pool's target applies, but only to the endpoints' capacity:
 	// the request is ordered by its deadline and has no maximum wait.
 	FirstTokenTarget time.Duration
+	// FullTarget is the target for the time to first token of a request that has just reached
+	// its entry node, of which FirstTokenTarget is what is left. 0 means FirstTokenTarget.
+	FullTarget time.Duration
 	// Zone is the availability zone of the entry node.
 	Zone ident.AvailabilityZone
 	// Avoid lists endpoints at which the request has already failed.
@@ -36,6 +40,8 @@
 	// Release is the only software release at which the request may run, that which began
 	// its stream; nil means any.
 	Release *ident.Release
+	// Route is the caller's route, "" if nobody counts the answers by it.
+	Route string
 	// Prefix holds the chained fingerprints of the prompt's blocks.
 	Prefix []ident.Fingerprint
 	// BlockTokens holds the tokens of each block of Prefix if the blocks differ
@@ -52,6 +58,9 @@
 	MaxRejections int
 	// MayRedirect allows the outcome Redirected.
 	MayRedirect bool
+	// HasOtherCells is set if another cell of the pool has an endpoint for the request. It
+	// allows the outcome Moved where this cell has none left.
+	HasOtherCells bool
 	// Wake, unless it is nil, is called once, with the cell's lock held, when a
 	// request that had to wait gets its Response. It is not called after Cancel.
 	// It must not block or call the cell.
@@ -74,6 +83,12 @@
 	// arrival.
 	sortTime      time.Time
 	arrivalNumber uint64
+	// heldRound is the last round in which the request was held back at the endpoints'
+	// limits.
+	heldRound uint64
+	// passedAt is when another request was first granted before this one, for a place in that
+	// one's availability zone.
+	passedAt time.Time
 	// heapIndex is the index in accountQueue.heap.
 	heapIndex int
 }
@@ -89,7 +104,8 @@
 	Granted
 	// Shed refuses the request; it was not run.
 	Shed
-	// Moved tells the entry node to request the grant at the cell's new node.
+	// Moved tells the entry node to request the grant at the cell's new node or, if the cell
+	// has no endpoints left, at another cell.
 	Moved
 	// Redirected tells the entry node to request the grant from another cell, which
 	// has room while this one has none.
@@ -101,10 +117,13 @@
 
 // The reasons for grants and refusals.
 const (
-	ReasonLeastCost           Reason = "least_expected_time"
-	ReasonCachedPrefix        Reason = "cached_prefix"
-	ReasonProbe               Reason = "probe"
-	ReasonBaseline            Reason = "baseline_policy"
+	ReasonLeastCost    Reason = "least_expected_time"
+	ReasonCachedPrefix Reason = "cached_prefix"
+	ReasonProbe        Reason = "probe"
+	ReasonBaseline     Reason = "baseline_policy"
+	// ReasonAboveLimit: the endpoint had as many requests as it handles well, no other one
+	// had room, and the request could not wait.
+	ReasonAboveLimit          Reason = "above_learned_limit"
 	ReasonOverload            Reason = "overload"
 	ReasonTierClosed          Reason = "tier_closed_for_overload"
 	ReasonDeadlineUnreachable Reason = "deadline_unreachable"
@@ -188,7 +207,8 @@
 	// requests.
 	Class   ident.Tier
 	Waiting int
-	// ExpectedWait is the expected wait of the class, 0 if unknown.
+	// ExpectedWait is the expected wait of the class by which closures are decided, 0 if
+	// unknown.
 	ExpectedWait time.Duration
 	// HasWaitedLong is set if a request has waited for a large part of its time.
 	HasWaitedLong bool
@@ -267,6 +287,9 @@
 // Occupancy is an endpoint's count of its requests when it began to answer one.
 type Occupancy struct {
 	Running, Waiting int
+	// Pace is how long work takes on the endpoint's host at that moment, in percent of
+	// what is usual; 0 if the endpoint does not state it.
+	Pace int
 }
 
 // InFlight is one granted request, as an entry node reports it to a cell's new
@@ -290,4 +313,6 @@
 	// PrefillRate is in prompt tokens per second.
 	PrefillRate       float64
 	InterTokenLatency time.Duration
+	// Load is what was learned of the endpoint's time as a function of its load.
+	Load adapt.Estimate
 }
--- a/internal/process/spread/spread.go
+++ b/internal/process/spread/spread.go
@@ -22,8 +22,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/member"
-	"goldcrestwick/internal/request/ident"
 )
 
 const (
--- a/internal/process/spread/spread_test.go
+++ b/internal/process/spread/spread_test.go
@@ -6,8 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/member"
-	"goldcrestwick/internal/request/ident"
 )
 
 var zones = []ident.AvailabilityZone{"f", "a", "e", "b", "d", "c"}
--- a/internal/process/store/instances.go
+++ b/internal/process/store/instances.go
@@ -7,8 +7,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/roster"
-	"goldcrestwick/internal/request/ident"
 )
 
 // instanceTable is the store's table of instances, with one instanceRow in JSON per
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -58,6 +58,9 @@
 	Get func(ctx context.Context, table, key string) (row Row, found bool, err error)
 	// Scan reads a whole table as of one position.
 	Scan func(ctx context.Context, table string) (rows []Row, at Position, err error)
+	// ScanRange reads the rows of a table whose keys are at least from and below to. The
+	// pages of a long range may be read at different positions.
+	ScanRange func(ctx context.Context, table, from, to string) (rows []Row, err error)
 	// Feed returns the rows of a table that changed after a position, and the
 	// position up to which it lists changes. It waits at most wait for a change. It
 	// fails with ErrHistoryGone if the store no longer has all of the changes, or
@@ -229,6 +232,12 @@
 	return c.Service.Scan(ctx, table)
 }
 
+// ScanRange reads the rows of a table whose keys are at least from and below to. It has no
+// circuit breaker.
+func (c *Client) ScanRange(ctx context.Context, table, from, to string) (rows []Row, err error) {
+	return c.Service.ScanRange(ctx, table, from, to)
+}
+
 // Feed returns the rows of a table that changed after a position, and waits at
 // most wait for a change. It has no circuit breaker: its caller backs off after
 // failures.
--- a/internal/process/trace/trace.go
+++ b/internal/process/trace/trace.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 const (
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -67,7 +67,7 @@
 	Name  string
 	Store *store.Client
 	// Wait returns how long a call may wait at the store for a change, and Interval
-	// the delay between two calls.
+	// the delay between two calls, which is extended if Interval returns more at its end.
 	Wait     func() time.Duration
 	Interval func() time.Duration
 	// Changed is called with the rows that are new, changed or Deleted. Rows from
@@ -123,6 +123,15 @@
 	return t.position
 }
 
+// HasRows reports whether the table has been read, by this node or by another one that it
+// follows. It is false until the time of the read is known, without which followers would take
+// the rows for too old.
+func (t *Table) HasRows() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hasScanned && !t.lastRead.Time().IsZero()
+}
+
 // HasFailed reports whether the last call to the store failed.
 func (t *Table) HasFailed() bool {
 	t.mu.Lock()
@@ -153,6 +162,9 @@
 		if !tick.Sleep(ctx, delay) {
 			return
 		}
+		if rest := t.Interval() - delay; err == nil && rest > 0 && !tick.Sleep(ctx, rest) {
+			return
+		}
 	}
 }
 
--- a/internal/request/answer/answer.go
+++ b/internal/request/answer/answer.go
@@ -19,7 +19,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/request/refuse"
 )
 
--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -55,13 +55,14 @@
 			continue
 		case out == done:
 			return result, true
+		case e.hasHead:
+			// A refusal after the head would end the answer as if it were whole.
+			result.Truncated, result.Reason = true, reasonOf(ctx)
+			return result, true
 		case ctx.Err() != nil:
-			return interrupted(result, "the caller went away or the deadline passed"), true
+			return interrupted(result, reasonOf(ctx)), true
 		case out == untouched:
 			continue
-		case e.hasHead:
-			result.Truncated, result.Reason = true, "the node that served the request is gone"
-			return result, true
 		}
 		mayHaveRun = true
 		if !r.Route.IsRetryable() || r.EarlierAttempts+1 >= r.Route.MaxAttempts {
@@ -70,7 +71,7 @@
 	}
 	switch {
 	case mayHaveRun:
-		return interrupted(proxy.Result{}, "the node that served the request is gone"), true
+		return interrupted(proxy.Result{}, reasonOf(ctx)), true
 	case refused != nil:
 		return *refused, true
 	}
@@ -82,6 +83,14 @@
 	return r.Refusal != nil && r.Refusal.Reason == refuse.NoEndpoint && !r.Refusal.MayHaveRun()
 }
 
+// reasonOf returns why a node's result did not come.
+func reasonOf(ctx context.Context) string {
+	if ctx.Err() != nil {
+		return "the caller went away or the deadline passed"
+	}
+	return "the node that served the request is gone"
+}
+
 func interrupted(result proxy.Result, reason string) proxy.Result {
 	result.Interrupted++
 	result.Reason = reason
--- a/internal/request/detour/detour.go
+++ b/internal/request/detour/detour.go
@@ -20,7 +20,7 @@
 	"time"
 
 	"goldcrestwick/internal/connection/wire"
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/request/proxy"
 )
 
--- a/internal/request/detour/server.go
+++ b/internal/request/detour/server.go
@@ -11,8 +11,8 @@
 
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/tick"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/proxy"
 	"goldcrestwick/internal/request/refuse"
 )
--- a/internal/request/entry/choose.go
+++ b/internal/request/entry/choose.go
@@ -4,10 +4,10 @@
 	"cmp"
 	"slices"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/roster"
 	"goldcrestwick/internal/process/sched"
-	"goldcrestwick/internal/request/ident"
 )
 
 // chooseCell selects a cell of the request's pool, one of the node's availability
@@ -22,7 +22,7 @@
 	key := j.cellKey()
 	best, bestScore, bestIsNear := all[0].ID, uint64(0), false
 	for _, c := range all {
-		if len(all) > 1 && !j.hasUsableEndpoint(c) {
+		if len(all) > 1 && !e.hasUsableEndpoint(j, c) {
 			continue
 		}
 		isNear := c.Zone == e.Zone
@@ -34,6 +34,13 @@
 	return best, true
 }
 
+// hasOtherCells reports whether another cell of the request's pool has an endpoint for it.
+func (e *Entry) hasOtherCells(j *Job, id ident.CellID) bool {
+	return slices.ContainsFunc(e.Cells.Roster().Cells(j.Pool.ID), func(c roster.Cell) bool {
+		return c.ID != id && e.hasUsableEndpoint(j, c)
+	})
+}
+
 // RankCells returns the cells of the request's pool in the order in which chooseCell
 // prefers them, whether or not they have an endpoint for the request.
 func (e *Entry) RankCells(j *Job) []ident.CellID {
@@ -73,9 +80,10 @@
 
 // hasUsableEndpoint reports whether a cell has an endpoint at which the job may run, and
 // which is neither leaving nor to be avoided.
-func (j *Job) hasUsableEndpoint(c roster.Cell) bool {
+func (e *Entry) hasUsableEndpoint(j *Job, c roster.Cell) bool {
 	return slices.ContainsFunc(c.Endpoints, func(s sched.EndpointSpec) bool {
-		return !s.Leaving && !slices.Contains(j.Avoid, s.ID) && (j.Release == nil || *j.Release == s.Release)
+		return !s.Leaving && !slices.Contains(j.Avoid, s.ID) &&
+			(j.Release == nil && e.Cells.MayRunAt(j.Pool.ID, s) || j.Release != nil && *j.Release == s.Release)
 	})
 }
 
--- a/internal/request/entry/entry.go
+++ b/internal/request/entry/entry.go
@@ -22,11 +22,12 @@
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/process/cells"
 	"goldcrestwick/internal/process/clock"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/quota"
+	"goldcrestwick/internal/process/roster"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/answer"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/intake"
 	"goldcrestwick/internal/request/refuse"
 	"goldcrestwick/internal/request/relay"
@@ -65,6 +66,8 @@
 	Traits []ident.Trait
 	// Avoid lists endpoints at which the request has already failed.
 	Avoid []ident.Endpoint
+	// Route is the name of the caller's route.
+	Route string
 	// Stream and Release are those of sched.GrantRequest.
 	Stream  ident.RequestID
 	Release *ident.Release
@@ -98,6 +101,8 @@
 	// KnownLimits returns the rate limits that endpoints stated to this node; nil means
 	// none.
 	KnownLimits func() map[ident.Endpoint]ident.Rate
+	// SendsRoute adds the route to grant requests, for cells that count answers by it.
+	SendsRoute bool
 	// Record is called for each step of each request; it may be nil.
 	Record func(trace.Record)
 	// OnFinished is called with the result of each dispatch, for the metrics; it
@@ -249,17 +254,40 @@
 	e.Record(r)
 }
 
-// InFlight returns the granted requests of a cell that this node has in flight.
+// InFlight returns the granted requests of a cell that this node has in flight, and those of
+// cells of the pool's other form, which may run at the same endpoints.
 func (e *Entry) InFlight(cell ident.CellID) []sched.InFlight {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	all := make([]sched.InFlight, 0, len(e.inFlight[cell]))
-	for _, r := range e.inFlight[cell] {
-		all = append(all, r)
+	for other, requests := range e.inFlight {
+		if other != cell && !roster.IsOtherForm(other, cell) {
+			continue
+		}
+		for _, r := range requests {
+			all = append(all, r)
+		}
 	}
 	return all
 }
 
+// InFlightByRelease returns the number of granted requests of a pool that this node has in
+// flight, by release of their endpoint.
+func (e *Entry) InFlightByRelease(pool ident.PoolID) map[ident.Release]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	counts := map[ident.Release]int{}
+	for cell, requests := range e.inFlight {
+		if cell.Pool != pool {
+			continue
+		}
+		for _, r := range requests {
+			counts[r.Release]++
+		}
+	}
+	return counts
+}
+
 func (e *Entry) addInFlight(cell ident.CellID, r sched.InFlight) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -12,10 +12,10 @@
 	"goldcrestwick/internal/connection/wire"
 	"goldcrestwick/internal/process/cells"
 	"goldcrestwick/internal/process/clock"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/trace"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/refuse"
 )
 
@@ -124,11 +124,15 @@
 		Request: j.Request.ID, Node: e.Self, Tier: j.Tier.Rank, Account: j.Account.ID,
 		Weight: j.Account.Weight, Prompt: j.Request.PromptTokens, Output: j.Request.OutputTokens,
 		Deadline: j.Request.Deadline, Prefix: j.Request.Prefix,
-		FirstTokenTarget: j.FirstTokenTarget, Zone: e.Zone, Avoid: j.Avoid, BlockTokens: j.BlockTokens,
+		FirstTokenTarget: j.remainingTarget(time.Now()), FullTarget: j.FirstTokenTarget, Zone: e.Zone, Avoid: j.Avoid, BlockTokens: j.BlockTokens,
 		Traits: j.Traits, Stream: j.Stream, Release: j.Release, MaxRejections: j.MaxRejections,
 	}
+	if e.SendsRoute {
+		req.Route = j.Route
+	}
 	// A cell with room may have no endpoint of the release.
 	mayRedirect := !j.hasBeenRedirected && j.Release == nil
+	req.HasOtherCells = e.hasOtherCells(j, cell)
 	if local := e.Cells.LocalCell(cell); local != nil {
 		req.MayRedirect = mayRedirect
 		return e.requestFromCell(ctx, req, local)
@@ -225,18 +229,19 @@
 	if req.Response.Outcome != sched.Granted {
 		return g
 	}
+	tracker := cell.Track(req)
 	e.addInFlight(cell.ID, inFlightOf(req, g))
 	g.ReportStarted = func(s *sched.Statement) {
 		e.markStarted(cell.ID, req.Request)
 		if s != nil {
-			cell.UpdateEndpoint(req.Request, *s)
+			tracker.UpdateEndpoint(*s)
 		}
-		cell.FirstToken(req.Request)
+		tracker.FirstToken()
 	}
-	g.ReportProgress = func(interToken time.Duration) { cell.Progress(req.Request, interToken) }
+	g.ReportProgress = tracker.Progress
 	g.Complete = func(completion sched.Completion) {
 		e.removeInFlight(cell.ID, req.Request)
-		cell.Complete(req.Request, completion)
+		tracker.Complete(completion)
 	}
 	return g
 }
@@ -277,6 +282,9 @@
 	}
 	response, err := link.Decode[wire.GrantResponse](body)
 	e.Clock.Observe(clock.Time(response.Clock))
+	if response.IsWhole {
+		e.Cells.LearnWhole(cell.Pool)
+	}
 	grant := &Grant{Cell: cell, Response: response.ToGrantResponse(), Received: time.Now()}
 	if err != nil || grant.Response.Outcome != sched.Granted {
 		stream.Close() //nolint:errcheck // no grant, nothing to report.
@@ -285,7 +293,7 @@
 	e.addInFlight(cell, inFlightOf(req, grant))
 	grant.ReportStarted = func(s *sched.Statement) {
 		e.markStarted(cell, req.Request)
-		if owner, ok := e.Cells.Owner(cell); ok && owner.ID != remote.node.ID && req.Stream != "" {
+		if owner, ok := e.Cells.Owner(cell); ok && (owner.ID != remote.node.ID || owner.Suspect) && req.Stream != "" {
 			// The node that granted the request may be gone.
 			e.Cells.ReportStarted(cell, req.Stream, grant.Response.Release)
 		}
@@ -337,6 +345,8 @@
 // most maxCompletionAttempts attempts.
 func (e *Entry) reportLateCompletion(message wire.Completion, cell ident.CellID) {
 	for range maxCompletionAttempts {
+		cell = e.Cells.CurrentCell(cell)
+		message.Cell = cell.Index
 		owner, ok := e.Cells.Owner(cell)
 		if ok && owner.ID == e.Self {
 			if local := e.Cells.LocalCell(cell); local != nil {
@@ -357,3 +367,18 @@
 	_, err := link.Call[wire.Completion, wire.Empty](ctx, e.Open, owner.PeerAddress, wire.KindCompletedLate, message)
 	return err
 }
+
+// minTargetFraction is the fraction of its first-token target that a request always has left
+// for a cell: it can still be in time where an endpoint has room.
+const minTargetFraction = 0.25
+
+// remainingTarget returns what is left of the first-token target after the time since the
+// request arrived, which slow nodes and links use up before a cell hears of it. A request that
+// is late already, such as one that is repeated, may wait like a new one.
+func (j *Job) remainingTarget(now time.Time) time.Duration {
+	left := j.FirstTokenTarget - now.Sub(j.Request.Arrived)
+	if left <= 0 {
+		return j.FirstTokenTarget
+	}
+	return max(left, time.Duration(minTargetFraction*float64(j.FirstTokenTarget)))
+}
--- a/internal/request/entry/keyed.go
+++ b/internal/request/entry/keyed.go
@@ -10,10 +10,10 @@
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/wire"
 	"goldcrestwick/internal/process/claims"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/answer"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/refuse"
 )
 
--- a/internal/request/entry/keys.go
+++ b/internal/request/entry/keys.go
@@ -7,8 +7,8 @@
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/wire"
 	"goldcrestwick/internal/process/claims"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/request/answer"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/refuse"
 )
 
--- a/internal/request/entry/known.go
+++ b/internal/request/entry/known.go
@@ -5,8 +5,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/sched"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/refuse"
 )
 
--- a/internal/request/intake/digest.go
+++ b/internal/request/intake/digest.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // requestDigest returns a hash of a request's API, name, limit of output tokens and
--- a/internal/request/intake/intake.go
+++ b/internal/request/intake/intake.go
@@ -24,8 +24,8 @@
 	"strings"
 	"time"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/prefix"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/refuse"
 	"goldcrestwick/internal/version/config"
 )
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -183,7 +183,8 @@
 		return x.countAttempt(x.Send(head, s.Body))
 	}
 	x.sendResult = make(chan error, 1)
-	go func() { x.sendResult <- x.Send(head, s.Body) }()
+	body := s.Body // it is dropped when the answer is whole, which may come before it is sent.
+	go func() { x.sendResult <- x.Send(head, body) }()
 	s.attempts++
 	return nil
 }
--- a/internal/request/proxy/detour.go
+++ b/internal/request/proxy/detour.go
@@ -22,8 +22,9 @@
 	r := *s.Request
 	r.EarlierAttempts, r.Release, r.Info.LastEventID = s.attempts, s.job.Release, s.stream.lastEventID
 	w := s.w
+	rest := &restWriter{ResponseWriter: s.w}
 	if s.stream.headSent {
-		w = bodyWriter{w}
+		w = rest
 	}
 	result, ok := p.Detour(ctx, &r, w)
 	if !ok {
@@ -36,6 +37,11 @@
 	if s.stream.headSent {
 		result.Status, result.TimeToFirstAnswer = s.result.Status, s.result.TimeToFirstAnswer
 	}
+	if rest.isFailure {
+		s.attempts = max(s.attempts, result.Attempts)
+		s.result = result
+		return p.finish(ctx, s, outcome{result: interrupted, reason: "the endpoint failed to go on with the stream"}), true
+	}
 	if result.Refusal == nil || !s.mayHaveRun && s.failureAnswer == nil && !s.stream.headSent {
 		return result, true
 	}
@@ -46,14 +52,25 @@
 	return p.finish(ctx, s, outcome{result: interrupted, reason: reason}), true
 }
 
-// bodyWriter drops the head of an answer, which the caller has already.
-type bodyWriter struct{ http.ResponseWriter }
+// restWriter writes the rest of an answer whose head the caller has. It drops the head, and
+// all of a failure, whose body is not the rest.
+type restWriter struct {
+	http.ResponseWriter
+	isFailure bool
+}
 
 // Header returns a header that is not sent.
-func (w bodyWriter) Header() http.Header { return http.Header{} }
+func (w *restWriter) Header() http.Header { return http.Header{} }
+
+// WriteHeader sends nothing.
+func (w *restWriter) WriteHeader(status int) { w.isFailure = !isSuccess(status) }
 
-// WriteHeader does nothing.
-func (w bodyWriter) WriteHeader(int) {}
+func (w *restWriter) Write(data []byte) (int, error) {
+	if w.isFailure {
+		return len(data), nil
+	}
+	return w.ResponseWriter.Write(data)
+}
 
 // Unwrap returns the underlying writer, for http.ResponseController.
-func (w bodyWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+func (w *restWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/request/proxy/finish.go
+++ b/internal/request/proxy/finish.go
@@ -4,9 +4,36 @@
 	"context"
 	"time"
 
+	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/request/refuse"
 )
 
+// attemptResult is the result of one attempt.
+type attemptResult uint8
+
+const (
+	// answered: the caller got the answer, or a truncated one that cannot be
+	// resumed.
+	answered attemptResult = iota
+	// notSent: no byte of the request was sent.
+	notSent
+	// rejected: the endpoint reported that it did not run the request.
+	rejected
+	// runFailed: the endpoint ran the request and answered with a 5xx status.
+	runFailed
+	// interrupted: the request may have run, and its answer is not complete.
+	interrupted
+)
+
+// outcome describes how an attempt ended.
+type outcome struct {
+	result attemptResult
+	// reason says why the attempt failed, "" if it did not.
+	reason string
+	// completion is reported to the cell that granted the attempt.
+	completion sched.Completion
+}
+
 // canRetry reports whether another attempt may follow one with the given outcome.
 // Unless that attempt sent nothing, it also takes a retry from the budget.
 func (p *Proxy) canRetry(ctx context.Context, s *requestState, out outcome) bool {
--- a/internal/request/proxy/fragile.go
+++ b/internal/request/proxy/fragile.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // fragileTTL is how long a pool is taken for fragile after an answer that says so. Answers
--- a/internal/request/proxy/holdoff.go
+++ b/internal/request/proxy/holdoff.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // holdOffs holds the endpoints that want no requests from this node for some time,
--- a/internal/request/proxy/length.go
+++ b/internal/request/proxy/length.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 const (
--- a/internal/request/proxy/limits.go
+++ b/internal/request/proxy/limits.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // limitTTL is how long a named limit is remembered without an answer that names it
--- a/internal/request/proxy/prefix.go
+++ b/internal/request/proxy/prefix.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // maxPromptParts limits the fingerprints of one prompt and thereby the size of
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -29,12 +29,13 @@
 
 	"goldcrestwick/internal/connection/conn"
 	"goldcrestwick/internal/process/budget"
+	"goldcrestwick/internal/process/ident"
+	"goldcrestwick/internal/process/memory"
 	"goldcrestwick/internal/process/origin"
 	"goldcrestwick/internal/process/reach"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/entry"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/intake"
 	"goldcrestwick/internal/request/refuse"
 	"goldcrestwick/internal/version/config"
@@ -132,9 +133,12 @@
 	Host   string
 	Header http.Header
 	// Body is nil if the request has none.
-	Body    []byte
-	Info    RequestInfo
-	Arrived time.Time
+	Body []byte
+	// BodyDropped is called when the Proxy has set Body to nil, since only the caller is
+	// still to read its answer; it may be nil.
+	BodyDropped func()
+	Info        RequestInfo
+	Arrived     time.Time
 	// Deadline is the earlier of the caller's and the route's deadline.
 	Deadline time.Time
 	Route    *config.Route
@@ -164,7 +168,8 @@
 	// Attempts counts the attempts that sent any part of the request, and Interrupted
 	// those of them whose answers broke off or never began.
 	Attempts, Interrupted int
-	// Events counts the events of a stream that were sent to the caller.
+	// Events counts the events of a stream that were sent to the caller, or buffered for it
+	// before it left.
 	Events int
 	// Endpoint is the endpoint of the last grant that was used, whether or not it
 	// answered.
@@ -202,6 +207,8 @@
 	// FindOrigin returns the origin of the stream that a job takes up and that is no older
 	// than maxAge; it returns false if that cannot be told.
 	FindOrigin func(ctx context.Context, j *entry.Job, maxAge time.Duration) (origin.Origin, bool)
+	// FindFormerPool returns a pool to which a route led until recently, or nil; it may be nil.
+	FindFormerPool func(route string, id ident.PoolID) *config.Pool
 	// Started is called when an endpoint has begun a stream, or gone on with one; it may be
 	// nil.
 	Started func(stream ident.RequestID, o origin.Origin)
@@ -241,8 +248,21 @@
 	result        Result
 }
 
-// Serve forwards a request and writes the answer to w.
+// Serve forwards a request and writes the answer to w. It returns when the caller has taken
+// what its connection buffers of the answer.
 func (p *Proxy) Serve(ctx context.Context, r *Request, w http.ResponseWriter) Result {
+	caller := memory.FromContext(ctx)
+	caller.Begin(ctx, memory.Owner{Request: r.ID, Tier: r.Tier.Rank})
+	result := p.serve(ctx, r, w)
+	if caller.HasBuffered() && result.Interrupted == 0 && r.BodyDropped != nil {
+		// An interrupted request is logged with the fingerprint of its body.
+		r.Body = nil
+		r.BodyDropped()
+	}
+	return deliver(caller, w, result)
+}
+
+func (p *Proxy) serve(ctx context.Context, r *Request, w http.ResponseWriter) Result {
 	s := &requestState{Request: r, w: w, parent: ctx, job: p.newJob(r), attempts: r.EarlierAttempts}
 	s.stream.resumeFrom(r)
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
@@ -283,57 +303,6 @@
 	}
 }
 
-// stream returns the identifier of the stream that the request begins or takes up, "" if
-// its answer is none.
-func (r *Request) stream() ident.RequestID {
-	switch {
-	case r.Route.Kind != config.Stream:
-		return ""
-	case r.Info.LastEventID > 0:
-		return ident.RequestID(r.Info.Resumes)
-	}
-	return ident.RequestID(r.Info.AttemptID)
-}
-
-// maxStreamAge is the time, as a multiple of the route's timeout, after which no caller
-// takes up a stream: the timeout bounds each attempt, and callers rarely wait longer for all
-// of them.
-const maxStreamAge = 2
-
-// bindRelease binds a request that takes up a stream to the release that began it. It
-// returns the refusal of one whose release cannot be told.
-func (p *Proxy) bindRelease(ctx context.Context, s *requestState) *refuse.Refusal {
-	if s.Release != nil {
-		s.job.Release = s.Release
-		return nil
-	}
-	if !s.isStream() || s.Info.LastEventID == 0 || p.FindOrigin == nil {
-		return nil
-	}
-	o, ok := p.FindOrigin(ctx, s.job, maxStreamAge*s.Route.Timeout)
-	if !ok {
-		refusal := refuse.New(refuse.OriginUnknown, "it is not known which software release began the stream")
-		refusal.RetryAfter = noEndpointRetryAfter
-		return refusal
-	}
-	if o.Pool == s.Pool.ID || s.moveToPool(o.Pool) {
-		s.job.Release = &o.Release
-	}
-	return nil
-}
-
-// moveToPool moves the request to another pool of its route. It returns false if the route
-// leads there no longer: the releases of another pool say nothing of the stream's.
-func (s *requestState) moveToPool(id ident.PoolID) bool {
-	for _, share := range s.Route.Shares {
-		if share.Pool.ID == id {
-			s.Pool, s.job.Pool = share.Pool, share.Pool
-			return true
-		}
-	}
-	return false
-}
-
 // quarantineRefusal returns the refusal of a request with a quarantined trait, or nil.
 func (p *Proxy) quarantineRefusal(s *requestState) *refuse.Refusal {
 	if p.Quarantined == nil {
@@ -358,38 +327,12 @@
 			ID: r.ID, Kind: r.Pool.Kind, Arrived: r.Arrived, Deadline: r.Deadline,
 			PromptTokens: r.Info.PromptTokens, OutputTokens: p.lengths.estimate(r), Prefix: prefix,
 		},
-		Account: account, Pool: r.Pool, Tier: r.Tier, Version: r.Version,
+		Account: account, Pool: r.Pool, Tier: r.Tier, Version: r.Version, Route: r.Route.Name,
 		FirstTokenTarget: r.Route.FirstAnswerTarget, Avoid: p.holdOffs.endpoints(time.Now()), Stream: r.stream(),
 		MaxRejections: p.fragile.maxRejections(r.Pool.ID, time.Now()),
 	}
 }
 
-// attemptResult is the result of one attempt.
-type attemptResult uint8
-
-const (
-	// answered: the caller got the answer, or a truncated one that cannot be
-	// resumed.
-	answered attemptResult = iota
-	// notSent: no byte of the request was sent.
-	notSent
-	// rejected: the endpoint reported that it did not run the request.
-	rejected
-	// runFailed: the endpoint ran the request and answered with a 5xx status.
-	runFailed
-	// interrupted: the request may have run, and its answer is not complete.
-	interrupted
-)
-
-// outcome describes how an attempt ended.
-type outcome struct {
-	result attemptResult
-	// reason says why the attempt failed, "" if it did not.
-	reason string
-	// completion is reported to the cell that granted the attempt.
-	completion sched.Completion
-}
-
 func (p *Proxy) record(s *requestState, r trace.Record) {
 	if p.Record == nil {
 		return
--- /dev/null
+++ b/internal/request/proxy/release.go
@@ -0,0 +1,72 @@
+package proxy
+
+import (
+	"context"
+
+	"goldcrestwick/internal/process/ident"
+	"goldcrestwick/internal/request/refuse"
+	"goldcrestwick/internal/version/config"
+)
+
+// stream returns the identifier of the stream that the request begins or takes up, "" if
+// its answer is none.
+func (r *Request) stream() ident.RequestID {
+	switch {
+	case r.Route.Kind != config.Stream:
+		return ""
+	case r.Info.LastEventID > 0:
+		return ident.RequestID(r.Info.Resumes)
+	}
+	return ident.RequestID(r.Info.AttemptID)
+}
+
+// maxStreamAge is the time, as a multiple of the route's timeout, after which no caller
+// takes up a stream: the timeout bounds each attempt, and callers rarely wait longer for all
+// of them.
+const maxStreamAge = 2
+
+// bindRelease binds a request that takes up a stream to the release that began it. It
+// returns the refusal of one whose release cannot be told.
+func (p *Proxy) bindRelease(ctx context.Context, s *requestState) *refuse.Refusal {
+	if s.Release != nil {
+		s.job.Release = s.Release
+		return nil
+	}
+	if !s.isStream() || s.Info.LastEventID == 0 || p.FindOrigin == nil {
+		return nil
+	}
+	o, ok := p.FindOrigin(ctx, s.job, maxStreamAge*s.Route.Timeout)
+	if !ok {
+		return originUnknown("it is not known which software release began the stream")
+	}
+	if o.Pool != s.Pool.ID {
+		pool := p.findPool(s.Route, o.Pool)
+		if pool == nil {
+			return originUnknown("the route does not lead to the pool that began the stream")
+		}
+		s.Pool, s.job.Pool = pool, pool
+	}
+	s.job.Release = &o.Release
+	return nil
+}
+
+func originUnknown(detail string) *refuse.Refusal {
+	refusal := refuse.New(refuse.OriginUnknown, detail)
+	refusal.RetryAfter = noEndpointRetryAfter
+	return refusal
+}
+
+// findPool returns a pool to which a route leads, or led until recently, so that streams that
+// began there can go on. It returns nil for other pools: callers choose the names of attempts,
+// and must not reach a pool through the name of another route's stream.
+func (p *Proxy) findPool(r *config.Route, id ident.PoolID) *config.Pool {
+	for _, share := range r.Shares {
+		if share.Pool.ID == id {
+			return share.Pool
+		}
+	}
+	if p.FindFormerPool == nil {
+		return nil
+	}
+	return p.FindFormerPool(r.Name, id)
+}
--- a/internal/request/proxy/script_test.go
+++ b/internal/request/proxy/script_test.go
@@ -17,9 +17,9 @@
 
 	"goldcrestwick/internal/connection/conn"
 	"goldcrestwick/internal/process/budget"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/request/entry"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/refuse"
 	"goldcrestwick/internal/stand/engine"
 	"goldcrestwick/internal/stand/script"
@@ -301,6 +301,7 @@
 			qt.Assert(s.T, s.result.Refusal != nil, qt.IsTrue, at)
 			qt.Check(s.T, string(s.result.Refusal.Reason), qt.Equals, args[i+1], at)
 			qt.Check(s.T, string(s.result.Refusal.RunState), qt.Equals, args[i+2], at)
+			qt.Check(s.T, s.recorder.Flushed, qt.IsFalse, at)
 			i += 2
 		case "signed":
 			i++
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -13,9 +13,9 @@
 	"github.com/rotisserie/eris"
 
 	"goldcrestwick/internal/connection/conn"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/origin"
 	"goldcrestwick/internal/process/sched"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/version/config"
 )
 
@@ -112,14 +112,16 @@
 			return x.failWithoutAnswer(ctx, "the stream broke off: "+err.Error(), err)
 		}
 		if err != nil {
+			s.flushEvents()
 			return x.failMidway(ctx, "the stream broke off: "+err.Error())
 		}
 		if err := s.stream.advance(e); err != nil {
+			s.flushEvents()
 			return x.fail(ctx, err.Error())
 		}
 		x.recordEvent(t)
 		x.writeHead(resp)
-		if err := s.writeEvent(e); err != nil {
+		if err := s.writeEvent(e, hasEvent(events)); err != nil {
 			x.DisableReuse()
 			s.result.Truncated = true
 			return outcome{answered, "the caller went away", sched.Completion{Cancelled: true}}
@@ -159,12 +161,37 @@
 	s.w.WriteHeader(resp.StatusCode)
 }
 
-func (s *requestState) writeEvent(e event) error {
+// writeEvent writes an event to the caller. If another event follows at once, both are sent
+// together, which saves a system call and a wake-up of the caller.
+func (s *requestState) writeEvent(e event, isFollowed bool) error {
 	if _, err := s.w.Write(e.raw); err != nil {
 		return err
 	}
 	s.result.Events++
-	return http.NewResponseController(s.w).Flush()
+	if isFollowed {
+		return nil
+	}
+	return s.flush()
+}
+
+func (s *requestState) flush() error { return http.NewResponseController(s.w).Flush() }
+
+// flushEvents sends the events that have been written. Before the head is written it does
+// nothing, since that would send an empty head with status 200.
+func (s *requestState) flushEvents() {
+	if s.stream.headSent {
+		s.flush() //nolint:errcheck // the caller may be gone.
+	}
+}
+
+// hasEvent reports whether a whole event is buffered, so that reading it does not wait.
+func hasEvent(r *bufio.Reader) bool {
+	n := r.Buffered()
+	if n == 0 {
+		return false
+	}
+	text, _ := r.Peek(n) //nolint:errcheck // the bytes are buffered.
+	return bytes.Contains(text, []byte("\n\n")) || bytes.Contains(text, []byte("\n\r\n"))
 }
 
 // streamTiming measures the time to first token and the inter-token latency of
--- a/internal/request/proxy/traits.go
+++ b/internal/request/proxy/traits.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // partTraits returns the identifiers of the parts of a prompt.
--- a/internal/request/refuse/refuse.go
+++ b/internal/request/refuse/refuse.go
@@ -19,7 +19,7 @@
 	"strconv"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // RunState is whether a request was executed, as far as is known.
--- a/internal/request/relay/events.go
+++ b/internal/request/relay/events.go
@@ -9,8 +9,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/request/answer"
-	"goldcrestwick/internal/request/ident"
 )
 
 // maxEventBytes limits the size of one line of a model runner's event stream.
--- a/internal/request/relay/model.go
+++ b/internal/request/relay/model.go
@@ -25,9 +25,9 @@
 	"github.com/rotisserie/eris"
 
 	"goldcrestwick/internal/connection/client"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/request/answer"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/request/intake"
 	"goldcrestwick/internal/request/refuse"
 )
--- a/internal/stand/batch/batch.go
+++ b/internal/stand/batch/batch.go
@@ -28,7 +28,7 @@
 	"sync"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // Defaults for fields that are zero: the sizes of a small engine.
--- a/internal/stand/batch/batch_test.go
+++ b/internal/stand/batch/batch_test.go
@@ -14,7 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/stand/batch"
 	"goldcrestwick/internal/stand/script"
 )
--- a/internal/stand/batch/kvcache.go
+++ b/internal/stand/batch/kvcache.go
@@ -4,7 +4,7 @@
 	"container/list"
 	"strings"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // kvCache accounts for the KV cache of an engine: the tokens private to one
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -26,7 +26,7 @@
 	"sync"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/stand/batch"
 )
 
@@ -128,6 +128,9 @@
 	Header         http.Header
 	Body           string
 	At             time.Time
+	// EndedAt is when the engine had answered the request or given it up; the zero time
+	// before.
+	EndedAt time.Time
 }
 
 // Engine is one endpoint. ID and NextBehaviour must be set before use. It is safe
@@ -232,7 +235,7 @@
 func (e *Engine) serveRequest(c net.Conn, r *bufio.Reader, req *http.Request) bool {
 	b := e.NextBehaviour()
 	if b.AnswerBeforeBody {
-		e.record(req, "")
+		defer e.recordEnd(e.record(req, ""))
 		e.writeAnswer(c, req, b)
 		return false
 	}
@@ -240,7 +243,8 @@
 	if err != nil {
 		return false
 	}
-	e.record(req, string(body))
+	index := e.record(req, string(body))
+	defer e.recordEnd(index)
 	if want := req.Header.Get(ExpectInstanceHeader); want != "" && want != e.ID {
 		return send(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 	}
@@ -248,7 +252,7 @@
 		return false
 	}
 	if b == (Behaviour{}) && e.Batch != nil && req.Header.Get(TokenCountsHeader) != "" {
-		return e.generate(c, r, req)
+		return e.generate(c, r, req, index)
 	}
 	time.Sleep(b.EventInterval)
 	if e.Crash != nil && e.Crash(req.RequestURI, nil) {
@@ -261,10 +265,21 @@
 	return e.writeAnswer(c, req, b)
 }
 
-func (e *Engine) record(req *http.Request, body string) {
+// record records a request and returns its index.
+func (e *Engine) record(req *http.Request, body string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.received = append(e.received, ReceivedRequest{req.Method, req.RequestURI, req.Header, body, time.Now()})
+	e.received = append(e.received, ReceivedRequest{Method: req.Method, Target: req.RequestURI, Header: req.Header, Body: body, At: time.Now()})
+	return len(e.received) - 1
+}
+
+// recordEnd records the end of a request unless it has been recorded.
+func (e *Engine) recordEnd(index int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r := &e.received[index]; r.EndedAt.IsZero() {
+		r.EndedAt = time.Now()
+	}
 }
 
 func send(w io.Writer, text string) bool {
--- a/internal/stand/engine/generate.go
+++ b/internal/stand/engine/generate.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/stand/batch"
 )
 
@@ -37,8 +37,8 @@
 
 // generate answers a request with the tokens that the batch engine generates,
 // and reports whether the connection can be reused. If the caller closes the
-// connection, the sequence is canceled.
-func (e *Engine) generate(w io.Writer, r *bufio.Reader, req *http.Request) bool {
+// connection, the sequence is canceled. The index is that of the recorded request.
+func (e *Engine) generate(w io.Writer, r *bufio.Reader, req *http.Request, index int) bool {
 	generation, err := e.parseRequest(req.Header)
 	if err != nil {
 		return e.reject(w, req, http.StatusBadRequest)
@@ -63,6 +63,7 @@
 		}
 	}()
 	keepAlive := e.streamSequence(ctx, w, req, generation, seq)
+	e.recordEnd(index) // serveRequest returns only when the connection is used again.
 	if keepAlive {
 		<-next // Serve may use r only after Peek has returned.
 	}
--- a/internal/stand/runner/cache.go
+++ b/internal/stand/runner/cache.go
@@ -3,7 +3,7 @@
 import (
 	"container/list"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // prefixCache holds prompt blocks by fingerprint and evicts the least recently
--- a/internal/stand/runner/directory.go
+++ b/internal/stand/runner/directory.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/prefix"
-	"goldcrestwick/internal/request/ident"
 )
 
 // CacheDirectory records which prompt blocks are cached in which of several
--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -26,8 +26,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/prefix"
-	"goldcrestwick/internal/request/ident"
 )
 
 // StepCost is the time that a batch step takes on a generation of hardware.
--- a/internal/stand/runner/serve.go
+++ b/internal/stand/runner/serve.go
@@ -10,8 +10,8 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/prefix"
-	"goldcrestwick/internal/request/ident"
 )
 
 // Order is an order that a runner has accepted.
--- a/internal/tool/fleet/case_test.go
+++ b/internal/tool/fleet/case_test.go
@@ -16,9 +16,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/trace"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/stand/apprun"
 	"goldcrestwick/internal/stand/cloud"
 	"goldcrestwick/internal/stand/pipes"
--- a/internal/tool/fleet/crash_test.go
+++ b/internal/tool/fleet/crash_test.go
@@ -15,7 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/request/refuse"
 	"goldcrestwick/internal/stand/batch"
 	"goldcrestwick/internal/stand/cloud"
--- a/internal/tool/fleet/faults_test.go
+++ b/internal/tool/fleet/faults_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/stand/apprun"
 	"goldcrestwick/internal/stand/cloud"
 	"goldcrestwick/internal/stand/runner"
--- a/internal/tool/fleet/fleet.go
+++ b/internal/tool/fleet/fleet.go
@@ -29,10 +29,10 @@
 
 	"goldcrestwick/internal/connection/client"
 	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/node"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/store"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/stand/apprun"
 	"goldcrestwick/internal/stand/cloud"
 	"goldcrestwick/internal/stand/runner"
--- a/internal/tool/fleet/ledger_test.go
+++ b/internal/tool/fleet/ledger_test.go
@@ -9,9 +9,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/ledger"
 	"goldcrestwick/internal/process/trace"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/stand/cloud"
 )
 
--- a/internal/tool/fleet/network.go
+++ b/internal/tool/fleet/network.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"goldcrestwick/internal/connection/link"
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/stand/pipes"
 )
 
--- a/internal/tool/fleet/path_test.go
+++ b/internal/tool/fleet/path_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/stand/runner"
 	"goldcrestwick/internal/version/config"
 )
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"iter"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -20,13 +21,12 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/node"
 	"goldcrestwick/internal/process/store"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/stand/batch"
 	"goldcrestwick/internal/stand/cloud"
 	"goldcrestwick/internal/stand/engine"
@@ -60,10 +60,22 @@
 	// zones holds the zones of the nodes that are not in zone z.
 	zones  map[string]ident.AvailabilityZone
 	frozen map[string]bool
+	// capacities holds the capacities of the nodes that state one.
+	capacities map[string]int
 	// started holds the nodes that have been started before.
 	started      map[string]bool
 	checkedReads int
 	crashes      crashLog
+	// startsFromNodes holds the setting start_from_nodes for the nodes that start.
+	startsFromNodes bool
+	// bounds holds the bounds of rollouts for the nodes that start.
+	bounds config.Process
+	// exposed holds the number of requests that had reached the engines of each release
+	// at the last exposed command.
+	exposed    map[string]int
+	storeCalls callCounts
+	// refreshed ends the refresh command when it is closed.
+	refreshed chan struct{}
 }
 
 type proxyNode struct {
@@ -78,6 +90,11 @@
 	entry     map[string]any
 	mu        sync.Mutex
 	behaviour engine.Behaviour
+	// From badFrom on one of badEvery requests gets bad, chosen by random; 0 is none.
+	badEvery  int
+	bad       engine.Behaviour
+	badFrom   time.Time
+	random    *rand.Rand
 	limit     string
 	limitedAt time.Time
 	// brittle is how many refusals per second the engine survives, 0 for any number, and
@@ -107,7 +124,7 @@
 func runProxyScript(t *testing.T, lines iter.Seq[script.Line]) {
 	p := &proxyCase{
 		T: t, net: &pipes.Network{}, nodes: map[string]*proxyNode{}, engines: map[string]*proxyEngine{},
-		calls: map[string]*proxyCall{}, zones: map[string]ident.AvailabilityZone{}, frozen: map[string]bool{}, started: map[string]bool{},
+		calls: map[string]*proxyCall{}, zones: map[string]ident.AvailabilityZone{}, frozen: map[string]bool{}, capacities: map[string]int{}, started: map[string]bool{},
 	}
 	listener, err := p.net.Listen(PlatformHost + ":80")
 	qt.Assert(t, err, qt.IsNil)
@@ -127,6 +144,9 @@
 }
 
 func (p *proxyCase) stop() {
+	if p.refreshed != nil {
+		close(p.refreshed)
+	}
 	p.cloud.SetFault(nil)
 	p.net.Heal()
 	p.running.Wait()
@@ -158,7 +178,9 @@
 		"store": p.store, "shutdown": p.shutdown, "ready": p.ready, "cut": p.cut, "heal": p.heal, "malformed_entry": p.malformedEntry,
 		"batch": p.batch, "fleet": p.fleet, "engines": p.manyEngines, "calls": p.checkCalls, "in_force": p.inForce,
 		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "crashing_request": p.crashingRequest, "reads": p.reads, "traffic": p.traffic, "crashes": p.checkCrashes,
-		"kill_engine": p.killEngine, "kill_all_but": p.killAllBut, "taken_up": p.checkTakenUp, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed, "brittle": p.setBrittle, "falls": p.checkFalls,
+		"bounds": p.setBounds, "order": p.order, "status": p.checkStatus, "exposed": p.checkExposed, "shown": p.checkShown,
+		"kill_engine": p.killEngine, "kill_all_but": p.killAllBut, "taken_up": p.checkTakenUp, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed, "brittle": p.setBrittle, "falls": p.checkFalls, "revive": p.revive, "unmark": p.unmark, "unreadable": p.unreadable, "writes": p.failWrites, "rows": p.checkRows, "counted": p.checkCounted,
+		"store_calls": p.checkStoreCalls, "refresh": p.refresh, "restart_all": p.restartAll, "all_ready": p.checkAllReady,
 	}
 	run, ok := commands[command]
 	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.Position, command))
@@ -171,13 +193,17 @@
 	}
 }
 
-// fleet starts a number of nodes, which are distributed over the zones in turn.
+// fleet starts a number of nodes, which are distributed over the zones in turn. With capacity=
+// the first has that capacity and each other one less than the one before it.
 func (p *proxyCase) fleet(names []string, given map[string]string) {
 	zones := strings.Split(given["zones"], ",")
+	p.startsFromNodes = given["start_from_nodes"] == "yes"
 	for i := range p.IntOption("count", 0) {
 		name := fmt.Sprintf("%s%02d", names[0], i)
 		p.zones[name] = ident.AvailabilityZone(zones[i%len(zones)])
+		p.capacities[name] = max(p.IntOption("capacity", 0)-i, 0)
 		p.startNode(name)
+		time.Sleep(p.ParseDuration(given["over"]) / time.Duration(p.IntOption("count", 1)))
 	}
 }
 
@@ -199,6 +225,10 @@
 	}
 }
 
+// nodeMemory is the memory that the nodes' settings state, so that answers are buffered for
+// callers that do not read.
+const nodeMemory = 128 << 20
+
 func (p *proxyCase) startNode(name string) {
 	comment := qt.Commentf("%s: %s", p.Position, name)
 	mux := &link.Mux{}
@@ -211,14 +241,16 @@
 	n := &proxyNode{peers: peers, Node: &node.Node{
 		Process: config.Process{
 			Name: ident.NodeID(name), Zone: cmp.Or(p.zones[name], "z"), Region: "r", CallerAddress: name + ":80", PeerAddress: peers.Address,
-			IsFirstStart: !p.started[name],
-			RetryBudget:  config.RetryBudget{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+			IsFirstStart: !p.started[name], StartsFromNodes: p.startsFromNodes, MemoryBytes: nodeMemory, Capacity: p.capacities[name],
+			RetryBudget: config.RetryBudget{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+			ExposeShare: p.bounds.ExposeShare, ExposeSlack: p.bounds.ExposeSlack, Rollback: p.bounds.Rollback,
 		},
-		Store: &store.Client{Service: service.Service()}, Open: peers.Open, Log: log.New(io.Discard),
+		Store: &store.Client{Service: service.Service().Counted(p.storeCalls.add)}, Open: peers.Open, Log: p.logOf(name),
 		Platform: &node.Platform{
 			SettingsTable: platform.SettingsTable, SettingsKey: platform.SettingsKey,
 			EndpointTable: platform.EndpointTable, SettingsVersion: platform.SettingsVersion,
 			ParseSettings: platform.ParseSettings, ParseEndpoint: platform.ParseEndpoint, HeaderCodec: platform.HeaderCodec(),
+			OrderPool: platform.OrderPool, ParseOrder: platform.ParseOrder, FormatStatus: platform.FormatStatus, StatusTable: platform.StatusTable,
 		},
 		DialEndpoint: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
 	}}
@@ -226,7 +258,7 @@
 	n.SetLedgerKey(ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)))
 	n.server = n.Router().Server()
 	n.server.ErrorLog = discardLogger()
-	go n.server.Serve(listener) //nolint:errcheck // it returns when the server is closed.
+	go n.server.Serve(n.CallerListener(listener)) //nolint:errcheck // it returns when the server is closed.
 	p.nodes[name] = n
 	p.started[name] = true
 	go n.Start(context.Background())
@@ -236,6 +268,7 @@
 	for _, name := range names {
 		e := &proxyEngine{behaviour: engine.Behaviour{LastEvent: 3, EventInterval: 10 * time.Millisecond}}
 		e.ID, e.Release = name, given["release"]
+		e.random = rand.New(rand.NewPCG(1, uint64(len(p.engines))))
 		if given["slots"] != "" {
 			e.behaviour = engine.Behaviour{}
 			e.TokensPerEvent = 6
@@ -259,7 +292,7 @@
 		e.NextBehaviour = func() engine.Behaviour {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			return e.behaviour
+			return e.nextBehaviour()
 		}
 		l, err := p.net.Listen(name + ":80")
 		qt.Assert(p.T, err, qt.IsNil, qt.Commentf(p.Position))
@@ -321,7 +354,13 @@
 	for _, name := range p.engineNames(names, given) {
 		e := p.engines[name]
 		e.mu.Lock()
-		e.behaviour = engine.Behaviour{
+		e.badEvery = p.IntOption("every", 0)
+		e.badFrom = time.Now().Add(p.ParseDuration(given["from"]))
+		behaviour := &e.behaviour
+		if e.badEvery > 0 {
+			behaviour = &e.bad
+		}
+		*behaviour = engine.Behaviour{
 			Status: p.IntOption("status", 0), Body: given["body"], LastEvent: p.IntOption("events", 0),
 			EndMode: engine.EndMode(given["ending"]), EventInterval: p.ParseDuration(given["pace"]), CloseUnanswered: given["drop"] == "yes",
 			NotRun: given["not_run"] == "yes", Leaving: given["leaving"] == "yes", RetryAfter: given["retry_after"],
@@ -599,11 +638,14 @@
 	p.net.SetBlocked(names[1], names[0], true)
 }
 
-// partition cuts nodes off from all engines: their connections hang, are reset, or live on
-// while new ones are refused.
+// partition cuts nodes off from all engines, or from that given by engine=: their connections
+// hang, are reset, or live on while new ones are refused.
 func (p *proxyCase) partition(names []string, given map[string]string) {
 	for _, node := range p.resolveHosts(names, given) {
 		for engine := range p.engines {
+			if given["engine"] != "" && given["engine"] != engine {
+				continue
+			}
 			switch given["how"] {
 			case "hang":
 				p.net.SetBlocked(node, engine, true)
@@ -634,6 +676,9 @@
 			p.net.Kill(name) // so that nothing that the node ends is reported.
 			n.kill()
 		}
+		if given["hang"] == "yes" {
+			p.net.SetFrozen(name, true)
+		}
 	}
 }
 
@@ -695,8 +740,8 @@
 }
 
 // shutdown stops a node gracefully, in the order of the entry command.
-func (p *proxyCase) shutdown(names []string, _ map[string]string) {
-	n := p.nodes[names[0]]
+func (p *proxyCase) shutdown(names []string, given map[string]string) {
+	n := p.nodes[p.resolveHosts(names, given)[0]]
 	p.running.Go(func() {
 		n.Router().DisableKeepAlives()
 		n.Leave()
@@ -724,7 +769,7 @@
 	"down": {Unavailable: true}, "busy": {TooManyRequests: true}, "slow": {Delay: 3 * time.Second}, "lost_response": {DropResponse: true},
 }
 
-func (p *proxyCase) store(names []string, _ map[string]string) {
+func (p *proxyCase) store(names []string, given map[string]string) {
 	if names[0] == "up" {
 		p.cloud.SetFault(nil)
 		return
@@ -736,11 +781,19 @@
 	case "restore":
 		p.cloud.Restore(p.copied)
 		return
+	case "delayed":
+		fault := cloud.Fault{Delay: p.ParseDuration(given["by"])}
+		p.cloud.SetFault(func(cloud.Op) cloud.Fault { return fault })
+		return
 	}
 	if names[0] == "drop_history" {
 		p.cloud.TruncateHistory()
 		return
 	}
+	if names[0] == "no_orders" {
+		p.cloud.SetFault(func(op cloud.Op) cloud.Fault { return cloud.Fault{Unavailable: op.Table == platform.SettingsTable} })
+		return
+	}
 	fault, ok := storeFaults[names[0]]
 	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf(p.Position))
 	p.cloud.SetFault(func(cloud.Op) cloud.Fault { return fault })
--- a/internal/tool/fleet/settings_test.go
+++ b/internal/tool/fleet/settings_test.go
@@ -12,7 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/stand/cloud"
 	"goldcrestwick/internal/stand/pipes"
 	"goldcrestwick/internal/version/config"
--- a/internal/tool/load/load.go
+++ b/internal/tool/load/load.go
@@ -32,7 +32,7 @@
 	"sync"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/stand/runner"
 )
 
--- a/internal/tool/load/report.go
+++ b/internal/tool/load/report.go
@@ -14,7 +14,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 const (
--- a/internal/tool/soak/caller.go
+++ b/internal/tool/soak/caller.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -16,10 +17,17 @@
 )
 
 const (
-	// eventCount is the number of events in a whole stream.
-	eventCount = 10
+	// eventCount is the number of events in a whole stream, and eventTokens that of the tokens
+	// in each. A stream takes a second, so that most of those which a kill of all nodes cuts
+	// are older than the 200 ms in which their origins may not be in the store.
+	eventCount  = 40
+	eventTokens = 6
 	// requestTimeout is longer than the time-out of any route.
 	requestTimeout = 6 * time.Second
+	// takeUpTime is the time for which a caller tries to take up a stream, and takeUpPause
+	// the pause after an attempt that brought nothing.
+	takeUpTime  = 6 * time.Second
+	takeUpPause = 200 * time.Millisecond
 	// callerPause is the longest pause of a caller between two requests.
 	callerPause = 120 * time.Millisecond
 )
@@ -36,9 +44,14 @@
 	// began is the id of the record that brought the first event of the stream that this
 	// one takes up, "" if it takes up none, and resumed what its caller has of the stream.
 	began, resumed string
+	// isTriedAgain is set if this attempt to take a stream up brought nothing and another one
+	// follows.
+	isTriedAgain bool
 	// isCut is set if the connection ended before the end of the answer.
 	isCut bool
-	err   error
+	// readSlowly is set if the caller reads the answer slowly.
+	readSlowly bool
+	err        error
 }
 
 // runCaller sends requests until ctx is done. It keeps to a node's connection until the
@@ -80,27 +93,32 @@
 }
 
 // takeUp takes up a stream that was cut at other nodes, one after the other, until it is
-// whole.
+// whole or takeUpTime has passed. A refusal or a lost connection is tried again, as all nodes
+// may have been killed.
 func (r *run) takeUp(ctx context.Context, cut record) {
-	for i := 1; i < r.Nodes && cut.canBeTakenUp(); i++ {
+	end := time.Now().Add(takeUpTime)
+	for i := 1; time.Now().Before(end) && cut.canBeTakenUp(); i++ {
 		next := record{id: fmt.Sprint(cut.id, "-", i), kind: cut.kind, began: cmp.Or(cut.began, cut.id), resumed: cut.wholeEvents()}
-		var address string
-		for name, a := range r.world.addresses() {
-			if name != cut.node && (next.node == "" || name < next.node) {
-				next.node, address = name, a
-			}
+		addresses := r.world.addresses()
+		names := slices.Sorted(maps.Keys(addresses))
+		if len(names) == 0 {
+			return
 		}
+		next.node = names[(slices.Index(names, cut.node)+1)%len(names)]
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
-		next.send(ctx, client, address)
+		next.send(ctx, client, addresses[next.node])
 		if ctx.Err() != nil {
 			return
 		}
+		isRefused := next.status == http.StatusServiceUnavailable || next.status == http.StatusTooManyRequests
+		next.isTriedAgain = (next.err != nil || isRefused) && time.Now().Add(takeUpPause).Before(end)
 		r.add(next)
-		if next.err == nil && !next.isCut {
+		if next.err == nil && !next.isCut && !next.isTriedAgain {
 			return
 		}
-		if next.err != nil || next.body == "" {
+		if next.err != nil || next.body == "" || isRefused {
 			next.resumed, next.body = cut.wholeEvents(), ""
+			time.Sleep(takeUpPause)
 		}
 		cut = next
 	}
@@ -151,7 +169,7 @@
 		if rec.isCrashing {
 			part = crashingPart
 		}
-		req.Header.Set(engine.TokenCountsHeader, "160,60")
+		req.Header.Set(engine.TokenCountsHeader, fmt.Sprint("160,", eventCount*eventTokens))
 		req.Header.Set(engine.PromptPrefixHeader, fmt.Sprintf("a:50,b:40,%s:50,%x:20", part, rec.start.UnixNano()))
 	}
 	resp, err := client.Do(req)
@@ -161,18 +179,22 @@
 	}
 	defer resp.Body.Close() //nolint:errcheck // the body has been read.
 	rec.status, rec.attempt, rec.stamp = resp.StatusCode, resp.Header.Get(engine.AttemptIDHeader), resp.Header.Get(engine.ServerStampHeader)
-	raw, err := io.ReadAll(resp.Body)
+	readBody := io.ReadAll
+	if rec.readSlowly {
+		readBody = readSlowly
+	}
+	raw, err := readBody(resp.Body)
 	rec.body, rec.isCut = string(raw), err != nil
 }
 
 // isWholeStream reports whether a body has all events in order, of one release.
 func isWholeStream(body string) bool {
-	return slices.ContainsFunc(releases, func(release string) bool { return body == streamText(release) })
+	return slices.ContainsFunc(append(releases, targetRelease), func(release string) bool { return body == streamText(release) })
 }
 
 // isStreamStart reports whether a body is a beginning of a stream of one release.
 func isStreamStart(body string) bool {
-	return slices.ContainsFunc(releases, func(release string) bool { return strings.HasPrefix(streamText(release), body) })
+	return slices.ContainsFunc(append(releases, targetRelease), func(release string) bool { return strings.HasPrefix(streamText(release), body) })
 }
 
 func streamText(release string) string {
--- a/internal/tool/soak/check.go
+++ b/internal/tool/soak/check.go
@@ -32,7 +32,7 @@
 // check checks all records against what the endpoints received.
 func (r *run) check() {
 	arrivals := map[string]int{}
-	for _, e := range slices.Concat(r.world.models, r.world.apps) {
+	for _, e := range slices.Concat(r.world.allModels(), r.world.apps) {
 		for _, a := range e.ReceivedRequests() {
 			if want := a.Header.Get(engine.ExpectInstanceHeader); want == e.name {
 				arrivals[a.Header.Get(engine.AttemptIDHeader)]++
@@ -41,7 +41,7 @@
 	}
 	for _, rec := range r.records {
 		r.report.Sent++
-		if rec.began != "" {
+		if rec.began != "" && !rec.isTriedAgain {
 			r.report.TakenUp++
 		}
 		if rec.began != "" && rec.status == http.StatusOK {
@@ -49,15 +49,19 @@
 		}
 		r.checkRecord(rec, arrivals[rec.id])
 	}
-	r.checkCrashing(r.world.models, 5, hasCrashingPart)
+	r.checkSlow()
+	r.checkCrashing(r.world.allModels(), 5, hasCrashingPart)
 	r.checkCrashing(r.world.apps, 3, func(a engine.ReceivedRequest) bool { return a.Target == crashingPath })
 	falls := 0
-	for _, e := range r.world.models {
+	for _, e := range r.world.allModels() {
 		r.checkLimit(e)
 		falls += e.falls
 	}
 	r.report.Falls = falls
-	if falls > maxFalls+len(r.world.models)/10 {
+	if r.world.rollout != nil {
+		r.checkRollout()
+	}
+	if falls > maxFalls+len(r.world.allModels())/10 {
 		r.violation("models that survive %d refusals a second fell over %d times", r.world.brittle.Load(), falls)
 	}
 }
@@ -104,15 +108,23 @@
 // mayBeCut reports whether a fault other than the silence of an endpoint may have cut the
 // answer to a request: one of its node or any crash of a model, or that its time was over.
 func (r *run) mayBeCut(rec record) bool {
-	from := rec.start.Add(-cutSlack)
-	isWithin := func(at time.Time) bool { return at.After(from) && at.Before(rec.end) }
-	if slices.ContainsFunc(r.unplanned[rec.node], isWithin) || rec.end.Sub(rec.start) > routeTimeout {
-		return true
-	}
-	if stopped := r.stopped[rec.node]; stopped.After(rec.start.Add(-graceTime)) && stopped.Before(rec.end) {
+	if r.nodeMayCut(rec) || rec.end.Sub(rec.start) > routeTimeout {
 		return true
 	}
-	return slices.ContainsFunc(r.world.models, func(e *endpoint) bool { return slices.ContainsFunc(e.downAt, isWithin) })
+	return slices.ContainsFunc(r.world.allModels(), func(e *endpoint) bool { return slices.ContainsFunc(e.downAt, rec.isDuring) })
+}
+
+// nodeMayCut reports whether a fault or the end of its node may have cut the answer to a
+// request.
+func (r *run) nodeMayCut(rec record) bool {
+	return slices.ContainsFunc(r.unplanned[rec.node], rec.isDuring) || slices.ContainsFunc(r.stopped[rec.node], func(stopped time.Time) bool {
+		return stopped.After(rec.start.Add(-graceTime)) && stopped.Before(rec.end)
+	})
+}
+
+// isDuring reports whether a time is within the request's or shortly before.
+func (rec *record) isDuring(at time.Time) bool {
+	return at.After(rec.start.Add(-cutSlack)) && at.Before(rec.end)
 }
 
 // checkCut checks a request that got no answer: its node was killed or frozen, was not
@@ -127,8 +139,10 @@
 			return
 		}
 	}
-	if stopped := r.stopped[rec.node]; !stopped.IsZero() && rec.end.Sub(stopped) > graceTime && stopped.After(rec.start.Add(-graceTime)) {
-		return
+	for _, stopped := range r.stopped[rec.node] {
+		if rec.end.Sub(stopped) > graceTime && stopped.After(rec.start.Add(-graceTime)) {
+			return
+		}
 	}
 	r.violation("%s %s at %s got no answer from %s between %s and %s, %d arrivals: %v",
 		rec.kind, rec.id, r.sinceStart(rec.start), rec.node, r.sinceStart(rec.start), r.sinceStart(rec.end), arrivals, rec.err)
--- /dev/null
+++ b/internal/tool/soak/endpoint.go
@@ -0,0 +1,213 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"goldcrestwick/internal/stand/batch"
+	"goldcrestwick/internal/stand/cloud"
+	"goldcrestwick/internal/stand/engine"
+)
+
+// endpoint is a stand-in endpoint on loopback.
+type endpoint struct {
+	engine.Engine
+	name, service string
+	world         *world
+	listener      net.Listener
+
+	mu     sync.Mutex
+	state  string
+	born   int64
+	isDown bool
+	// isStopped is set if the endpoint has stopped for good.
+	isStopped bool
+	conns     map[net.Conn]bool
+	limitedAt time.Time
+	// crashedAt holds the crashes under crashingPart and crashingPath, and downAt all.
+	crashedAt, downAt []time.Time
+	// spoken is not nil while the endpoint is silent, and closed at the end of that.
+	spoken chan struct{}
+	// refusedAt holds the latest refusals for want of room, and falls counts how often the
+	// endpoint fell over for too many.
+	refusedAt []time.Time
+	falls     int
+}
+
+func newEndpoint(w *world, name, service, release string) (*endpoint, error) {
+	e := &endpoint{name: name, service: service, world: w, state: "ready", born: 1, conns: map[net.Conn]bool{}}
+	e.ID, e.Release = name, release
+	e.NextBehaviour = func() engine.Behaviour { return engine.Behaviour{Body: "done", EventInterval: callTime} }
+	if service == "file" {
+		e.NextBehaviour = func() engine.Behaviour { return engine.Behaviour{Body: fileText} }
+	}
+	if service == "llm" {
+		e.NextBehaviour = func() engine.Behaviour { return engine.Behaviour{} }
+		e.TokensPerEvent = eventTokens
+		e.Batch = &batch.Engine{
+			Slots: modelSlots, MaxWaiting: modelSlots, CacheTokens: 50000, StepTime: 4 * time.Millisecond, PrefillTimePerToken: 50 * time.Microsecond,
+		}
+		e.RateLimit = e.limit
+		e.Brittle = func() int { return int(w.brittle.Load()) }
+		e.Refused = e.recordRefusal
+	}
+	e.Crash = e.crashUnder
+	var err error
+	if e.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, eris.Wrap(err, "start an endpoint")
+	}
+	go e.accept()
+	return e, nil
+}
+
+func (e *endpoint) accept() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		if e.isDown {
+			e.mu.Unlock()
+			c.Close() //nolint:errcheck // it acts like a closed port.
+			continue
+		}
+		if tcp, ok := c.(*net.TCPConn); ok && e.service == "file" {
+			tcp.SetWriteBuffer(fileSendBytes) //nolint:errcheck // the kernel only holds more.
+		}
+		c = &mutableConn{c, e}
+		e.conns[c] = true
+		e.mu.Unlock()
+		go func() {
+			e.Serve(c)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			delete(e.conns, c)
+		}()
+	}
+}
+
+// list writes the row of the endpoint unless it has stopped or not yet started.
+func (e *endpoint) list() {
+	e.mu.Lock()
+	isListed := !e.isStopped && e.state != ""
+	e.mu.Unlock()
+	if isListed {
+		e.world.put("servers", e.name, e.row())
+	}
+}
+
+func (e *endpoint) row() map[string]any {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return map[string]any{
+		"service": e.service, "address": e.listener.Addr().String(), "zone": "z", "slots": modelSlots, "state": e.state, "version": e.Release, "seq": 1, "born": e.born,
+	}
+}
+
+func (e *endpoint) setState(state string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = state
+}
+
+// setLimit makes the endpoint name a limit, and reports whether it named none before.
+func (e *endpoint) setLimit(rate float64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.limitedAt.IsZero() || rate == 0 {
+		return false
+	}
+	e.limitedAt = time.Now()
+	return true
+}
+
+func (e *endpoint) limit() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.limitedAt.IsZero() {
+		return ""
+	}
+	return fmt.Sprint(limitRate)
+}
+
+// crashUnder crashes the endpoint if a prompt has crashingPart or a request crashingPath.
+func (e *endpoint) crashUnder(target string, parts []batch.PromptPart) bool {
+	hasPart := slices.ContainsFunc(parts, func(p batch.PromptPart) bool { return p.ID == crashingPart })
+	if !hasPart && target != crashingPath {
+		return false
+	}
+	e.mu.Lock()
+	e.crashedAt = append(e.crashedAt, time.Now())
+	e.mu.Unlock()
+	e.crash(nil)
+	return true
+}
+
+// recordRefusal records that the endpoint refused a request for want of room. A brittle one
+// that refuses too many in a second falls over.
+func (e *endpoint) recordRefusal() {
+	limit, now := int(e.world.brittle.Load()), time.Now()
+	e.mu.Lock()
+	e.refusedAt = slices.DeleteFunc(append(e.refusedAt, now), func(at time.Time) bool { return now.Sub(at) > time.Second })
+	hasFallen := limit > 0 && len(e.refusedAt) > limit
+	if hasFallen {
+		e.refusedAt, e.falls = nil, e.falls+1
+	}
+	e.mu.Unlock()
+	if hasFallen {
+		e.crash(nil)
+	}
+}
+
+// crash closes all connections and refuses new ones for downTime.
+func (e *endpoint) crash(faults *sync.WaitGroup) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isDown {
+		return
+	}
+	e.isDown = true
+	e.downAt = append(e.downAt, time.Now())
+	for c := range e.conns {
+		c.Close() //nolint:errcheck // it acts like a crash.
+	}
+	restart := func() {
+		time.Sleep(downTime)
+		e.mu.Lock()
+		e.isDown = e.isStopped
+		e.born++
+		e.mu.Unlock()
+		e.list()
+	}
+	if faults == nil {
+		go restart()
+		return
+	}
+	faults.Go(restart)
+}
+
+// stop ends an endpoint without draining and removes its row. It describes the requests
+// that ran there, unless the endpoint was silent, since those may have been abandoned.
+func (e *endpoint) stop() (running []string) {
+	e.mu.Lock()
+	if e.spoken == nil && !e.isDown {
+		for _, request := range e.ReceivedRequests() {
+			if request.EndedAt.IsZero() {
+				running = append(running, fmt.Sprint(e.name, " ", request.Header.Get(engine.AttemptIDHeader)))
+			}
+		}
+	}
+	e.isDown, e.isStopped = true, true
+	for c := range e.conns {
+		c.Close() //nolint:errcheck // it acts like a stop.
+	}
+	e.mu.Unlock()
+	e.world.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: "servers", Key: e.name}}})
+	return running
+}
--- a/internal/tool/soak/plan.go
+++ b/internal/tool/soak/plan.go
@@ -24,6 +24,10 @@
 	}
 	var faults sync.WaitGroup
 	faults.Go(func() { r.playEndpoints(ctx) })
+	faults.Go(func() { r.playLosses(ctx) })
+	if r.world.rollout != nil {
+		faults.Go(func() { r.playRollout(ctx) })
+	}
 	for end := r.start.Add(r.Duration); time.Now().Before(end) && ctx.Err() == nil; {
 		actions[r.rand.IntN(len(actions))](&faults)
 		time.Sleep(minPause + time.Duration(r.rand.Int64N(int64(maxPause-minPause))))
@@ -55,14 +59,17 @@
 // restartAfter ends a node by a signal and starts it again after a time. It leaves at
 // least two nodes alone.
 func (r *run) restartAfter(faults *sync.WaitGroup, signal syscall.Signal, pause time.Duration) {
-	n := r.world.take(r.rand.IntN(r.Nodes))
-	if n == nil {
-		return
+	if n := r.world.take(r.rand.IntN(r.Nodes)); n != nil {
+		r.restart(n, faults, signal, pause)
 	}
+}
+
+// restart ends a node that has been taken and starts it again after a time.
+func (r *run) restart(n *nodeProcess, faults *sync.WaitGroup, signal syscall.Signal, pause time.Duration) {
 	if signal == syscall.SIGTERM {
 		r.note("%s SIGTERM", n.name)
 		r.mu.Lock()
-		r.stopped[n.name] = time.Now()
+		r.stopped[n.name] = append(r.stopped[n.name], time.Now())
 		r.mu.Unlock()
 	} else {
 		r.noteUnplanned(n.name, "SIGKILL")
@@ -93,7 +100,11 @@
 	if n == nil {
 		return
 	}
-	pause := time.Duration(200+r.rand.IntN(2500)) * time.Millisecond
+	r.freeze(n, faults, time.Duration(200+r.rand.IntN(2500))*time.Millisecond)
+}
+
+// freeze pauses a node that has been taken.
+func (r *run) freeze(n *nodeProcess, faults *sync.WaitGroup, pause time.Duration) {
 	r.noteUnplanned(n.name, "SIGSTOP")
 	n.signal(syscall.SIGSTOP)
 	faults.Go(func() {
@@ -110,9 +121,11 @@
 	i, pause := r.rand.IntN(len(all)), time.Duration(300+r.rand.IntN(2500))*time.Millisecond
 	r.note("store %s", names[i])
 	r.world.cloud.SetFault(func(cloud.Op) cloud.Fault { return all[i] })
+	start := time.Now()
 	faults.Go(func() {
 		time.Sleep(pause)
 		r.world.cloud.SetFault(nil)
+		r.world.rollout.recordNoContact("", start, time.Now())
 	})
 }
 
@@ -121,9 +134,11 @@
 	faults.Go(func() {
 		time.Sleep(pause)
 		r.note("store restored from a copy %s old", pause)
+		r.world.rollout.recordRestore()
 		r.world.cloud.Restore(copied)
 		// The operator and the endpoints write theirs again.
 		r.world.writeSettings()
+		r.world.writeOrder()
 		r.world.listEndpoints()
 	})
 }
--- a/internal/tool/soak/process.go
+++ b/internal/tool/soak/process.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +22,32 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	starts  int
+
+	// settings follow those that all nodes have.
+	settings string
+	// ownStore serves the store to this node alone, and isCutOff ends that.
+	ownStore *httptest.Server
+	isCutOff atomic.Bool
+}
+
+// serveStore gives the node a server of its own for the store, so that the node can be cut
+// off from it.
+func (n *nodeProcess) serveStore(store http.Handler) {
+	n.ownStore = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.isCutOff.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		store.ServeHTTP(w, r)
+	}))
+	n.store = strings.TrimPrefix(n.ownStore.URL, "http://")
+}
+
+// cutOff cuts the node off from the store, or ends that.
+func (n *nodeProcess) cutOff(isCutOff bool) {
+	n.isCutOff.Store(isCutOff)
+	if isCutOff {
+		n.ownStore.CloseClientConnections()
+	}
 }
 
 func (n *nodeProcess) start() error {
@@ -25,7 +55,7 @@
 	defer n.mu.Unlock()
 	n.starts++
 	settings := filepath.Join(n.dir, n.name+".ini")
-	if err := os.WriteFile(settings, fmt.Appendf(nil, settingsFormat, n.name, n.store), 0o600); err != nil {
+	if err := os.WriteFile(settings, fmt.Appendf(nil, settingsFormat+n.settings, n.name, n.store), 0o600); err != nil {
 		return eris.Wrap(err, "write settings")
 	}
 	logFile, err := os.Create(filepath.Join(n.dir, fmt.Sprintf("%s.%d.log", n.name, n.starts)))
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -4,9 +4,10 @@
 // A run has stand-ins for the store and for endpoints of both kinds in this process, some
 // nodes as processes, and callers that keep their connections until the process at the
 // other end is gone. A seed gives the plan: signals, kills and restarts of nodes, a store
-// that is away, slow or older, settings that change, endpoints that crash by themselves,
+// that is away, slow or older, the kill of all nodes at once, settings that change, endpoints that crash by themselves,
 // under a part of a prompt or a request, name a limit, fall silent for a moment, or are
-// brittle. Models of two software releases serve, and callers take up streams that are cut
+// brittle. In one of five seeds a rollout moves the models to another release, which is good or bad,
+// while its conductor is killed, paused or cut off from the store. Some callers read long answers slowly. Models of two software releases serve, and callers take up streams that are cut
 // at other nodes. Faults overlap. Timing differs from run to
 // run, so a seed repeats the plan, not every event.
 //
@@ -17,6 +18,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -58,8 +60,14 @@
 	// TakenUp counts the streams that callers took up after they were cut, and GoneOn
 	// those of them that went on.
 	TakenUp, GoneOn int
+	// Slow counts the answers to callers that read slowly, and SlowWhole the whole ones.
+	Slow, SlowWhole int
+	// Losses counts how often all nodes were killed at once.
+	Losses int
 	// Falls counts how often brittle models fell over.
 	Falls int
+	// Rollout describes the rollout and how it ended; "" if there was none.
+	Rollout string
 	// Violations describes each broken promise.
 	Violations []string
 }
@@ -75,15 +83,21 @@
 	report Report
 	// unplanned holds the times of kills, freezes and ends of freezes, by node.
 	unplanned map[string][]time.Time
-	// stopped holds the time of the latest SIGTERM of each node.
-	stopped map[string]time.Time
+	// stopped holds the times of the SIGTERMs of each node.
+	stopped map[string][]time.Time
 	records []record
+	// slow holds the requests of callers that read slowly.
+	slow []record
 	// brittleAt is when the models became brittle.
 	brittleAt time.Time
 }
 
 // Run plays the plan of a seed. The error is that of a run that could not be played.
 func Run(ctx context.Context, o Options) (Report, error) {
+	planned := plannedRollout(o.Seed)
+	if planned != nil {
+		o.Duration, o.Callers = cmp.Or(o.Duration, rolloutDuration), cmp.Or(o.Callers, rolloutCallers)
+	}
 	if o.Duration == 0 {
 		o.Duration = defaultDuration
 	}
@@ -95,10 +109,10 @@
 	}
 	r := &run{
 		Options: o, rand: rand.New(rand.NewPCG(o.Seed, 0)),
-		unplanned: map[string][]time.Time{}, stopped: map[string]time.Time{},
+		unplanned: map[string][]time.Time{}, stopped: map[string][]time.Time{},
 	}
 	var err error
-	if r.world, err = newWorld(o.Program, o.Dir, o.Nodes); err != nil {
+	if r.world, err = newWorld(o.Program, o.Dir, o.Nodes, planned); err != nil {
 		return r.report, err
 	}
 	defer r.world.close()
@@ -114,6 +128,12 @@
 	for i := range o.Callers {
 		callers.Go(func() { r.runCaller(callersCtx, i) })
 	}
+	for i := range slowCallers {
+		callers.Go(func() { r.runSlowCaller(callersCtx, i) })
+	}
+	if planned != nil {
+		callers.Go(func() { r.observeStatus(callersCtx) })
+	}
 	r.playPlan(ctx)
 	time.Sleep(settleTime)
 	stopCallers()
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -16,9 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"goldcrestwick/internal/stand/batch"
 	"goldcrestwick/internal/stand/cloud"
-	"goldcrestwick/internal/stand/engine"
 )
 
 const (
@@ -63,6 +60,9 @@
 // releases are the software releases of the models, which serve side by side.
 var releases = []string{"v1", "v1.1"}
 
+// allModels returns the models with those that a rollout adds.
+func (w *world) allModels() []*endpoint { return slices.Concat(w.models, w.targets) }
+
 // world holds the stand-ins and the nodes.
 type world struct {
 	cloud    cloud.Platform
@@ -73,15 +73,23 @@
 	brittle atomic.Int32
 	models  []*endpoint
 	apps    []*endpoint
-	nodes   []*nodeProcess
+	// files gives the long answers that slow callers read.
+	files *endpoint
+	nodes []*nodeProcess
+	// rollout is nil in a run without one. targets are the endpoints of its target.
+	rollout *rollout
+	targets []*endpoint
 
 	mu      sync.Mutex
 	version int
 	isTaken map[string]bool
+	// isLossDue is set while all nodes are to be killed at once; no other fault of a node
+	// begins then.
+	isLossDue bool
 }
 
-func newWorld(program, dir string, nodes int) (*world, error) {
-	w := &world{isTaken: map[string]bool{}}
+func newWorld(program, dir string, nodes int, planned *rollout) (*world, error) {
+	w := &world{isTaken: map[string]bool{}, rollout: planned}
 	w.server = httptest.NewServer(&w.cloud)
 	address := strings.TrimPrefix(w.server.URL, "http://")
 	for i := range modelCount {
@@ -98,10 +106,27 @@
 		}
 		w.apps = append(w.apps, e)
 	}
+	if planned != nil {
+		for i := range modelCount {
+			e, err := newTarget(w, fmt.Sprint("t", i))
+			if err != nil {
+				return nil, err
+			}
+			w.targets = append(w.targets, e)
+		}
+	}
+	var err error
+	if w.files, err = newEndpoint(w, "f0", "file", ""); err != nil {
+		return nil, err
+	}
 	w.listEndpoints()
 	w.writeSettings()
 	for i := range nodes {
 		n := &nodeProcess{name: fmt.Sprint("n", i), program: program, dir: dir, store: address}
+		if planned != nil {
+			n.settings = rolloutSettings
+			n.serveStore(&w.cloud)
+		}
 		w.nodes = append(w.nodes, n)
 		if err := n.start(); err != nil {
 			w.close()
@@ -115,8 +140,12 @@
 	for _, n := range w.nodes {
 		n.signal(syscall.SIGKILL)
 		n.wait() //nolint:errcheck // it was killed.
+		if n.ownStore != nil {
+			n.ownStore.CloseClientConnections()
+			n.ownStore.Close()
+		}
 	}
-	for _, e := range slices.Concat(w.models, w.apps) {
+	for _, e := range slices.Concat(w.allModels(), w.apps, []*endpoint{w.files}) {
 		e.listener.Close() //nolint:errcheck // the run is over.
 	}
 	w.server.CloseClientConnections()
@@ -128,7 +157,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := w.nodes[i]
-	if w.isTaken[n.name] || len(w.isTaken) >= len(w.nodes)-2 {
+	if w.isLossDue || w.isTaken[n.name] || len(w.isTaken) >= len(w.nodes)-2 {
 		return nil
 	}
 	w.isTaken[n.name] = true
@@ -192,9 +221,10 @@
 		"routes": []map[string]any{
 			route("chat", "stream", "llm", 2, true), route("label", "stream", "llm", 1, false),
 			route("book", "non_idempotent", "app", 2, false), route("read", "idempotent", "app", 2, false),
+			route("file", "idempotent", "file", 1, false),
 		},
 		"services": []map[string]any{
-			{"name": "llm", "engine": map[string]any{"slots": modelSlots, "kv_capacity": 100000, "increment": 6}}, {"name": "app"},
+			{"name": "llm", "engine": map[string]any{"slots": modelSlots, "kv_capacity": 100000, "increment": 6}}, {"name": "app"}, {"name": "file"},
 		},
 		"tenants": []map[string]any{{"name": "a1", "api_keys": []string{"k1"}, "unit": "token_stream", "plain_tokens": 100}},
 	})
@@ -210,167 +240,7 @@
 
 // listEndpoints writes the rows of all endpoints that are up.
 func (w *world) listEndpoints() {
-	for _, e := range slices.Concat(w.models, w.apps) {
-		w.put("servers", e.name, e.row())
-	}
-}
-
-// endpoint is a stand-in endpoint on loopback.
-type endpoint struct {
-	engine.Engine
-	name, service string
-	world         *world
-	listener      net.Listener
-
-	mu        sync.Mutex
-	state     string
-	born      int64
-	isDown    bool
-	conns     map[net.Conn]bool
-	limitedAt time.Time
-	// crashedAt holds the crashes under crashingPart and crashingPath, and downAt all.
-	crashedAt, downAt []time.Time
-	// spoken is not nil while the endpoint is silent, and closed at the end of that.
-	spoken chan struct{}
-	// refusedAt holds the latest refusals for want of room, and falls counts how often the
-	// endpoint fell over for too many.
-	refusedAt []time.Time
-	falls     int
-}
-
-func newEndpoint(w *world, name, service, release string) (*endpoint, error) {
-	e := &endpoint{name: name, service: service, world: w, state: "ready", born: 1, conns: map[net.Conn]bool{}}
-	e.ID, e.Release = name, release
-	e.NextBehaviour = func() engine.Behaviour { return engine.Behaviour{Body: "done", EventInterval: callTime} }
-	if service == "llm" {
-		e.NextBehaviour = func() engine.Behaviour { return engine.Behaviour{} }
-		e.TokensPerEvent = 6
-		e.Batch = &batch.Engine{
-			Slots: modelSlots, MaxWaiting: modelSlots, CacheTokens: 50000, StepTime: 4 * time.Millisecond, PrefillTimePerToken: 50 * time.Microsecond,
-		}
-		e.RateLimit = e.limit
-		e.Brittle = func() int { return int(w.brittle.Load()) }
-		e.Refused = e.recordRefusal
-	}
-	e.Crash = e.crashUnder
-	var err error
-	if e.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-		return nil, eris.Wrap(err, "start an endpoint")
-	}
-	go e.accept()
-	return e, nil
-}
-
-func (e *endpoint) accept() {
-	for {
-		c, err := e.listener.Accept()
-		if err != nil {
-			return
-		}
-		e.mu.Lock()
-		if e.isDown {
-			e.mu.Unlock()
-			c.Close() //nolint:errcheck // it acts like a closed port.
-			continue
-		}
-		c = &mutableConn{c, e}
-		e.conns[c] = true
-		e.mu.Unlock()
-		go func() {
-			e.Serve(c)
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			delete(e.conns, c)
-		}()
-	}
-}
-
-func (e *endpoint) row() map[string]any {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return map[string]any{
-		"service": e.service, "address": e.listener.Addr().String(), "zone": "z", "slots": modelSlots, "state": e.state, "version": e.Release, "seq": 1, "born": e.born,
-	}
-}
-
-func (e *endpoint) setState(state string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.state = state
-}
-
-// setLimit makes the endpoint name a limit, and reports whether it named none before.
-func (e *endpoint) setLimit(rate float64) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.limitedAt.IsZero() || rate == 0 {
-		return false
-	}
-	e.limitedAt = time.Now()
-	return true
-}
-
-func (e *endpoint) limit() string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.limitedAt.IsZero() {
-		return ""
-	}
-	return fmt.Sprint(limitRate)
-}
-
-// crashUnder crashes the endpoint if a prompt has crashingPart or a request crashingPath.
-func (e *endpoint) crashUnder(target string, parts []batch.PromptPart) bool {
-	hasPart := slices.ContainsFunc(parts, func(p batch.PromptPart) bool { return p.ID == crashingPart })
-	if !hasPart && target != crashingPath {
-		return false
-	}
-	e.mu.Lock()
-	e.crashedAt = append(e.crashedAt, time.Now())
-	e.mu.Unlock()
-	e.crash(nil)
-	return true
-}
-
-// recordRefusal records that the endpoint refused a request for want of room. A brittle one
-// that refuses too many in a second falls over.
-func (e *endpoint) recordRefusal() {
-	limit, now := int(e.world.brittle.Load()), time.Now()
-	e.mu.Lock()
-	e.refusedAt = slices.DeleteFunc(append(e.refusedAt, now), func(at time.Time) bool { return now.Sub(at) > time.Second })
-	hasFallen := limit > 0 && len(e.refusedAt) > limit
-	if hasFallen {
-		e.refusedAt, e.falls = nil, e.falls+1
-	}
-	e.mu.Unlock()
-	if hasFallen {
-		e.crash(nil)
-	}
-}
-
-// crash closes all connections and refuses new ones for downTime.
-func (e *endpoint) crash(faults *sync.WaitGroup) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.isDown {
-		return
-	}
-	e.isDown = true
-	e.downAt = append(e.downAt, time.Now())
-	for c := range e.conns {
-		c.Close() //nolint:errcheck // it acts like a crash.
-	}
-	restart := func() {
-		time.Sleep(downTime)
-		e.mu.Lock()
-		e.isDown = false
-		e.born++
-		e.mu.Unlock()
-		e.world.put("servers", e.name, e.row())
-	}
-	if faults == nil {
-		go restart()
-		return
+	for _, e := range slices.Concat(w.allModels(), w.apps, []*endpoint{w.files}) {
+		e.list()
 	}
-	faults.Go(restart)
 }
--- a/internal/version/config/config.go
+++ b/internal/version/config/config.go
@@ -26,7 +26,7 @@
 	"strings"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // Tree is one accepted version of the settings.
@@ -181,6 +181,9 @@
 	CacheTokens ident.Tokens
 	// TokensPerEvent is how many tokens one event of a stream carries.
 	TokensPerEvent int
+	// EventGapTarget is the longest time between two events of a stream that is in time; 0
+	// means no target.
+	EventGapTarget time.Duration
 	// CallTimeout bounds one call to an application runner.
 	CallTimeout time.Duration
 	// NonIdempotent lists the operations that must not run twice.
--- a/internal/version/config/config_test.go
+++ b/internal/version/config/config_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rogpeppe/go-internal/txtar"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // TestParseFindings parses the settings in testdata/*.txtar and compares the
--- a/internal/version/config/fields.go
+++ b/internal/version/config/fields.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // Upper bounds of the integers in tree settings.
--- a/internal/version/config/process.go
+++ b/internal/version/config/process.go
@@ -11,7 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // Process holds the settings of one entry node: its location, its addresses, the
@@ -66,6 +66,15 @@
 	GracePeriod time.Duration
 	// RetryBudget bounds the retries of the fleet at other endpoints.
 	RetryBudget RetryBudget
+	// ExposeShare, ExposeSlack and Rollback bound what a bad release may get while a pool
+	// is moved to it; see canary.Limits. No rollout is conducted if they are 0.
+	ExposeShare float64
+	ExposeSlack int
+	Rollback    time.Duration
+	// StartsFromNodes lets a starting node of a large fleet get the settings and the endpoints
+	// from another node. It saves calls to the store, and makes the start of all nodes at once
+	// some tenths of a second longer.
+	StartsFromNodes bool
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 	// LogFormat is text, json or logfmt.
@@ -93,6 +102,7 @@
 	},
 	"platform": {
 		{"store", true, addrPortSetter(func(p *Process) *string { return &p.StoreAddress })},
+		{"start_from_nodes", false, boolSetter(func(p *Process) *bool { return &p.StartsFromNodes })},
 	},
 	"entry": {
 		{"directory_address", true, addrPortSetter(func(p *Process) *string { return &p.DirectoryAddress })},
@@ -107,6 +117,11 @@
 		{"extra", true, rateSetter(func(p *Process) *float64 { return &p.RetryBudget.Extra })},
 		{"window", true, durationSetter(func(p *Process) *time.Duration { return &p.RetryBudget.Window })},
 	},
+	"rollout": {
+		{"expose_share", true, rateSetter(func(p *Process) *float64 { return &p.ExposeShare })},
+		{"expose_slack", false, setExposeSlack},
+		{"rollback", false, setRollback},
+	},
 	"tls": {
 		{"ca_file", true, stringSetter(func(p *Process) *string { return &p.CAFile })},
 		{"cert_file", true, stringSetter(func(p *Process) *string { return &p.CertFile })},
@@ -152,6 +167,31 @@
 	return nil
 }
 
+// setExposeSlack parses a number of requests; an empty value is unknown.
+func setExposeSlack(p *Process, v string) error {
+	if v == "" {
+		return nil
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || n < 0 || n > maxExposeSlack {
+		return eris.Errorf("%q is not a number of requests", v)
+	}
+	p.ExposeSlack = int(n)
+	return nil
+}
+
+// setRollback parses a duration. A unit alone, which the template leaves if the platform
+// gives no number, is unknown.
+func setRollback(p *Process, v string) error {
+	if v == "" || v == "ms" {
+		return nil
+	}
+	return durationSetter(func(p *Process) *time.Duration { return &p.Rollback })(p, v)
+}
+
+// maxExposeSlack bounds the requests that a bad release may get beyond its share.
+const maxExposeSlack = 1 << 20
+
 // maxCores bounds the number of cores of an instance.
 const maxCores = 4096
 
--- a/internal/version/config/resolve.go
+++ b/internal/version/config/resolve.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // resolve replaces the names in a team's sections with references and checks
--- a/internal/version/config/route.go
+++ b/internal/version/config/route.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 // RouteKind defines how often a request of a route may be executed.
@@ -98,6 +98,26 @@
 	return nil
 }
 
+// PoolsLeft returns the pools to which each route, by name, leads, but leads no longer in a
+// later version of the settings.
+func (t *Tree) PoolsLeft(next *Tree) map[string][]*Pool {
+	left := map[string][]*Pool{}
+	for _, routes := range t.routesByHost {
+		for _, r := range routes {
+			later := next.RouteFor(r.Host, r.Prefix)
+			if later == nil || later.Name != r.Name {
+				continue
+			}
+			for _, s := range r.Shares {
+				if !slices.ContainsFunc(later.Shares, func(l PoolShare) bool { return l.Pool.ID == s.Pool.ID }) {
+					left[r.Name] = append(left[r.Name], s.Pool)
+				}
+			}
+		}
+	}
+	return left
+}
+
 // rankPair is the priority of a request. The account's rank takes precedence
 // over the route's.
 type rankPair struct{ account, route ident.Tier }
@@ -111,6 +131,22 @@
 	return rankPair{a.Tier.Rank, r.Rank}
 }
 
+// HasStreams reports whether answers of a pool may be streams, so that the software releases
+// of its endpoints matter: it has model runners, or a stream route leads to it.
+func (t *Tree) HasStreams(id ident.PoolID) bool {
+	if p := t.Pool(id); p != nil && p.Kind == ident.ModelRunner {
+		return true
+	}
+	for _, routes := range t.routesByHost {
+		for _, r := range routes {
+			if r.Kind == Stream && slices.ContainsFunc(r.Shares, func(s PoolShare) bool { return s.Pool.ID == id }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // TierFor returns the tier of the requests of an account on a route. A nil account
 // stands for requests without one. TierFor returns nil for an account or route
 // whose pair of ranks the tree does not have.
--- a/internal/version/config/route_test.go
+++ b/internal/version/config/route_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 func newRoute(name, host, prefix string, pool *Pool) *Route {
--- a/internal/version/config/tree.go
+++ b/internal/version/config/tree.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strings"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 )
 
 const (
--- a/internal/version/follow/follow.go
+++ b/internal/version/follow/follow.go
@@ -20,7 +20,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"goldcrestwick/internal/request/ident"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/version/config"
 	"goldcrestwick/internal/version/repo"
 )
--- a/internal/version/follow/follow_test.go
+++ b/internal/version/follow/follow_test.go
@@ -8,8 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/store"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/version/config"
 	"goldcrestwick/internal/version/repo"
 )
--- a/internal/version/repo/repo.go
+++ b/internal/version/repo/repo.go
@@ -30,8 +30,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/store"
-	"goldcrestwick/internal/request/ident"
 	"goldcrestwick/internal/version/config"
 )
 
--- a/internal/version/repo/rows.go
+++ b/internal/version/repo/rows.go
@@ -6,8 +6,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/store"
-	"goldcrestwick/internal/request/ident"
 )
 
 type headRow struct {
