--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -296,7 +296,7 @@
 		"endpoint", result.Endpoint, "peer", result.Peer, "releases", ident.Join(result.Releases), "resumes", req.Info.Resumes, "resumed_after", req.Info.LastEventID, "status", result.Status, "attempts", result.Attempts, "cut", result.Truncated,
 		"reason", result.Reason, "interrupted", result.Interrupted, "events", result.Events, "prompt_parts", failedParts(req, result), "fingerprint", failedFingerprint(req, result),
 		"prompt_tokens", int64(req.Info.PromptTokens), "max_output_tokens", int64(req.Info.MaxOutputTokens),
-		"first_answer", result.TimeToFirstAnswer, "took", time.Since(req.Arrived),
+		"first_answer", result.TimeToFirstAnswer, "longest_gap", result.LongestGap, "took", time.Since(req.Arrived),
 		"settings_version", uint64(req.Version))
 }
 
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -181,6 +181,8 @@
 	// the complete answer. It is 0 for 5xx answers and for answers that are not
 	// streams and are longer than maxBufferedBytes.
 	TimeToFirstAnswer time.Duration
+	// LongestGap is the longest time between two events of a stream from one endpoint.
+	LongestGap time.Duration
 	// Peer is the node through which the request was served, "" for this one.
 	Peer ident.NodeID
 	// Reason says why the last attempt or grant request failed, "" if it did not.
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -212,6 +212,10 @@
 		p.Reach.Heard()
 	}
 	now := time.Now()
+	if t.events > 0 {
+		r := &x.state.result
+		r.LongestGap = max(r.LongestGap, now.Sub(t.lastEvent))
+	}
 	t.lastEvent = now
 	t.events++
 	if t.events == 1 {
