Grant requests that take up streams before others of their class

They now go first within their class, are shed last, may wait for 1.5 s, and count with what is left of the answer. Resumptions that fit no endpoint have a bound of their own on skipped accounts: nine accounts that waited for a release without room held up all new requests of the cell (resumptions_without_room.script).

--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -142,14 +142,16 @@
 func (c *Cell) grantRound(now time.Time) bool {
 	c.round++
 	c.held, c.holdUntil = 0, time.Time{}
-	skipped := 0
+	// A resumption that fits no endpoint of its release says nothing of the other endpoints, so
+	// that resumptions have a bound of their own.
+	skipped, skippedResumptions := 0, 0
 	for first := ident.Tier(0); first < ident.MaxTiers; first = c.groupEnd[first] + 1 {
 		if c.hasTierLimit && first > c.tierLimit {
 			return false
 		}
 		heldAbove := c.held
 		for skipped < maxSkippedAccounts {
-			class, account, ok := c.nextInGroup(first, c.groupEnd[first])
+			class, account, ok := c.nextInGroup(first, c.groupEnd[first], skippedResumptions < maxSkippedAccounts)
 			if !ok {
 				break
 			}
@@ -171,7 +173,11 @@
 				c.held++
 				continue
 			}
-			skipped++
+			if account.isResumption {
+				skippedResumptions++
+			} else {
+				skipped++
+			}
 		}
 	}
 	return false
@@ -270,6 +276,10 @@
 	return granted
 }
 
+// isResumption reports whether the request takes up a stream, which is bound to the release that
+// began it.
+func (r *GrantRequest) isResumption() bool { return r.Release != nil }
+
 // mayRunAt reports whether the endpoint has the release that the request needs.
 func (r *GrantRequest) mayRunAt(e *endpoint) bool { return r.Release == nil || *r.Release == e.Release }
 
--- a/internal/process/sched/policy.go
+++ b/internal/process/sched/policy.go
@@ -99,7 +99,7 @@
 		if best == nil {
 			return
 		}
-		account := q.nextAccount(noRound)
+		account := q.nextAccount(noRound, true)
 		c.grant(q.dequeue(account), best, now)
 	}
 }
--- a/internal/process/sched/queue.go
+++ b/internal/process/sched/queue.go
@@ -22,6 +22,8 @@
 	account     ident.ClientAccount
 	virtualTime float64
 	weight      float64
+	// isResumption is set if the requests take up streams, which go before those that begin one.
+	isResumption bool
 	// heap is a binary min-heap in the order of GrantRequest.precedes.
 	heap []*GrantRequest
 	// skippedRound is the last round in which the account's first request
@@ -35,7 +37,7 @@
 	}
 	a := q.accounts[r.queueAccount]
 	if a == nil {
-		a = &accountQueue{account: r.queueAccount}
+		a = &accountQueue{account: r.queueAccount, isResumption: r.isResumption()}
 		q.accounts[r.queueAccount] = a
 	}
 	a.weight = float64(max(r.Weight, 1))
@@ -49,14 +51,19 @@
 }
 
 // nextAccount returns the account with the lowest virtual time that was not
-// skipped in this round, or nil.
-func (q *queue) nextAccount(round uint64) *accountQueue {
+// skipped in this round, or nil. With withResumptions, accounts whose requests take up
+// streams go first; otherwise they are left out.
+//
+// The load pattern behind the order is the loss of many nodes, after which the callers of
+// their streams come back amid new requests. A stream that is refused loses what its caller
+// has already read.
+func (q *queue) nextAccount(round uint64, withResumptions bool) *accountQueue {
 	var next *accountQueue
 	for _, a := range q.active {
-		if a.skippedRound == round {
+		if a.skippedRound == round || a.isResumption && !withResumptions {
 			continue
 		}
-		if next == nil || a.virtualTime < next.virtualTime {
+		if next == nil || a.isResumption && !next.isResumption || a.isResumption == next.isResumption && a.virtualTime < next.virtualTime {
 			next = a
 		}
 	}
@@ -114,14 +121,18 @@
 // account with the most waiting requests relative to its weight, and the last of all
 // among such accounts. Sizes do not count, since the account with the most waiting
 // tokens is the one with the largest request where most accounts have one waiting.
+// Requests that take up streams are shed after all others.
 func (q *queue) shedCandidate() *GrantRequest {
 	var candidate *GrantRequest
 	var most float64
 	for _, a := range q.active {
 		backlog, last := float64(len(a.heap))/a.weight, a.last()
-		if candidate == nil || backlog > most || backlog == most && candidate.precedes(last) {
-			candidate, most = last, backlog
+		switch {
+		case candidate == nil, !a.isResumption && candidate.isResumption():
+		case a.isResumption && !candidate.isResumption(), backlog < most, backlog == most && !candidate.precedes(last):
+			continue
 		}
+		candidate, most = last, backlog
 	}
 	return candidate
 }
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -124,7 +124,7 @@
 		Request: j.Request.ID, Node: e.Self, Tier: j.Tier.Rank, Account: j.Account.ID,
 		Weight: j.Account.Weight, Prompt: j.Request.PromptTokens, Output: j.Request.OutputTokens,
 		Deadline: j.Request.Deadline, Prefix: j.Request.Prefix,
-		FirstTokenTarget: j.remainingTarget(time.Now()), FullTarget: j.FirstTokenTarget, Zone: e.Zone, Avoid: j.Avoid, BlockTokens: j.BlockTokens,
+		FirstTokenTarget: j.remainingTarget(time.Now()), FullTarget: j.target(), Zone: e.Zone, Avoid: j.Avoid, BlockTokens: j.BlockTokens,
 		Traits: j.Traits, Stream: j.Stream, Release: j.Release, MaxRejections: j.MaxRejections,
 	}
 	if e.SendsRoute {
@@ -372,13 +372,31 @@
 // for a cell: it can still be in time where an endpoint has room.
 const minTargetFraction = 0.25
 
+// resumptionTarget is how long a caller that takes up a stream waits for its next event at least.
+// It gives up after 2 s without one; the rest is for the way and the prompt.
+const resumptionTarget = 1500 * time.Millisecond
+
+// target returns the time within which the first token is useful, 0 for no limit: the first-token
+// target or, for a stream that is taken up, resumptionTarget if that is longer.
+//
+// The load pattern behind the latter is the loss of many nodes. The streams that their callers
+// take up have few endpoints of their release, and are late whatever they wait; a refusal
+// loses what the callers have already read.
+func (j *Job) target() time.Duration {
+	if j.Release != nil && j.FirstTokenTarget > 0 {
+		return max(j.FirstTokenTarget, resumptionTarget)
+	}
+	return j.FirstTokenTarget
+}
+
 // remainingTarget returns what is left of the first-token target after the time since the
 // request arrived, which slow nodes and links use up before a cell hears of it. A request that
 // is late already, such as one that is repeated, may wait like a new one.
 func (j *Job) remainingTarget(now time.Time) time.Duration {
-	left := j.FirstTokenTarget - now.Sub(j.Request.Arrived)
+	target := j.target()
+	left := target - now.Sub(j.Request.Arrived)
 	if left <= 0 {
-		return j.FirstTokenTarget
+		return target
 	}
-	return max(left, time.Duration(minTargetFraction*float64(j.FirstTokenTarget)))
+	return max(left, time.Duration(minTargetFraction*float64(target)))
 }
--- a/internal/request/proxy/length.go
+++ b/internal/request/proxy/length.go
@@ -23,7 +23,8 @@
 }
 
 // estimate returns the caller's length hint or, without one, the route's mean,
-// at most the caller's output limit. For application runners it returns 0.
+// at most the caller's output limit, less the events that the caller has already. For
+// application runners it returns 0.
 func (l *lengthEstimator) estimate(r *Request) ident.Tokens {
 	if r.Pool.Kind == ident.ApplicationRunner {
 		return 0
@@ -41,7 +42,9 @@
 	if r.Info.HasTokens {
 		expected = min(expected, r.Info.MaxOutputTokens)
 	}
-	return expected
+	eventTokens := ident.Tokens(max(r.Pool.TokensPerEvent, 1))
+	received := ident.Tokens(r.Info.LastEventID) * eventTokens
+	return max(expected-received, min(expected, eventTokens))
 }
 
 // observe adds the length of a completed stream to the route's mean.
