Add the tolerance of account limits to the node's settings

The section [limits] states what the platform tolerates above the limit of an account. The template fills it only where the platform gives quota_over. Nothing uses it yet.

--- a/internal/version/config/process.go
+++ b/internal/version/config/process.go
@@ -71,6 +71,8 @@
 	ExposeShare float64
 	ExposeSlack int
 	Rollback    time.Duration
+	// LimitTolerance is what the platform tolerates above the limits of an account.
+	LimitTolerance LimitTolerance
 	// StartsFromNodes lets a starting node of a large fleet get the settings and the endpoints
 	// from another node. It saves calls to the store, and makes the start of all nodes at once
 	// some tenths of a second longer.
@@ -89,6 +91,17 @@
 	Window time.Duration
 }
 
+// LimitTolerance bounds the tokens that an account may use in any Window, summed over all
+// nodes: its rate times Window plus its burst, times 1 + Over, plus Slack tokens.
+type LimitTolerance struct {
+	Over   float64
+	Slack  float64
+	Window time.Duration
+}
+
+// IsSet reports whether the settings state a tolerance.
+func (t LimitTolerance) IsSet() bool { return t.Window > 0 }
+
 var processFields = map[string][]field[Process]{
 	"node": {
 		{"name", true, stringSetter(func(p *Process) *ident.NodeID { return &p.Name })},
@@ -122,6 +135,11 @@
 		{"expose_slack", false, setExposeSlack},
 		{"rollback", false, setRollback},
 	},
+	"limits": {
+		{"over", true, fractionSetter(func(p *Process) *float64 { return &p.LimitTolerance.Over })},
+		{"slack", false, setLimitSlack},
+		{"window", false, setLimitWindow},
+	},
 	"tls": {
 		{"ca_file", true, stringSetter(func(p *Process) *string { return &p.CAFile })},
 		{"cert_file", true, stringSetter(func(p *Process) *string { return &p.CertFile })},
@@ -189,6 +207,43 @@
 	return durationSetter(func(p *Process) *time.Duration { return &p.Rollback })(p, v)
 }
 
+// fractionSetter returns a setter for a fraction from 0 to 1.
+func fractionSetter(fieldPtr func(*Process) *float64) func(*Process, string) error {
+	return func(p *Process, v string) error {
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(n >= 0 && n <= 1) {
+			return eris.Errorf("%q is not a fraction from 0 to 1", v)
+		}
+		*fieldPtr(p) = n
+		return nil
+	}
+}
+
+// setLimitSlack parses a number of tokens; an empty value is 0.
+func setLimitSlack(p *Process, v string) error {
+	if v == "" {
+		return nil
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(n >= 0 && n <= maxSlackTokens) {
+		return eris.Errorf("%q is not a number of tokens", v)
+	}
+	p.LimitTolerance.Slack = n
+	return nil
+}
+
+// setLimitWindow parses a duration. A unit alone, which the template leaves if the platform
+// gives no number, is unknown, and there is no tolerance then.
+func setLimitWindow(p *Process, v string) error {
+	if v == "" || v == "s" {
+		return nil
+	}
+	return durationSetter(func(p *Process) *time.Duration { return &p.LimitTolerance.Window })(p, v)
+}
+
+// maxSlackTokens bounds the tokens that are tolerated above a limit.
+const maxSlackTokens = 1 << 40
+
 // maxExposeSlack bounds the requests that a bad release may get beyond its share.
 const maxExposeSlack = 1 << 20
 
