Hand account limits over to the next coordinator

Each change of coordinator made the next one start at a tenth of the burst, and the bucket that the previous one kept filled up meanwhile and granted a whole burst besides when the account came back. Where the settings state a tolerance, a node that leaves or loses accounts by a change of its view now removes their buckets and sends the levels to the next coordinators, one message each. A level makes a new bucket or lowers one that has granted, and never raises it; a message counts once.

TestProxy/account_limit_handed_over fails without the section [limits] (429 for a request within the limit 0.2 s after a shutdown), as does account_limit_debt_handed_over (two requests admitted amid the debt of a larger one).

--- a/internal/connection/wire/wire.go
+++ b/internal/connection/wire/wire.go
@@ -105,6 +105,9 @@
 	KindReleaseQuery
 	// KindCrashQuery is a call for the evidence of crashes that a node has.
 	KindCrashQuery
+	// KindHandover is a call that hands the levels of accounts' buckets to their next
+	// coordinator.
+	KindHandover
 )
 
 // Empty is a message without content.
--- a/internal/connection/wire/wire_test.go
+++ b/internal/connection/wire/wire_test.go
@@ -61,6 +61,10 @@
 	acquire := quota.AcquireRequest{Tokens: 1, Refund: quota.Refund{Requests: 2, Tokens: 3}, RefundOnly: true}
 	equal(roundTrip(t, FromAcquireRequest("a", acquire)).ToAcquireRequest(), acquire)
 	equal(Acquire{Tokens: -1, RefundRequests: -2, RefundTokens: -3}.ToAcquireRequest(), quota.AcquireRequest{})
+	levels := quota.Levels{Requests: quota.Level{Level: 1.5, Burst: 2}, Tokens: quota.Level{Level: -3, Burst: 4}}
+	handover := roundTrip(t, Handover{Node: "n", Run: 1 << 63, Sequence: 2, Buckets: FromLevels(map[ident.ClientAccount]quota.Levels{"b": levels, "a": {}})})
+	equal(handover.Buckets[1].ToLevels(), levels)
+	equal(handover.Buckets[0], HandedBucket{Account: "a"})
 	inFlight := sched.InFlight{Request: "r", Node: "n", Endpoint: "e", Charge: 3, Started: true}
 	equal(roundTrip(t, FromInFlight(inFlight)).ToInFlight("n"), inFlight)
 	estimate := sched.EndpointEstimate{Endpoint: "e", Window: 1, PrefillRate: 2.5, InterTokenLatency: 3}
--- a/internal/process/node/limits.go
+++ b/internal/process/node/limits.go
@@ -37,18 +37,27 @@
 	if m, ok := known.byAccount.Load(id); ok {
 		return m.(member.Member), true //nolint:errcheck,revive // only this type is stored.
 	}
+	best, ok := quotaCoordinatorIn(v, id, "")
+	if !ok {
+		return member.Member{}, false
+	}
+	known.byAccount.Store(id, best)
+	return best, true
+}
+
+// quotaCoordinatorIn returns the node of a view that holds an account's token bucket if except
+// does not.
+func quotaCoordinatorIn(v *member.View, id ident.ClientAccount, except ident.NodeID) (member.Member, bool) {
 	var candidates []member.Member
 	for _, m := range v.Members {
-		if m.State == member.Ready || m.State == member.Joining {
+		if m.ID != except && (m.State == member.Ready || m.State == member.Joining) {
 			candidates = append(candidates, m)
 		}
 	}
 	if len(candidates) == 0 {
 		return member.Member{}, false
 	}
-	best := member.RankedByCapacity(candidates, accountKey(id))[0]
-	known.byAccount.Store(id, best)
-	return best, true
+	return member.RankedByCapacity(candidates, accountKey(id))[0], true
 }
 
 // viewCoordinators caches the coordinators of the accounts for one view, since every
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -117,6 +117,7 @@
 	quotaLimiter           quota.Limiter
 	shareAllocator         quota.Allocator
 	quotaCoordinator       quota.Coordinator
+	handovers              handoverState
 	trace                  trace.Buffer
 	meter                  meter.Meter
 	front                  front.CallerAPI
@@ -222,6 +223,9 @@
 	}
 	n.quotaLimiter = quota.Limiter{EqualShare: n.equalShare, Acquire: n.acquire}
 	n.quotaCoordinator = quota.Coordinator{Fraction: n.reachableFraction, Since: n.viewUnchangedSince}
+	if n.Process.LimitTolerance.IsSet() {
+		n.quotaCoordinator.OnTakeover, n.quotaCoordinator.OnRefusedAfterTakeover = n.logTakeover, n.countRefusedAfterTakeover
+	}
 	n.entry = entry.Entry{
 		Self: n.Process.Name, Zone: n.Process.Zone, Cells: &n.cells, Open: n.Open, Keys: &n.keys, Quota: &n.quotaLimiter,
 		Client: n.Client, Clock: &n.hybridClock, Record: n.recordStep, OnFinished: n.recordLatencies, KnownLimits: n.proxy.KnownLimits,
@@ -305,10 +309,11 @@
 		"members", len(n.members.View().Members), "settings_version", n.tree.Load().Version)
 }
 
-// Leave marks the node as leaving, which hands its cells over to other nodes, and
-// reports this to members of its region. Requests are served until Stop.
+// Leave marks the node as leaving, which hands its cells and account limits over to other nodes,
+// and reports this to members of its region. Requests are served until Stop.
 func (n *Node) Leave() {
 	n.members.SetSelf(func(m *member.Member) { m.State = member.Leaving })
+	n.handOverLimits()
 	n.broadcastState()
 	n.Log.Info("node_leaving", "node", n.Process.Name, "open_requests", n.gate.OpenRequests())
 }
@@ -373,6 +378,7 @@
 func (n *Node) applyView(v *member.View) {
 	n.logMembers(v)
 	n.cells.Reconcile()
+	n.tasks.Go(n.handOverLimits)
 	names := joinNames(n.claimCoordinatorsIn(v))
 	if old := n.claimCoordinatorsSince.Load(); old == nil || old.joinedNames != names {
 		n.claimCoordinatorsSince.Store(&claimCoordinatorsSince{names, time.Now()})
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -23,6 +23,7 @@
 	link.Handle(mux, wire.KindSync, n.serveSync)
 	link.Handle(mux, wire.KindShareRequest, n.serveShareRequest)
 	link.Handle(mux, wire.KindAcquire, n.serveAcquire)
+	link.Handle(mux, wire.KindHandover, n.serveHandover)
 	link.Handle(mux, wire.KindExplain, n.serveExplain)
 	link.Handle(mux, wire.KindTree, n.serveTree)
 	link.Handle(mux, wire.KindVersionNotice, n.serveVersionNotice)
--- a/internal/process/quota/coordinator.go
+++ b/internal/process/quota/coordinator.go
@@ -25,6 +25,12 @@
 	// Since returns the time from which this node is coordinator. Nil treats
 	// every new bucket as just taken over.
 	Since func() time.Time
+	// OnTakeover, if not nil, is called for each account whose buckets are created, with the
+	// coordinator's lock held. It must not block or call the coordinator.
+	OnTakeover func(Takeover)
+	// OnRefusedAfterTakeover, if not nil, is called in the same way with the tokens of each
+	// request that was refused within takeoverWindow after its account's buckets were created.
+	OnRefusedAfterTakeover func(ident.Tokens)
 
 	mu      sync.Mutex
 	buckets map[ident.ClientAccount]*buckets
@@ -33,6 +39,7 @@
 type buckets struct {
 	requests, tokens *rate.Limiter
 	refused          refusedSize
+	created          time.Time
 }
 
 // Acquire applies the refund in req. Unless req.RefundOnly is set, it then charges
@@ -47,11 +54,32 @@
 	if req.RefundOnly {
 		return Admitted, 0
 	}
-	return acquireBoth(b.requests, b.tokens, &b.refused, req, now)
+	result, retryAfter = acquireBoth(b.requests, b.tokens, &b.refused, req, now)
+	if result != Admitted {
+		c.countRefused(b, req.Tokens, now)
+	}
+	return result, retryAfter
 }
 
-// bucketsOf returns an account's buckets, set to the current limits.
+// bucketsOf returns an account's buckets, set to the current limits. New ones start at
+// initialFill.
 func (c *Coordinator) bucketsOf(a *config.Account, now time.Time) *buckets {
+	_, isKnown := c.buckets[a.ID]
+	b := c.limitersOf(a, now)
+	if !isKnown {
+		var age time.Duration
+		if c.Since != nil {
+			age = now.Sub(c.Since())
+		}
+		drain(b.requests, age, now)
+		drain(b.tokens, age, now)
+		c.takeOver(a.ID, b, InitialFill, now)
+	}
+	return b
+}
+
+// limitersOf returns an account's buckets, set to the current limits. New ones are full.
+func (c *Coordinator) limitersOf(a *config.Account, now time.Time) *buckets {
 	fraction := 1.0
 	if c.Fraction != nil {
 		fraction = c.Fraction()
@@ -60,21 +88,12 @@
 		c.buckets = map[ident.ClientAccount]*buckets{}
 	}
 	b := c.buckets[a.ID]
-	isNew := b == nil
-	if isNew {
+	if b == nil {
 		b = &buckets{}
 		c.buckets[a.ID] = b
 	}
 	b.requests = updateLimiter(b.requests, a.RequestsPerSecond, a.RequestsPerSecond*burstPeriod.Seconds(), fraction, now)
 	b.tokens = updateLimiter(b.tokens, a.TokensPerSecond, burstOf(a), fraction, now)
-	if isNew {
-		var age time.Duration
-		if c.Since != nil {
-			age = now.Sub(c.Since())
-		}
-		drain(b.requests, age, now)
-		drain(b.tokens, age, now)
-	}
 	return b
 }
 
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -68,7 +68,7 @@
 	crashes      crashLog
 	// startsFromNodes holds the setting start_from_nodes for the nodes that start.
 	startsFromNodes bool
-	// bounds holds the bounds of rollouts for the nodes that start.
+	// bounds holds the bounds of rollouts and account limits for the nodes that start.
 	bounds config.Process
 	// exposed holds the number of requests that had reached the engines of each release
 	// at the last exposed command.
@@ -178,7 +178,7 @@
 		"store": p.store, "shutdown": p.shutdown, "ready": p.ready, "cut": p.cut, "heal": p.heal, "malformed_entry": p.malformedEntry,
 		"batch": p.batch, "fleet": p.fleet, "engines": p.manyEngines, "calls": p.checkCalls, "in_force": p.inForce,
 		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "crashing_request": p.crashingRequest, "reads": p.reads, "traffic": p.traffic, "crashes": p.checkCrashes,
-		"bounds": p.setBounds, "order": p.order, "status": p.checkStatus, "exposed": p.checkExposed, "shown": p.checkShown,
+		"bounds": p.setBounds, "tolerance": p.setTolerance, "order": p.order, "status": p.checkStatus, "exposed": p.checkExposed, "shown": p.checkShown,
 		"kill_engine": p.killEngine, "kill_all_but": p.killAllBut, "taken_up": p.checkTakenUp, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed, "brittle": p.setBrittle, "falls": p.checkFalls, "revive": p.revive, "unmark": p.unmark, "unreadable": p.unreadable, "writes": p.failWrites, "rows": p.checkRows, "counted": p.checkCounted,
 		"store_calls": p.checkStoreCalls, "refresh": p.refresh, "restart_all": p.restartAll, "all_ready": p.checkAllReady,
 	}
@@ -244,6 +244,7 @@
 			IsFirstStart: !p.started[name], StartsFromNodes: p.startsFromNodes, MemoryBytes: nodeMemory, Capacity: p.capacities[name],
 			RetryBudget: config.RetryBudget{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 			ExposeShare: p.bounds.ExposeShare, ExposeSlack: p.bounds.ExposeSlack, Rollback: p.bounds.Rollback,
+			LimitTolerance: p.bounds.LimitTolerance,
 		},
 		Store: &store.Client{Service: service.Service().Counted(p.storeCalls.add)}, Open: peers.Open, Log: p.logOf(name),
 		Platform: &node.Platform{
