Lower account limits after a stall of their coordinator

A frozen coordinator found its buckets full and granted a whole burst besides what other nodes had granted.

--- a/internal/process/node/handover.go
+++ b/internal/process/node/handover.go
@@ -17,6 +17,9 @@
 // charged to the nodes' own shares meanwhile, and a later level finds a bucket that has granted.
 const handoverTimeout = acquireTimeout
 
+// quotaBeatInterval is the time between two calls of quota.Coordinator.Beat.
+const quotaBeatInterval = 500 * time.Millisecond
+
 // handoverState is the state of the handovers that this node sends and receives.
 type handoverState struct {
 	// sent is the number of the last handover sent.
--- a/internal/process/quota/coordinator.go
+++ b/internal/process/quota/coordinator.go
@@ -34,6 +34,8 @@
 
 	mu      sync.Mutex
 	buckets map[ident.ClientAccount]*buckets
+	// beat is when the process was last seen to run; it is zero before the first Beat.
+	beat time.Time
 }
 
 type buckets struct {
@@ -48,6 +50,9 @@
 func (c *Coordinator) Acquire(a *config.Account, req AcquireRequest, now time.Time) (result Result, retryAfter time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.beat.IsZero() {
+		c.lowerAfterStall(now)
+	}
 	b := c.bucketsOf(a, now)
 	credit(b.requests, req.Refund.Requests, now)
 	credit(b.tokens, int(req.Refund.Tokens), now)
--- a/internal/process/quota/handover.go
+++ b/internal/process/quota/handover.go
@@ -16,6 +16,9 @@
 	// takeoverWindow is the time after the creation of a bucket in which refused tokens count
 	// as refused after a takeover.
 	takeoverWindow = 2 * time.Second
+	// stallTime is the time without a Beat after which the other nodes may have found this one
+	// failed: they wait for member.SuspicionTimeout before they do.
+	stallTime = 2 * time.Second
 	// maxHandedDebt bounds the debt that a level can state, in bursts. It bounds the work that
 	// a wrong message causes, far above the longest requests.
 	maxHandedDebt = 100
@@ -37,9 +40,12 @@
 	InitialFill Origin = "initial"
 	// HandedOver is the level that the previous coordinator handed over.
 	HandedOver Origin = "handed_over"
+	// Stalled is at most initialFill, after the process was stalled.
+	Stalled Origin = "stalled"
 )
 
-// Takeover is the creation of an account's buckets on a coordinator.
+// Takeover is the creation of an account's buckets on a coordinator, or their renewal after it
+// was stalled.
 type Takeover struct {
 	Account ident.ClientAccount
 	Origin  Origin
@@ -70,6 +76,36 @@
 	return removed
 }
 
+// Beat records that the process runs. It is called several times within stallTime. If the
+// process was stalled for longer, other nodes may have coordinated the accounts meanwhile, and
+// the buckets, which have filled up, are lowered to initialFill. Without any call this is never
+// done.
+func (c *Coordinator) Beat(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lowerAfterStall(now)
+}
+
+// lowerAfterStall does the work of Beat. It is done by each request as well, since requests can
+// come before the next Beat after a stall.
+func (c *Coordinator) lowerAfterStall(now time.Time) {
+	isStalled := !c.beat.IsZero() && now.Sub(c.beat) >= stallTime
+	if now.After(c.beat) {
+		c.beat = now
+	}
+	if !isStalled {
+		return
+	}
+	for id, b := range c.buckets {
+		for _, l := range []*rate.Limiter{b.requests, b.tokens} {
+			if l.Limit() != rate.Inf {
+				lowerTo(l, initialFill*float64(l.Burst()), now)
+			}
+		}
+		c.takeOver(id, b, Stalled, now)
+	}
+}
+
 // Accept takes over the levels that the previous coordinator of an account handed over. If the
 // account has no buckets here yet, they start at these levels. Otherwise they are lowered to
 // what the levels leave of their burst, and never raised: they may have granted already what
@@ -105,7 +141,7 @@
 	return l.Burst > 0 && !math.IsInf(l.Burst, 0) && !math.IsNaN(l.Level) && !math.IsInf(l.Level, 0)
 }
 
-// takeOver records that buckets have been created.
+// takeOver records that buckets have been created, or lowered after a stall.
 func (c *Coordinator) takeOver(id ident.ClientAccount, b *buckets, origin Origin, now time.Time) {
 	b.created = now
 	if c.OnTakeover != nil {
--- a/internal/process/quota/handover_test.go
+++ b/internal/process/quota/handover_test.go
@@ -95,6 +95,28 @@
 	qt.Check(t, s.IsNew("m", 1, 1), qt.IsTrue)
 }
 
+// TestStalledCoordinator checks that a bucket which filled up while its process was stalled does
+// not grant its burst: another node may have coordinated the account meanwhile.
+func TestStalledCoordinator(t *testing.T) {
+	a := &config.Account{ID: "team/a", RequestsPerSecond: 100, TokensPerSecond: 1000}
+	for _, c := range []struct {
+		stall time.Duration
+		want  float64
+	}{{stallTime - time.Millisecond, 1000}, {stallTime, 100}} {
+		for name, resume := range map[string]func(*Coordinator, time.Time){
+			"beat":    (*Coordinator).Beat,
+			"request": func(c *Coordinator, now time.Time) { c.Acquire(a, AcquireRequest{}, now) },
+		} {
+			coordinator := &Coordinator{Since: func() time.Time { return start.Add(-time.Hour) }}
+			coordinator.Beat(start)
+			coordinator.Acquire(a, AcquireRequest{Tokens: 100}, start)
+			resume(coordinator, start.Add(c.stall))
+			got := coordinator.Remove(isNotCoordinator, start.Add(c.stall))[a.ID]
+			qt.Check(t, got.Tokens, qt.Equals, Level{c.want, 1000}, qt.Commentf("%s after %s", name, c.stall))
+		}
+	}
+}
+
 // TestRefusedAfterTakeover checks that tokens refused within two seconds after a takeover are
 // counted, and later ones are not.
 func TestRefusedAfterTakeover(t *testing.T) {
--- a/internal/process/quota/windowfleet_test.go
+++ b/internal/process/quota/windowfleet_test.go
@@ -207,6 +207,11 @@
 		f.accept(m, now)
 		return true
 	})
+	for _, n := range f.nodes {
+		if *windowHandover && n.isUp(now) {
+			n.coordinator.Beat(now)
+		}
+	}
 	if now.Sub(f.followed) < 50*time.Millisecond {
 		return
 	}
