--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -276,7 +276,9 @@
 	n.tasks.Go(func() { n.applyViews(ctx) })
 	n.tasks.Go(func() { n.cells.Run(ctx) })
 	if n.Process.LimitTolerance.IsSet() {
-		n.tasks.Go(func() { tick.Every(ctx, quotaBeatInterval, func(context.Context) { n.quotaCoordinator.Beat(time.Now()) }) })
+		n.tasks.Go(func() {
+			tick.Every(ctx, quotaBeatInterval, func(context.Context) { n.quotaCoordinator.Beat(time.Now()) })
+		})
 	}
 	n.tasks.Go(func() { n.claimCoordinator.Run(ctx) })
 	n.tasks.Go(func() { n.exchangeCrashes(ctx) })
