Bound the precedence of requests that take up streams

A review of the change found: accounts that came after resumptions waited until all others had caught up with the virtual time of these; one resumption larger than the queue's limit had all other waiting requests shed; eight accounts that waited for one release kept resumptions of another, idle one from being tried; a resumption was held at a learned limit while new requests went above it; steady resumptions could shut out new requests; and an event identifier near the largest integer overflowed the estimated length.

--- a/internal/process/sched/adaptive.go
+++ b/internal/process/sched/adaptive.go
@@ -118,8 +118,13 @@
 }
 
 // mayHold reports whether a request can wait for a place below a limit and still be
-// answered within its first-token target. Held requests wait for such a place before it.
+// answered within its first-token target. Held requests wait for such a place before it. One that
+// takes up a stream is not held: its target is longer than that of new requests, which would
+// otherwise go above the limit before it.
 func (c *Cell) mayHold(r *GrantRequest, w *crowd, now time.Time) bool {
+	if r.isResumption() {
+		return false
+	}
 	if c.mustGrantHeld && w.best.load.Gains(w.best.inFlightAt(now), w.best.Slots) {
 		return false
 	}
--- a/internal/process/sched/class.go
+++ b/internal/process/sched/class.go
@@ -99,14 +99,13 @@
 // nextInGroup returns the class of the group first to last that is served next,
 // and the account that is next in it. This is the class with the lowest grant
 // ratio divided by its weight; higher classes have a larger weight. It returns
-// false if no class has an account that was not skipped in this round. Without
-// withResumptions, requests that take up streams are left out.
-func (c *Cell) nextInGroup(first, last ident.Tier, withResumptions bool) (class ident.Tier, account *accountQueue, ok bool) {
+// false if no class has an account that was not skipped in this round.
+func (c *Cell) nextInGroup(first, last ident.Tier) (class ident.Tier, account *accountQueue, ok bool) {
 	leastRatio := math.Inf(1)
 	weight := 1.0
 	for i := first; i <= last; i++ {
 		if c.queues[i].length > 0 {
-			if next := c.queues[i].nextAccount(c.round, withResumptions); next != nil {
+			if next := c.queues[i].nextAccount(c.round); next != nil {
 				if ratio := c.classStats[i].grantRatio() / weight; ratio < leastRatio {
 					leastRatio, class, account, ok = ratio, i, next, true
 				}
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -142,16 +142,14 @@
 func (c *Cell) grantRound(now time.Time) bool {
 	c.round++
 	c.held, c.holdUntil = 0, time.Time{}
-	// A resumption that fits no endpoint of its release says nothing of the other endpoints, so
-	// that resumptions have a bound of their own.
-	skipped, skippedResumptions := 0, 0
+	skipped := 0
 	for first := ident.Tier(0); first < ident.MaxTiers; first = c.groupEnd[first] + 1 {
 		if c.hasTierLimit && first > c.tierLimit {
 			return false
 		}
 		heldAbove := c.held
 		for skipped < maxSkippedAccounts {
-			class, account, ok := c.nextInGroup(first, c.groupEnd[first], skippedResumptions < maxSkippedAccounts)
+			class, account, ok := c.nextInGroup(first, c.groupEnd[first])
 			if !ok {
 				break
 			}
@@ -174,10 +172,10 @@
 				continue
 			}
 			if account.isResumption {
-				skippedResumptions++
-			} else {
-				skipped++
+				c.skipRelease(*account.heap[0].Release)
+				continue
 			}
+			skipped++
 		}
 	}
 	return false
@@ -276,6 +274,15 @@
 	return granted
 }
 
+// skipRelease skips the requests of all classes that take up streams of a release in this round,
+// after one of them fitted no endpoint and has reserved one. It says nothing of the endpoints of
+// other releases, so that it does not count as a skipped account.
+func (c *Cell) skipRelease(release ident.Release) {
+	for class := range c.queues {
+		c.queues[class].skipRelease(release, c.round)
+	}
+}
+
 // isResumption reports whether the request takes up a stream, which is bound to the release that
 // began it.
 func (r *GrantRequest) isResumption() bool { return r.Release != nil }
--- a/internal/process/sched/pause.go
+++ b/internal/process/sched/pause.go
@@ -55,7 +55,7 @@
 
 func (c *Cell) drain(q *queue, response GrantResponse) {
 	for q.length > 0 {
-		r := q.shedCandidate()
+		r := q.shedCandidate(c.maxProtected())
 		q.remove(r)
 		response.RetryAfter = c.retryAfter(r.Tier)
 		response.Waited = c.now().Sub(r.arrived)
--- a/internal/process/sched/policy.go
+++ b/internal/process/sched/policy.go
@@ -81,7 +81,7 @@
 	q.push(r)
 	c.grantWaitingFCFS(now)
 	if q.length > c.Pool.QueueRequests {
-		excess := q.shedCandidate()
+		excess := q.shedCandidate(c.maxProtected())
 		q.remove(excess)
 		c.refuse(excess, ReasonOverload)
 	}
@@ -99,7 +99,7 @@
 		if best == nil {
 			return
 		}
-		account := q.nextAccount(noRound, true)
+		account := q.nextAccount(noRound)
 		c.grant(q.dequeue(account), best, now)
 	}
 }
--- a/internal/process/sched/queue.go
+++ b/internal/process/sched/queue.go
@@ -15,6 +15,9 @@
 	virtualTime float64
 	length      int
 	tokens      ident.Tokens
+	// resumptionsInRow is the number of requests that take up streams which were served since
+	// another one was.
+	resumptionsInRow int
 }
 
 // accountQueue holds the waiting requests of one account in a class.
@@ -50,24 +53,31 @@
 	q.tokens += r.charge
 }
 
+// maxResumptionsInRow bounds the requests that take up streams which a class grants one after the
+// other while others wait, so that accounts that do so all the time do not shut out the others.
+const maxResumptionsInRow = 3
+
 // nextAccount returns the account with the lowest virtual time that was not
-// skipped in this round, or nil. With withResumptions, accounts whose requests take up
-// streams go first; otherwise they are left out.
+// skipped in this round, or nil. Accounts whose requests take up streams go first.
 //
 // The load pattern behind the order is the loss of many nodes, after which the callers of
 // their streams come back amid new requests. A stream that is refused loses what its caller
 // has already read.
-func (q *queue) nextAccount(round uint64, withResumptions bool) *accountQueue {
-	var next *accountQueue
+func (q *queue) nextAccount(round uint64) *accountQueue {
+	var resumption, other *accountQueue
 	for _, a := range q.active {
-		if a.skippedRound == round || a.isResumption && !withResumptions {
-			continue
+		next := &other
+		if a.isResumption {
+			next = &resumption
 		}
-		if next == nil || a.isResumption && !next.isResumption || a.isResumption == next.isResumption && a.virtualTime < next.virtualTime {
-			next = a
+		if a.skippedRound != round && (*next == nil || a.virtualTime < (*next).virtualTime) {
+			*next = a
 		}
 	}
-	return next
+	if resumption == nil || other != nil && q.resumptionsInRow >= maxResumptionsInRow {
+		return other
+	}
+	return resumption
 }
 
 // dequeue removes the first request of an account and advances the account's
@@ -80,10 +90,17 @@
 
 // serve removes a waiting request and advances its account's virtual time by its charge. The
 // queue's virtual time, at which accounts start, becomes that of next, the account that was next:
-// the request can be of an account that is ahead, for which a call of next was passed over.
+// the request can be of an account that is ahead, for which a call of next was passed over. It
+// stays as it is if next takes up a stream, since such an account goes first whatever its
+// virtual time, and one that starts at that time would wait for all others to catch up.
 func (q *queue) serve(r *GrantRequest, next *accountQueue) {
 	a := q.accounts[r.queueAccount]
-	q.virtualTime = max(q.virtualTime, next.virtualTime)
+	if next.isResumption {
+		q.resumptionsInRow++
+	} else {
+		q.resumptionsInRow = 0
+		q.virtualTime = max(q.virtualTime, next.virtualTime)
+	}
 	a.virtualTime += float64(r.charge) / a.weight
 	q.remove(r)
 }
@@ -121,18 +138,21 @@
 // account with the most waiting requests relative to its weight, and the last of all
 // among such accounts. Sizes do not count, since the account with the most waiting
 // tokens is the one with the largest request where most accounts have one waiting.
-// Requests that take up streams are shed after all others.
-func (q *queue) shedCandidate() *GrantRequest {
+// Requests that take up streams are shed after all others, unless they are larger than
+// maxProtected: a large one would have all others shed until it waits alone.
+func (q *queue) shedCandidate(maxProtected ident.Tokens) *GrantRequest {
 	var candidate *GrantRequest
 	var most float64
+	isCandidateProtected := false
 	for _, a := range q.active {
 		backlog, last := float64(len(a.heap))/a.weight, a.last()
+		isProtected := a.isResumption && last.charge <= maxProtected
 		switch {
-		case candidate == nil, !a.isResumption && candidate.isResumption():
-		case a.isResumption && !candidate.isResumption(), backlog < most, backlog == most && !candidate.precedes(last):
+		case candidate == nil, isCandidateProtected && !isProtected:
+		case !isCandidateProtected && isProtected, backlog < most, backlog == most && !candidate.precedes(last):
 			continue
 		}
-		candidate, most = last, backlog
+		candidate, most, isCandidateProtected = last, backlog, isProtected
 	}
 	return candidate
 }
@@ -219,3 +239,12 @@
 	a.heap[i].heapIndex = i
 	a.heap[j].heapIndex = j
 }
+
+// skipRelease skips the accounts that take up streams of a release in this round.
+func (q *queue) skipRelease(release ident.Release, round uint64) {
+	for _, a := range q.active {
+		if r := a.heap[0].Release; r != nil && *r == release {
+			a.skippedRound = round
+		}
+	}
+}
--- a/internal/process/sched/shed.go
+++ b/internal/process/sched/shed.go
@@ -32,7 +32,7 @@
 		if c.grantHeld(c.now()) {
 			continue
 		}
-		r := c.queues[class].shedCandidate()
+		r := c.queues[class].shedCandidate(c.maxProtected())
 		needsRoom := c.hasTiersBelow(class) && c.needsRoom(class, r, c.now())
 		if !c.canShed(class) {
 			if needsRoom {
@@ -48,6 +48,12 @@
 	}
 }
 
+// maxProtectedDivisor divides the limit of tokens of the queue into the part up to which a request that takes
+// up a stream is shed after the others. The longest prompts are far below it.
+const maxProtectedDivisor = 4
+
+func (c *Cell) maxProtected() ident.Tokens { return c.Pool.QueueTokens / maxProtectedDivisor }
+
 // hasTiersBelow reports whether the settings have a tier below the class's group, or are unknown.
 func (c *Cell) hasTiersBelow(class ident.Tier) bool {
 	if c.Pool == nil || c.Pool.Team == nil || len(c.Pool.Team.Tiers) == 0 {
@@ -164,7 +170,7 @@
 // otherwise beyond deadlineMissFactor times its remaining time, at the recent rate
 // of service. Such a request is refused immediately rather than at its deadline.
 func (c *Cell) cannotMeetDeadline(class ident.Tier) bool {
-	r := c.queues[class].shedCandidate()
+	r := c.queues[class].shedCandidate(c.maxProtected())
 	if r == nil {
 		return false
 	}
--- a/internal/request/entry/entry_test.go
+++ b/internal/request/entry/entry_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/request/intake"
 )
 
 // TestInFlightOfOtherForm guards against endpoints that get twice their work after the form of
@@ -26,3 +28,22 @@
 		qt.Check(t, got, qt.ContentEquals, want, qt.Commentf(cell.String()))
 	}
 }
+
+// TestTargetOfResumption guards against streams that are refused amid new requests after a loss
+// of nodes, since they may wait no longer than these.
+func TestTargetOfResumption(t *testing.T) {
+	release := ident.Release("v1")
+	for _, c := range []struct {
+		target, want time.Duration
+		release      *ident.Release
+	}{
+		{target: 400 * time.Millisecond, want: 400 * time.Millisecond},
+		{target: 400 * time.Millisecond, release: &release, want: resumptionTarget},
+		{target: 2 * time.Second, release: &release, want: 2 * time.Second},
+		{release: &release},
+	} {
+		now := time.Now()
+		j := &Job{Request: &intake.Request{Arrived: now}, FirstTokenTarget: c.target, Release: c.release}
+		qt.Check(t, j.remainingTarget(now), qt.Equals, c.want, qt.Commentf("%+v", c))
+	}
+}
--- a/internal/request/entry/grant.go
+++ b/internal/request/entry/grant.go
@@ -372,8 +372,8 @@
 // for a cell: it can still be in time where an endpoint has room.
 const minTargetFraction = 0.25
 
-// resumptionTarget is how long a caller that takes up a stream waits for its next event at least.
-// It gives up after 2 s without one; the rest is for the way and the prompt.
+// resumptionTarget is the first-token target of a request that takes up a stream. Its caller gives
+// up after 2 s without an event; 0.5 s of them are for the way to the cell and back.
 const resumptionTarget = 1500 * time.Millisecond
 
 // target returns the time within which the first token is useful, 0 for no limit: the first-token
--- a/internal/request/proxy/length.go
+++ b/internal/request/proxy/length.go
@@ -13,6 +13,9 @@
 	// meanWeight is the weight of the latest stream in a route's exponentially
 	// weighted moving average.
 	meanWeight = 0.05
+	// minRemainingDivisor divides the expected length into the part that a stream which is taken
+	// up has left at least.
+	minRemainingDivisor = 4
 )
 
 // lengthEstimator estimates the length in tokens of a route's answers from its
@@ -23,8 +26,9 @@
 }
 
 // estimate returns the caller's length hint or, without one, the route's mean,
-// at most the caller's output limit, less the events that the caller has already. For
-// application runners it returns 0.
+// at most the caller's output limit, less the events that the caller has already, but at least
+// a part: a stream that is longer than expected goes on for an unknown time. For application
+// runners it returns 0.
 func (l *lengthEstimator) estimate(r *Request) ident.Tokens {
 	if r.Pool.Kind == ident.ApplicationRunner {
 		return 0
@@ -42,9 +46,10 @@
 	if r.Info.HasTokens {
 		expected = min(expected, r.Info.MaxOutputTokens)
 	}
+	least := expected / minRemainingDivisor
 	eventTokens := ident.Tokens(max(r.Pool.TokensPerEvent, 1))
-	received := ident.Tokens(r.Info.LastEventID) * eventTokens
-	return max(expected-received, min(expected, eventTokens))
+	received := min(ident.Tokens(r.Info.LastEventID), expected/eventTokens) * eventTokens
+	return max(expected-received, least)
 }
 
 // observe adds the length of a completed stream to the route's mean.
