Hold prompts that would pause streams at every engine with room

A request whose prompt would pause streams for longer than the event gap target allows at every engine with room waits for another open engine at which it would not, until it has waited for half of its useful wait. Other requests, also later ones of its account, may use the free slots.

--- a/internal/process/sched/adaptive.go
+++ b/internal/process/sched/adaptive.go
@@ -145,10 +145,14 @@
 // them can wait no longer. The time between two calls of Tick is about that of the targets of
 // calls, and an endpoint that pauses completes none that would cause a look earlier.
 func (c *Cell) scheduleCheck(now time.Time) {
-	if c.CheckAfter == nil || c.held == 0 || c.checkAt.After(now) && !c.holdUntil.Before(c.checkAt.Add(-minCheckInterval)) {
+	until := c.holdUntil
+	if c.held == 0 || c.heldForGap > 0 && c.gapUntil.Before(until) {
+		until = c.gapUntil
+	}
+	if c.CheckAfter == nil || c.held+c.heldForGap == 0 || c.checkAt.After(now) && !until.Before(c.checkAt.Add(-minCheckInterval)) {
 		return
 	}
-	after := max(c.holdUntil.Sub(now), minCheckInterval)
+	after := max(until.Sub(now), minCheckInterval)
 	c.checkAt = now.Add(after)
 	c.CheckAfter(after)
 }
@@ -177,8 +181,15 @@
 // isHeldBack reports whether the request, or the one before it of its account, is held back at
 // the endpoints' limits. It has an endpoint that it can be sent to as soon as it cannot wait.
 func (c *Cell) isHeldBack(r *GrantRequest) bool {
+	if c.isHeldForGap(r) {
+		return true
+	}
 	a := c.queues[r.class].accounts[r.queueAccount]
-	return a != nil && len(a.heap) > 0 && a.heap[0].heldRound == c.round
+	if a == nil || len(a.heap) == 0 {
+		return false
+	}
+	first := a.first(c.round)
+	return first != nil && first.heldRound == c.round
 }
 
 // limitLogInterval is the least time between two reports of an endpoint's learned limit.
--- a/internal/process/sched/cell.go
+++ b/internal/process/sched/cell.go
@@ -163,6 +163,12 @@
 	// below an endpoint's limit, and limitsFrom the highest class for which limits apply.
 	held       int
 	limitsFrom ident.Tier
+	// heldForGap is the number of requests in this round that wait for an engine at which they
+	// pause no streams, and gapUntil when the first of them can wait no longer. mustGrantPausing
+	// is a request that is not held.
+	heldForGap       int
+	gapUntil         time.Time
+	mustGrantPausing *GrantRequest
 	// served is the request that tryGrant granted last.
 	served *GrantRequest
 	// mustGrantHeld is set while the next request that is held back is to be granted.
--- a/internal/process/sched/class.go
+++ b/internal/process/sched/class.go
@@ -277,3 +277,10 @@
 	}
 	return now.Sub(c.grantsAllSince)
 }
+
+func (c *Cell) firstTokenTarget(r *GrantRequest) time.Duration {
+	if r.FirstTokenTarget > 0 {
+		return r.FirstTokenTarget
+	}
+	return c.Pool.FirstTokenTarget
+}
--- a/internal/process/sched/event_gap.go
+++ b/internal/process/sched/event_gap.go
@@ -36,8 +36,16 @@
 // eventGapAllowance returns what the event gap target leaves for prompts at an engine, 0 if
 // there is no target or no stream that could pause.
 func (c *Cell) eventGapAllowance(e *endpoint) time.Duration {
+	if e.generating == 0 {
+		return 0
+	}
+	return c.streamGapAllowance(e)
+}
+
+// streamGapAllowance is eventGapAllowance for an engine with streams, whether it has any or not.
+func (c *Cell) streamGapAllowance(e *endpoint) time.Duration {
 	gap := c.Pool.EventGapTarget
-	if gap == 0 || e.Slots == 0 || e.Kind != ident.ModelRunner || e.generating == 0 {
+	if gap == 0 || e.Slots == 0 || e.Kind != ident.ModelRunner {
 		return 0
 	}
 	eventTime := time.Duration(max(c.Pool.TokensPerEvent, 1)) * e.interTokenLatency
@@ -47,8 +55,7 @@
 // costOfPauses returns the cost of the pauses that a prompt causes in the streams of an
 // engine. It steers prompts that are too long for any allowance to engines with few streams.
 func (c *Cell) costOfPauses(e *endpoint, uncached ident.Tokens) time.Duration {
-	allowance := c.eventGapAllowance(e)
-	if allowance == 0 || e.prefillTime(e.backlog+uncached) <= allowance {
+	if !c.wouldPause(e, uncached) {
 		return 0
 	}
 	return min(time.Duration(e.generating)*pauseCost, maxPauseCost)
--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -120,7 +120,7 @@
 // smaller requests and those of lower classes cannot starve it.
 func (c *Cell) grantWaiting(now time.Time) {
 	c.round++
-	c.held = 0
+	c.held, c.heldForGap = 0, 0
 	if c.isPaused || c.isClosed {
 		return
 	}
@@ -142,6 +142,7 @@
 func (c *Cell) grantRound(now time.Time) bool {
 	c.round++
 	c.held, c.holdUntil = 0, time.Time{}
+	c.heldForGap, c.gapUntil = 0, time.Time{}
 	skipped := 0
 	for first := ident.Tier(0); first < ident.MaxTiers; first = c.groupEnd[first] + 1 {
 		if c.hasTierLimit && first > c.tierLimit {
@@ -153,7 +154,17 @@
 			if !ok {
 				break
 			}
-			result := c.tryGrant(account.heap[0], heldAbove > 0, now)
+			r := account.first(c.round)
+			if r == nil {
+				account.skippedRound = c.round
+				continue
+			}
+			result := c.tryGrant(r, heldAbove > 0, now)
+			if result == isHeldForGap {
+				c.heldForGap++
+				r.gapRound, r.wasHeldForGap = c.round, true
+				continue
+			}
 			if result == exceedsLimit {
 				c.limitsFrom = first
 				return true
@@ -167,7 +178,7 @@
 			}
 			account.skippedRound = c.round
 			if result == isHeld {
-				account.heap[0].heldRound = c.round
+				r.heldRound = c.round
 				c.held++
 				continue
 			}
@@ -188,6 +199,9 @@
 	isHeld
 	// exceedsLimit: they are, and the request cannot wait, but others have to go first.
 	exceedsLimit
+	// isHeldForGap: its prompt would pause streams at the endpoints with capacity, and the request
+	// can wait for another one.
+	isHeldForGap
 )
 
 // tryGrant grants the request if an endpoint has capacity for it. If none has, it
@@ -215,6 +229,7 @@
 	var best, far, toReserve *endpoint
 	var bestCost, farCost time.Duration
 	var crowded crowd
+	var room gapRoom
 	c.considered = c.considered[:0]
 	remaining := r.Deadline.Sub(now)
 	for _, e := range c.endpoints {
@@ -226,6 +241,7 @@
 			if toReserve == nil || e.window-e.used > toReserve.window-toReserve.used {
 				toReserve = e
 			}
+			room.addAwaited(c, e, r, uncached, now)
 			continue
 		}
 		c.considered = append(c.considered, e.ID)
@@ -234,9 +250,11 @@
 		switch {
 		case e.isAtLimit(now):
 			c.addCrowded(&crowded, e, uncached, cost, now)
+			room.addAwaited(c, e, r, uncached, now)
 		case best == nil || cost < bestCost:
 			best, bestCost = e, cost
 		}
+		room.hasQuiet = room.hasQuiet || !e.isAtLimit(now) && !c.wouldPause(e, uncached)
 		if penalty > 0 && !e.isAtLimit(now) && (far == nil || cost < farCost) {
 			far, farCost = e, cost
 		}
@@ -260,6 +278,12 @@
 	default:
 		best = crowded.best
 	}
+	if c.mayHoldForGap(r, best, c.uncachedTokens(r, best), &room, now) {
+		if room.toReserve != nil && at == c.rollout.mainSide() {
+			room.toReserve.reservedRound = c.round
+		}
+		return isHeldForGap
+	}
 	c.mustGrantHeld = false
 	r = c.preferOwnZone(r, best, now)
 	if r.Release == nil {
@@ -270,24 +294,6 @@
 	return granted
 }
 
-// mayRunAt reports whether the endpoint has the release that the request needs.
-func (r *GrantRequest) mayRunAt(e *endpoint) bool { return r.Release == nil || *r.Release == e.Release }
-
-// isReleaseGone reports whether the request needs a release that only leaving endpoints
-// have, or none.
-func (c *Cell) isReleaseGone(r *GrantRequest) bool {
-	return r.Release != nil && !slices.ContainsFunc(c.endpoints, func(e *endpoint) bool {
-		return r.mayRunAt(e) && !e.isLeaving()
-	})
-}
-
-func (c *Cell) firstTokenTarget(r *GrantRequest) time.Duration {
-	if r.FirstTokenTarget > 0 {
-		return r.FirstTokenTarget
-	}
-	return c.Pool.FirstTokenTarget
-}
-
 func (c *Cell) uncachedTokens(r *GrantRequest, e *endpoint) ident.Tokens {
 	return max(r.Prompt-c.cachedTokens(r, e), 0)
 }
@@ -309,6 +315,8 @@
 		reason = ReasonBaseline
 	case e.isAtLimit(now):
 		reason = ReasonAboveLimit
+	case r.wasHeldForGap:
+		reason = ReasonHeldForGap
 	case cached > 0:
 		reason = ReasonCachedPrefix
 	}
@@ -384,11 +392,3 @@
 		r.Wake()
 	}
 }
-
-func (c *Cell) waitingCount() int {
-	n := 0
-	for class := range c.queues {
-		n += c.queues[class].length
-	}
-	return n
-}
--- a/internal/process/sched/queue.go
+++ b/internal/process/sched/queue.go
@@ -208,3 +208,11 @@
 	a.heap[i].heapIndex = i
 	a.heap[j].heapIndex = j
 }
+
+func (c *Cell) waitingCount() int {
+	n := 0
+	for class := range c.queues {
+		n += c.queues[class].length
+	}
+	return n
+}
--- a/internal/process/sched/rollout.go
+++ b/internal/process/sched/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 
 	"goldcrestwick/internal/process/ident"
@@ -207,3 +208,14 @@
 	}
 	c.Answered(a)
 }
+
+// mayRunAt reports whether the endpoint has the release that the request needs.
+func (r *GrantRequest) mayRunAt(e *endpoint) bool { return r.Release == nil || *r.Release == e.Release }
+
+// isReleaseGone reports whether the request needs a release that only leaving endpoints
+// have, or none.
+func (c *Cell) isReleaseGone(r *GrantRequest) bool {
+	return r.Release != nil && !slices.ContainsFunc(c.endpoints, func(e *endpoint) bool {
+		return r.mayRunAt(e) && !e.isLeaving()
+	})
+}
--- a/internal/process/sched/shed.go
+++ b/internal/process/sched/shed.go
@@ -33,6 +33,9 @@
 			continue
 		}
 		r := c.queues[class].shedCandidate()
+		if c.grantHeldForGap(r, c.now()) {
+			continue
+		}
 		needsRoom := c.hasTiersBelow(class) && c.needsRoom(class, r, c.now())
 		if !c.canShed(class) {
 			if needsRoom {
@@ -95,7 +98,7 @@
 func (c *Cell) hasWaited(class ident.Tier, now time.Time) bool {
 	waited := false
 	c.queues[class].each(func(r *GrantRequest) bool {
-		waited = r.FirstTokenTarget == 0 || float64(now.Sub(r.arrived)) > closeWaitFraction*float64(c.acceptableWait(r))
+		waited = !c.isHeldForGap(r) && (r.FirstTokenTarget == 0 || float64(now.Sub(r.arrived)) > closeWaitFraction*float64(c.acceptableWait(r)))
 		return !waited
 	})
 	return waited
@@ -302,7 +305,7 @@
 			switch {
 			case !now.Before(r.Deadline) || c.isReleaseGone(r) || c.isDeadlineUnreachable(r, now) || c.isPastMaxWait(r, now):
 				expired = append(expired, r)
-			case !requested && shouldCloseLower(r, now):
+			case !requested && shouldCloseLower(r, now) && !c.isHeldForGap(r):
 				requested = true
 				c.closeLower(r.Tier, true)
 			}
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -86,6 +86,10 @@
 	// heldRound is the last round in which the request was held back at the endpoints'
 	// limits.
 	heldRound uint64
+	// gapRound is the last round in which the request was held for an engine at which it pauses no
+	// streams, and wasHeldForGap is set once there was one.
+	gapRound      uint64
+	wasHeldForGap bool
 	// passedAt is when another request was first granted before this one, for a place in that
 	// one's availability zone.
 	passedAt time.Time
@@ -123,7 +127,9 @@
 	ReasonBaseline     Reason = "baseline_policy"
 	// ReasonAboveLimit: the endpoint had as many requests as it handles well, no other one
 	// had room, and the request could not wait.
-	ReasonAboveLimit          Reason = "above_learned_limit"
+	ReasonAboveLimit Reason = "above_learned_limit"
+	// ReasonHeldForGap: the request waited for an endpoint at which its prompt pauses no streams.
+	ReasonHeldForGap          Reason = "held_for_gap"
 	ReasonOverload            Reason = "overload"
 	ReasonTierClosed          Reason = "tier_closed_for_overload"
 	ReasonDeadlineUnreachable Reason = "deadline_unreachable"
