--- a/internal/process/sched/grant.go
+++ b/internal/process/sched/grant.go
@@ -120,7 +120,7 @@
 // smaller requests and those of lower classes cannot starve it.
 func (c *Cell) grantWaiting(now time.Time) {
 	c.round++
-	c.held = 0
+	c.held, c.heldForGap = 0, 0
 	if c.isPaused || c.isClosed {
 		return
 	}
@@ -138,10 +138,12 @@
 
 // grantRound grants what fits. It returns true if a request must exceed an endpoint's
 // limit while requests of a higher group are held back at the limits. These then go first:
-// it has set limitsFrom so that the limits do not apply to them in the next round.
+// it has set limitsFrom so that the limits do not apply to them in the next round. It returns true as
+// well if a request must pause streams while one before it is held for that reason.
 func (c *Cell) grantRound(now time.Time) bool {
 	c.round++
 	c.held, c.holdUntil = 0, time.Time{}
+	c.heldForGap, c.gapUntil = 0, time.Time{}
 	skipped := 0
 	for first := ident.Tier(0); first < ident.MaxTiers; first = c.groupEnd[first] + 1 {
 		if c.hasTierLimit && first > c.tierLimit {
@@ -153,10 +155,23 @@
 			if !ok {
 				break
 			}
-			result := c.tryGrant(account.heap[0], heldAbove > 0, now)
-			if result == exceedsLimit {
+			r := account.first(c.round)
+			if r == nil {
+				account.skippedRound = c.round
+				continue
+			}
+			result := c.tryGrant(r, heldAbove > 0, now)
+			switch result {
+			case isHeldForGap:
+				c.addHeldForGap(r)
+				continue
+			case yieldsToHeld:
+				c.firstHeldForGap.isHoldOver = true
+				return true
+			case exceedsLimit:
 				c.limitsFrom = first
 				return true
+			default:
 			}
 			if result == granted {
 				c.queues[class].serve(c.served, account)
@@ -167,7 +182,7 @@
 			}
 			account.skippedRound = c.round
 			if result == isHeld {
-				account.heap[0].heldRound = c.round
+				r.heldRound = c.round
 				c.held++
 				continue
 			}
@@ -192,6 +207,11 @@
 	isHeld
 	// exceedsLimit: they are, and the request cannot wait, but others have to go first.
 	exceedsLimit
+	// isHeldForGap: its prompt would pause streams at the endpoints with capacity, and the request
+	// can wait for another one.
+	isHeldForGap
+	// yieldsToHeld: it would pause streams, and a request before it is held for the same reason.
+	yieldsToHeld
 )
 
 // tryGrant grants the request if an endpoint has capacity for it. If none has, it
@@ -219,10 +239,15 @@
 	var best, far, toReserve *endpoint
 	var bestCost, farCost time.Duration
 	var crowded crowd
+	var room gapRoom
 	c.considered = c.considered[:0]
 	remaining := r.Deadline.Sub(now)
 	for _, e := range c.endpoints {
-		if e.reservedRound == c.round || !e.isOpen(now) || !e.isWithinLimit(now) || slices.Contains(r.Avoid, e.ID) || !r.mayRunAt(e) || !c.rollout.allows(e, at) || !c.mayRisk(e, now) {
+		if !e.isOpen(now) || slices.Contains(r.Avoid, e.ID) || !r.mayRunAt(e) || !c.rollout.allows(e, at) || !c.mayRisk(e, now) {
+			continue
+		}
+		if e.reservedRound == c.round || !e.isWithinLimit(now) {
+			room.addAwaited(c, e, r, now)
 			continue
 		}
 		uncached := c.uncachedTokens(r, e)
@@ -230,6 +255,7 @@
 			if toReserve == nil || e.window-e.used > toReserve.window-toReserve.used {
 				toReserve = e
 			}
+			room.addAwaited(c, e, r, now)
 			continue
 		}
 		c.considered = append(c.considered, e.ID)
@@ -238,9 +264,11 @@
 		switch {
 		case e.isAtLimit(now):
 			c.addCrowded(&crowded, e, uncached, cost, now)
+			room.addAwaited(c, e, r, now)
 		case best == nil || cost < bestCost:
 			best, bestCost = e, cost
 		}
+		room.hasQuiet = room.hasQuiet || !e.isAtLimit(now) && !c.wouldPause(e, uncached)
 		if penalty > 0 && !e.isAtLimit(now) && (far == nil || cost < farCost) {
 			far, farCost = e, cost
 		}
@@ -264,6 +292,16 @@
 	default:
 		best = crowded.best
 	}
+	uncached := c.uncachedTokens(r, best)
+	if c.mayHoldForGap(r, best, uncached, &room, now) {
+		if room.toReserve != nil && at == c.rollout.mainSide() {
+			room.toReserve.reservedRound = c.round
+		}
+		return isHeldForGap
+	}
+	if c.mustYieldToHeld(r, best, uncached) {
+		return yieldsToHeld
+	}
 	c.mustGrantHeld = false
 	r = c.preferOwnZone(r, best, now)
 	if r.Release == nil {
@@ -287,24 +325,6 @@
 // began it.
 func (r *GrantRequest) isResumption() bool { return r.Release != nil }
 
-// mayRunAt reports whether the endpoint has the release that the request needs.
-func (r *GrantRequest) mayRunAt(e *endpoint) bool { return r.Release == nil || *r.Release == e.Release }
-
-// isReleaseGone reports whether the request needs a release that only leaving endpoints
-// have, or none.
-func (c *Cell) isReleaseGone(r *GrantRequest) bool {
-	return r.Release != nil && !slices.ContainsFunc(c.endpoints, func(e *endpoint) bool {
-		return r.mayRunAt(e) && !e.isLeaving()
-	})
-}
-
-func (c *Cell) firstTokenTarget(r *GrantRequest) time.Duration {
-	if r.FirstTokenTarget > 0 {
-		return r.FirstTokenTarget
-	}
-	return c.Pool.FirstTokenTarget
-}
-
 func (c *Cell) uncachedTokens(r *GrantRequest, e *endpoint) ident.Tokens {
 	return max(r.Prompt-c.cachedTokens(r, e), 0)
 }
@@ -326,9 +346,12 @@
 		reason = ReasonBaseline
 	case e.isAtLimit(now):
 		reason = ReasonAboveLimit
+	case r.wasHeldForGap:
+		reason = ReasonHeldForGap
 	case cached > 0:
 		reason = ReasonCachedPrefix
 	}
+	r.pausesStreams = c.wouldPause(e, r.Prompt-cached)
 	g := c.newGrant()
 	c.grantSequence++
 	*g = grant{
@@ -387,25 +410,3 @@
 	}
 	return &grant{}
 }
-
-func (c *Cell) respond(r *GrantRequest, response GrantResponse) {
-	r.Response = response
-	if c.Observe != nil {
-		d := Decision{Cell: c.ID, Request: r, Queued: c.waitingCount()}
-		if response.Outcome == Granted {
-			d.Considered = c.considered
-		}
-		c.Observe(d)
-	}
-	if r.Wake != nil {
-		r.Wake()
-	}
-}
-
-func (c *Cell) waitingCount() int {
-	n := 0
-	for class := range c.queues {
-		n += c.queues[class].length
-	}
-	return n
-}
--- a/internal/process/sched/queue.go
+++ b/internal/process/sched/queue.go
@@ -248,3 +248,11 @@
 		}
 	}
 }
+
+func (c *Cell) waitingCount() int {
+	n := 0
+	for class := range c.queues {
+		n += c.queues[class].length
+	}
+	return n
+}
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -86,6 +86,13 @@
 	// heldRound is the last round in which the request was held back at the endpoints'
 	// limits.
 	heldRound uint64
+	// gapRound is the last round in which the request was held for an engine at which it pauses no
+	// streams, and wasHeldForGap is set once there was one.
+	// isHoldOver is set when it is not held any more, whatever the time.
+	gapRound                  uint64
+	wasHeldForGap, isHoldOver bool
+	// pausesStreams is set when the request was granted where its prompt pauses streams.
+	pausesStreams bool
 	// passedAt is when another request was first granted before this one, for a place in that
 	// one's availability zone.
 	passedAt time.Time
@@ -123,7 +130,9 @@
 	ReasonBaseline     Reason = "baseline_policy"
 	// ReasonAboveLimit: the endpoint had as many requests as it handles well, no other one
 	// had room, and the request could not wait.
-	ReasonAboveLimit          Reason = "above_learned_limit"
+	ReasonAboveLimit Reason = "above_learned_limit"
+	// ReasonHeldForGap: the request waited for an endpoint at which its prompt pauses no streams.
+	ReasonHeldForGap          Reason = "held_for_gap"
 	ReasonOverload            Reason = "overload"
 	ReasonTierClosed          Reason = "tier_closed_for_overload"
 	ReasonDeadlineUnreachable Reason = "deadline_unreachable"
