Report free slots to 16 other cells of a large pool instead of all

Each cell of a pool reported its free slots every 150 ms to the owner of each other cell: with 32 cells 6,600 calls a second in an idle fleet, and with 128 cells 108,000. Pools with up to 17 cells are served as before.

The members are ranked for a cell by scores that are computed once, and the members that can own cells are listed once for each view.

--- a/internal/process/cells/idle.go
+++ b/internal/process/cells/idle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,12 +15,16 @@
 
 const (
 	// idleReportInterval is the time between reports of a cell's free slots to the
-	// owners of the pool's other cells, and idleReportTTL is how long one is used.
+	// owners of other cells of the pool, and idleReportTTL is how long one is used.
 	idleReportInterval = 150 * time.Millisecond
 	idleReportTTL      = 500 * time.Millisecond
 	// minIdleSlots is the number of free slots from which on a cell is sent requests
 	// of other cells; the last ones are left to its own, which arrive meanwhile.
 	minIdleSlots = 2
+	// maxIdleReceivers bounds the other cells to whose owners a cell reports. A pool of 3,000
+	// endpoints can have 128 cells: with reports from each to each other one, they were most of
+	// what its fleet sent. Pools with up to 17 cells, of 300 endpoints and more, have no bound.
+	maxIdleReceivers = 16
 )
 
 // idleSlots holds what the other cells of a pool last reported as free. The load
@@ -96,8 +101,8 @@
 	return false
 }
 
-// reportIdleSlots reports the free slots of this node's cells to the owners of the
-// other cells of their pools. A cell that stays full is not reported again. It
+// reportIdleSlots reports the free slots of this node's cells to the owners of other
+// cells of their pools. A cell that stays full is not reported again. It
 // reports whether this node has any cells.
 func (m *Manager) reportIdleSlots(ctx context.Context) bool {
 	self := m.Self().ID
@@ -110,9 +115,9 @@
 		lc.reportedFree = free
 		id := lc.cell.ID
 		told := map[ident.NodeID]bool{self: true}
-		for _, other := range m.Roster().Cells(id.Pool) {
+		for _, other := range idleReceivers(m.Roster().Cells(id.Pool), id) {
 			owner, ok := m.Owner(other.ID)
-			if !ok || other.ID == id {
+			if !ok {
 				continue
 			}
 			if owner.ID == self {
@@ -128,6 +133,26 @@
 	return len(local) > 0
 }
 
+// idleReceivers returns the other cells of a pool to whose owners a cell reports its free slots:
+// all of them or, of many, maxIdleReceivers at equal distances in the order of their indexes, so
+// that they are of all availability zones in proportion to their cells. Each cell then receives
+// the reports of as many others, also from all zones.
+func idleReceivers(cells []roster.Cell, id ident.CellID) []roster.Cell {
+	at := slices.IndexFunc(cells, func(c roster.Cell) bool { return c.ID == id })
+	if at < 0 {
+		return cells
+	}
+	others := slices.Concat(cells[at+1:], cells[:at])
+	if len(others) <= maxIdleReceivers {
+		return others
+	}
+	receivers := make([]roster.Cell, maxIdleReceivers)
+	for i := range receivers {
+		receivers[i] = others[i*len(others)/maxIdleReceivers]
+	}
+	return receivers
+}
+
 // sendIdleSlots sends one report. A lost one is replaced by the next.
 func (m *Manager) sendIdleSlots(ctx context.Context, address string, id ident.CellID, free int) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
--- a/internal/process/cells/owners.go
+++ b/internal/process/cells/owners.go
@@ -19,6 +19,8 @@
 type ownerTable struct {
 	members *member.View
 	roster  *roster.View
+	// candidates holds the members that can own cells.
+	candidates []member.Member
 
 	mu    sync.Mutex
 	lists map[ident.CellID][]member.Member
@@ -34,14 +36,16 @@
 	members, endpoints := m.Members(), m.Roster()
 	t := m.owners.Load()
 	if t == nil || t.members != members || t.roster != endpoints {
-		t = &ownerTable{members: members, roster: endpoints, lists: map[ident.CellID][]member.Member{}}
+		t = &ownerTable{
+			members: members, roster: endpoints, candidates: candidates(members, self.Region), lists: map[ident.CellID][]member.Member{},
+		}
 		m.owners.Store(t)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list, ok := t.lists[id]
 	if !ok {
-		list = preferenceList(candidates(members, self.Region), id, endpoints.Zone(id))
+		list = preferenceList(t.candidates, id, endpoints.Zone(id))
 		t.lists[id] = list
 	}
 	return list
--- a/internal/process/cells/owners_test.go
+++ b/internal/process/cells/owners_test.go
@@ -11,6 +11,7 @@
 
 	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/roster"
 )
 
 // TestPreferenceList checks that the nodes of a cell's zone go first, and among them
@@ -110,3 +111,33 @@
 	_, ok := s.take(cell("q", 4), now)
 	qt.Check(t, ok, qt.IsFalse)
 }
+
+// TestIdleReceivers guards against reports from each cell of a large pool to each other one, and
+// against cells that hear of no free slots in some availability zone.
+func TestIdleReceivers(t *testing.T) {
+	for _, size := range []int{1, 2, maxIdleReceivers + 1, maxIdleReceivers + 2, 48, 128, 131} {
+		cells := make([]roster.Cell, size)
+		for i := range cells {
+			cells[i].ID = ident.CellID{Pool: "p", Index: 3*i + 1}
+			cells[i].Zone = ident.AvailabilityZone([]string{"a", "b", "c", "d"}[4*i/size])
+		}
+		received := map[ident.CellID]int{}
+		zones := map[ident.CellID]map[ident.AvailabilityZone]bool{}
+		for _, from := range cells {
+			for _, to := range idleReceivers(cells, from.ID) {
+				qt.Assert(t, to.ID, qt.Not(qt.Equals), from.ID)
+				received[to.ID]++
+				if zones[to.ID] == nil {
+					zones[to.ID] = map[ident.AvailabilityZone]bool{}
+				}
+				zones[to.ID][from.Zone] = true
+			}
+		}
+		for _, c := range cells {
+			qt.Check(t, received[c.ID], qt.Equals, min(size-1, maxIdleReceivers), qt.Commentf("%d cells", size))
+			if size > maxIdleReceivers {
+				qt.Check(t, len(zones[c.ID]), qt.Equals, 4, qt.Commentf("%d cells", size))
+			}
+		}
+	}
+}
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -170,10 +170,19 @@
 
 // Ranked returns the members sorted by descending score for a key.
 func Ranked(members []Member, key string) []Member {
-	ranked := slices.Clone(members)
-	slices.SortFunc(ranked, func(a, b Member) int {
-		return cmp.Compare(Score(key, string(b.ID)), Score(key, string(a.ID)))
-	})
+	type place struct {
+		score uint64
+		index int
+	}
+	places := make([]place, len(members))
+	for i := range members {
+		places[i] = place{Score(key, string(members[i].ID)), i}
+	}
+	slices.SortFunc(places, func(a, b place) int { return cmp.Compare(b.score, a.score) })
+	ranked := make([]Member, len(members))
+	for i, p := range places {
+		ranked[i] = members[p.index]
+	}
 	return ranked
 }
 
