List each release of a pool once

A node checked the release of each endpoint under a lock every time that it looked after the releases: 0.96 s of 22 s of processor time in the profile of the start of 100 nodes with 1,000 endpoints. The releases were made unique only later, in the listing.

--- a/internal/process/node/releases.go
+++ b/internal/process/node/releases.go
@@ -76,7 +76,7 @@
 	return !n.tree.Load().HasStreams(id) || n.releases.listing.Admits(id, release, time.Now())
 }
 
-// releasesIn returns the releases of the endpoints of all pools with streams.
+// releasesIn returns the releases of the endpoints of all pools with streams, each once.
 func (n *Node) releasesIn(v *roster.View) map[ident.PoolID][]ident.Release {
 	releases := map[ident.PoolID][]ident.Release{}
 	tree := n.tree.Load()
@@ -85,7 +85,9 @@
 			continue
 		}
 		for _, spec := range c.Endpoints {
-			releases[c.ID.Pool] = append(releases[c.ID.Pool], spec.Release)
+			if !slices.Contains(releases[c.ID.Pool], spec.Release) {
+				releases[c.ID.Pool] = append(releases[c.ID.Pool], spec.Release)
+			}
 		}
 	}
 	return releases
