Rank only the nodes that a cell needs

A node ranks the members for each cell after each change of its view, and needs the first four of them. They are selected without sorting and copying all members.

--- a/internal/process/cells/owners.go
+++ b/internal/process/cells/owners.go
@@ -83,18 +83,50 @@
 // the cell's node and an entry node, which mostly is in that zone. Within a zone,
 // nodes with much capacity go first.
 func preferenceList(ready []member.Member, id ident.CellID, zone ident.AvailabilityZone) []member.Member {
-	var list []member.Member
+	key, list := id.String(), make([]member.Member, 0, maxPreferred)
 	for _, isOwnZone := range []bool{true, false} {
-		var group []member.Member
-		for _, n := range ready {
-			if (zone == "" || n.Zone == zone) == isOwnZone {
-				group = append(group, n)
+		isInGroup := func(n *member.Member) bool { return (zone == "" || n.Zone == zone) == isOwnZone }
+		largest := 0
+		for i := range ready {
+			if isInGroup(&ready[i]) {
+				largest = max(largest, ready[i].Capacity)
 			}
 		}
-		list = append(list, member.RankedByCapacity(group, id.String())...)
-		if len(list) >= maxPreferred {
-			return list[:maxPreferred]
+		for _, isLarge := range []bool{true, false} {
+			list = appendBest(list, ready, key, func(n *member.Member) bool {
+				return isInGroup(n) && (2*n.Capacity >= largest) == isLarge
+			})
+			if len(list) == maxPreferred {
+				return list
+			}
+		}
+	}
+	return list
+}
+
+// appendBest appends the selected members with the highest scores for a key to a list, up to its
+// maxPreferred-th place. A node ranks each cell of a fleet after each change of its view, so that
+// sorting all members would be most of what a large fleet does while it starts.
+func appendBest(list, members []member.Member, key string, isSelected func(*member.Member) bool) []member.Member {
+	first, scores := len(list), [maxPreferred]uint64{}
+	for i := range members {
+		if !isSelected(&members[i]) {
+			continue
+		}
+		score := member.Score(key, string(members[i].ID))
+		at := len(list)
+		for at > first && score > scores[at-1] {
+			at--
+		}
+		if at == maxPreferred {
+			continue
+		}
+		if len(list) < maxPreferred {
+			list = append(list, member.Member{})
 		}
+		copy(list[at+1:], list[at:])
+		copy(scores[at+1:], scores[at:])
+		list[at], scores[at] = members[i], score
 	}
 	return list
 }
--- a/internal/process/cells/owners_test.go
+++ b/internal/process/cells/owners_test.go
@@ -141,3 +141,29 @@
 		}
 	}
 }
+
+// TestPreferenceListOfMany guards against another order of the nodes of a cell than that of
+// member.RankedByCapacity, by which account coordinators are chosen and earlier versions of the
+// program rank the nodes of cells.
+func TestPreferenceListOfMany(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	for round := range 200 {
+		var ready, own, other []member.Member
+		for i := range random.IntN(40) {
+			m := member.Member{ID: ident.NodeID(fmt.Sprint("n", i)), Zone: ident.AvailabilityZone(fmt.Sprint(random.IntN(9))), Capacity: 100 * random.IntN(9)}
+			ready = append(ready, m)
+			if m.Zone == "0" {
+				own = append(own, m)
+			} else {
+				other = append(other, m)
+			}
+		}
+		id := ident.CellID{Pool: "p", Index: round}
+		want := slices.Concat(member.RankedByCapacity(own, id.String()), member.RankedByCapacity(other, id.String()))
+		want = want[:min(len(want), maxPreferred)]
+		qt.Assert(t, preferenceList(ready, id, "0"), qt.HasLen, len(want), qt.Commentf("round %d of seed 7", round))
+		for i, m := range preferenceList(ready, id, "0") {
+			qt.Assert(t, m, qt.Equals, want[i], qt.Commentf("round %d of seed 7", round))
+		}
+	}
+}
