Grant lower tiers in a single cell beside dead members once earlier acknowledgements are over

fleet.TestProxy/start_node_killed failed in 1 of 15, 1 of 12 and 1 of 15 runs (three processes beside other load). In each traced failure, the cell's owner and two other members had been killed while the fleet started. A node that took the cell over, by its own view, had to wait for the in-flight replies of these three before it granted the tier of the requests, which is not the highest: there is a tier above it for requests without an account. Members that die during a start stay in the views for more than 3 s, and the exception for pools that are one cell at all nodes holds only 4.6 s after a start. Requests that went to a standby node which did not take itself for the owner were granted at once, so the outcome depended on how far the views had grown.

The limit guards against a closure that a member has requested and this process does not know. Where the pool is one cell here, such a closure has an effect only with an acknowledgement of the node's earlier process, which counts for 2.7 s from before this process started. The limit therefore ends 2.835 s after the start (2.7 s by a clock 5% slower). In divided pools nothing changes: there the question itself tells a member that the pool is divided.

--- a/internal/process/admit/admit.go
+++ b/internal/process/admit/admit.go
@@ -60,6 +60,10 @@
 	keepHalvingTime = 2 * time.Second
 	// maxClockDrift is the fraction of CloseTTL by which clocks may drift apart.
 	maxClockDrift = 0.1
+	// EarlierAckTTL is the time from the start of a process after which no acknowledgement of
+	// the node's earlier process counts any more. It is the lifetime of an acknowledgement by a
+	// clock that runs slower by half of maxClockDrift.
+	EarlierAckTTL = time.Duration(float64(CloseTTL) * (1 - maxClockDrift) * (1 + maxClockDrift/2))
 )
 
 // AdmitAll is the level of a pool in which every tier is admitted.
--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -11,7 +11,7 @@
 // A node that takes over a cell first queries every member of the region for its
 // in-flight requests of the cell and for its pending close requests. Until every
 // member has replied or left the view, only the highest tier and the tiers of its
-// group are granted in that cell, unless all nodes have the pool as one cell; see isOnlyCell.
+// group are granted in that cell, unless the pool is one cell; see lowestInTakeOver.
 //
 // # Usage
 //
--- a/internal/process/cells/takeover.go
+++ b/internal/process/cells/takeover.go
@@ -23,10 +23,14 @@
 // takeOver collects from every member the in-flight requests of a cell. The
 // highest tier is granted after the first round of queries or maxTakeOverPause; the other
 // tiers wait until every member has replied or left the view, because a member that has not
-// replied may have closed them. They do not wait if the pool has only one cell or if they share
-// a group with the highest tier.
+// replied may have closed them, unless lowestInTakeOver admits them or they share a group with
+// the highest tier.
 func (m *Manager) takeOver(ctx context.Context, cell *sched.Cell) {
 	defer m.checkAdopted(ctx, cell)
+	if wait := m.untilEarlierAcksExpire(); wait > 0 {
+		resume := time.AfterFunc(max(wait, maxTakeOverPause), func() { cell.Resume(m.lowestInTakeOver(cell.ID.Pool)) })
+		defer resume.Stop()
+	}
 	replied := map[ident.NodeID]bool{m.Self().ID: true}
 	for _, f := range m.InFlight(cell.ID) {
 		m.adopt(cell, f)
@@ -53,15 +57,32 @@
 }
 
 // lowestInTakeOver returns the lowest tier that a cell of a pool may grant while a member has
-// not replied.
+// not replied: all of a pool that is one cell here, once no acknowledgement of this node's earlier
+// process counts any more.
+//
+// A closure that this process has not acknowledged, and so does not know, allows nothing to a
+// member that has the pool divided: it sheds a higher tier only with the acknowledgements of all
+// members. A member that has the pool as one cell runs the same cell, as nodes with different
+// views can. Where the pool is divided here, a member that has it as one cell may take its own
+// acknowledgement for enough until it hears from this node; see isOnlyCell.
+//
+// Members that die in the first seconds of a fleet neither reply nor leave the view for more
+// than 3 s, and calls have targets of 1 s.
 func (m *Manager) lowestInTakeOver(pool ident.PoolID) ident.Tier {
-	if m.isOnlyCell(pool) {
-		// No other cell can have closed the pool's lower tiers.
+	if m.untilEarlierAcksExpire() <= 0 && m.Roster().IsWhole(pool) {
 		return admit.AdmitAll
 	}
 	return 0
 }
 
+// untilEarlierAcksExpire returns the time until no close request that an earlier process of this
+// node acknowledged is in force.
+func (m *Manager) untilEarlierAcksExpire() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return admit.EarlierAckTTL - time.Since(m.startedAt)
+}
+
 // checkAdopted periodically queries the entry nodes of adopted requests and ends
 // those no longer in flight, since their completions may have been reported to
 // the previous owner of the cell. It reports the streams that have begun meanwhile, since
