Answer connections that wait to be accepted when a node stops

Package drain accepts the waiting connections, closes the listener, and serves their first requests before it shuts the server down.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -19,6 +19,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"goldcrestwick/internal/connection/drain"
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/process/node"
 	"goldcrestwick/internal/process/spool"
@@ -80,7 +81,7 @@
 	settings      atomic.Pointer[config.Process]
 	node          *node.Node
 	link          *link.Transport
-	callerServer  *http.Server
+	callerServer  *drain.Server
 	listeners     map[string]net.Listener
 	log           *log.Logger
 	failures      chan error
@@ -214,18 +215,18 @@
 // serve starts the HTTP servers. Until the node has a version of the
 // settings, requests of callers are refused with the reason node_not_ready.
 func (e *entryNode) serve() {
-	e.callerServer = e.node.Router().Server()
+	e.callerServer = drain.New(e.node.Router().Server())
 	operators := e.node.Operators().Handler()
 	for address, server := range map[string]*http.Server{
-		e.startSettings.CallerAddress:    e.callerServer,
+		e.startSettings.CallerAddress:    e.callerServer.HTTP,
 		e.startSettings.ReadyAddress:     newHTTPServer(platform.ReadinessHandler(e.node.IsReady)),
 		e.startSettings.DirectoryAddress: newHTTPServer(platform.DirectoryHandler(e.node.EntryAddresses, addressesTTL)),
 		e.startSettings.OperatorAddress:  newHTTPServer(operators),
 		e.startSettings.MetricsAddress:   newHTTPServer(operators),
 	} {
 		l := e.listeners[address]
-		if server == e.callerServer && l != nil {
-			l = e.node.CallerListener(l)
+		if server == e.callerServer.HTTP && l != nil {
+			l = e.node.CallerListener(e.callerServer.Listener(l))
 		}
 		if l != nil {
 			go serveHTTP(server, l, e.failures)
