Serve standby requests at once while their cell is taken over

A node that takes itself for the owner holds requests in its cell while ownership settles, for 0.3 s, and during the takeover, also those that come to it as a standby node because the owner in their requester's view is unresponsive. A standby node that does not own the cell by its view grants them at once. Such requests now get the standby cell while the node's own cell holds their tier up.

--- a/internal/process/cells/remote.go
+++ b/internal/process/cells/remote.go
@@ -25,8 +25,12 @@
 func (m *Manager) serveGrantRequest(ctx context.Context, s *link.Stream, message wire.GrantRequest) {
 	isWhole := m.learnForm(message.CellID().Pool, message.CellID().Index == 0)
 	cell := m.LocalCell(message.CellID())
-	if cell == nil && message.Standby {
-		cell = m.StandbyCell(message.CellID(), false)
+	if message.Standby && (cell == nil || cell.IsHeldUp(ident.Tier(message.Tier))) {
+		// By the requester's view another node, which is unresponsive, owns the cell. A takeover
+		// by this node's view must not delay the request.
+		if standby := m.StandbyCell(message.CellID(), false); standby != nil {
+			cell = standby
+		}
 	}
 	if cell == nil {
 		moved := sched.GrantResponse{Outcome: sched.Moved, Reason: sched.ReasonCellMoved}
--- a/internal/process/sched/pause.go
+++ b/internal/process/sched/pause.go
@@ -53,6 +53,17 @@
 	c.grantWaiting(now)
 }
 
+// IsHeldUp reports whether the requests of a tier wait for a Resume, whatever room there is.
+func (c *Cell) IsHeldUp(tier ident.Tier) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := ident.Tier(0)
+	for first < tier && c.groupEnd[first] < tier {
+		first = c.groupEnd[first] + 1
+	}
+	return c.isPaused || c.hasTierLimit && first > c.tierLimit
+}
+
 func (c *Cell) drain(q *queue, response GrantResponse) {
 	for q.length > 0 {
 		r := q.shedCandidate()
