Let a soak's node end by SIGTERM before it handles signals

The log of that start is empty: on a machine without a free processor the process had not yet begun to handle signals, and had served nothing. A process that has logged anything handles SIGTERM and must still end without an error.

--- a/internal/tool/soak/plan.go
+++ b/internal/tool/soak/plan.go
@@ -77,7 +77,8 @@
 	n.signal(signal)
 	faults.Go(func() {
 		defer r.world.release(n)
-		if err := n.wait(); err != nil && signal == syscall.SIGTERM {
+		// On a machine without a free processor, a process may get SIGTERM before it handles it.
+		if err := n.wait(); err != nil && signal == syscall.SIGTERM && n.hasLogged() {
 			r.violation("%s ended with %v after SIGTERM", n.name, err)
 		}
 		time.Sleep(pause)
--- a/internal/tool/soak/process.go
+++ b/internal/tool/soak/process.go
@@ -58,7 +58,7 @@
 	if err := os.WriteFile(settings, fmt.Appendf(nil, settingsFormat+n.settings, n.name, n.store), 0o600); err != nil {
 		return eris.Wrap(err, "write settings")
 	}
-	logFile, err := os.Create(filepath.Join(n.dir, fmt.Sprintf("%s.%d.log", n.name, n.starts)))
+	logFile, err := os.Create(n.logPath())
 	if err != nil {
 		return eris.Wrap(err, "create a log")
 	}
@@ -68,6 +68,20 @@
 	return eris.Wrap(n.process.Start(), "start a node")
 }
 
+// logPath returns the path of the log of the latest start. The caller holds n.mu.
+func (n *nodeProcess) logPath() string {
+	return filepath.Join(n.dir, fmt.Sprintf("%s.%d.log", n.name, n.starts))
+}
+
+// hasLogged reports whether the process that was started last has logged anything. It does so
+// after it has begun to handle signals.
+func (n *nodeProcess) hasLogged() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	info, err := os.Stat(n.logPath())
+	return err != nil || info.Size() > 0
+}
+
 func (n *nodeProcess) signal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
