Trial: smaller shares while a release is in doubt

The second step waits below 0.8 of a test, falls back at 2, the first step of few endpoints keeps within EXPOSURE, and ramps above 30 s begin with 0.05.

--- a/internal/process/canary/plan.go
+++ b/internal/process/canary/plan.go
@@ -19,6 +19,10 @@
 	wantedAnswers = 75
 	maxCanary     = 0.2
 	quietPart     = 0.1
+	// longRamp is the ramp above which the share at first is longShare: it brings enough answers,
+	// and leaves more of ExposeShare for a release that turns bad late.
+	longRamp  = 30 * time.Second
+	longShare = 0.05
 	// minStep is the least time between two steps, as a part of the ramp.
 	minStep = 0.05
 	// minStepAnswers is the number of answers of the target at a step before the next one;
@@ -26,8 +30,12 @@
 	minStepAnswers = 10
 	// stepDoubt is the value of a test from which the share is not raised beyond the first step
 	// before the deadline, since one step more takes most of what EXPOSURE permits. It is below doubtful:
-	// less canary share would make the verdict later.
-	stepDoubt = 1.2
+	// less canary share would make the verdict later. At 0.4, half of the
+	// good releases with a ramp of 90 s are done 9 s later.
+	stepDoubt = 0.8
+	// dropDoubt is the value of a test from which the share falls back from the second step to the
+	// first one until the deadline: answers of the second step come when its share is spent.
+	dropDoubt = 2.0
 	// lag is the time until all cells follow a share: a step, its way, and grants that are
 	// on their way.
 	lag = time.Second
@@ -93,6 +101,9 @@
 			return p.share
 		}
 	}
+	if now < p.deadline() && p.raised > p.start { // a share that resume has set stays
+		p.restrain(l, f, rate, old, mayRaise, now)
+	}
 	if !mayRaise || f.isSuspicious || p.next == len(steps) || now < p.stepTime(p.next) {
 		return p.share
 	}
@@ -109,18 +120,47 @@
 	return p.share
 }
 
+// restrain lowers the share of the first two steps before the deadline. The second one falls back
+// to the first one at dropDoubt. The first one, which is up to twice as large in pools of few
+// endpoints, keeps what the target gets below ExposeShare of the requests so far plus ExposeSlack,
+// but has the canary share at least.
+func (p *Plan) restrain(l Limits, f finding, rate float64, old int, mayRaise bool, now time.Duration) {
+	first := roundToLoad(steps[0].share, old)
+	if p.next == 2 && f.doubt >= dropDoubt {
+		p.next, p.raised, p.answered, p.sentBefore = 1, now, 0, p.sent
+		p.share = min(p.share, first)
+	}
+	if p.next != 1 {
+		return
+	}
+	least := min(canaryShare, canaryPart*l.ExposeShare)
+	limited := min(first, max(p.budget(l, float64(l.ExposeSlack), rate), least))
+	if limited < p.share || (mayRaise && !f.isSuspicious) {
+		p.share = limited
+	}
+}
+
+// budget returns the share that, for the lag, keeps what the target gets below ExposeShare of the
+// requests so far plus slack.
+func (p *Plan) budget(l Limits, slack, rate float64) float64 {
+	left := l.ExposeShare*float64(p.seen) + slack - float64(p.sent)
+	return left / max(rate*lag.Seconds(), 1)
+}
+
 // canary returns the share before the first step. It brings wantedAnswers by then where the
 // pool has few requests, and keeps what the target gets below ExposeShare of the requests so
 // far plus half of ExposeSlack.
 func (p *Plan) canary(l Limits, f finding, rate float64, now time.Duration) float64 {
 	least := min(canaryShare, canaryPart*l.ExposeShare)
+	if p.ramp > longRamp {
+		least = min(least, longShare)
+	}
 	result := least
 	if now >= p.ready+p.part(quietPart) && !f.isSuspicious && f.verdict == Undecided {
 		left := max(p.stepTime(0)-now, lag).Seconds()
 		result = min(max(least, float64(wantedAnswers-p.sent)/max(rate*left, 1)), maxCanary)
 	}
-	budget := l.ExposeShare*float64(p.seen) + float64(l.ExposeSlack)/2 - float64(p.sent)
-	return max(min(result, budget/max(rate*lag.Seconds(), 1)), 0)
+	return max(min(result, p.budget(l, float64(l.ExposeSlack)/2, rate)), 0)
 }
 
 // stepTime returns the time from which a step may be taken. Steps move as a whole where the
