--- a/internal/process/sched/hold_gap.go
+++ b/internal/process/sched/hold_gap.go
@@ -10,8 +10,7 @@
 	// holdFraction is the fraction of its useful wait for which a request may have waited and still
 	// be held for an engine at which it pauses no streams. The rest leaves time to find a place
 	// before the request is refused; the useful wait is that of a prompt of the class's usual
-	// length. In the replay at 1.6 times the capacity, 0.25, 0.5, 0.75 and 1 pause 0.016, 0.009,
-	// 0.007 and 0.003 of the streams, 0.036 without holds.
+	// length. docs/design/23-holding-long-prompts.md compares other fractions.
 	holdFraction = 0.75
 	// maxHeldForGap bounds, for each round, the requests that are held for such an engine. Each
 	// costs a pass over the endpoints.
