--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -38,6 +38,7 @@
 	"goldcrestwick/internal/process/memory"
 	"goldcrestwick/internal/process/meter"
 	"goldcrestwick/internal/process/quota"
+	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/process/trace"
 	"goldcrestwick/internal/request/proxy"
 	"goldcrestwick/internal/request/refuse"
@@ -75,8 +76,9 @@
 	// Bodies bounds the bytes of the requests' bodies; nil means no bound for all of them.
 	Bodies *memory.Budget
 
-	keepAlivesDisabled atomic.Bool
-	idSuffix           atomic.Uint64
+	// stoppingSince is when DisableKeepAlives was called, zero before that.
+	stoppingSince tick.Latest
+	idSuffix      atomic.Uint64
 	// openIDs holds the identifiers of the requests in progress, since callers may
 	// use the same one twice.
 	openIDs sync.Map
@@ -91,12 +93,21 @@
 	}
 }
 
-// DisableKeepAlives makes the server close each connection after its next answer.
-func (rt *Router) DisableKeepAlives() { rt.keepAlivesDisabled.Store(true) }
+// DisableKeepAlives makes the server close each connection after its next answer. It is
+// called when the node begins to stop.
+func (rt *Router) DisableKeepAlives() { rt.stoppingSince.Observe(time.Now()) }
+
+// stoppingFor returns for how long the node has been stopping, 0 if it is not.
+func (rt *Router) stoppingFor() time.Duration {
+	if since := rt.stoppingSince.Time(); !since.IsZero() {
+		return time.Since(since)
+	}
+	return 0
+}
 
 // ServeHTTP proxies a request or refuses it.
 func (rt *Router) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if rt.keepAlivesDisabled.Load() {
+	if !rt.stoppingSince.Time().IsZero() {
 		w.Header().Set("Connection", "close")
 	}
 	arrived := time.Now()
@@ -253,7 +264,7 @@
 		"status", status, "retry_after", refusal.RetryAfter, "message", refusal.Message,
 		"account", accountName(req.Account), "route", routeName(req.Route), "caller_gone", r.Context().Err() != nil,
 		"prompt_tokens", int64(req.Info.PromptTokens), "max_output_tokens", int64(req.Info.MaxOutputTokens),
-		"took", time.Since(req.Arrived), "settings_version", uint64(req.Version))
+		"took", time.Since(req.Arrived), "stopping", rt.stoppingFor(), "settings_version", uint64(req.Version))
 	if refusal.RetryAfter > 0 && !refusal.MayHaveRun() {
 		// Round up, since callers retry at once on 0.00.
 		hundredths := math.Ceil(refusal.RetryAfter.Seconds() * 100)
@@ -296,7 +307,7 @@
 		"endpoint", result.Endpoint, "peer", result.Peer, "releases", ident.Join(result.Releases), "resumes", req.Info.Resumes, "resumed_after", req.Info.LastEventID, "status", result.Status, "attempts", result.Attempts, "cut", result.Truncated,
 		"reason", result.Reason, "interrupted", result.Interrupted, "events", result.Events, "prompt_parts", failedParts(req, result), "fingerprint", failedFingerprint(req, result),
 		"prompt_tokens", int64(req.Info.PromptTokens), "max_output_tokens", int64(req.Info.MaxOutputTokens),
-		"first_answer", result.TimeToFirstAnswer, "longest_gap", result.LongestGap, "took", time.Since(req.Arrived),
+		"first_answer", result.TimeToFirstAnswer, "longest_gap", result.LongestGap, "took", time.Since(req.Arrived), "stopping", rt.stoppingFor(),
 		"settings_version", uint64(req.Version))
 }
 
--- a/internal/process/node/memberlog.go
+++ b/internal/process/node/memberlog.go
@@ -28,6 +28,8 @@
 	// due receives a value at the end of a window with further changes; it is nil if there
 	// are none.
 	due <-chan time.Time
+	// noneReadySince is since when the region has had no ready member, zero if it has one.
+	noneReadySince time.Time
 }
 
 // memberChanges counts changes of members by what they changed to.
@@ -67,6 +69,7 @@
 func (n *Node) logMembers(v *member.View) {
 	old := n.memberLog.view
 	n.memberLog.view = v
+	n.logNoneReady(v)
 	if old == nil {
 		old = &member.View{}
 	}
@@ -106,3 +109,24 @@
 	n.Log.Info("members_changed", "joining", c.joining, "ready", c.ready, "leaving", c.leaving, "suspect", c.suspect, "gone", c.gone,
 		"members", len(l.view.Members))
 }
+
+// logNoneReady logs the time in which the region of this node, once it had a ready member, has
+// none to which callers are sent and which owns cells.
+func (n *Node) logNoneReady(v *member.View) {
+	counts := memberChanges{}
+	for _, m := range v.Members {
+		if m.Region == n.Process.Region {
+			counts.add(m)
+		}
+	}
+	l := &n.memberLog
+	hasReady := len(v.Ready(n.Process.Region)) > 0
+	switch {
+	case !hasReady && l.noneReadySince.IsZero() && counts.leaving > 0:
+		l.noneReadySince = time.Now()
+		n.Log.Warn("no_node_ready", "leaving", counts.leaving, "joining", counts.joining, "suspect", counts.suspect)
+	case hasReady && !l.noneReadySince.IsZero():
+		n.Log.Info("node_ready_again", "after", time.Since(l.noneReadySince), "ready", counts.ready, "leaving", counts.leaving)
+		l.noneReadySince = time.Time{}
+	}
+}
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -201,6 +201,9 @@
 	for _, m := range spread.ForCallers(withPath(n.members.View().Ready(n.Process.Region)), zones, zone) {
 		list = append(list, m.CallerAddress)
 	}
+	if len(list) == 0 {
+		n.meter.Count("goldcrestwick_empty_address_lists_total", 1)
+	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list
 }
