--- a/cmd/goldcrestwick/entry_test.go
+++ b/cmd/goldcrestwick/entry_test.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
@@ -191,3 +192,43 @@
 	limitProcessors(config.Process{Capacity: 1500})
 	qt.Check(t, runtime.GOMAXPROCS(0), qt.Equals, 1)
 }
+
+// TestOwnerStops guards against a node that ends its background work at SIGTERM: callers who have
+// its address cached then wait in vain for a grant of the cells that it owned.
+func TestOwnerStops(t *testing.T) {
+	var cloudPlatform cloud.Platform
+	server := httptest.NewServer(&cloudPlatform)
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	e := &engine.Engine{ID: "e1", NextBehaviour: func() engine.Behaviour { return engine.Behaviour{LastEvent: 2} }}
+	entry := fmt.Sprintf(`{"service":"llm","address":%q,"zone":"z","slots":4,"state":"ready","seq":1}`, serveEngine(t, e))
+	cloudPlatform.Apply(cloud.Transaction{Writes: []cloud.Write{
+		{Table: "op", Key: "config", Value: []byte(operatorSettings)}, {Table: "servers", Key: "e1", Value: []byte(entry)},
+	}})
+	owner, stopOwner := startEntry(t, "n1", address)
+	other, stopOther := startEntry(t, "n2", address)
+	for len(owner.node.Members().Ready("")) < 2 || len(other.node.Members().Ready("")) < 2 ||
+		len(owner.node.Cells().Loads())+len(other.node.Cells().Loads()) != 1 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if len(owner.node.Cells().Loads()) == 0 {
+		owner, stopOwner, other, stopOther = other, stopOther, owner, stopOwner
+	}
+	owner.drainDelay = 3 * time.Second
+	stopped := make(chan error, 1)
+	go func() { stopped <- stopOwner() }()
+	for getStatus(t, owner.startSettings.ReadyAddress, "/api/readyz") == http.StatusOK {
+		continue
+	}
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+owner.startSettings.CallerAddress+"/chat/x", strings.NewReader("hello"))
+	qt.Assert(t, err, qt.IsNil)
+	req.Host = "h.example"
+	req.Header.Set(engine.AttemptIDHeader, "r1")
+	req.Header.Set("X-Api-Key", "k1")
+	resp, err := http.DefaultClient.Do(req)
+	qt.Assert(t, err, qt.IsNil)
+	resp.Body.Close() //nolint:errcheck // the body is not used.
+	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
+	qt.Check(t, <-stopped, qt.IsNil)
+	qt.Check(t, stopOther(), qt.IsNil)
+}
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -82,6 +83,8 @@
 
 	mu      sync.Mutex
 	version int
+	// timeout replaces routeTimeout if it is not 0.
+	timeout time.Duration
 	isTaken map[string]bool
 	// isLossDue is set while all nodes are to be killed at once; no other fault of a node
 	// begins then.
@@ -212,7 +215,7 @@
 	w.version++
 	route := func(name, kind, service string, attempts int, resumable bool) map[string]any {
 		return map[string]any{
-			"name": name, "host": "h.example", "prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": routeTimeout.Milliseconds() + int64(w.version%5),
+			"name": name, "host": "h.example", "prefix": "/" + name + "/", "kind": kind, "service": service, "timeout_ms": cmp.Or(w.timeout, routeTimeout).Milliseconds() + int64(w.version%5),
 			"target_latency_ms": 1000, "gap_aim_ms": 600, "attempts": attempts, "resumable": resumable,
 		}
 	}
