Keep a stopping node's background work until it ends

Callers of a node that had got SIGTERM waited in vain for a grant of the cells that it had owned, and got 503 at their deadline or, with a later deadline, a connection that was closed without an answer 7 s after the signal. When all nodes stopped within seconds, nobody was served for 4 s.

Cause: the context that SIGTERM ends was the one of the node's background work too. From the signal on a node applied no views, read no tables, probed no members and no endpoints, and its closed cells stayed in its table, so that it asked itself for grants until the deadline. The scripts of package fleet end a node's work only with Stop, and the test of the entry command sent nothing to a stopping node, so neither showed it. The work now ends with Stop. A node that gets SIGTERM while it starts stays leaving instead of becoming ready.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -269,13 +269,17 @@
 			return nil
 		}
 	}
+	if ctx.Err() != nil {
+		return nil
+	}
 	e.link.TLSConfig = manager.TLSConfig
 	e.node.SetLedgerKey(manager.LedgerKey())
 	if err := e.link.Listen(e.startSettings.PeerAddress); err != nil {
 		return err
 	}
 	e.node.Process.PeerAddress = e.link.Address()
-	e.node.Start(ctx)
+	// The node keeps serving when ctx is done; Stop ends its background work.
+	e.node.Start(context.WithoutCancel(ctx))
 	return nil
 }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -156,6 +156,8 @@
 	follower            follow.Follower
 	resumeKey           []byte
 	ctx                 context.Context
+	// isLeaving is set by Leave, also before Start.
+	isLeaving atomic.Bool
 	// stopping is done when Stop is called, which calls cancel.
 	stopping context.Context
 	cancel   context.CancelFunc
@@ -257,7 +259,8 @@
 // Members returns the node's view of the fleet.
 func (n *Node) Members() *member.View { return n.members.View() }
 
-// Start joins the fleet and returns when the node is ready or ctx is done.
+// Start joins the fleet and returns when the node is ready or ctx is done. The node's background
+// work ends with ctx, or with Stop.
 //
 // Without Platform, it waits at most joinTimeout for the instance list and the
 // peers; if they do not respond, the node starts alone and finds them later. A
@@ -273,6 +276,9 @@
 		PeerAddress: n.Process.PeerAddress, CallerAddress: n.Process.CallerAddress,
 		State: member.Joining, Incarnation: uint64(time.Now().UnixMilli()), Capacity: n.Process.Capacity,
 	})
+	if n.isLeaving.Load() {
+		n.setLeaving()
+	}
 	n.tasks.Go(func() { n.applyViews(ctx) })
 	n.tasks.Go(func() { n.cells.Run(ctx) })
 	if n.Process.LimitTolerance.IsSet() {
@@ -304,40 +310,23 @@
 	n.join(ctx)
 }
 
-// join declares the node ready and starts its periodic work.
+// join declares the node ready, unless it leaves already, and starts its periodic work.
 func (n *Node) join(ctx context.Context) {
-	n.members.SetSelf(func(m *member.Member) { m.State = member.Ready })
+	n.members.SetSelf(func(m *member.Member) {
+		if m.State == member.Joining {
+			m.State = member.Ready
+		}
+	})
 	n.tasks.Go(n.broadcastState)
 	n.tasks.Go(func() { n.members.Run(ctx) })
 	n.tasks.Go(func() { tick.Every(ctx, shareRequestInterval, n.requestShares) })
+	if !n.isReady() {
+		return
+	}
 	n.Log.Info("node_ready", "node", n.Process.Name, "availability_zone", n.Process.Zone,
 		"members", len(n.members.View().Members), "settings_version", n.tree.Load().Version)
 }
 
-// Leave marks the node as leaving, which hands its cells and account limits over to other nodes,
-// and reports this to members of its region. Requests are served until Stop.
-func (n *Node) Leave() {
-	n.members.SetSelf(func(m *member.Member) { m.State = member.Leaving })
-	n.handOverLimits()
-	n.broadcastState()
-	n.Log.Info("node_leaving", "node", n.Process.Name, "open_requests", n.gate.OpenRequests())
-}
-
-// Wait returns when every request of Front has ended and every late completion
-// has been reported or given up. It does not wait for proxied requests; the
-// Shutdown method of the HTTP server that serves Router does, and WaitDetours.
-func (n *Node) Wait() { n.entry.Wait() }
-
-// Stop ends the node's background work and closes its connections to endpoints. A node
-// that is stopped before Start does not start. For a graceful shutdown call it after Leave and Wait;
-// called alone it acts like a crash, which the other nodes have to detect.
-func (n *Node) Stop() {
-	n.cancel()
-	n.tasks.Wait()
-	n.Client.CloseIdleConnections()
-	n.conns.Close()
-}
-
 func (n *Node) gateLimits() gate.Limits {
 	l := n.tree.Load().Limits
 	return gate.Limits{OpenRequests: l.OpenRequests, BodyBytes: l.TotalBodyBytes}
