Move the order of a node's shutdown to package node, and tests of requests at its end

The scripts of package fleet had an order of their own, 3 s and 4 s, and did not end the process. The entry command and the scripts now share node.Shutdown; the time in which the node serves counts from the signal, not from the end of Leave, which can take 0.65 s.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -39,10 +39,8 @@
 	// addresses have expired.
 	drainDelay = 3*addressesTTL + 500*time.Millisecond
 	// graceMargin is the last part of the grace period. At its start the node no
-	// longer waits for requests to end. nodeStopTimeout, which is shorter, bounds the
-	// time in which it then writes its remaining state.
-	graceMargin     = time.Second
-	nodeStopTimeout = 700 * time.Millisecond
+	// longer waits for requests to end, and writes its remaining state.
+	graceMargin = time.Second
 	// heapMemoryShare is the fraction of the process's memory that is set as the
 	// Go runtime's soft memory limit, near which garbage is collected more often.
 	heapMemoryShare = 0.6
@@ -289,23 +287,9 @@
 	began := time.Now()
 	grace := e.settings.Load().GracePeriod
 	e.log.Info("process_stopping", "grace", grace)
-	e.node.Router().DisableKeepAlives()
-	e.node.Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), grace-graceMargin)
-	defer cancel()
-	tick.Sleep(ctx, e.drainDelay)
-	err := e.callerServer.Shutdown(ctx)
-	e.node.WaitDetours(ctx)
-	stopped := make(chan struct{})
-	go func() {
-		defer close(stopped)
-		e.node.Stop()
-	}()
-	select {
-	case <-stopped:
-	case <-time.After(nodeStopTimeout):
-		e.log.Warn("ledger_may_be_unwritten", "reason", "the grace period is over")
-	}
+	err := e.node.Shutdown(node.Shutdown{
+		DrainDelay: e.drainDelay, ServeTime: grace - graceMargin, CloseCallers: e.callerServer.Shutdown,
+	})
 	e.log.Info("process_stopped", "took", time.Since(began), "requests_cut", err != nil)
 	return nil
 }
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -1,6 +1,52 @@
 package node
 
-import "goldcrestwick/internal/process/member"
+import (
+	"context"
+	"time"
+
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/tick"
+)
+
+// stopTimeout bounds the time in which a node that serves no requests any more writes its
+// remaining state.
+const stopTimeout = 700 * time.Millisecond
+
+// Shutdown describes how a node that proxies requests is shut down.
+type Shutdown struct {
+	// DrainDelay is how long the node waits before it closes the connections of callers that
+	// still use it. By then the callers' cached addresses must have expired.
+	DrainDelay time.Duration
+	// ServeTime is how long the node serves requests.
+	ServeTime time.Duration
+	// CloseCallers stops accepting connections of callers and returns when the last of them
+	// has no request any more, or an error when ctx is done.
+	CloseCallers func(context.Context) error
+}
+
+// Shutdown leaves the fleet and stops the node. It returns an error if requests were cut because
+// ServeTime was over.
+func (n *Node) Shutdown(s Shutdown) error {
+	began := time.Now()
+	n.router.DisableKeepAlives()
+	n.Leave()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.ServeTime))
+	defer cancel()
+	tick.Sleep(ctx, time.Until(began.Add(s.DrainDelay)))
+	err := s.CloseCallers(ctx)
+	n.WaitDetours(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		n.Stop()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopTimeout):
+		n.Log.Warn("ledger_may_be_unwritten", "reason", "the grace period is over")
+	}
+	return err
+}
 
 // Leave marks the node as leaving, which hands its cells and account limits over to other nodes,
 // and reports this to members of its region. Requests are served until Stop.
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -185,7 +185,7 @@
 		"node": p.node, "engine": p.engine, "respond": p.respond, "route": p.route, "account": p.account,
 		"settings": p.settings, "state": p.state, "send": p.send, "want": p.want, "arrivals": p.arrivals,
 		"wait": p.wait, "freeze": p.freeze, "unfreeze": p.unfreeze, "kill": p.kill, "restart": p.restart,
-		"store": p.store, "shutdown": p.shutdown, "ready": p.ready, "cut": p.cut, "heal": p.heal, "malformed_entry": p.malformedEntry,
+		"store": p.store, "shutdown": p.shutdown, "listed": p.listed, "owners": p.owners, "ready": p.ready, "cut": p.cut, "heal": p.heal, "malformed_entry": p.malformedEntry,
 		"batch": p.batch, "fleet": p.fleet, "engines": p.manyEngines, "calls": p.checkCalls, "in_force": p.inForce,
 		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "crashing_request": p.crashingRequest, "reads": p.reads, "traffic": p.traffic, "crashes": p.checkCrashes,
 		"bounds": p.setBounds, "tolerance": p.setTolerance, "order": p.order, "status": p.checkStatus, "exposed": p.checkExposed, "shown": p.checkShown,
@@ -754,21 +754,36 @@
 func (p *proxyCase) shutdown(names []string, given map[string]string) {
 	n := p.nodes[p.resolveHosts(names, given)[0]]
 	p.running.Go(func() {
-		n.Router().DisableKeepAlives()
-		n.Leave()
-		time.Sleep(3 * time.Second)
-		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
-		defer cancel()
-		if err := n.server.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		err := n.Shutdown(node.Shutdown{DrainDelay: 3500 * time.Millisecond, ServeTime: 7 * time.Second, CloseCallers: n.server.Shutdown})
+		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 			p.Errorf("shut down node: %v", err)
 		}
-		n.WaitDetours(ctx)
-		n.Stop()
+		n.server.Close() //nolint:errcheck // the process has ended.
 		n.peers.Close()
 	})
 	synctest.Wait()
 }
 
+// listed checks the number of nodes that the directories of nodes list to callers.
+func (p *proxyCase) listed(names []string, _ map[string]string) {
+	for _, name := range names {
+		list := p.nodes[name].EntryAddresses("z")
+		qt.Check(p.T, list, qt.HasLen, p.IntOption("count", 0), qt.Commentf("%s: %s", p.Position, name))
+	}
+}
+
+// owners checks the number of nodes that run the cell of a pool.
+func (p *proxyCase) owners(names []string, _ map[string]string) {
+	var owners []string
+	for name, n := range p.nodes {
+		_, isMember := n.Members().Find(ident.NodeID(name))
+		if isMember && n.Cells().LocalCell(ident.CellID{Pool: ident.PoolID("platform/" + names[0])}) != nil {
+			owners = append(owners, name)
+		}
+	}
+	qt.Check(p.T, owners, qt.HasLen, p.IntOption("count", 0), qt.Commentf(p.Position))
+}
+
 // ready checks whether nodes report that they are ready.
 func (p *proxyCase) ready(names []string, given map[string]string) {
 	for _, name := range names {
