Answer every request before a stopping node ends

Callers of a node that stopped saw connections closed without an answer, 7 s after SIGTERM: requests that still waited for a grant, requests whose endpoint was silent, and streams that the node had taken after 3 s and sent on though it had to end before them.

Cause: nothing but the process's end ended requests. The node took requests of any length as long as it listened, dispatched waiting ones up to its last moment, and counted on all of them being short.

proxy.Stop ends the requests by the time at which the node stops serving. One that has not run is refused as such; one that may have gets 504; only a stream that has begun is cut. From 0.75 s before the listener closes, when callers' cached lists have nearly expired, a new request with a deadline after the end is refused as not run (node_stopping, Retry-After 0.2 s); others are served. A request that is still unsent 2 s before the end is refused too. A detour goes on to the next node when its node stops.

Before: graceful_shutdown_late 'r1 ... done:false' and one arrival at an endpoint, graceful_shutdown_waiting 'w00 ... status:0 ... done:false', graceful_shutdown_silent 'status:0 ... took: err'. All three pass now: every request's context ends with the node's serving time, which is before the process ends.

--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -8,16 +8,25 @@
 	"goldcrestwick/internal/process/tick"
 )
 
-// stopTimeout bounds the time in which a node that serves no requests any more writes its
-// remaining state.
-const stopTimeout = 700 * time.Millisecond
+const (
+	// stopTimeout bounds the time in which a node that serves no requests any more writes its
+	// remaining state.
+	stopTimeout = 700 * time.Millisecond
+	// lateMargin is the last part of Shutdown.DrainDelay. The callers that send then have looked
+	// the node up before it began to leave, and may not be cut. It covers the time until the
+	// process has handled the signal.
+	lateMargin = 750 * time.Millisecond
+	// answerTime is the time after Shutdown.ServeTime for the answers that end the requests.
+	answerTime = 150 * time.Millisecond
+)
 
 // Shutdown describes how a node that proxies requests is shut down.
 type Shutdown struct {
 	// DrainDelay is how long the node waits before it closes the connections of callers that
 	// still use it. By then the callers' cached addresses must have expired.
 	DrainDelay time.Duration
-	// ServeTime is how long the node serves requests.
+	// ServeTime is how long the node serves requests. Requests that are not answered by then
+	// get a final answer, except for streams that have begun; those are cut.
 	ServeTime time.Duration
 	// CloseCallers stops accepting connections of callers and returns when the last of them
 	// has no request any more, or an error when ctx is done.
@@ -29,8 +38,9 @@
 func (n *Node) Shutdown(s Shutdown) error {
 	began := time.Now()
 	n.router.DisableKeepAlives()
+	n.proxy.Stop(began.Add(s.DrainDelay-lateMargin), began.Add(s.ServeTime))
 	n.Leave()
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.ServeTime))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.ServeTime+answerTime))
 	defer cancel()
 	tick.Sleep(ctx, time.Until(began.Add(s.DrainDelay)))
 	err := s.CloseCallers(ctx)
--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -49,8 +49,8 @@
 		c.Log.Debug("request_detoured", "request_id", r.ID, "peer", peer.ID, "outcome", out, "reason", result.Reason)
 		result.Peer = peer.ID
 		switch {
-		case out == done && reachedNone(result):
-			// The node has no path either and does not know it yet.
+		case out == done && isForOthers(result):
+			// The node has no path either and does not know it yet, or it stops.
 			refused = &result
 			continue
 		case out == done:
@@ -78,9 +78,13 @@
 	return proxy.Result{}, false
 }
 
-// reachedNone reports whether a request was refused because no endpoint could be reached.
-func reachedNone(r proxy.Result) bool {
-	return r.Refusal != nil && r.Refusal.Reason == refuse.NoEndpoint && !r.Refusal.MayHaveRun()
+// isForOthers reports whether a request was refused because the node could reach no endpoint or
+// stops, so that another node may serve it.
+func isForOthers(r proxy.Result) bool {
+	if r.Refusal == nil || r.Refusal.MayHaveRun() {
+		return false
+	}
+	return r.Refusal.Reason == refuse.NoEndpoint || r.Refusal.Reason == refuse.NodeStopping
 }
 
 // reasonOf returns why a node's result did not come.
--- a/internal/request/proxy/finish.go
+++ b/internal/request/proxy/finish.go
@@ -71,6 +71,10 @@
 		s.result.Status = s.failureAnswer.status
 	case s.parent.Err() != nil:
 		s.result.Refusal = refuse.NewMayHaveRun(refuse.CallerGone, "the caller went away")
+	case s.isEndedByStop(ctx) && !s.mayHaveRun:
+		s.result.Refusal = newStopRefusal()
+	case s.isEndedByStop(ctx):
+		s.result.Refusal = refuse.NewMayHaveRun(refuse.NodeStopping, "this node stopped before the answer was whole")
 	case !s.mayHaveRun:
 		s.result.Refusal = noEndpointRefusal(out)
 	case ctx.Err() != nil:
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -222,6 +222,7 @@
 	// Record is called for each dispatch and each retry; it may be nil.
 	Record func(trace.Record)
 
+	stop     stopState
 	lengths  lengthEstimator
 	holdOffs holdOffs
 	limits   endpointLimits
@@ -267,8 +268,13 @@
 func (p *Proxy) serve(ctx context.Context, r *Request, w http.ResponseWriter) Result {
 	s := &requestState{Request: r, w: w, parent: ctx, job: p.newJob(r), attempts: r.EarlierAttempts}
 	s.stream.resumeFrom(r)
+	if p.stop.refusesNew(r.Deadline) {
+		return p.finishWithoutGrant(ctx, s, newStopRefusal())
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
+	unsent, release := p.stop.bind(ctx, r.Deadline, cancel)
+	defer release()
 	if !r.IsDetour {
 		p.Budget.RecordRequest(r.Pool.ID, time.Now())
 	}
@@ -284,7 +290,7 @@
 				return result
 			}
 		}
-		grant, refusal := p.RequestGrant(ctx, s.job)
+		grant, refusal := p.requestGrant(ctx, unsent, s)
 		if refusal != nil {
 			return p.finishWithoutGrant(ctx, s, refusal)
 		}
--- /dev/null
+++ b/internal/request/proxy/stop.go
@@ -0,0 +1,106 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/request/entry"
+	"goldcrestwick/internal/request/refuse"
+)
+
+const (
+	// minServeTime is the least time until the end of serving for which a request whose
+	// deadline is later is still sent: most of those that are sent later would be cut.
+	minServeTime = 2 * time.Second
+	// stopRetryAfter is the wait after which a caller may try another node.
+	stopRetryAfter = 200 * time.Millisecond
+)
+
+// stopState is how far the stop of the node has come. The zero value is that of a node that does
+// not stop.
+type stopState struct {
+	once sync.Once
+	// unsent is done when requests that have not been sent and whose deadline is after end are
+	// refused, and all when every request ends.
+	unsent, all          context.Context
+	refuseUnsent, endAll context.CancelFunc
+	mu                   sync.Mutex
+	isStopping           bool
+	refuseLongFrom, end  time.Time
+}
+
+func (s *stopState) prepare() {
+	s.once.Do(func() {
+		s.unsent, s.refuseUnsent = context.WithCancel(context.Background())
+		s.all, s.endAll = context.WithCancel(context.Background())
+	})
+}
+
+// Stop makes the Proxy end its requests by the given time. From refuseLong on it refuses each
+// new request with a later deadline, and from minServeTime before the end those that have not
+// been sent. At the end, a request that has not run is refused as such, and one that may have
+// gets an answer that says so; only a stream that has begun is cut.
+func (p *Proxy) Stop(refuseLong, end time.Time) {
+	s := &p.stop
+	s.prepare()
+	s.mu.Lock()
+	s.isStopping, s.refuseLongFrom, s.end = true, refuseLong, end
+	s.mu.Unlock()
+	time.AfterFunc(max(time.Until(end.Add(-minServeTime)), time.Until(refuseLong)), s.refuseUnsent)
+	time.AfterFunc(time.Until(end), s.endAll)
+}
+
+// refusesNew reports whether a request that arrives now is refused.
+func (s *stopState) refusesNew(deadline time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isStopping && !time.Now().Before(s.refuseLongFrom) && deadline.After(s.end)
+}
+
+// bind returns a context for a request that has not been sent, which ends when it is not to be
+// sent any more, and makes cancel be called when every request ends. Release must be called when
+// the request ends.
+func (s *stopState) bind(ctx context.Context, deadline time.Time, cancel context.CancelFunc) (unsent context.Context, release func()) {
+	s.prepare()
+	unsent, cancelUnsent := context.WithCancel(ctx)
+	stopUnsent := context.AfterFunc(s.unsent, func() {
+		if s.refusesNew(deadline) {
+			cancelUnsent()
+		}
+	})
+	stopAll := context.AfterFunc(s.all, cancel)
+	return unsent, func() {
+		stopUnsent()
+		stopAll()
+		cancelUnsent()
+	}
+}
+
+// requestGrant requests a grant for the next attempt. A request that cannot have run is refused
+// when unsent ends because the node stops.
+func (p *Proxy) requestGrant(ctx, unsent context.Context, s *requestState) (*entry.Grant, *refuse.Refusal) {
+	if !s.mayHaveRun && s.failureAnswer == nil && !s.stream.headSent {
+		ctx = unsent
+	}
+	grant, refusal := p.RequestGrant(ctx, s.job)
+	if !s.isEndedByStop(ctx) {
+		return grant, refusal
+	}
+	if refusal == nil {
+		grant.Complete(sched.Completion{Unused: true})
+	}
+	return nil, newStopRefusal()
+}
+
+// isEndedByStop reports whether a context of the request has ended because the node stops.
+func (s *requestState) isEndedByStop(ctx context.Context) bool {
+	return ctx.Err() != nil && s.parent.Err() == nil && time.Now().Before(s.Deadline)
+}
+
+func newStopRefusal() *refuse.Refusal {
+	r := refuse.New(refuse.NodeStopping, "this node stops before the answer could be whole")
+	r.RetryAfter = stopRetryAfter
+	return r
+}
--- a/internal/request/refuse/refuse.go
+++ b/internal/request/refuse/refuse.go
@@ -83,6 +83,8 @@
 	HeaderTooLarge Reason = "header_too_large"
 	// NodeNotReady means that the node has not loaded its settings yet.
 	NodeNotReady Reason = "node_not_ready"
+	// NodeStopping means that the node stops before it could have given the whole answer.
+	NodeStopping Reason = "node_stopping"
 )
 
 var httpStatuses = map[Reason]int{
@@ -100,7 +102,7 @@
 	OutcomeNoLongerHeld: http.StatusConflict, EndpointFailed: http.StatusBadGateway,
 	AnswerIncomplete: http.StatusBadGateway, LedgerFull: http.StatusServiceUnavailable,
 	CallerGone: http.StatusRequestTimeout, HeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
-	NodeNotReady: http.StatusServiceUnavailable, Quarantined: http.StatusServiceUnavailable,
+	NodeNotReady: http.StatusServiceUnavailable, NodeStopping: http.StatusGatewayTimeout, Quarantined: http.StatusServiceUnavailable,
 	OriginUnknown: http.StatusServiceUnavailable, ReleaseGone: http.StatusServiceUnavailable,
 }
 
