Let leaving nodes serve as a fleet while no node is ready

Cause: cells, address lists, detours, limits and claims were left to ready members only. With none, directories listed nobody, and each node granted by an isolated standby cell that knew of its own requests alone.

View.Serving has the ready members or, while there are none, those that leave; what must have a holder uses it. A member says when it refuses long requests (IsClosing); such ones and suspect ones serve last. A ready node takes over from all of them, and readiness checks still answer 503.

In shutdown_all_nodes the first part passes now: three nodes listed, one owner, eight requests in four places all whole; before 'listed ... int(0)', 'owners ... int(0)'. The script still fails at its end, where the fleet does not know that nodes have ended.

--- a/internal/connection/wire/member.go
+++ b/internal/connection/wire/member.go
@@ -41,13 +41,14 @@
 	SettingsVersion uint64 `cbor:"9,keyasint,omitempty"`
 	Capacity        int    `cbor:"10,keyasint,omitempty"`
 	HasNoPath       bool   `cbor:"11,keyasint,omitempty"`
+	IsClosing       bool   `cbor:"12,keyasint,omitempty"`
 }
 
 // FromMember converts a member.
 func FromMember(m member.Member) Member {
 	return Member{
 		string(m.ID), string(m.Region), string(m.Zone), m.PeerAddress, m.CallerAddress,
-		uint8(m.State), m.Suspect, m.Incarnation, uint64(m.Settings), m.Capacity, m.HasNoPath,
+		uint8(m.State), m.Suspect, m.Incarnation, uint64(m.Settings), m.Capacity, m.HasNoPath, m.IsClosing,
 	}
 }
 
@@ -57,7 +58,7 @@
 		ID: ident.NodeID(m.ID), Region: ident.Region(m.Region), Zone: ident.AvailabilityZone(m.Zone),
 		PeerAddress: m.PeerAddress, CallerAddress: m.CallerAddress, State: min(member.State(m.State), member.Dead),
 		Suspect: m.Suspect, Incarnation: m.Incarnation, Settings: ident.Version(m.SettingsVersion),
-		Capacity: max(m.Capacity, 0), HasNoPath: m.HasNoPath,
+		Capacity: max(m.Capacity, 0), HasNoPath: m.HasNoPath, IsClosing: m.IsClosing,
 	}
 }
 
--- a/internal/process/cells/owners.go
+++ b/internal/process/cells/owners.go
@@ -60,12 +60,12 @@
 	return list[0], true
 }
 
-// candidates returns the members of a region that can own cells: the ready ones and,
+// candidates returns the members of a region that can own cells: those that serve and,
 // while most members are still joining, those as well. The load pattern behind it is
 // a fleet that starts at once: its first ready nodes would own every cell, one after
 // the other, and ask all members for each of them.
 func candidates(v *member.View, region ident.Region) []member.Member {
-	ready := v.Ready(region)
+	ready := v.Serving(region)
 	var joining []member.Member
 	for _, m := range v.Members {
 		if m.State == member.Joining && (region == "" || m.Region == region) {
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -71,6 +71,9 @@
 	// HasNoPath is set while the member cannot reach the endpoints. Other members serve
 	// its requests; it may own cells.
 	HasNoPath bool
+	// IsClosing is set in the last part of Leaving, when the member refuses new requests that
+	// may last longer than the member.
+	IsClosing bool
 }
 
 // supersedes reports whether the update m replaces the entry old.
@@ -96,8 +99,8 @@
 // identifier.
 type View struct {
 	Members []Member
-	// ready caches the results of Ready by region.
-	ready sync.Map
+	// ready and serving cache the results of Ready and Serving by region.
+	ready, serving sync.Map
 }
 
 // Find returns a member by its identifier.
@@ -111,20 +114,49 @@
 	return v.Members[i], true
 }
 
-// Ready returns the members of a region that accept new requests; an empty region
-// means all regions. The caller must not change the result.
+// Ready returns the members of a region that are ready; an empty region means all regions.
+// The caller must not change the result.
 func (v *View) Ready(region ident.Region) []Member {
-	if known, ok := v.ready.Load(region); ok {
+	return v.cached(&v.ready, region, func() []Member {
+		return v.filter(region, func(m *Member) bool { return m.State == Ready })
+	})
+}
+
+// Serving returns the members of a region that serve callers and own cells: the ready ones, or
+// those that leave while there are none, since nobody else is left when all nodes are stopped
+// within seconds. Among these, the ones that are closing or suspect serve last. The caller must
+// not change the result.
+func (v *View) Serving(region ident.Region) []Member {
+	return v.cached(&v.serving, region, func() []Member {
+		serving := v.Ready(region)
+		if len(serving) == 0 {
+			serving = v.filter(region, func(m *Member) bool { return m.State == Leaving && !m.IsClosing && !m.Suspect })
+		}
+		if len(serving) == 0 {
+			serving = v.filter(region, func(m *Member) bool { return m.State == Leaving })
+		}
+		return serving
+	})
+}
+
+func (v *View) cached(cache *sync.Map, region ident.Region, find func() []Member) []Member {
+	if known, ok := cache.Load(region); ok {
 		return known.([]Member) //nolint:errcheck,revive // only this type is stored.
 	}
-	ready := make([]Member, 0, len(v.Members))
-	for _, m := range v.Members {
-		if m.State == Ready && (region == "" || m.Region == region) {
-			ready = append(ready, m)
+	found := find()
+	cache.Store(region, found)
+	return found
+}
+
+// filter returns the members of a region that are selected; an empty region means all regions.
+func (v *View) filter(region ident.Region, isSelected func(*Member) bool) []Member {
+	found := make([]Member, 0, len(v.Members))
+	for i := range v.Members {
+		if m := &v.Members[i]; isSelected(m) && (region == "" || m.Region == region) {
+			found = append(found, *m)
 		}
 	}
-	v.ready.Store(region, ready)
-	return ready
+	return found
 }
 
 // Owner returns the ready member of a region with the highest score for a key
--- a/internal/process/node/callers.go
+++ b/internal/process/node/callers.go
@@ -38,7 +38,7 @@
 	if zone == "" {
 		zone = n.Process.Zone
 	}
-	ready := n.members.View().Ready(n.Process.Region)
+	ready := n.members.View().Serving(n.Process.Region)
 	count := min(n.addressCount(account, len(ready)), len(ready))
 	ranked := member.Ranked(ready, "addresses/"+string(account.ID))
 	chosen := ranked[:count:count]
--- a/internal/process/node/limits.go
+++ b/internal/process/node/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,7 +47,7 @@
 }
 
 // quotaCoordinatorIn returns the node of a view that holds an account's token bucket if except
-// does not.
+// does not. Nodes that leave hold them only while no other is left.
 func quotaCoordinatorIn(v *member.View, id ident.ClientAccount, except ident.NodeID) (member.Member, bool) {
 	var candidates []member.Member
 	for _, m := range v.Members {
@@ -54,6 +55,9 @@
 			candidates = append(candidates, m)
 		}
 	}
+	if len(candidates) == 0 {
+		candidates = slices.DeleteFunc(slices.Clone(v.Serving("")), func(m member.Member) bool { return m.ID == except })
+	}
 	if len(candidates) == 0 {
 		return member.Member{}, false
 	}
@@ -106,7 +110,7 @@
 // reachableFraction returns the fraction of the fleet that this node can reach. A
 // node in a small partition must not grant the limits of the whole fleet.
 func (n *Node) reachableFraction() float64 {
-	ready := len(n.members.View().Ready(""))
+	ready := len(n.members.View().Serving(""))
 	failed := n.members.RecentlyFailed(recentFailureWindow)
 	return float64(max(ready, 1)) / float64(max(ready+failed, 1))
 }
@@ -123,7 +127,7 @@
 // equalShare returns the share of a limit that each ready node gets when it is
 // divided equally.
 func (n *Node) equalShare() float64 {
-	return 1 / float64(max(len(n.members.View().Ready("")), 1))
+	return 1 / float64(max(len(n.members.View().Serving("")), 1))
 }
 
 // maxNodesWithShares is the number of ready nodes up to which shares of the limits
@@ -135,7 +139,7 @@
 // requestShares requests this node's share of the limit of each account in use
 // from the account's coordinator.
 func (n *Node) requestShares(ctx context.Context) {
-	ready := n.members.View().Ready("")
+	ready := n.members.View().Serving("")
 	if n.Platform != nil && len(ready) > maxNodesWithShares {
 		n.quotaLimiter.ClearShares()
 		return
@@ -182,7 +186,7 @@
 
 func (n *Node) allocateShares(m wire.ShareRequest) wire.Shares {
 	shares := wire.Shares{Shares: map[string]float64{}}
-	nodes := len(n.members.View().Ready(""))
+	nodes := len(n.members.View().Serving(""))
 	for account, demand := range m.Demand {
 		shares.Shares[account] = n.shareAllocator.Allocate(ident.ClientAccount(account), ident.NodeID(m.Node), demand, nodes, time.Now())
 	}
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -163,7 +163,7 @@
 	if known := n.claimCoordinatorSet.Load(); known != nil && known.view == v {
 		return known.members
 	}
-	ranked := member.Ranked(v.Ready(""), "claim_homes")
+	ranked := member.Ranked(v.Serving(""), "claim_homes")
 	chosen := ranked[:min(len(ranked), maxClaimCoordinators)]
 	n.claimCoordinatorSet.Store(&claimCoordinatorSet{v, chosen})
 	return chosen
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -52,7 +52,7 @@
 	}
 	n.budget = budget.Budget{
 		Limit:     n.Process.RetryBudget,
-		NodeCount: func() int { return len(n.members.View().Ready("")) },
+		NodeCount: func() int { return len(n.members.View().Serving("")) },
 	}
 	n.conns.Dial = n.DialEndpoint
 	n.proxy = proxy.Proxy{
@@ -135,7 +135,7 @@
 // detourPeers returns the nodes that may serve a request for this one, in random order, those
 // of its availability zone first.
 func (n *Node) detourPeers() []member.Member {
-	peers := slices.DeleteFunc(n.withoutSelf(n.members.View().Ready(n.Process.Region)), func(m member.Member) bool {
+	peers := slices.DeleteFunc(n.withoutSelf(n.members.View().Serving(n.Process.Region)), func(m member.Member) bool {
 		return m.HasNoPath || m.Suspect || n.cells.IsUnresponsive(m.ID)
 	})
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
@@ -198,7 +198,7 @@
 			zones = append(zones, z)
 		}
 	}
-	for _, m := range spread.ForCallers(withPath(n.members.View().Ready(n.Process.Region)), zones, zone) {
+	for _, m := range spread.ForCallers(withPath(n.members.View().Serving(n.Process.Region)), zones, zone) {
 		list = append(list, m.CallerAddress)
 	}
 	if len(list) == 0 {
