--- /dev/null
+++ b/internal/process/node/stop.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/process/tick"
+)
+
+const (
+	// stopTimeout bounds the time in which a node that serves no requests any more writes its
+	// remaining state.
+	stopTimeout = 700 * time.Millisecond
+	// lateMargin is the last part of Shutdown.DrainDelay. The callers that send then have looked
+	// the node up before it began to leave, and may not be cut. It covers the time until the
+	// process has handled the signal.
+	lateMargin = 750 * time.Millisecond
+	// answerTime is the time after Shutdown.ServeTime for the answers that end the requests.
+	answerTime = 150 * time.Millisecond
+)
+
+// Shutdown describes how a node that proxies requests is shut down.
+type Shutdown struct {
+	// DrainDelay is how long the node waits before it closes the connections of callers that
+	// still use it. By then the callers' cached addresses must have expired.
+	DrainDelay time.Duration
+	// ServeTime is how long the node serves requests. Requests that are not answered by then
+	// get a final answer, except for streams that have begun; those are cut.
+	ServeTime time.Duration
+	// CloseCallers stops accepting connections of callers and returns when the last of them
+	// has no request any more, or an error when ctx is done.
+	CloseCallers func(context.Context) error
+}
+
+// Shutdown leaves the fleet and stops the node. It returns an error if requests were cut because
+// ServeTime was over.
+func (n *Node) Shutdown(s Shutdown) error {
+	began := time.Now()
+	n.router.DisableKeepAlives()
+	n.proxy.Stop(began.Add(s.DrainDelay-lateMargin), began.Add(s.ServeTime))
+	n.Leave()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(s.ServeTime+answerTime))
+	defer cancel()
+	tick.Sleep(ctx, time.Until(began.Add(s.DrainDelay-lateMargin)))
+	n.members.SetSelf(func(m *member.Member) { m.IsClosing = true })
+	n.broadcastState()
+	tick.Sleep(ctx, time.Until(began.Add(s.DrainDelay)))
+	err := s.CloseCallers(ctx)
+	n.WaitDetours(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		n.Stop()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopTimeout):
+		n.Log.Warn("ledger_may_be_unwritten", "reason", "the grace period is over")
+	}
+	return err
+}
+
+// Leave marks the node as leaving, which hands its cells and account limits over to other nodes,
+// and reports this to members of its region. Requests are served until Stop.
+func (n *Node) Leave() {
+	n.isLeaving.Store(true)
+	n.setLeaving()
+	n.handOverLimits()
+	n.broadcastState()
+	n.Log.Info("node_leaving", "node", n.Process.Name, "open_requests", n.gate.OpenRequests())
+}
+
+func (n *Node) setLeaving() {
+	n.members.SetSelf(func(m *member.Member) { m.State = member.Leaving })
+}
+
+// Wait returns when every request of Front has ended and every late completion
+// has been reported or given up. It does not wait for proxied requests; the
+// Shutdown method of the HTTP server that serves Router does, and WaitDetours.
+func (n *Node) Wait() { n.entry.Wait() }
+
+// Stop ends the node's background work and closes its connections to endpoints. A node
+// that is stopped before Start does not start. For a graceful shutdown call it after Leave and Wait;
+// called alone it acts like a crash, which the other nodes have to detect.
+func (n *Node) Stop() {
+	n.cancel()
+	n.tasks.Wait()
+	n.Client.CloseIdleConnections()
+	n.conns.Close()
+}
