Logs that tell an older configuration from a right refusal

request_refused has the host and path of a request without a route; detour_ended has the pool and the settings versions of both nodes; detour_declined is new; settings_in_force has the earlier version, whether the node follows a reader and the age of its last read; settings_fetched tells the source and the time of a fetch. The message detour carries the requester's version for that; earlier builds ignore it. No decision is changed.

--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -253,7 +253,7 @@
 		"status", status, "retry_after", refusal.RetryAfter, "message", refusal.Message,
 		"account", accountName(req.Account), "route", routeName(req.Route), "caller_gone", r.Context().Err() != nil,
 		"prompt_tokens", int64(req.Info.PromptTokens), "max_output_tokens", int64(req.Info.MaxOutputTokens),
-		"took", time.Since(req.Arrived), "settings_version", uint64(req.Version))
+		"took", time.Since(req.Arrived), "settings_version", uint64(req.Version), "unknown_target", unknownTarget(req))
 	if refusal.RetryAfter > 0 && !refusal.MayHaveRun() {
 		// Round up, since callers retry at once on 0.00.
 		hundredths := math.Ceil(refusal.RetryAfter.Seconds() * 100)
@@ -339,6 +339,20 @@
 	return r.Name
 }
 
+// maxLoggedTarget bounds the host and path in a log line.
+const maxLoggedTarget = 200
+
+// unknownTarget returns the host and path of a request without a route as log text, "" for one
+// that has a route.
+func unknownTarget(req *proxy.Request) string {
+	if req.Route != nil {
+		return ""
+	}
+	path, _, _ := strings.Cut(req.Target, "?")
+	target := normalizeHost(req.Host) + path
+	return target[:min(len(target), maxLoggedTarget)]
+}
+
 // normalizeHost returns a host in lower case and without a port.
 func normalizeHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/connection/wire/detour.go
+++ b/internal/connection/wire/detour.go
@@ -20,6 +20,9 @@
 	Release     *string `cbor:"10,keyasint,omitempty"`
 	// Pool is the one of the route's pools that the request has gone to or is to go to.
 	Pool string `cbor:"11,keyasint,omitempty"`
+	// Settings is the settings version by which the requester judged the request, 0 if it is
+	// of an earlier build.
+	Settings uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // DetourData is a part of the request's body or of its answer.
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -159,9 +159,14 @@
 	n.proxy.Reach, n.proxy.Detour = &n.reach, client.Serve
 	n.detours = detour.Server{
 		Resolve: n.router.Resolve, Serve: n.proxy.Serve, IsLost: n.reach.IsLost,
-		Ended: func(r *proxy.Request, result proxy.Result) {
-			n.Log.Info("detour_ended", "request_id", r.ID, "endpoint", result.Endpoint, "status", result.Status,
-				"attempts", result.Attempts, "events", result.Events, "reason", result.Reason)
+		Ended: func(r *proxy.Request, requester ident.Version, result proxy.Result) {
+			n.Log.Info("detour_ended", "request_id", r.ID, "pool", r.Pool.ID, "endpoint", result.Endpoint, "status", result.Status,
+				"attempts", result.Attempts, "events", result.Events, "reason", result.Reason,
+				"settings_version", uint64(r.Version), "requester_settings_version", uint64(requester))
+		},
+		Declined: func(r *proxy.Request, requester ident.Version, reason string) {
+			n.Log.Info("detour_declined", "request_id", r.ID, "reason", reason,
+				"settings_version", uint64(r.Version), "requester_settings_version", uint64(requester))
 		},
 	}
 	link.Handle(mux, wire.KindDetour, n.detours.Handle)
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -42,11 +42,13 @@
 // applyTree puts a settings version in force: it applies to new requests, and
 // cells take their pool's new limits.
 func (n *Node) applyTree(t *config.Tree) {
-	n.formerPools.update(n.tree.Load(), t, time.Now())
+	earlier := n.tree.Load()
+	n.formerPools.update(earlier, t, time.Now())
 	n.tree.Store(t)
 	n.buildRoster()
 	n.appendToLedger(trace.Record{Time: time.Now(), Node: n.Process.Name, Event: trace.SettingsApplied, Settings: t.Version})
-	n.Log.Info("settings_in_force", "settings_version", t.Version)
+	n.Log.Info("settings_in_force", "settings_version", t.Version, "earlier_version", earlier.Version,
+		"follows_reader", n.changes.isFollowing.Load(), "read_age", time.Since(n.tables.endpointsReadAt()))
 }
 
 // announce sends a version notice to a few neighbors. Those that lack the
@@ -107,9 +109,12 @@
 		if ident.Version(g.SettingsVersion) <= n.tree.Load().Version {
 			return
 		}
+		started := time.Now()
 		if err := n.fetchTree(ctx, g.PeerAddress); err != nil {
-			n.Log.Warn("settings_not_fetched", "from", g.PeerAddress, "error", err)
+			n.Log.Warn("settings_not_fetched", "from", g.PeerAddress, "settings_version", g.SettingsVersion, "took", time.Since(started), "error", err)
+			return
 		}
+		n.Log.Info("settings_fetched", "from", g.PeerAddress, "settings_version", g.SettingsVersion, "took", time.Since(started))
 	})
 }
 
--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -134,7 +134,7 @@
 	message := wire.Detour{
 		Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, HasBody: r.Body != nil, BodyBytes: len(r.Body),
 		Remaining: int64(time.Until(r.Deadline)), Attempts: r.EarlierAttempts, LastEventID: r.Info.LastEventID,
-		Pool: string(r.Pool.ID),
+		Pool: string(r.Pool.ID), Settings: uint64(r.Version),
 	}
 	if r.Release != nil {
 		release := string(*r.Release)
--- a/internal/request/detour/server.go
+++ b/internal/request/detour/server.go
@@ -28,8 +28,10 @@
 	Serve func(context.Context, *proxy.Request, http.ResponseWriter) proxy.Result
 	// IsLost reports whether this node has lost its path too.
 	IsLost func() bool
-	// Ended is called with each request that was served; it may be nil.
-	Ended func(*proxy.Request, proxy.Result)
+	// Ended is called with each request that was served, and Declined with each one that was
+	// not. They get the settings version of the requester, and may be nil.
+	Ended    func(r *proxy.Request, requester ident.Version, result proxy.Result)
+	Declined func(r *proxy.Request, requester ident.Version, reason string)
 
 	active atomic.Int64
 }
@@ -56,8 +58,12 @@
 	deadline := r.Arrived.Add(time.Duration(m.Remaining))
 	release, refusal := s.Resolve(r, ident.PoolID(m.Pool))
 	defer release()
+	requester := ident.Version(m.Settings)
 	if refusal != nil || s.IsLost() {
 		// The settings of the two nodes may differ for a moment: the requester has a route.
+		if s.Declined != nil {
+			s.Declined(r, requester, reasonToDecline(refusal))
+		}
 		stream.Send(wire.KindDetourEnd, wire.DetourEnd{Declined: true}) //nolint:errcheck // the requester tries others.
 		return
 	}
@@ -73,11 +79,18 @@
 	result := s.Serve(ctx, r, w)
 	stop()
 	if s.Ended != nil {
-		s.Ended(r, result)
+		s.Ended(r, requester, result)
 	}
 	stream.Send(wire.KindDetourEnd, fromResult(result)) //nolint:errcheck // the requester may be gone.
 }
 
+func reasonToDecline(refusal *refuse.Refusal) string {
+	if refusal != nil {
+		return string(refusal.Reason)
+	}
+	return "no path to the endpoints"
+}
+
 var errBodyTooLong = eris.New("a request's body is longer than announced or allowed")
 
 func receiveBody(stream *link.Stream, m wire.Detour) ([]byte, error) {
