Serve no detour by settings older than the requester's

What callers saw: at a node without a path to the endpoints, requests on a route that had moved ran at the service to which it led before, seconds after the node itself had used the new route.

Cause: the node that serves a detour finds the route anew by its own settings, which are older if it stood still or was cut off. The node that took the request knew the version and did not say it.

The message carries the requester's version and peer address. A node with older settings fetches them from the requester, which runs and has them, within 300 ms, once for all waiting requests, or declines, so that the requester tries another node. Earlier builds state no version.

--- a/internal/connection/wire/detour.go
+++ b/internal/connection/wire/detour.go
@@ -21,8 +21,9 @@
 	// Pool is the one of the route's pools that the request has gone to or is to go to.
 	Pool string `cbor:"11,keyasint,omitempty"`
 	// Settings is the settings version by which the requester judged the request, 0 if it is
-	// of an earlier build.
-	Settings uint64 `cbor:"12,keyasint,omitempty"`
+	// of an earlier build, and PeerAddress is the requester's peer address.
+	Settings    uint64 `cbor:"12,keyasint,omitempty"`
+	PeerAddress string `cbor:"13,keyasint,omitempty"`
 }
 
 // DetourData is a part of the request's body or of its answer.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -139,6 +139,8 @@
 	proxy     proxy.Proxy
 	router    router.Router
 	tables    tableState
+	// awaitingTree is held while settings are fetched for requests that wait for them.
+	awaitingTree sync.Mutex
 	// isFetchingTree is set while settings are fetched from another node.
 	isFetchingTree atomic.Bool
 	changes        changes
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -155,10 +155,10 @@
 // prepareDetours connects the components by which nodes serve requests for each other.
 func (n *Node) prepareDetours(mux *link.Mux) {
 	n.reach = reach.Monitor{Dial: n.conns.Check, Addresses: n.endpointAddresses, Changed: n.pathChanged}
-	client := &detour.Client{Open: n.Open, Peers: n.detourPeers, Log: n.Log}
+	client := &detour.Client{Open: n.Open, PeerAddress: n.Process.PeerAddress, Peers: n.detourPeers, Log: n.Log}
 	n.proxy.Reach, n.proxy.Detour = &n.reach, client.Serve
 	n.detours = detour.Server{
-		Resolve: n.router.Resolve, Serve: n.proxy.Serve, IsLost: n.reach.IsLost,
+		AwaitSettings: n.awaitSettings, Resolve: n.router.Resolve, Serve: n.proxy.Serve, IsLost: n.reach.IsLost,
 		Ended: func(r *proxy.Request, requester ident.Version, result proxy.Result) {
 			n.Log.Info("detour_ended", "request_id", r.ID, "pool", r.Pool.ID, "endpoint", result.Endpoint, "status", result.Status,
 				"attempts", result.Attempts, "events", result.Events, "reason", result.Reason,
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -118,6 +118,23 @@
 	})
 }
 
+// awaitSettings waits until settings that are no older than a version are in force, which it
+// fetches from another node if they are not. It returns false if ctx is done before.
+func (n *Node) awaitSettings(ctx context.Context, version ident.Version, from string) bool {
+	if n.tree.Load().Version >= version {
+		return true
+	}
+	// Many requests may wait for the same version, which is fetched once.
+	n.awaitingTree.Lock()
+	defer n.awaitingTree.Unlock()
+	if n.tree.Load().Version < version && ctx.Err() == nil {
+		if err := n.fetchTree(ctx, from); err != nil {
+			n.Log.Warn("settings_not_fetched", "from", from, "settings_version", uint64(version), "error", err)
+		}
+	}
+	return n.tree.Load().Version >= version
+}
+
 // fetchTree fetches and applies the version in force at another node. Only the file
 // texts that this node lacks are transferred.
 func (n *Node) fetchTree(ctx context.Context, from string) error {
--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -18,6 +18,8 @@
 // concurrent use.
 type Client struct {
 	Open link.Opener
+	// PeerAddress is this node's peer address, from which the others can fetch its settings.
+	PeerAddress string
 	// Peers returns the nodes that may have a path to the endpoints, the preferred ones
 	// first.
 	Peers func() []member.Member
@@ -44,7 +46,7 @@
 	mayHaveRun := false
 	var refused *proxy.Result
 	for _, peer := range peers[:min(len(peers), maxPeers)] {
-		e := &exchange{request: r, w: w}
+		e := &exchange{request: r, w: w, from: c.PeerAddress}
 		result, out := e.run(ctx, c.Open, peer)
 		c.Log.Debug("request_detoured", "request_id", r.ID, "peer", peer.ID, "outcome", out, "reason", result.Reason)
 		result.Peer = peer.ID
@@ -102,6 +104,8 @@
 type exchange struct {
 	request *proxy.Request
 	w       http.ResponseWriter
+	// from is this node's peer address.
+	from string
 	// hasHead is set when the head of the answer was written to the caller.
 	hasHead bool
 }
@@ -134,7 +138,7 @@
 	message := wire.Detour{
 		Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, HasBody: r.Body != nil, BodyBytes: len(r.Body),
 		Remaining: int64(time.Until(r.Deadline)), Attempts: r.EarlierAttempts, LastEventID: r.Info.LastEventID,
-		Pool: string(r.Pool.ID), Settings: uint64(r.Version),
+		Pool: string(r.Pool.ID), Settings: uint64(r.Version), PeerAddress: e.from,
 	}
 	if r.Release != nil {
 		release := string(*r.Release)
--- a/internal/request/detour/detour.go
+++ b/internal/request/detour/detour.go
@@ -2,8 +2,10 @@
 // to the endpoints.
 //
 // The node that the caller is connected to has admitted the request and keeps it. The
-// other one finds the route in its own settings, requests a grant and dispatches like for a
-// caller of its own, and sends the answer back as it comes. It never passes the request on.
+// other one finds the route in its own settings, which are no older than those by which the
+// request was admitted; otherwise it fetches them or declines. It requests a grant and
+// dispatches like for a caller of its own, and sends the answer back as it comes. It never
+// passes the request on.
 // While it has nothing to send it sends heartbeats, so that the caller's node does not wait
 // for one that is gone.
 //
@@ -12,7 +14,7 @@
 //	c := &detour.Client{Open: open, Peers: peers, Log: logger}
 //	result, ok := c.Serve(ctx, request, w)
 //
-//	s := &detour.Server{Resolve: router.Resolve, Serve: proxy.Serve, IsLost: monitor.IsLost}
+//	s := &detour.Server{AwaitSettings: await, Resolve: router.Resolve, Serve: proxy.Serve, IsLost: monitor.IsLost}
 //	link.Handle(mux, wire.KindDetour, s.Handle)
 package detour
 
@@ -33,6 +35,9 @@
 	// without a message after which a node is taken to be gone.
 	heartbeatInterval = 150 * time.Millisecond
 	silenceTimeout    = 700 * time.Millisecond
+	// settingsTimeout bounds the time in which a node with older settings than the requester
+	// fetches them. It is shorter than silenceTimeout, since no heartbeats are sent yet.
+	settingsTimeout = 300 * time.Millisecond
 	// bodyTimeout bounds the receipt of a request's body.
 	bodyTimeout = 2 * time.Second
 	// maxDataBytes bounds the data in a message.
--- a/internal/request/detour/server.go
+++ b/internal/request/detour/server.go
@@ -20,6 +20,10 @@
 // Server serves the requests of nodes that have lost their path. Set the exported fields
 // before use; it is safe for concurrent use.
 type Server struct {
+	// AwaitSettings waits until settings that are no older than a version are in force here, for
+	// which it may fetch them from the requester. It returns false if they are not by the time
+	// that ctx is done.
+	AwaitSettings func(ctx context.Context, version ident.Version, from string) bool
 	// Resolve finds the route, the account and the pool of a request, the given one if the
 	// route leads there. The release function must be called when the request ends, also if
 	// it is refused.
@@ -56,13 +60,15 @@
 		r.Release = &release
 	}
 	deadline := r.Arrived.Add(time.Duration(m.Remaining))
+	requester := ident.Version(m.Settings)
+	awaitCtx, cancelAwait := context.WithTimeout(ctx, settingsTimeout)
+	isCurrent := s.AwaitSettings(awaitCtx, requester, m.PeerAddress)
+	cancelAwait()
 	release, refusal := s.Resolve(r, ident.PoolID(m.Pool))
 	defer release()
-	requester := ident.Version(m.Settings)
-	if refusal != nil || s.IsLost() {
-		// The settings of the two nodes may differ for a moment: the requester has a route.
+	if !isCurrent || refusal != nil || s.IsLost() {
 		if s.Declined != nil {
-			s.Declined(r, requester, reasonToDecline(refusal))
+			s.Declined(r, requester, reasonToDecline(isCurrent, refusal))
 		}
 		stream.Send(wire.KindDetourEnd, wire.DetourEnd{Declined: true}) //nolint:errcheck // the requester tries others.
 		return
@@ -84,8 +90,12 @@
 	stream.Send(wire.KindDetourEnd, fromResult(result)) //nolint:errcheck // the requester may be gone.
 }
 
-func reasonToDecline(refusal *refuse.Refusal) string {
-	if refusal != nil {
+func reasonToDecline(isCurrent bool, refusal *refuse.Refusal) string {
+	switch {
+	case !isCurrent:
+		return "older settings than the requester's"
+	case refusal != nil:
+		// The settings here may be newer: the requester has a route.
 		return string(refusal.Reason)
 	}
 	return "no path to the endpoints"
