Let streams of a route that has moved go on where they began, through a detour too

What callers saw: a stream whose route moved meanwhile went on at the new service, if the node at which it was taken up, or that lost its path midway, had it served through another node, and the new service had a release of the same name.

Cause: the node that serves a detour looked for the pool that the stream is bound to among those of the present route only, and otherwise took one of these with the release of the other.

A stream that is bound to a release goes on in the pool that the requester names, if the route led there until recently as this node knows, as it does without a detour. Otherwise the detour is declined, and the requester tries a node that knows.

--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -58,7 +58,7 @@
 )
 
 // Router is an HTTP handler that routes requests to pools. All exported fields except
-// Bodies must be set before use. It is safe for concurrent use.
+// Bodies and FindFormerPool must be set before use. It is safe for concurrent use.
 type Router struct {
 	// Tree returns the settings in force, or nil if none are loaded yet.
 	Tree func() *config.Tree
@@ -67,8 +67,10 @@
 	// Serve proxies a request. It writes the answer unless its result has a refusal,
 	// which the Router writes.
 	Serve func(context.Context, *proxy.Request, http.ResponseWriter) proxy.Result
-	Quota *quota.Limiter
-	Meter *meter.Meter
+	// FindFormerPool returns a pool to which a route led until recently, or nil; it may be nil.
+	FindFormerPool func(route string, id ident.PoolID) *config.Pool
+	Quota          *quota.Limiter
+	Meter          *meter.Meter
 	// Record records the first and the last step of each request.
 	Record func(trace.Record)
 	Log    *log.Logger
@@ -177,24 +179,37 @@
 }
 
 // Resolve fills in a request that this node serves for another one, which has admitted it,
-// has its body and has chosen the given pool if the route leads there. The release function
-// must be called when the request ends.
+// has its body and has chosen the given pool. If the route does not lead there, a stream that
+// was begun there goes on in that pool or, if the route has not led there lately as far as this
+// node knows, is refused; other requests go where the route leads. The release function must be
+// called when the request ends.
 func (rt *Router) Resolve(req *proxy.Request, pool ident.PoolID) (release func(), refusal *refuse.Refusal) {
 	tree := rt.Tree()
 	if tree == nil {
 		return func() {}, refuse.New(refuse.NodeNotReady, "this node has no settings yet")
 	}
-	refusal = rt.resolve(req, tree)
-	if refusal == nil {
-		for _, share := range req.Route.Shares {
-			if share.Pool.ID == pool {
-				req.Pool = share.Pool
-			}
-		}
+	if refusal = rt.resolve(req, tree); refusal == nil {
+		refusal = rt.choosePool(req, pool)
 	}
 	return func() { rt.openIDs.Delete(req.ID) }, refusal
 }
 
+// choosePool sets the pool of a request that another node has chosen, as Resolve describes.
+func (rt *Router) choosePool(req *proxy.Request, id ident.PoolID) *refuse.Refusal {
+	chosen := req.Route.FindPool(id)
+	if chosen == nil && req.Release == nil {
+		return nil
+	}
+	if chosen == nil && rt.FindFormerPool != nil {
+		chosen = rt.FindFormerPool(req.Route.Name, id)
+	}
+	if chosen == nil {
+		return refuse.New(refuse.OriginUnknown, "the route does not lead to the pool that began the stream")
+	}
+	req.Pool = chosen
+	return nil
+}
+
 // reserveID returns a caller's request identifier and adds it to openIDs. It appends
 // a suffix if the identifier is in use. If id is empty, it returns a new identifier.
 func (rt *Router) reserveID(id string) ident.RequestID {
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -66,7 +66,8 @@
 	}
 	n.router = router.Router{
 		Tree: n.settingsOrNil, DecodeRequest: n.Platform.HeaderCodec.DecodeRequest, Serve: n.serveProxied,
-		Quota: &n.quotaLimiter, Meter: &n.meter, Record: n.recordLocalStep, Log: n.Log,
+		FindFormerPool: n.findFormerPool,
+		Quota:          &n.quotaLimiter, Meter: &n.meter, Record: n.recordLocalStep, Log: n.Log,
 		Bodies: &n.bodies,
 	}
 	n.prepareMemory()
--- a/internal/request/proxy/release.go
+++ b/internal/request/proxy/release.go
@@ -60,13 +60,8 @@
 // began there can go on. It returns nil for other pools: callers choose the names of attempts,
 // and must not reach a pool through the name of another route's stream.
 func (p *Proxy) findPool(r *config.Route, id ident.PoolID) *config.Pool {
-	for _, share := range r.Shares {
-		if share.Pool.ID == id {
-			return share.Pool
-		}
-	}
-	if p.FindFormerPool == nil {
-		return nil
+	if pool := r.FindPool(id); pool != nil || p.FindFormerPool == nil {
+		return pool
 	}
 	return p.FindFormerPool(r.Name, id)
 }
--- a/internal/version/config/route.go
+++ b/internal/version/config/route.go
@@ -70,6 +70,16 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// FindPool returns the pool with an identifier, or nil if the route does not lead there.
+func (r *Route) FindPool(id ident.PoolID) *Pool {
+	for _, share := range r.Shares {
+		if share.Pool.ID == id {
+			return share.Pool
+		}
+	}
+	return nil
+}
+
 // PoolAt returns the pool at the given point, in [0, 1), of the cumulative
 // weights. A uniformly random point selects each pool in proportion to its
 // weight. If all weights are 0, PoolAt returns the last pool.
