--- a/internal/process/node/settings_test.go
+++ b/internal/process/node/settings_test.go
@@ -50,3 +50,29 @@
 		})
 	}
 }
+
+// TestFetchFromFrozenNode guards against settings that are late because the first node that told
+// of them stands still: they are fetched from the next one within the 2 s in which they have to be
+// in force.
+func TestFetchFromFrozenNode(t *testing.T) {
+	for _, isFollowing := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			start, askedAfter := time.Now(), time.Duration(0)
+			n := &Node{Log: log.New(io.Discard), Open: func(ctx context.Context, address string) (*link.Stream, error) {
+				if address == "frozen" {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				askedAfter = time.Since(start)
+				return nil, errUnreachable
+			}}
+			n.tree.Store(&config.Tree{Version: 3})
+			n.changes.isFollowing.Store(isFollowing)
+			n.fetchIfNewer(wire.Gossip{SettingsVersion: 4, PeerAddress: "frozen"})
+			time.Sleep(time.Millisecond)
+			n.fetchIfNewer(wire.Gossip{SettingsVersion: 4, PeerAddress: "sound"})
+			n.tasks.Wait()
+			qt.Check(t, askedAfter > 0 && askedAfter < 2*time.Second, qt.IsTrue, qt.Commentf("following %t: asked after %s", isFollowing, askedAfter))
+		})
+	}
+}
