Fetch new settings from another node while the first one stands still

What callers saw: requests judged by older settings at a node whose way to the store, or whose reader, fails, for 2 s and more, though other nodes had told it of the new version.

Cause: one fetch at a time, of up to 2 s, from the first node that told of the version. If that one stands still, what all others say is dropped. The fact 'who has the version' was held for one node.

Evidence: node.TestFetchFromFrozenNode failed before, 'following false: asked after 0s' (never); passes now. TestFetchIfNewer still finds one fetch where the first node answers.

Up to four nodes that told of newer settings are kept and tried in turn. One that has not answered after 400 ms does not hold up the next, so that with the head start of a reader two of them can fail within the 2 s in which settings have to be in force.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -141,15 +141,14 @@
 	tables    tableState
 	// awaitingTree is held while settings are fetched for requests that wait for them.
 	awaitingTree sync.Mutex
-	// isFetchingTree is set while settings are fetched from another node.
-	isFetchingTree atomic.Bool
-	changes        changes
-	poison         poisonState
-	streams        streamState
-	rollouts       rolloutState
-	releases       releaseState
-	reach          reach.Monitor
-	detours        detour.Server
+	treeSources  treeSources
+	changes      changes
+	poison       poisonState
+	streams      streamState
+	rollouts     rolloutState
+	releases     releaseState
+	reach        reach.Monitor
+	detours      detour.Server
 	// answers and bodies bound what is held for slow callers.
 	answers, bodies memory.Budget
 
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -30,8 +30,6 @@
 	// versionNoticeFanOut is the number of members to which a node sends a notice
 	// of a new version.
 	versionNoticeFanOut = 3
-	// treeFetchTimeout bounds one fetch of a newer version from another node.
-	treeFetchTimeout = 2 * time.Second
 	// initialTreeTimeout bounds each attempt of a starting node to get its first
 	// version from the platform and the members, and initialTreePause is the pause
 	// between two attempts.
@@ -84,40 +82,6 @@
 	n.fetchIfNewer(wire.Gossip{SettingsVersion: m.Version, PeerAddress: m.PeerAddress})
 }
 
-// readerHeadStart is how long a node that follows a reader of the store waits for a
-// new version from there before it fetches it from the node that gossip names. The
-// reader sends it within the zone and once; gossip brings the news of it several times.
-const readerHeadStart = 500 * time.Millisecond
-
-// fetchIfNewer fetches the settings in the background from the node that sent the
-// gossip, if their version is newer than this node's and no other fetch is in
-// progress. A node with fixed settings (Tree) fetches none.
-func (n *Node) fetchIfNewer(g wire.Gossip) {
-	if n.Tree != nil || ident.Version(g.SettingsVersion) <= n.tree.Load().Version || g.PeerAddress == "" {
-		return
-	}
-	if !n.isFetchingTree.CompareAndSwap(false, true) {
-		return
-	}
-	n.tasks.Go(func() {
-		defer n.isFetchingTree.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), treeFetchTimeout)
-		defer cancel()
-		if n.changes.isFollowing.Load() {
-			tick.Sleep(ctx, readerHeadStart)
-		}
-		if ident.Version(g.SettingsVersion) <= n.tree.Load().Version {
-			return
-		}
-		started := time.Now()
-		if err := n.fetchTree(ctx, g.PeerAddress); err != nil {
-			n.Log.Warn("settings_not_fetched", "from", g.PeerAddress, "settings_version", g.SettingsVersion, "took", time.Since(started), "error", err)
-			return
-		}
-		n.Log.Info("settings_fetched", "from", g.PeerAddress, "settings_version", g.SettingsVersion, "took", time.Since(started))
-	})
-}
-
 // awaitSettings waits until settings that are no older than a version are in force, which it
 // fetches from another node if they are not. It returns false if ctx is done before.
 func (n *Node) awaitSettings(ctx context.Context, version ident.Version, from string) bool {
