Answer no request that may have run with a status that says the opposite

What callers saw: a request that ran through another node until the time-out of its route was answered 408, by which callers conclude that it did not run and send it again, also if it may run once only (REFUSED). Others got 502 instead of 504.

Cause: the node that serves a detour had the deadline in the context that stands for the requester's presence. When the deadline passed there first, it reported that the caller was gone, which is a 408 and was passed on to the caller, who waits. A serving node that ends reports the same.

The serving node's context ends only when the requester leaves; the deadline is the proxy's. A report that the caller is gone, while it waits, counts as the loss of the serving node, or as untouched if the request did not run. A deadline that passes in a detour is answered 504. Whatever its reason, the refusal of a request that may have run never has status 408, 429 or 503: it is sent as 502.

--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -50,6 +51,13 @@
 		result, out := e.run(ctx, c.Open, peer)
 		c.Log.Debug("request_detoured", "request_id", r.ID, "peer", peer.ID, "outcome", out, "reason", result.Reason)
 		result.Peer = peer.ID
+		if out == done && ctx.Err() == nil && isAbandoned(result) {
+			// The node ends. The caller waits.
+			out = lost
+			if !result.Refusal.MayHaveRun() {
+				out = untouched
+			}
+		}
 		switch {
 		case out == done && reachedNone(result):
 			// The node has no path either and does not know it yet.
@@ -62,7 +70,7 @@
 			result.Truncated, result.Reason = true, reasonOf(ctx)
 			return result, true
 		case ctx.Err() != nil:
-			return interrupted(result, reasonOf(ctx)), true
+			return interrupted(ctx, result), true
 		case out == untouched:
 			continue
 		}
@@ -73,7 +81,7 @@
 	}
 	switch {
 	case mayHaveRun:
-		return interrupted(proxy.Result{}, reasonOf(ctx)), true
+		return interrupted(ctx, proxy.Result{}), true
 	case refused != nil:
 		return *refused, true
 	}
@@ -85,18 +93,30 @@
 	return r.Refusal != nil && r.Refusal.Reason == refuse.NoEndpoint && !r.Refusal.MayHaveRun()
 }
 
+// isAbandoned reports whether a node took its requester for gone.
+func isAbandoned(r proxy.Result) bool {
+	return r.Refusal != nil && r.Refusal.Reason == refuse.CallerGone
+}
+
 // reasonOf returns why a node's result did not come.
 func reasonOf(ctx context.Context) string {
-	if ctx.Err() != nil {
-		return "the caller went away or the deadline passed"
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return "the deadline passed"
+	case ctx.Err() != nil:
+		return "the caller went away"
 	}
 	return "the node that served the request is gone"
 }
 
-func interrupted(result proxy.Result, reason string) proxy.Result {
+func interrupted(ctx context.Context, result proxy.Result) proxy.Result {
+	reason := refuse.EndpointFailed
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = refuse.DeadlinePassed
+	}
 	result.Interrupted++
-	result.Reason = reason
-	result.Refusal = refuse.NewMayHaveRun(refuse.EndpointFailed, reason)
+	result.Reason = reasonOf(ctx)
+	result.Refusal = refuse.NewMayHaveRun(reason, result.Reason)
 	return result
 }
 
--- a/internal/request/detour/server.go
+++ b/internal/request/detour/server.go
@@ -74,7 +74,8 @@
 		return
 	}
 	r.Deadline, r.Info.LastEventID = deadline, m.LastEventID
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	// Without the deadline, so that it is not taken for the requester's leaving.
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
 		stream.Receive() //nolint:errcheck // the requester sends nothing more; it returns when the stream ends.
--- a/internal/request/refuse/refuse.go
+++ b/internal/request/refuse/refuse.go
@@ -136,12 +136,20 @@
 // Error returns the reason and the message.
 func (r *Refusal) Error() string { return string(r.Reason) + ": " + r.Message }
 
-// Status returns the HTTP status of the refusal.
+// Status returns the HTTP status of the refusal. For a request that may have been executed it is
+// never one by which callers conclude that it was not.
 func (r *Refusal) Status() int {
-	if s, ok := httpStatuses[r.Reason]; ok {
-		return s
+	s, ok := httpStatuses[r.Reason]
+	if !ok {
+		return http.StatusInternalServerError
 	}
-	return http.StatusInternalServerError
+	switch s {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		if r.MayHaveRun() {
+			return http.StatusBadGateway
+		}
+	}
+	return s
 }
 
 // responseBody is the JSON body of a refusal.
