Wait longer for a silent node where nothing is gained by giving up on it

Cause: silenceTimeout is made for turning to another node in time, and applied also where none can go on: after the head of an answer, and to requests that may run only once.

Evidence: fleet.TestProxy/partitioned_node_peer_silent failed before in 3 of 3 plays, 12 of 12 answers, 'b01: status:502 the node that served the request is gone'; passes now.

There 1.5 s apply. It is less than the 2 s without an event after which callers abandon a stream instead of taking it up. Requests that another node can serve turn to it after 0.7 s as before.

--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		mayHaveRun = true
-		if !r.Route.IsRetryable() || r.EarlierAttempts+1 >= r.Route.MaxAttempts {
+		if !mayRunAgain(r) {
 			break
 		}
 	}
@@ -88,6 +88,11 @@
 	return proxy.Result{}, false
 }
 
+// mayRunAgain reports whether another node may run a request that one may have run.
+func mayRunAgain(r *proxy.Request) bool {
+	return r.Route.IsRetryable() && r.EarlierAttempts+1 < r.Route.MaxAttempts
+}
+
 // reachedNone reports whether a request was refused because no endpoint could be reached.
 func reachedNone(r proxy.Result) bool {
 	return r.Refusal != nil && r.Refusal.Reason == refuse.NoEndpoint && !r.Refusal.MayHaveRun()
@@ -186,7 +191,11 @@
 // for the request.
 func (e *exchange) receive(stream *link.Stream) (result proxy.Result, isDone bool, err error) {
 	for {
-		if err := stream.SetReadDeadline(time.Now().Add(silenceTimeout)); err != nil {
+		timeout := lastSilenceTimeout
+		if !e.hasHead && mayRunAgain(e.request) {
+			timeout = silenceTimeout
+		}
+		if err := stream.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 			return result, false, err
 		}
 		kind, body, err := stream.Receive()
--- a/internal/request/detour/detour.go
+++ b/internal/request/detour/detour.go
@@ -32,9 +32,13 @@
 	// openTimeout bounds the opening of a stream to a node.
 	openTimeout = 300 * time.Millisecond
 	// heartbeatInterval is the time between two heartbeats, and silenceTimeout the time
-	// without a message after which a node is taken to be gone.
-	heartbeatInterval = 150 * time.Millisecond
-	silenceTimeout    = 700 * time.Millisecond
+	// without a message after which a node is taken to be gone if another one can serve the
+	// request. Otherwise lastSilenceTimeout applies: giving up earlier loses what may still come
+	// from a node that stands still or has no processor for a second. It is shorter than the 2 s
+	// without an event after which callers abandon a stream, which they take up if it is cut.
+	heartbeatInterval  = 150 * time.Millisecond
+	silenceTimeout     = 700 * time.Millisecond
+	lastSilenceTimeout = 1500 * time.Millisecond
 	// settingsTimeout bounds the time in which a node with older settings than the requester
 	// fetches them. It is shorter than silenceTimeout, since no heartbeats are sent yet.
 	settingsTimeout = 300 * time.Millisecond
