Count the attempts of lost nodes in a detour

What callers saw: nothing; endpoints got an idempotent request three times though its route allows two attempts (BUDGET), when the nodes that served it in turn were lost.

Cause: the number of attempts at lost nodes was held by these nodes only, and the requester went by the number before the detour.

Each lost node counts as one attempt, for the decision whether another one is asked and in the message to it.

--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -41,7 +41,8 @@
 
 // Serve has other nodes serve a request, one after the other while they do nothing for it,
 // reach no endpoint or, if it may be repeated, are lost. It writes the answer to w unless the
-// result has a refusal. It returns false if no node has done anything for the request.
+// result has a refusal. It returns false if no node has done anything for the request. The
+// attempts of nodes that are lost are added to those of r.
 func (c *Client) Serve(ctx context.Context, r *proxy.Request, w http.ResponseWriter) (proxy.Result, bool) {
 	peers := c.Peers()
 	mayHaveRun := false
@@ -78,6 +79,7 @@
 		if !mayRunAgain(r) {
 			break
 		}
+		r.EarlierAttempts++
 	}
 	switch {
 	case mayHaveRun:
