--- a/internal/connection/wire/detour.go
+++ b/internal/connection/wire/detour.go
@@ -31,6 +31,12 @@
 	Data []byte `cbor:"1,keyasint"`
 }
 
+// DetourProgress says that the request is being served. Attempts is the number of endpoints that
+// it has been sent to in all, with the one to which it is just being sent, or 0.
+type DetourProgress struct {
+	Attempts int `cbor:"1,keyasint,omitempty"`
+}
+
 // DetourHead is the head of the answer.
 type DetourHead struct {
 	Status int                 `cbor:"1,keyasint"`
--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -42,7 +42,7 @@
 // Serve has other nodes serve a request, one after the other while they do nothing for it,
 // reach no endpoint or, if it may be repeated, are lost. It writes the answer to w unless the
 // result has a refusal. It returns false if no node has done anything for the request. The
-// attempts of nodes that are lost are added to those of r.
+// attempts that nodes report are added to those of r.
 func (c *Client) Serve(ctx context.Context, r *proxy.Request, w http.ResponseWriter) (proxy.Result, bool) {
 	peers := c.Peers()
 	mayHaveRun := false
@@ -79,7 +79,6 @@
 		if !mayRunAgain(r) {
 			break
 		}
-		r.EarlierAttempts++
 	}
 	switch {
 	case mayHaveRun:
@@ -92,7 +91,7 @@
 
 // mayRunAgain reports whether another node may run a request that one may have run.
 func mayRunAgain(r *proxy.Request) bool {
-	return r.Route.IsRetryable() && r.EarlierAttempts+1 < r.Route.MaxAttempts
+	return r.Route.IsRetryable() && r.EarlierAttempts < r.Route.MaxAttempts
 }
 
 // reachedNone reports whether a request was refused because no endpoint could be reached.
@@ -205,6 +204,12 @@
 			return result, false, err
 		}
 		switch kind {
+		case wire.KindQueued:
+			progress, err := link.Decode[wire.DetourProgress](body)
+			if err != nil {
+				return result, false, err
+			}
+			e.request.EarlierAttempts = max(e.request.EarlierAttempts, progress.Attempts)
 		case wire.KindDetourHead:
 			head, err := link.Decode[wire.DetourHead](body)
 			if err != nil {
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -178,6 +178,9 @@
 	if s.Body != nil {
 		length = len(s.Body)
 	}
+	if s.Dispatching != nil {
+		s.Dispatching(s.attempts + 1)
+	}
 	head := conn.RequestHead(s.Method, s.Target, s.Host, header, length)
 	if len(s.Body) <= maxInlineBodyBytes {
 		return x.countAttempt(x.Send(head, s.Body))
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -151,6 +151,9 @@
 	// EarlierAttempts endpoints before and has charged it to the retry budget.
 	IsDetour        bool
 	EarlierAttempts int
+	// Dispatching is called before the request is sent to an endpoint, with the number of its
+	// attempts, this one included; it may be nil.
+	Dispatching func(attempts int)
 	// Release is the release that began the stream which the request takes up, nil if it
 	// is not known.
 	Release *ident.Release
