--- a/internal/connection/wire/detour.go
+++ b/internal/connection/wire/detour.go
@@ -20,6 +20,10 @@
 	Release     *string `cbor:"10,keyasint,omitempty"`
 	// Pool is the one of the route's pools that the request has gone to or is to go to.
 	Pool string `cbor:"11,keyasint,omitempty"`
+	// Settings is the settings version by which the requester judged the request, 0 if it is
+	// of an earlier build, and PeerAddress is the requester's peer address.
+	Settings    uint64 `cbor:"12,keyasint,omitempty"`
+	PeerAddress string `cbor:"13,keyasint,omitempty"`
 }
 
 // DetourData is a part of the request's body or of its answer.
@@ -27,6 +31,12 @@
 	Data []byte `cbor:"1,keyasint"`
 }
 
+// DetourProgress says that the request is being served. Attempts is the number of endpoints that
+// it has been sent to in all, with the one to which it is just being sent, or 0.
+type DetourProgress struct {
+	Attempts int `cbor:"1,keyasint,omitempty"`
+}
+
 // DetourHead is the head of the answer.
 type DetourHead struct {
 	Status int                 `cbor:"1,keyasint"`
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -139,15 +139,16 @@
 	proxy     proxy.Proxy
 	router    router.Router
 	tables    tableState
-	// isFetchingTree is set while settings are fetched from another node.
-	isFetchingTree atomic.Bool
-	changes        changes
-	poison         poisonState
-	streams        streamState
-	rollouts       rolloutState
-	releases       releaseState
-	reach          reach.Monitor
-	detours        detour.Server
+	// awaitingTree is held while settings are fetched for requests that wait for them.
+	awaitingTree sync.Mutex
+	treeSources  treeSources
+	changes      changes
+	poison       poisonState
+	streams      streamState
+	rollouts     rolloutState
+	releases     releaseState
+	reach        reach.Monitor
+	detours      detour.Server
 	// answers and bodies bound what is held for slow callers.
 	answers, bodies memory.Budget
 
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -66,7 +66,8 @@
 	}
 	n.router = router.Router{
 		Tree: n.settingsOrNil, DecodeRequest: n.Platform.HeaderCodec.DecodeRequest, Serve: n.serveProxied,
-		Quota: &n.quotaLimiter, Meter: &n.meter, Record: n.recordLocalStep, Log: n.Log,
+		FindFormerPool: n.findFormerPool,
+		Quota:          &n.quotaLimiter, Meter: &n.meter, Record: n.recordLocalStep, Log: n.Log,
 		Bodies: &n.bodies,
 	}
 	n.prepareMemory()
@@ -155,13 +156,18 @@
 // prepareDetours connects the components by which nodes serve requests for each other.
 func (n *Node) prepareDetours(mux *link.Mux) {
 	n.reach = reach.Monitor{Dial: n.conns.Check, Addresses: n.endpointAddresses, Changed: n.pathChanged}
-	client := &detour.Client{Open: n.Open, Peers: n.detourPeers, Log: n.Log}
+	client := &detour.Client{Open: n.Open, PeerAddress: n.Process.PeerAddress, Peers: n.detourPeers, Log: n.Log}
 	n.proxy.Reach, n.proxy.Detour = &n.reach, client.Serve
 	n.detours = detour.Server{
-		Resolve: n.router.Resolve, Serve: n.proxy.Serve, IsLost: n.reach.IsLost,
-		Ended: func(r *proxy.Request, result proxy.Result) {
-			n.Log.Info("detour_ended", "request_id", r.ID, "endpoint", result.Endpoint, "status", result.Status,
-				"attempts", result.Attempts, "events", result.Events, "reason", result.Reason)
+		AwaitSettings: n.awaitSettings, Resolve: n.router.Resolve, Serve: n.proxy.Serve, IsLost: n.reach.IsLost,
+		Ended: func(r *proxy.Request, requester ident.Version, result proxy.Result) {
+			n.Log.Info("detour_ended", "request_id", r.ID, "pool", r.Pool.ID, "endpoint", result.Endpoint, "status", result.Status,
+				"attempts", result.Attempts, "events", result.Events, "reason", result.Reason,
+				"settings_version", uint64(r.Version), "requester_settings_version", uint64(requester))
+		},
+		Declined: func(r *proxy.Request, requester ident.Version, reason string) {
+			n.Log.Info("detour_declined", "request_id", r.ID, "reason", reason,
+				"settings_version", uint64(r.Version), "requester_settings_version", uint64(requester))
 		},
 	}
 	link.Handle(mux, wire.KindDetour, n.detours.Handle)
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -30,8 +30,6 @@
 	// versionNoticeFanOut is the number of members to which a node sends a notice
 	// of a new version.
 	versionNoticeFanOut = 3
-	// treeFetchTimeout bounds one fetch of a newer version from another node.
-	treeFetchTimeout = 2 * time.Second
 	// initialTreeTimeout bounds each attempt of a starting node to get its first
 	// version from the platform and the members, and initialTreePause is the pause
 	// between two attempts.
@@ -42,11 +40,13 @@
 // applyTree puts a settings version in force: it applies to new requests, and
 // cells take their pool's new limits.
 func (n *Node) applyTree(t *config.Tree) {
-	n.formerPools.update(n.tree.Load(), t, time.Now())
+	earlier := n.tree.Load()
+	n.formerPools.update(earlier, t, time.Now())
 	n.tree.Store(t)
 	n.buildRoster()
 	n.appendToLedger(trace.Record{Time: time.Now(), Node: n.Process.Name, Event: trace.SettingsApplied, Settings: t.Version})
-	n.Log.Info("settings_in_force", "settings_version", t.Version)
+	n.Log.Info("settings_in_force", "settings_version", t.Version, "earlier_version", earlier.Version,
+		"follows_reader", n.changes.isFollowing.Load(), "read_age", time.Since(n.tables.endpointsReadAt()))
 }
 
 // announce sends a version notice to a few neighbors. Those that lack the
@@ -82,35 +82,21 @@
 	n.fetchIfNewer(wire.Gossip{SettingsVersion: m.Version, PeerAddress: m.PeerAddress})
 }
 
-// readerHeadStart is how long a node that follows a reader of the store waits for a
-// new version from there before it fetches it from the node that gossip names. The
-// reader sends it within the zone and once; gossip brings the news of it several times.
-const readerHeadStart = 500 * time.Millisecond
-
-// fetchIfNewer fetches the settings in the background from the node that sent the
-// gossip, if their version is newer than this node's and no other fetch is in
-// progress. A node with fixed settings (Tree) fetches none.
-func (n *Node) fetchIfNewer(g wire.Gossip) {
-	if n.Tree != nil || ident.Version(g.SettingsVersion) <= n.tree.Load().Version || g.PeerAddress == "" {
-		return
+// awaitSettings waits until settings that are no older than a version are in force, which it
+// fetches from another node if they are not. It returns false if ctx is done before.
+func (n *Node) awaitSettings(ctx context.Context, version ident.Version, from string) bool {
+	if n.tree.Load().Version >= version {
+		return true
 	}
-	if !n.isFetchingTree.CompareAndSwap(false, true) {
-		return
-	}
-	n.tasks.Go(func() {
-		defer n.isFetchingTree.Store(false)
-		ctx, cancel := context.WithTimeout(context.Background(), treeFetchTimeout)
-		defer cancel()
-		if n.changes.isFollowing.Load() {
-			tick.Sleep(ctx, readerHeadStart)
+	// Many requests may wait for the same version, which is fetched once.
+	n.awaitingTree.Lock()
+	defer n.awaitingTree.Unlock()
+	if n.tree.Load().Version < version && ctx.Err() == nil {
+		if err := n.fetchTree(ctx, from); err != nil {
+			n.Log.Warn("settings_not_fetched", "from", from, "settings_version", uint64(version), "error", err)
 		}
-		if ident.Version(g.SettingsVersion) <= n.tree.Load().Version {
-			return
-		}
-		if err := n.fetchTree(ctx, g.PeerAddress); err != nil {
-			n.Log.Warn("settings_not_fetched", "from", g.PeerAddress, "error", err)
-		}
-	})
+	}
+	return n.tree.Load().Version >= version
 }
 
 // fetchTree fetches and applies the version in force at another node. Only the file
--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -18,6 +19,8 @@
 // concurrent use.
 type Client struct {
 	Open link.Opener
+	// PeerAddress is this node's peer address, from which the others can fetch its settings.
+	PeerAddress string
 	// Peers returns the nodes that may have a path to the endpoints, the preferred ones
 	// first.
 	Peers func() []member.Member
@@ -38,16 +41,24 @@
 
 // Serve has other nodes serve a request, one after the other while they do nothing for it,
 // reach no endpoint or, if it may be repeated, are lost. It writes the answer to w unless the
-// result has a refusal. It returns false if no node has done anything for the request.
+// result has a refusal. It returns false if no node has done anything for the request. The
+// attempts that nodes report are added to those of r.
 func (c *Client) Serve(ctx context.Context, r *proxy.Request, w http.ResponseWriter) (proxy.Result, bool) {
 	peers := c.Peers()
 	mayHaveRun := false
 	var refused *proxy.Result
 	for _, peer := range peers[:min(len(peers), maxPeers)] {
-		e := &exchange{request: r, w: w}
+		e := &exchange{request: r, w: w, from: c.PeerAddress}
 		result, out := e.run(ctx, c.Open, peer)
 		c.Log.Debug("request_detoured", "request_id", r.ID, "peer", peer.ID, "outcome", out, "reason", result.Reason)
 		result.Peer = peer.ID
+		if out == done && ctx.Err() == nil && isAbandoned(result) {
+			// The node ends. The caller waits.
+			out = lost
+			if !result.Refusal.MayHaveRun() {
+				out = untouched
+			}
+		}
 		switch {
 		case out == done && isForOthers(result):
 			// The node has no path either and does not know it yet, or it stops.
@@ -60,24 +71,29 @@
 			result.Truncated, result.Reason = true, reasonOf(ctx)
 			return result, true
 		case ctx.Err() != nil:
-			return interrupted(result, reasonOf(ctx)), true
+			return interrupted(ctx, result), true
 		case out == untouched:
 			continue
 		}
 		mayHaveRun = true
-		if !r.Route.IsRetryable() || r.EarlierAttempts+1 >= r.Route.MaxAttempts {
+		if !mayRunAgain(r) {
 			break
 		}
 	}
 	switch {
 	case mayHaveRun:
-		return interrupted(proxy.Result{}, reasonOf(ctx)), true
+		return interrupted(ctx, proxy.Result{}), true
 	case refused != nil:
 		return *refused, true
 	}
 	return proxy.Result{}, false
 }
 
+// mayRunAgain reports whether another node may run a request that one may have run.
+func mayRunAgain(r *proxy.Request) bool {
+	return r.Route.IsRetryable() && r.EarlierAttempts < r.Route.MaxAttempts
+}
+
 // isForOthers reports whether a request was refused because the node could reach no endpoint or
 // stops, so that another node may serve it.
 func isForOthers(r proxy.Result) bool {
@@ -87,18 +103,30 @@
 	return r.Refusal.Reason == refuse.NoEndpoint || r.Refusal.Reason == refuse.NodeStopping
 }
 
+// isAbandoned reports whether a node took its requester for gone.
+func isAbandoned(r proxy.Result) bool {
+	return r.Refusal != nil && r.Refusal.Reason == refuse.CallerGone
+}
+
 // reasonOf returns why a node's result did not come.
 func reasonOf(ctx context.Context) string {
-	if ctx.Err() != nil {
-		return "the caller went away or the deadline passed"
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return "the deadline passed"
+	case ctx.Err() != nil:
+		return "the caller went away"
 	}
 	return "the node that served the request is gone"
 }
 
-func interrupted(result proxy.Result, reason string) proxy.Result {
+func interrupted(ctx context.Context, result proxy.Result) proxy.Result {
+	reason := refuse.EndpointFailed
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason = refuse.DeadlinePassed
+	}
 	result.Interrupted++
-	result.Reason = reason
-	result.Refusal = refuse.NewMayHaveRun(refuse.EndpointFailed, reason)
+	result.Reason = reasonOf(ctx)
+	result.Refusal = refuse.NewMayHaveRun(reason, result.Reason)
 	return result
 }
 
@@ -106,6 +134,8 @@
 type exchange struct {
 	request *proxy.Request
 	w       http.ResponseWriter
+	// from is this node's peer address.
+	from string
 	// hasHead is set when the head of the answer was written to the caller.
 	hasHead bool
 }
@@ -138,7 +168,7 @@
 	message := wire.Detour{
 		Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, HasBody: r.Body != nil, BodyBytes: len(r.Body),
 		Remaining: int64(time.Until(r.Deadline)), Attempts: r.EarlierAttempts, LastEventID: r.Info.LastEventID,
-		Pool: string(r.Pool.ID),
+		Pool: string(r.Pool.ID), Settings: uint64(r.Version), PeerAddress: e.from,
 	}
 	if r.Release != nil {
 		release := string(*r.Release)
@@ -166,7 +196,11 @@
 // for the request.
 func (e *exchange) receive(stream *link.Stream) (result proxy.Result, isDone bool, err error) {
 	for {
-		if err := stream.SetReadDeadline(time.Now().Add(silenceTimeout)); err != nil {
+		timeout := lastSilenceTimeout
+		if !e.hasHead && mayRunAgain(e.request) {
+			timeout = silenceTimeout
+		}
+		if err := stream.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 			return result, false, err
 		}
 		kind, body, err := stream.Receive()
@@ -174,6 +208,12 @@
 			return result, false, err
 		}
 		switch kind {
+		case wire.KindQueued:
+			progress, err := link.Decode[wire.DetourProgress](body)
+			if err != nil {
+				return result, false, err
+			}
+			e.request.EarlierAttempts = max(e.request.EarlierAttempts, progress.Attempts)
 		case wire.KindDetourHead:
 			head, err := link.Decode[wire.DetourHead](body)
 			if err != nil {
--- a/internal/request/detour/server.go
+++ b/internal/request/detour/server.go
@@ -20,6 +20,10 @@
 // Server serves the requests of nodes that have lost their path. Set the exported fields
 // before use; it is safe for concurrent use.
 type Server struct {
+	// AwaitSettings waits until settings that are no older than a version are in force here, for
+	// which it may fetch them from the requester. It returns false if they are not by the time
+	// that ctx is done.
+	AwaitSettings func(ctx context.Context, version ident.Version, from string) bool
 	// Resolve finds the route, the account and the pool of a request, the given one if the
 	// route leads there. The release function must be called when the request ends, also if
 	// it is refused.
@@ -28,8 +32,10 @@
 	Serve func(context.Context, *proxy.Request, http.ResponseWriter) proxy.Result
 	// IsLost reports whether this node has lost its path too.
 	IsLost func() bool
-	// Ended is called with each request that was served; it may be nil.
-	Ended func(*proxy.Request, proxy.Result)
+	// Ended is called with each request that was served, and Declined with each one that was
+	// not. They get the settings version of the requester, and may be nil.
+	Ended    func(r *proxy.Request, requester ident.Version, result proxy.Result)
+	Declined func(r *proxy.Request, requester ident.Version, reason string)
 
 	active atomic.Int64
 }
@@ -54,30 +60,51 @@
 		r.Release = &release
 	}
 	deadline := r.Arrived.Add(time.Duration(m.Remaining))
+	requester := ident.Version(m.Settings)
+	awaitCtx, cancelAwait := context.WithTimeout(ctx, settingsTimeout)
+	isCurrent := s.AwaitSettings(awaitCtx, requester, m.PeerAddress)
+	cancelAwait()
 	release, refusal := s.Resolve(r, ident.PoolID(m.Pool))
 	defer release()
-	if refusal != nil || s.IsLost() {
-		// The settings of the two nodes may differ for a moment: the requester has a route.
+	if !isCurrent || refusal != nil || s.IsLost() {
+		if s.Declined != nil {
+			s.Declined(r, requester, reasonToDecline(isCurrent, refusal))
+		}
 		stream.Send(wire.KindDetourEnd, wire.DetourEnd{Declined: true}) //nolint:errcheck // the requester tries others.
 		return
 	}
 	r.Deadline, r.Info.LastEventID = deadline, m.LastEventID
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	// Without the deadline, so that it is not taken for the requester's leaving.
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
 		stream.Receive() //nolint:errcheck // the requester sends nothing more; it returns when the stream ends.
 		cancel()
 	}()
 	w := &writer{stream: stream, header: http.Header{}}
+	r.Dispatching = func(attempts int) {
+		stream.Send(wire.KindQueued, wire.DetourProgress{Attempts: attempts}) //nolint:errcheck // the requester notices the silence.
+	}
 	stop := w.sendHeartbeats(ctx)
 	result := s.Serve(ctx, r, w)
 	stop()
 	if s.Ended != nil {
-		s.Ended(r, result)
+		s.Ended(r, requester, result)
 	}
 	stream.Send(wire.KindDetourEnd, fromResult(result)) //nolint:errcheck // the requester may be gone.
 }
 
+func reasonToDecline(isCurrent bool, refusal *refuse.Refusal) string {
+	switch {
+	case !isCurrent:
+		return "older settings than the requester's"
+	case refusal != nil:
+		// The settings here may be newer: the requester has a route.
+		return string(refusal.Reason)
+	}
+	return "no path to the endpoints"
+}
+
 var errBodyTooLong = eris.New("a request's body is longer than announced or allowed")
 
 func receiveBody(stream *link.Stream, m wire.Detour) ([]byte, error) {
@@ -142,7 +169,7 @@
 	var done sync.WaitGroup
 	done.Go(func() {
 		tick.Every(ctx, heartbeatInterval, func(context.Context) {
-			w.stream.Send(wire.KindQueued, wire.Empty{}) //nolint:errcheck // the requester notices the silence.
+			w.stream.Send(wire.KindQueued, wire.DetourProgress{}) //nolint:errcheck // the requester notices the silence.
 		})
 	})
 	return func() {
