Log how the origin of every resumed stream was found

The logs named an origin only if the store had shown it, so that a stream which went on at the wrong release could not be traced to what its node had known: its own record, another node's, or the row of the pool.

Each resumption now has one line with the result, the nodes that were asked and replied, the time that took and the age of what the node had read of the endpoints. Resumptions follow broken streams, so that the lines are few.

--- a/internal/process/node/resume.go
+++ b/internal/process/node/resume.go
@@ -183,36 +183,50 @@
 	return count
 }
 
+// originSearch is how the origin of a stream was searched for.
+type originSearch struct {
+	origin.Origin
+	result string
+	// reason says why the origin was refused.
+	reason string
+	// asked counts the nodes that were asked, and replied those that had replied when the
+	// search went on.
+	asked, replied int
+}
+
 // findOrigin returns the origin of the stream that a request takes up and that is no older
 // than maxAge: as this node knows it, as another one does, or as the store shows. It returns
 // false if the origin cannot be told.
 func (n *Node) findOrigin(ctx context.Context, j *entry.Job, maxAge time.Duration) (origin.Origin, bool) {
-	o, result, reason := n.searchOrigin(ctx, j, maxAge)
-	n.meter.Count("goldcrestwick_stream_resumptions_total", 1, "origin", result)
-	switch result {
-	case originRefused:
-		n.Log.Info("stream_origin_unknown", "request_id", j.Request.ID, "stream", j.Stream, "pool", j.Pool.ID, "reason", reason)
-	case originStored, originSole:
-		n.Log.Info("stream_origin_found", "request_id", j.Request.ID, "stream", j.Stream, "pool", o.Pool, "release", o.Release, "origin", result)
-	}
-	return o, result != originRefused
+	came := time.Now()
+	s := n.searchOrigin(ctx, j, came, maxAge)
+	n.meter.Count("goldcrestwick_stream_resumptions_total", 1, "origin", s.result)
+	message := "stream_origin_found"
+	if s.result == originRefused {
+		message, s.Pool = "stream_origin_unknown", j.Pool.ID
+	}
+	n.Log.Info(message, "request_id", j.Request.ID, "stream", j.Stream, "pool", s.Pool, "release", s.Release, "origin", s.result,
+		"reason", s.reason, "nodes_asked", s.asked, "nodes_replied", s.replied, "took", time.Since(came),
+		"endpoints_read_ago", came.Sub(n.tables.endpointsReadAt()), "settings_version", uint64(j.Version))
+	return s.Origin, s.result != originRefused
 }
 
-// searchOrigin returns the origin of a job's stream and how it was found, or why it was not.
-func (n *Node) searchOrigin(ctx context.Context, j *entry.Job, maxAge time.Duration) (o origin.Origin, result, reason string) {
-	came := time.Now()
+// searchOrigin searches for the origin of the stream of a job that came at a time.
+func (n *Node) searchOrigin(ctx context.Context, j *entry.Job, came time.Time, maxAge time.Duration) (s originSearch) {
 	if j.Stream != "" {
 		if o, ok := n.streams.known.Find(j.Stream); ok {
-			return o, originKnownHere, ""
+			return originSearch{Origin: o, result: originKnownHere}
 		}
 		if o, ok := n.streams.stored.Find(j.Stream); ok {
-			return o, originStored, ""
+			return originSearch{Origin: o, result: originStored}
 		}
-		if o, ok := n.askForOrigin(ctx, j); ok {
-			return o, originKnownPeer, ""
+		if n.askForOrigin(ctx, j, &s) {
+			s.result = originKnownPeer
+			return s
 		}
 	}
-	return n.findStoredOrigin(ctx, j, came, maxAge)
+	s.Origin, s.result, s.reason = n.findStoredOrigin(ctx, j, came, maxAge)
+	return s
 }
 
 // findStoredOrigin looks for the origin of a job's stream in the store, by reads that start
--- a/internal/process/node/streams.go
+++ b/internal/process/node/streams.go
@@ -101,18 +101,22 @@
 	s.Send(wire.KindAck, wire.Empty{}) //nolint:errcheck // the reporter ignores lost reports.
 }
 
-// askForOrigin asks the other nodes for the origin of a job's stream.
-func (n *Node) askForOrigin(ctx context.Context, j *entry.Job) (o origin.Origin, ok bool) {
+// askForOrigin asks the other nodes for the origin of a job's stream, and reports whether one
+// knows it.
+func (n *Node) askForOrigin(ctx context.Context, j *entry.Job, s *originSearch) (ok bool) {
 	query := wire.OriginQuery{Stream: string(j.Stream), Pool: string(j.Pool.ID)}
 	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
 	defer cancel()
-	callUntil(ctx, n, n.originHolders(j), wire.KindOriginQuery, query, func(r wire.OriginReply) bool {
+	holders := n.originHolders(j)
+	s.asked = len(holders)
+	callUntil(ctx, n, holders, wire.KindOriginQuery, query, func(r wire.OriginReply) bool {
+		s.replied++
 		if r.IsKnown {
-			o, ok = r.ToOrigin(), true
+			s.Origin, ok = r.ToOrigin(), true
 		}
 		return r.IsKnown
 	})
-	return o, ok
+	return ok
 }
 
 // originHolders returns the nodes that may know the origin of a job's stream: in a small
