Don't take a failure for the beginning of a stream

Callers saw streams go on at another release: a stream whose node was lost was taken up at a node that had been cut off from the others for a moment, and got the rest from the release at which its first attempt had failed.

Cause: an endpoint's failure answer (5xx) to a request for a stream was reported to the cell like a first token. The cell's node recorded the attempt's release as the origin of the stream and told its standby nodes. The retry ran at an endpoint of another cell, or by a standby node, whose node recorded the release that did begin the stream. A node that missed the second report, because it was cut off or stood still, had the first one as a fact, and the first node that replies to a question decides for all.

A stream's request is reported as started by its first event only; what the endpoint stated goes with the completion, and the cell counts the failure as an answer as before.

fleet.TestProxy/stream_taken_up_after_failure_answer failed before: stream_taken_up_after_failure_answer.script:32: again00: [v2 v1] n02: stream_origin_found stream=s07 release=v1 origin=known_here

--- a/internal/process/sched/complete.go
+++ b/internal/process/sched/complete.go
@@ -77,7 +77,14 @@
 		g.endpoint.updateLimit(completion.Statement.RateLimit, g.grantedAt, now)
 	}
 	if c.Ended != nil && !g.isAdopted {
-		c.Ended(Ended{c.Pool.ID, g.endpoint.EndpointSpec, g.grantedAt, g.traits, g.isPrefillDone, now.Sub(g.firstTokenAt), completion})
+		ended := Ended{
+			Pool: c.Pool.ID, Endpoint: g.endpoint.EndpointSpec, GrantedAt: g.grantedAt, Traits: g.traits,
+			IsAnswered: g.isPrefillDone || completion.Erred, Completion: completion,
+		}
+		if g.isPrefillDone {
+			ended.RanFor = now.Sub(g.firstTokenAt)
+		}
+		c.Ended(ended)
 	}
 	c.reportAnswerEnded(g, completion, now)
 	if !isReleased {
--- a/internal/process/sched/types.go
+++ b/internal/process/sched/types.go
@@ -231,7 +231,8 @@
 	GrantedAt time.Time
 	// Traits is that of the grant request.
 	Traits []ident.Trait
-	// IsAnswered is set if the first token was reported, RanFor before the end.
+	// IsAnswered is set if the first token was reported, RanFor before the end, or the endpoint
+	// answered with a failure.
 	IsAnswered bool
 	RanFor     time.Duration
 	Completion Completion
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -348,7 +348,10 @@
 		return x.failWithoutAnswer(ctx, "the answer broke off: "+err.Error(), err)
 	}
 	took := time.Since(x.sentAt)
-	x.reportStarted()
+	if !x.state.isStream() {
+		// The release that reports a stream as started counts as the one that began it.
+		x.reportStarted()
+	}
 	isFailure := resp.StatusCode >= http.StatusInternalServerError
 	out := outcome{completion: sched.Completion{
 		TimeToFirstToken: took, Erred: isFailure, IsWhole: isSuccess(resp.StatusCode),
