Serve the rest of a stream from its own pool by way of another node

Callers of a stream whose node had lost its path to the endpoints got the rest from another pool's run, if the stream's route led to that pool by then and both had a release of the same name.

Cause: the node that serves a request for another one finds the route in its own settings. If the route did not lead to the pool that the request named, it chose one anew, also for a stream that had begun, and kept the stream's release.

fleet.TestProxy/stream_detour_route_moved failed before: stream_detour_route_moved.script:19: [f1 f2]: got 3, want 0 arrivals

--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -67,8 +67,11 @@
 	// Serve proxies a request. It writes the answer unless its result has a refusal,
 	// which the Router writes.
 	Serve func(context.Context, *proxy.Request, http.ResponseWriter) proxy.Result
-	Quota *quota.Limiter
-	Meter *meter.Meter
+	// FindPool returns the pool of a stream that has begun, if the stream's route leads there or
+	// led there until recently, or nil.
+	FindPool func(*config.Route, ident.PoolID) *config.Pool
+	Quota    *quota.Limiter
+	Meter    *meter.Meter
 	// Record records the first and the last step of each request.
 	Record func(trace.Record)
 	Log    *log.Logger
@@ -177,15 +180,20 @@
 }
 
 // Resolve fills in a request that this node serves for another one, which has admitted it,
-// has its body and has chosen the given pool if the route leads there. The release function
-// must be called when the request ends.
+// has its body and has chosen the given pool if the route leads there. A stream that has begun
+// stays in the given pool. The release function must be called when the request ends.
 func (rt *Router) Resolve(req *proxy.Request, pool ident.PoolID) (release func(), refusal *refuse.Refusal) {
 	tree := rt.Tree()
 	if tree == nil {
 		return func() {}, refuse.New(refuse.NodeNotReady, "this node has no settings yet")
 	}
 	refusal = rt.resolve(req, tree)
-	if refusal == nil {
+	if refusal == nil && req.Release != nil {
+		req.Pool = rt.FindPool(req.Route, pool)
+		if req.Pool == nil {
+			refusal = refuse.New(refuse.OriginUnknown, "the route does not lead to the pool that began the stream")
+		}
+	} else if refusal == nil {
 		for _, share := range req.Route.Shares {
 			if share.Pool.ID == pool {
 				req.Pool = share.Pool
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -65,7 +65,7 @@
 		Started: func(stream ident.RequestID, o origin.Origin) { n.streams.known.Add(stream, o, time.Now()) },
 	}
 	n.router = router.Router{
-		Tree: n.settingsOrNil, DecodeRequest: n.Platform.HeaderCodec.DecodeRequest, Serve: n.serveProxied,
+		Tree: n.settingsOrNil, DecodeRequest: n.Platform.HeaderCodec.DecodeRequest, Serve: n.serveProxied, FindPool: n.proxy.FindPool,
 		Quota: &n.quotaLimiter, Meter: &n.meter, Record: n.recordLocalStep, Log: n.Log,
 		Bodies: &n.bodies,
 	}
--- a/internal/request/proxy/release.go
+++ b/internal/request/proxy/release.go
@@ -40,7 +40,7 @@
 		return originUnknown("it is not known which software release began the stream")
 	}
 	if o.Pool != s.Pool.ID {
-		pool := p.findPool(s.Route, o.Pool)
+		pool := p.FindPool(s.Route, o.Pool)
 		if pool == nil {
 			return originUnknown("the route does not lead to the pool that began the stream")
 		}
@@ -56,10 +56,10 @@
 	return refusal
 }
 
-// findPool returns a pool to which a route leads, or led until recently, so that streams that
+// FindPool returns a pool to which a route leads, or led until recently, so that streams that
 // began there can go on. It returns nil for other pools: callers choose the names of attempts,
 // and must not reach a pool through the name of another route's stream.
-func (p *Proxy) findPool(r *config.Route, id ident.PoolID) *config.Pool {
+func (p *Proxy) FindPool(r *config.Route, id ident.PoolID) *config.Pool {
 	for _, share := range r.Shares {
 		if share.Pool.ID == id {
 			return share.Pool
