--- a/internal/request/proxy/script_test.go
+++ b/internal/request/proxy/script_test.go
@@ -58,6 +58,7 @@
 //	                                the connection open
 //	other                           the address belongs to another instance
 //	unreachable                     connections to the endpoint fail
+//	killed                          connections to the endpoint fail after the first one
 func TestScripts(t *testing.T) { script.Run(t, "testdata/*.script", runScript) }
 
 // scriptRunner runs one script.
@@ -75,10 +76,12 @@
 	recorder    *httptest.ResponseRecorder
 	result      Result
 	openConns   []net.Conn
+	// killed holds the endpoints that end after their first connection.
+	killed map[string]bool
 }
 
 func runScript(t *testing.T, lines iter.Seq[script.Line]) {
-	s := &scriptRunner{T: t, engines: map[string]*engine.Engine{}, behaviours: map[string]engine.Behaviour{}}
+	s := &scriptRunner{T: t, engines: map[string]*engine.Engine{}, behaviours: map[string]engine.Behaviour{}, killed: map[string]bool{}}
 	s.proxy = Proxy{
 		RequestGrant: s.requestGrant, IsLeaving: func(ident.CellID, ident.Endpoint) bool { return false },
 		Conns: &conn.Pool{Dial: s.dial}, Codec: testCodec(),
@@ -199,6 +202,8 @@
 			b.CloseUnanswered = true
 		case "whole", "cut", "torn", "silent":
 			b.EndMode = engine.EndMode(arg)
+		case "killed":
+			s.killed[name] = true
 		case "unreachable", "other":
 		default:
 			s.Fatalf("%s: unknown argument %s", s.Position, arg)
@@ -235,6 +240,9 @@
 	if e == nil {
 		return nil, errUnreachable
 	}
+	if s.killed[address] {
+		delete(s.engines, address)
+	}
 	client, server := net.Pipe()
 	s.openConns = append(s.openConns, client)
 	go e.Serve(server)
