Don't pass an answer without a length on as whole when its endpoint is gone

A stream, or another answer, with neither a length nor chunks ended as complete before its last piece when its endpoint was killed after a whole event.

Cause: such an answer ends with its connection. The kernel ends the connections of a killed process by FIN, unless it has unread bytes, and the node took that for the process's own end. Only a stream without any event or within an event counted as broken off.

When such an answer has ended, the node now checks whether its endpoint still accepts connections. If it does not, the answer was broken off: a stream that can be resumed goes on elsewhere, an idempotent request is retried, and others end visibly cut. A check that is not answered in time, or of a node without a path, changes nothing. Framed answers cost nothing. An endpoint that is killed and listens again before the check is not recognized.

proxy.TestScripts/killed_without_length failed before: killed_without_length.script:7: Truncated:false Status:200 Attempts:1 Interrupted:0 Events:3

--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -344,6 +344,9 @@
 // most maxBufferedBytes is kept in failureAnswer instead, for finish.
 func (x *exchange) forwardAnswer(ctx context.Context, resp *http.Response) outcome {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	if err == nil && len(body) <= maxBufferedBytes && x.isCutOff(ctx, resp) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return x.failWithoutAnswer(ctx, "the answer broke off: "+err.Error(), err)
 	}
@@ -381,6 +384,9 @@
 	if err == nil {
 		_, err = io.Copy(s.w, resp.Body)
 	}
+	if err == nil && x.isCutOff(ctx, resp) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		s.result.Truncated = true
 		out = x.fail(ctx, "the answer broke off: "+err.Error())
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -98,7 +98,7 @@
 	for {
 		e, err := readEvent(events, buffer)
 		buffer = e.raw
-		if errors.Is(err, io.EOF) && t.events == 0 && !conn.IsDelimited(resp) {
+		if errors.Is(err, io.EOF) && (t.events == 0 && !conn.IsDelimited(resp) || x.isCutOff(ctx, resp)) {
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
