--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -277,6 +277,11 @@
 
 func (p *proxyCase) engine(names []string, given map[string]string) {
 	for _, name := range names {
+		if old := p.engines[name]; old != nil {
+			old.listener.Close() //nolint:errcheck // the next start listens there.
+			p.net.Kill(name)
+			p.net.Revive(name)
+		}
 		e := &proxyEngine{behaviour: engine.Behaviour{LastEvent: 3, EventInterval: 10 * time.Millisecond}}
 		e.ID, e.Release = name, given["release"]
 		e.random = rand.New(rand.NewPCG(1, uint64(len(p.engines))))
@@ -329,7 +334,9 @@
 			e.entry["version"] = e.Release
 		}
 		p.engines[name] = e
-		p.listEngine(name)
+		if given["listed"] != "no" {
+			p.listEngine(name)
+		}
 	}
 }
 
@@ -644,7 +651,8 @@
 func (p *proxyCase) unfreeze([]string, map[string]string) { p.net.Heal() }
 func (p *proxyCase) heal([]string, map[string]string)     { p.net.Heal() }
 
-func (p *proxyCase) cut(names []string, _ map[string]string) {
+func (p *proxyCase) cut(names []string, given map[string]string) {
+	names = p.resolveHosts(names, given)
 	p.net.SetBlocked(names[0], names[1], true)
 	p.net.SetBlocked(names[1], names[0], true)
 }
