Use an endpoint for a stream only if both nodes agree on its release

Streams went on at another release after their endpoint had started again under its name: the node that ran the cell was cut off from the store, granted the endpoint with the release that it had before, and the entry node recorded that one as the release that began the stream. After the next break the rest came from an endpoint which did have it.

Cause: the release of a grant is what the cell's node last read. The instance that a request expects is named by the endpoint's identifier, which is the same after the restart, so the endpoint did not object.

An entry node now uses a grant for a stream only if its own list of endpoints has the endpoint with the grant's release, as it did for endpoints that are leaving or not listed. A node that is behind cannot mislead one that is not. A node that is behind and has the cell itself still can.

--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -209,14 +209,25 @@
 // IsLeaving reports whether an endpoint is leaving or is not listed in the
 // cell's pool.
 func (m *Manager) IsLeaving(cell ident.CellID, id ident.Endpoint) bool {
-	for _, c := range m.Roster().Cells(cell.Pool) {
+	spec, ok := m.findEndpoint(cell.Pool, id)
+	return !ok || spec.Leaving
+}
+
+// HasRelease reports whether an endpoint of a pool has a release as far as this node knows.
+func (m *Manager) HasRelease(pool ident.PoolID, id ident.Endpoint, release ident.Release) bool {
+	spec, ok := m.findEndpoint(pool, id)
+	return ok && spec.Release == release
+}
+
+func (m *Manager) findEndpoint(pool ident.PoolID, id ident.Endpoint) (spec sched.EndpointSpec, ok bool) {
+	for _, c := range m.Roster().Cells(pool) {
 		for _, spec := range c.Endpoints {
 			if spec.ID == id {
-				return spec.Leaving
+				return spec, true
 			}
 		}
 	}
-	return true
+	return sched.EndpointSpec{}, false
 }
 
 // Reconcile starts the cells that this node now owns, hands over those that it
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -56,7 +56,7 @@
 	}
 	n.conns.Dial = n.DialEndpoint
 	n.proxy = proxy.Proxy{
-		RequestGrant: n.entry.RequestGrant, IsLeaving: n.cells.IsLeaving, Conns: &n.conns, Budget: &n.budget,
+		RequestGrant: n.entry.RequestGrant, IsLeaving: n.cells.IsLeaving, HasRelease: n.cells.HasRelease, Conns: &n.conns, Budget: &n.budget,
 		Codec: n.Platform.HeaderCodec, Record: n.recordLocalStep, MarkLeaving: n.markLeaving,
 		LimitChanged: func(id ident.Endpoint, limit ident.Rate) {
 			n.Log.Info("endpoint_limit_changed", "endpoint", id, "requests_per_second", float64(limit))
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -32,10 +32,10 @@
 )
 
 // attempt sends the request to the granted endpoint and handles its answer. It
-// sends nothing if the grant's TTL has passed, the endpoint is leaving or wants no
-// requests for now, or ctx is done.
+// sends nothing if the grant's TTL has passed, the endpoint is leaving, has another release or
+// wants no requests for now, or ctx is done.
 func (p *Proxy) attempt(ctx context.Context, s *requestState, g *entry.Grant) outcome {
-	if time.Since(g.Received) > g.Response.TTL || p.IsLeaving(g.Cell, g.Response.Endpoint) ||
+	if time.Since(g.Received) > g.Response.TTL || p.IsLeaving(g.Cell, g.Response.Endpoint) || p.hasOtherRelease(s, g) ||
 		p.holdOffs.covers(g.Response.Endpoint, time.Now()) || ctx.Err() != nil {
 		return outcome{notSent, "the grant could not be used in time", sched.Completion{Unused: true}}
 	}
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -194,6 +194,11 @@
 type Proxy struct {
 	RequestGrant func(context.Context, *entry.Job) (*entry.Grant, *refuse.Refusal)
 	IsLeaving    func(ident.CellID, ident.Endpoint) bool
+	// HasRelease reports whether an endpoint has a release as far as this node knows; it may be
+	// nil. Streams use an endpoint only if this node and the cell's node agree on its release,
+	// since it may have started again under its name with another one, which is known to only
+	// one of them yet.
+	HasRelease func(ident.PoolID, ident.Endpoint, ident.Release) bool
 	Conns        *conn.Pool
 	Budget       *budget.Budget
 	Codec        HeaderCodec
--- a/internal/request/proxy/release.go
+++ b/internal/request/proxy/release.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"goldcrestwick/internal/process/ident"
+	"goldcrestwick/internal/request/entry"
 	"goldcrestwick/internal/request/refuse"
 	"goldcrestwick/internal/version/config"
 )
@@ -50,6 +51,12 @@
 	return nil
 }
 
+// hasOtherRelease reports whether the endpoint that a stream was granted has another release
+// than that of the grant, as far as this node knows.
+func (p *Proxy) hasOtherRelease(s *requestState, g *entry.Grant) bool {
+	return s.isStream() && p.HasRelease != nil && !p.HasRelease(s.Pool.ID, g.Response.Endpoint, g.Response.Release)
+}
+
 func originUnknown(detail string) *refuse.Refusal {
 	refusal := refuse.New(refuse.OriginUnknown, detail)
 	refusal.RetryAfter = noEndpointRetryAfter
