--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -402,8 +402,14 @@
 	if given["remove"] == "yes" {
 		return
 	}
+	var split []map[string]any
+	for other := range strings.SplitSeq(given["split"], ",") {
+		if other != "" {
+			split = append(split, map[string]any{"service": other, "weight": 1})
+		}
+	}
 	p.routes = append(p.routes, map[string]any{
-		"name": names[0], "host": "h.example", "prefix": "/" + names[0] + "/", "kind": kind, "service": service,
+		"split": split, "name": names[0], "host": "h.example", "prefix": "/" + names[0] + "/", "kind": kind, "service": service,
 		"timeout_ms": p.IntOption("timeout_ms", 5000), "target_latency_ms": p.IntOption("target_ms", 1000),
 		"gap_aim_ms": 400, "attempts": p.IntOption("attempts", 1), "resumable": given["resumable"] == "yes",
 	})
