Prove a single release only where the route names the pool of a stream

After a loss of all nodes, streams of a route that leads to two pools went on in the other pool: the pool was drawn anew for the request that took the stream up, and a row with a single release counted as proof, though it says nothing of the other pool's streams. The same held for a route that had led to another pool before, at a node that knew it.

Pools that share a stream route write the origins of their streams to the store also with one release each, so that the streams go on after such a loss.

--- a/internal/process/node/formerpools.go
+++ b/internal/process/node/formerpools.go
@@ -47,6 +47,18 @@
 	}
 }
 
+// of returns the pools to which a route led until recently.
+func (f *formerPools) of(route string, now time.Time) (pools []ident.PoolID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, at := range f.leftAt[route] {
+		if now.Sub(at) <= formerPoolTTL {
+			pools = append(pools, id)
+		}
+	}
+	return pools
+}
+
 // findFormerPool returns a pool to which a route led until recently, nil if there is none or
 // the settings have the pool no longer.
 func (n *Node) findFormerPool(route string, id ident.PoolID) *config.Pool {
--- a/internal/process/node/origins.go
+++ b/internal/process/node/origins.go
@@ -64,10 +64,11 @@
 }
 
 // updateMixed begins to write the origins of the streams of pools that now have several
-// releases, with those of the streams that began before.
+// releases or share routes with other pools, with those of the streams that began before.
 func (n *Node) updateMixed() {
+	tree := n.tree.Load()
 	for _, pool := range n.releases.listing.Pools() {
-		isMixed := n.releases.listing.IsMixed(pool)
+		isMixed := n.releases.listing.IsMixed(pool) || tree.SharesStreams(pool)
 		n.streams.mu.Lock()
 		wasMixed := n.streams.mixed[pool]
 		if n.streams.mixed == nil {
--- a/internal/process/node/releases.go
+++ b/internal/process/node/releases.go
@@ -325,7 +325,7 @@
 		n.Log.Info("releases_written", "pool", pool, "releases", ident.Join(row.Releases), "gone", ident.Join(row.Gone),
 			"serial", row.Serial, "era", row.Era)
 		news.Pools = append(news.Pools, wire.FromPoolReleases(pool, row, row.Usable()))
-		if len(old.Releases) > 1 && len(row.Releases) <= 1 {
+		if len(old.Releases) > 1 && len(row.Releases) <= 1 && !n.tree.Load().SharesStreams(pool) {
 			n.tasks.Go(func() { n.removeOrigins(n.ctx, pool) })
 		}
 	}
--- a/internal/process/node/resume.go
+++ b/internal/process/node/resume.go
@@ -14,6 +14,7 @@
 	"goldcrestwick/internal/process/store"
 	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/request/entry"
+	"goldcrestwick/internal/version/config"
 )
 
 const (
@@ -194,12 +195,17 @@
 	asked, replied int
 }
 
-// findOrigin returns the origin of the stream that a request takes up and that is no older
-// than maxAge: as this node knows it, as another one does, or as the store shows. It returns
-// false if the origin cannot be told.
-func (n *Node) findOrigin(ctx context.Context, j *entry.Job, maxAge time.Duration) (origin.Origin, bool) {
+// maxStreamAge is the time, as a multiple of the route's timeout, after which no caller
+// takes up a stream: the timeout bounds each attempt, and callers rarely wait longer for all
+// of them.
+const maxStreamAge = 2
+
+// findOrigin returns the origin of the stream of a route that a request takes up: as this node
+// knows it, as another one does, or as the store shows. It returns false if the origin cannot be
+// told.
+func (n *Node) findOrigin(ctx context.Context, j *entry.Job, r *config.Route) (origin.Origin, bool) {
 	came := time.Now()
-	s := n.searchOrigin(ctx, j, came, maxAge)
+	s := n.searchOrigin(ctx, j, r, came)
 	n.meter.Count("goldcrestwick_stream_resumptions_total", 1, "origin", s.result)
 	message := "stream_origin_found"
 	if s.result == originRefused {
@@ -212,7 +218,7 @@
 }
 
 // searchOrigin searches for the origin of the stream of a job that came at a time.
-func (n *Node) searchOrigin(ctx context.Context, j *entry.Job, came time.Time, maxAge time.Duration) (s originSearch) {
+func (n *Node) searchOrigin(ctx context.Context, j *entry.Job, r *config.Route, came time.Time) (s originSearch) {
 	if j.Stream != "" {
 		if o, ok := n.streams.known.Find(j.Stream); ok {
 			return originSearch{Origin: o, result: originKnownHere}
@@ -225,37 +231,59 @@
 			return s
 		}
 	}
-	s.Origin, s.result, s.reason = n.findStoredOrigin(ctx, j, came, maxAge)
+	s.Origin, s.result, s.reason = n.findStoredOrigin(ctx, j, r, came)
 	return s
 }
 
 // findStoredOrigin looks for the origin of a job's stream in the store, by reads that start
-// after the job came, since its stream may have begun just before. If the pool's row lists a
-// single release, no other can have begun the stream, since none is used before it is
-// listed.
-func (n *Node) findStoredOrigin(ctx context.Context, j *entry.Job, came time.Time, maxAge time.Duration) (o origin.Origin, result, reason string) {
-	if read := n.streams.originReads.running(j.Pool.ID); read != nil && j.Stream != "" {
-		// A node that has just started reads the origins.
-		read.wait(ctx)
-		if o, ok := n.streams.stored.Find(j.Stream); ok {
-			return o, originStored, ""
+// after the job came, since its stream may have begun just before. If the stream can have begun
+// in one pool only, whose row lists a single release, no other can have begun the stream, since
+// none is used before it is listed.
+func (n *Node) findStoredOrigin(ctx context.Context, j *entry.Job, r *config.Route, came time.Time) (o origin.Origin, result, reason string) {
+	pools := n.streamPools(r)
+	for _, pool := range pools {
+		if read := n.streams.originReads.running(pool); read != nil && j.Stream != "" {
+			// A node that has just started reads the origins.
+			read.wait(ctx)
+			if o, ok := n.streams.stored.Find(j.Stream); ok {
+				return o, originStored, ""
+			}
 		}
 	}
-	read := n.readRow(j.Pool.ID, came)
-	if !read.wait(ctx) {
-		return o, originRefused, "the store could not be read"
-	}
-	if release, ok := read.row.Sole(int64(read.era), maxAge, time.Now()); ok {
-		return origin.Origin{Pool: j.Pool.ID, Release: release}, originSole, ""
+	if len(pools) == 1 {
+		read := n.readRow(pools[0], came)
+		if !read.wait(ctx) {
+			return o, originRefused, "the store could not be read"
+		}
+		if release, ok := read.row.Sole(int64(read.era), maxStreamAge*r.Timeout, time.Now()); ok {
+			return origin.Origin{Pool: pools[0], Release: release}, originSole, ""
+		}
 	}
 	if j.Stream == "" {
 		return o, originRefused, "the caller does not name the stream"
 	}
-	if !n.readOrigins(j.Pool.ID, came).wait(ctx) {
-		return o, originRefused, "the store could not be read"
+	reads := make([]*poolRead, len(pools))
+	for i, pool := range pools {
+		reads[i] = n.readOrigins(pool, came)
+	}
+	for _, read := range reads {
+		if !read.wait(ctx) {
+			return o, originRefused, "the store could not be read"
+		}
 	}
 	if o, ok := n.streams.stored.Find(j.Stream); ok {
 		return o, originStored, ""
 	}
 	return o, originRefused, "the store does not have the stream"
 }
+
+// streamPools returns the pools in which the streams of a route can have begun: those to which
+// it leads, or led until recently.
+func (n *Node) streamPools(r *config.Route) []ident.PoolID {
+	pools := n.formerPools.of(r.Name, time.Now())
+	for _, share := range r.Shares {
+		pools = append(pools, share.Pool.ID)
+	}
+	slices.Sort(pools)
+	return slices.Compact(pools)
+}
--- a/internal/process/node/streams.go
+++ b/internal/process/node/streams.go
@@ -49,7 +49,7 @@
 	mu            sync.Mutex
 	// unreported holds the origins that the standby nodes of each cell do not know yet.
 	unreported map[ident.CellID]map[ident.RequestID]ident.Release
-	// mixed holds whether each pool has several releases.
+	// mixed holds whether each pool has several releases or shares routes with other pools.
 	mixed map[ident.PoolID]bool
 	// readVersions holds the versions of the rows of originTable that were read since
 	// readVersionsSince, by key.
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -211,9 +211,9 @@
 	// Quarantined returns the first of a request's traits that is quarantined, and
 	// until when; nil means that none is.
 	Quarantined func([]ident.Trait) (trait ident.Trait, until time.Time, ok bool)
-	// FindOrigin returns the origin of the stream that a job takes up and that is no older
-	// than maxAge; it returns false if that cannot be told.
-	FindOrigin func(ctx context.Context, j *entry.Job, maxAge time.Duration) (origin.Origin, bool)
+	// FindOrigin returns the origin of the stream of a route that a job takes up; it returns
+	// false if that cannot be told.
+	FindOrigin func(context.Context, *entry.Job, *config.Route) (origin.Origin, bool)
 	// FindFormerPool returns a pool to which a route led until recently, or nil; it may be nil.
 	FindFormerPool func(route string, id ident.PoolID) *config.Pool
 	// Started is called when an endpoint has begun a stream, or gone on with one; it may be
--- a/internal/request/proxy/release.go
+++ b/internal/request/proxy/release.go
@@ -21,11 +21,6 @@
 	return ident.RequestID(r.Info.AttemptID)
 }
 
-// maxStreamAge is the time, as a multiple of the route's timeout, after which no caller
-// takes up a stream: the timeout bounds each attempt, and callers rarely wait longer for all
-// of them.
-const maxStreamAge = 2
-
 // bindRelease binds a request that takes up a stream to the release that began it. It
 // returns the refusal of one whose release cannot be told.
 func (p *Proxy) bindRelease(ctx context.Context, s *requestState) *refuse.Refusal {
@@ -36,7 +31,7 @@
 	if !s.isStream() || s.Info.LastEventID == 0 || p.FindOrigin == nil {
 		return nil
 	}
-	o, ok := p.FindOrigin(ctx, s.job, maxStreamAge*s.Route.Timeout)
+	o, ok := p.FindOrigin(ctx, s.job, s.Route)
 	if !ok {
 		return originUnknown("it is not known which software release began the stream")
 	}
--- a/internal/version/config/route.go
+++ b/internal/version/config/route.go
@@ -131,6 +131,19 @@
 	return rankPair{a.Tier.Rank, r.Rank}
 }
 
+// SharesStreams reports whether a stream route leads to a pool and to others, so that a route
+// does not tell in which pool a stream began.
+func (t *Tree) SharesStreams(id ident.PoolID) bool {
+	for _, routes := range t.routesByHost {
+		for _, r := range routes {
+			if r.Kind == Stream && len(r.Shares) > 1 && slices.ContainsFunc(r.Shares, func(s PoolShare) bool { return s.Pool.ID == id }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // HasStreams reports whether answers of a pool may be streams, so that the software releases
 // of its endpoints matter: it has model runners, or a stream route leads to it.
 func (t *Tree) HasStreams(id ident.PoolID) bool {
