--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -59,7 +59,7 @@
 )
 
 // Router is an HTTP handler that routes requests to pools. All exported fields except
-// Bodies and FindFormerPool must be set before use. It is safe for concurrent use.
+// Bodies must be set before use. It is safe for concurrent use.
 type Router struct {
 	// Tree returns the settings in force, or nil if none are loaded yet.
 	Tree func() *config.Tree
@@ -68,10 +68,11 @@
 	// Serve proxies a request. It writes the answer unless its result has a refusal,
 	// which the Router writes.
 	Serve func(context.Context, *proxy.Request, http.ResponseWriter) proxy.Result
-	// FindFormerPool returns a pool to which a route led until recently, or nil; it may be nil.
-	FindFormerPool func(route string, id ident.PoolID) *config.Pool
-	Quota          *quota.Limiter
-	Meter          *meter.Meter
+	// FindPool returns the pool of a stream that has begun, if the stream's route leads there or
+	// led there until recently, or nil.
+	FindPool func(*config.Route, ident.PoolID) *config.Pool
+	Quota    *quota.Limiter
+	Meter    *meter.Meter
 	// Record records the first and the last step of each request.
 	Record func(trace.Record)
 	Log    *log.Logger
@@ -211,8 +212,8 @@
 	if chosen == nil && req.Release == nil {
 		return nil
 	}
-	if chosen == nil && rt.FindFormerPool != nil {
-		chosen = rt.FindFormerPool(req.Route.Name, id)
+	if chosen == nil {
+		chosen = rt.FindPool(req.Route, id)
 	}
 	if chosen == nil {
 		return refuse.New(refuse.OriginUnknown, "the route does not lead to the pool that began the stream")
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -56,7 +56,7 @@
 	}
 	n.conns.Dial = n.DialEndpoint
 	n.proxy = proxy.Proxy{
-		RequestGrant: n.entry.RequestGrant, IsLeaving: n.cells.IsLeaving, Conns: &n.conns, Budget: &n.budget,
+		RequestGrant: n.entry.RequestGrant, IsLeaving: n.cells.IsLeaving, HasRelease: n.cells.HasRelease, Conns: &n.conns, Budget: &n.budget,
 		Codec: n.Platform.HeaderCodec, Record: n.recordLocalStep, MarkLeaving: n.markLeaving,
 		LimitChanged: func(id ident.Endpoint, limit ident.Rate) {
 			n.Log.Info("endpoint_limit_changed", "endpoint", id, "requests_per_second", float64(limit))
@@ -65,9 +65,8 @@
 		Started: func(stream ident.RequestID, o origin.Origin) { n.streams.known.Add(stream, o, time.Now()) },
 	}
 	n.router = router.Router{
-		Tree: n.settingsOrNil, DecodeRequest: n.Platform.HeaderCodec.DecodeRequest, Serve: n.serveProxied,
-		FindFormerPool: n.findFormerPool,
-		Quota:          &n.quotaLimiter, Meter: &n.meter, Record: n.recordLocalStep, Log: n.Log,
+		Tree: n.settingsOrNil, DecodeRequest: n.Platform.HeaderCodec.DecodeRequest, Serve: n.serveProxied, FindPool: n.proxy.FindPool,
+		Quota: &n.quotaLimiter, Meter: &n.meter, Record: n.recordLocalStep, Log: n.Log,
 		Bodies: &n.bodies,
 	}
 	n.prepareMemory()
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -32,10 +32,10 @@
 )
 
 // attempt sends the request to the granted endpoint and handles its answer. It
-// sends nothing if the grant's TTL has passed, the endpoint is leaving or wants no
-// requests for now, or ctx is done.
+// sends nothing if the grant's TTL has passed, the endpoint is leaving, has another release or
+// wants no requests for now, or ctx is done.
 func (p *Proxy) attempt(ctx context.Context, s *requestState, g *entry.Grant) outcome {
-	if time.Since(g.Received) > g.Response.TTL || p.IsLeaving(g.Cell, g.Response.Endpoint) ||
+	if time.Since(g.Received) > g.Response.TTL || p.IsLeaving(g.Cell, g.Response.Endpoint) || p.hasOtherRelease(s, g) ||
 		p.holdOffs.covers(g.Response.Endpoint, time.Now()) || ctx.Err() != nil {
 		return outcome{notSent, "the grant could not be used in time", sched.Completion{Unused: true}}
 	}
@@ -349,11 +349,17 @@
 // most maxBufferedBytes is kept in failureAnswer instead, for finish.
 func (x *exchange) forwardAnswer(ctx context.Context, resp *http.Response) outcome {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	if err == nil && len(body) <= maxBufferedBytes && x.isCutOff(ctx, resp) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return x.failWithoutAnswer(ctx, "the answer broke off: "+err.Error(), err)
 	}
 	took := time.Since(x.sentAt)
-	x.reportStarted()
+	if !x.state.isStream() {
+		// The release that reports a stream as started counts as the one that began it.
+		x.reportStarted()
+	}
 	isFailure := resp.StatusCode >= http.StatusInternalServerError
 	out := outcome{completion: sched.Completion{
 		TimeToFirstToken: took, Erred: isFailure, IsWhole: isSuccess(resp.StatusCode),
@@ -383,6 +389,9 @@
 	if err == nil {
 		_, err = io.Copy(s.w, resp.Body)
 	}
+	if err == nil && x.isCutOff(ctx, resp) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		s.result.Truncated = true
 		out = x.fail(ctx, "the answer broke off: "+err.Error())
