Failing tests for not_run answers that are repeated on a kept connection

The stand-in endpoint can repeat its latest refusal on a connection, omit the attempt ID of an answer or name several, and sign a refusal. It names the attempt in a 421 as the platform's endpoints do, and records which requests it refused.

TestScripts closes its connections after a failed assertion too, so that one failing script does not end the test binary with a deadlock of the bubble.

--- a/internal/request/proxy/script_test.go
+++ b/internal/request/proxy/script_test.go
@@ -29,9 +29,10 @@
 // TestScripts forwards requests to faulty endpoints. A script has these commands:
 //
 //	route KIND [resumable] [attempts N] [timeout T]
-//	request [after N] [body BYTES] [cancel_after T]
+//	request [after N] [body BYTES] [cancel_after T] [id ID]
 //	budget N                        set the number of retries in the budget
-//	engine NAME BEHAVIOUR...        add the endpoint that is granted next
+//	engine NAME BEHAVIOUR...        add the endpoint that is granted next, or set the behaviour
+//	                                of one of that name, which keeps its connections
 //	send
 //	want EXPECTATION...             check the answer that the caller got
 //	arrived NAME N [HEADER VALUE]   check the requests that reached an endpoint
@@ -46,6 +47,9 @@
 //	mismatched ID                   first send an answer to the attempt ID
 //	encoded                         declare the content encoding gzip
 //	not_run                         state that the request was not run
+//	ids ID,...                      name these attempts in the answer, or none
+//	stamped                         send the server stamp with not_run too
+//	repeated                        first send the connection's latest not_run answer again
 //	unsigned                        omit the server stamp
 //	unframed                        omit the length; the end of the connection ends the answer
 //	extra                           send an answer with a body twice
@@ -90,9 +94,13 @@
 		Header: http.Header{engine.AttemptIDHeader: {"r1"}, "X-Other": {"kept"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
 		Info:   RequestInfo{AttemptID: "r1"}, Tier: &config.Tier{}, Body: []byte("body"),
 	}
+	defer s.close()
 	for s.Line = range lines {
 		s.runCommand(s.Command, s.Args)
 	}
+}
+
+func (s *scriptRunner) close() {
 	for _, c := range s.openConns {
 		c.Close() //nolint:errcheck // the test is over.
 	}
@@ -152,6 +160,9 @@
 			s.request.Info.LastEventID = s.ParseInt(args[i+1])
 		case "body":
 			s.request.Body = []byte(strings.Repeat("x", s.ParseInt(args[i+1])))
+		case "id":
+			s.request.ID, s.request.Info.AttemptID = ident.RequestID(args[i+1]), args[i+1]
+			s.request.Header.Set(engine.AttemptIDHeader, args[i+1])
 		case "cancel_after":
 			s.cancelAfter = s.ParseDuration(args[i+1])
 		default:
@@ -182,6 +193,13 @@
 			b.ContentEncoding = "gzip"
 		case "not_run":
 			b.NotRun = true
+		case "ids":
+			i++
+			b.AnswerIDs = args[i]
+		case "stamped":
+			b.KeepStamp = true
+		case "repeated":
+			b.RepeatRefusal = true
 		case "unsigned":
 			b.OmitStamp = true
 		case "unframed":
@@ -208,7 +226,7 @@
 	if strings.Contains(strings.Join(args, " "), "other") {
 		id = "another"
 	}
-	if !strings.Contains(strings.Join(args, " "), "unreachable") {
+	if s.engines[name] == nil && !strings.Contains(strings.Join(args, " "), "unreachable") {
 		s.engines[name] = &engine.Engine{ID: id, NextBehaviour: func() engine.Behaviour { return s.behaviours[name] }}
 	}
 	s.behaviours[name] = b
@@ -305,8 +323,8 @@
 			i += 2
 		case "signed":
 			i++
-			// The stamp is the endpoint's ID and the attempt ID, which is r1 in all scripts.
-			qt.Check(s.T, s.recorder.Header().Get(engine.ServerStampHeader), qt.Equals, args[i]+".r1", at)
+			// The stamp is the endpoint's ID and the attempt ID.
+			qt.Check(s.T, s.recorder.Header().Get(engine.ServerStampHeader), qt.Equals, args[i]+"."+s.request.Info.AttemptID, at)
 		case "attempts":
 			i++
 			qt.Check(s.T, s.result.Attempts, qt.Equals, s.ParseInt(args[i]), at)
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -81,6 +81,13 @@
 	Leaving bool
 	// RetryAfter is the value of the Retry-After header, "" for none.
 	RetryAfter string
+	// AnswerIDs lists the attempt IDs of the answer, separated by commas; "" is the request's
+	// and NoID none.
+	AnswerIDs string
+	// KeepStamp sends the server stamp although NotRun is set.
+	KeepStamp bool
+	// RepeatRefusal first sends the latest answer with NotRun of the connection once more.
+	RepeatRefusal bool
 	// OmitStamp omits the server stamp.
 	OmitStamp bool
 	// ContentEncoding is the content encoding to declare, "" for none.
@@ -131,6 +138,8 @@
 	// EndedAt is when the engine had answered the request or given it up; the zero time
 	// before.
 	EndedAt time.Time
+	// WasRefused is set if the engine answered that it did not run the request.
+	WasRefused bool
 }
 
 // Engine is one endpoint. ID and NextBehaviour must be set before use. It is safe
@@ -163,6 +172,9 @@
 	received []ReceivedRequest
 	// endlessBytes counts the bytes of endless answers.
 	endlessBytes int
+	// refusals holds the latest answer of each connection that states that its request was
+	// not run.
+	refusals map[io.Writer]string
 }
 
 // ReceivedRequests returns the requests received so far, in order.
@@ -218,6 +230,7 @@
 // when it cannot be reused.
 func (e *Engine) Serve(c net.Conn) {
 	defer c.Close() //nolint:errcheck // the connection is not used again.
+	defer e.forgetRefusal(c)
 	r := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(r)
@@ -246,7 +259,7 @@
 	index := e.record(req, string(body))
 	defer e.recordEnd(index)
 	if want := req.Header.Get(ExpectInstanceHeader); want != "" && want != e.ID {
-		return send(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+		return e.refuse(c, index, e.head(req.Header.Get(AttemptIDHeader), Behaviour{Status: http.StatusMisdirectedRequest, NotRun: true}, 0))
 	}
 	if b.CloseUnanswered {
 		return false
@@ -262,6 +275,9 @@
 		e.writeEndless(c, req.Header.Get(AttemptIDHeader), b)
 		return false
 	}
+	if b.NotRun {
+		e.recordRefused(index)
+	}
 	return e.writeAnswer(c, req, b)
 }
 
@@ -298,6 +314,9 @@
 	if b.MismatchedID != "" && !send(c, e.head(b.MismatchedID, Behaviour{}, 5)+"stray") {
 		return false
 	}
+	if b.RepeatRefusal && !send(c, e.refusal(c)) {
+		return false
+	}
 	if b.LastEvent > 0 {
 		return e.writeEvents(c, req, id, b)
 	}
@@ -309,6 +328,9 @@
 		length = -1
 	}
 	answer := e.head(id, b, length) + b.Body
+	if b.NotRun {
+		e.keepRefusal(c, answer)
+	}
 	if b.SendTwice {
 		answer += answer
 	}
@@ -330,8 +352,8 @@
 		status = http.StatusOK
 	}
 	var h strings.Builder
-	fmt.Fprintf(&h, "HTTP/1.1 %d %s\r\n%s: %s\r\n", status, http.StatusText(status), AttemptIDHeader, id)
-	if !b.OmitStamp && !b.NotRun {
+	fmt.Fprintf(&h, "HTTP/1.1 %d %s\r\n%s", status, http.StatusText(status), b.idHeader(id))
+	if !b.OmitStamp && (!b.NotRun || b.KeepStamp) {
 		fmt.Fprintf(&h, "%s: %s.%s\r\n", ServerStampHeader, e.ID, id)
 	}
 	if b.NotRun {
--- a/internal/stand/engine/generate.go
+++ b/internal/stand/engine/generate.go
@@ -41,14 +41,14 @@
 func (e *Engine) generate(w io.Writer, r *bufio.Reader, req *http.Request, index int) bool {
 	generation, err := e.parseRequest(req.Header)
 	if err != nil {
-		return e.reject(w, req, http.StatusBadRequest)
+		return e.reject(w, req, index, http.StatusBadRequest)
 	}
 	seq, err := e.Batch.Submit(generation)
 	if err != nil {
 		if e.Refused != nil {
 			e.Refused()
 		}
-		return e.reject(w, req, http.StatusServiceUnavailable)
+		return e.reject(w, req, index, http.StatusServiceUnavailable)
 	}
 	defer seq.Cancel()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -62,7 +62,7 @@
 			cancel()
 		}
 	}()
-	keepAlive := e.streamSequence(ctx, w, req, generation, seq)
+	keepAlive := e.streamSequence(ctx, w, req, index, generation, seq)
 	e.recordEnd(index) // serveRequest returns only when the connection is used again.
 	if keepAlive {
 		<-next // Serve may use r only after Peek has returned.
@@ -75,7 +75,7 @@
 // the connection can be reused. It sends the header when the first token has been
 // generated. If the deadline passes before that, the answer is 503; later the stream
 // is truncated.
-func (e *Engine) streamSequence(ctx context.Context, w io.Writer, req *http.Request, generation batch.Request, seq *batch.Sequence) bool {
+func (e *Engine) streamSequence(ctx context.Context, w io.Writer, req *http.Request, index int, generation batch.Request, seq *batch.Sequence) bool {
 	id := req.Header.Get(AttemptIDHeader)
 	perEvent := e.tokensPerEvent()
 	generated := generation.GeneratedTokens
@@ -90,7 +90,7 @@
 			case generated > generation.GeneratedTokens:
 				return false // the deadline has passed or the caller has disconnected.
 			case errors.Is(err, context.DeadlineExceeded):
-				return e.reject(w, req, http.StatusServiceUnavailable)
+				return e.reject(w, req, index, http.StatusServiceUnavailable)
 			default:
 				return false
 			}
@@ -109,8 +109,8 @@
 	return send(w, "0\r\n\r\n")
 }
 
-func (e *Engine) reject(w io.Writer, req *http.Request, status int) bool {
-	return send(w, e.head(req.Header.Get(AttemptIDHeader), Behaviour{Status: status, NotRun: true}, 0))
+func (e *Engine) reject(w io.Writer, req *http.Request, index, status int) bool {
+	return e.refuse(w, index, e.head(req.Header.Get(AttemptIDHeader), Behaviour{Status: status, NotRun: true}, 0))
 }
 
 func (e *Engine) tokensPerEvent() ident.Tokens {
