Take no answer without an attempt ID for a request on a used connection

Callers saw: a request that an endpoint was running was answered 'not run, try again' (REFUSED), or was sent to a second endpoint (TWICE).

Cause: an answer without an attempt ID counted as that of the request that waited for one, on any connection. A not_run answer to an earlier request that the endpoint writes once more, and that names no attempt, then proves for the wrong request that it was not run. A repeated success was forwarded as the answer to another request (MIXED).

An answer without an ID can belong to this request alone only if nothing else was sent or received on its connection. Otherwise the request may have run, and the connection is closed. A request without an ID gets a new connection, as its answers never name it. Endpoints that echo the ID, as the protocol has it, cost no more connections.

--- a/internal/connection/conn/conn.go
+++ b/internal/connection/conn/conn.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	p := &conn.Pool{}
-//	c, err := p.Get(ctx, "10.0.0.7:8080")
+//	c, err := p.Get(ctx, "10.0.0.7:8080", request)
 //	stop := c.CloseWhenDone(ctx)
 //	err = c.Send(head, body)
 //	resp, err := c.Receive(http.MethodPost)
@@ -100,9 +100,10 @@
 }
 
 // Get returns the most recently used idle connection that is still open, or dials a
-// new one.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
-	for {
+// new one. A request without an identifier gets a new one: nothing in an answer tells that it
+// does not belong to an earlier request on the connection.
+func (p *Pool) Get(ctx context.Context, address, request string) (*Conn, error) {
+	for request != "" {
 		c := p.takeIdle(address)
 		if c == nil {
 			break
--- a/internal/connection/conn/conn_test.go
+++ b/internal/connection/conn/conn_test.go
@@ -57,11 +57,11 @@
 	address, _ := startServer(t, okAnswer, okAnswer)
 	p := &Pool{}
 	defer p.Close()
-	first, err := p.Get(t.Context(), address)
+	first, err := p.Get(t.Context(), address, "r1")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, exchange(t, first), qt.Equals, "ok")
 	p.Put(first)
-	second, err := p.Get(t.Context(), address)
+	second, err := p.Get(t.Context(), address, "r1")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, second, qt.Equals, first)
 	qt.Assert(t, second.Reused, qt.IsTrue)
@@ -82,11 +82,11 @@
 			address, _ := startServer(t, answer, okAnswer)
 			p := &Pool{}
 			defer p.Close()
-			first, err := p.Get(t.Context(), address)
+			first, err := p.Get(t.Context(), address, "r1")
 			qt.Assert(t, err, qt.IsNil)
 			exchange(t, first)
 			p.Put(first)
-			second, err := p.Get(t.Context(), address)
+			second, err := p.Get(t.Context(), address, "r1")
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, second.Reused, qt.IsFalse)
 			p.Put(second)
@@ -105,7 +105,7 @@
 			address, serverConns := startServer(t, okAnswer)
 			p := &Pool{}
 			defer p.Close()
-			c, err := p.Get(t.Context(), address)
+			c, err := p.Get(t.Context(), address, "r1")
 			qt.Assert(t, err, qt.IsNil)
 			exchange(t, c)
 			p.Put(c)
@@ -114,7 +114,7 @@
 			for c.isHealthy() {
 				continue
 			}
-			next, err := p.Get(t.Context(), address)
+			next, err := p.Get(t.Context(), address, "r1")
 			qt.Assert(t, err, qt.IsNil)
 			qt.Assert(t, next.Reused, qt.IsFalse)
 			p.Put(next)
@@ -128,7 +128,7 @@
 	address, serverConns := startServer(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\npart")
 	p := &Pool{}
 	defer p.Close()
-	c, err := p.Get(t.Context(), address)
+	c, err := p.Get(t.Context(), address, "r1")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, c.Send(RequestHead(http.MethodGet, "/", "h", nil, -1), nil), qt.IsNil)
 	qt.Assert(t, c.Sent(), qt.IsTrue)
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -42,7 +42,7 @@
 	p.record(s, trace.Record{Event: trace.Dispatched, Endpoint: g.Response.Endpoint})
 	s.result.Endpoint = g.Response.Endpoint
 	for {
-		c, err := p.Conns.Get(ctx, g.Response.Address)
+		c, err := p.Conns.Get(ctx, g.Response.Address, s.Info.AttemptID)
 		if err != nil {
 			isFailure := ctx.Err() == nil && !p.suspectsPath(func(m *reach.Monitor) { m.DialFailed(g.Response.Endpoint) })
 			return outcome{notSent, err.Error(), sched.Completion{Failed: isFailure, Unused: !isFailure}}
@@ -198,14 +198,19 @@
 }
 
 // receive reads the head of the answer and skips answers that belong to other
-// requests.
+// requests. An endpoint may send an earlier answer once more. One without an attempt ID is
+// that of this request only if nothing else was sent or received on the connection.
 func (x *exchange) receive() (*http.Response, ResponseInfo, error) {
+	isOnly := !x.Reused
 	for range maxMismatched + 1 {
 		resp, err := x.Receive(x.state.Method)
 		if err != nil {
 			return nil, ResponseInfo{}, err
 		}
 		info := x.proxy.Codec.DecodeResponse(resp.Header)
+		if info.AttemptID == "" && !isOnly {
+			return nil, ResponseInfo{}, errUnidentified
+		}
 		if info.AttemptID == "" || info.AttemptID == x.state.Info.AttemptID {
 			if !x.isBodySent() {
 				x.DisableReuse()
@@ -216,11 +221,15 @@
 			break
 		}
 		x.DisableReuse()
+		isOnly = false
 	}
 	return nil, ResponseInfo{}, errMismatched
 }
 
-var errMismatched = errors.New("the endpoint sent only answers to other requests")
+var (
+	errMismatched   = errors.New("the endpoint sent only answers to other requests")
+	errUnidentified = errors.New("the endpoint sent an answer that may belong to an earlier request")
+)
 
 // isBodySent reports whether the whole body has been sent. If the endpoint
 // answers earlier, the rest of the body is still in transit and the connection
--- a/internal/request/proxy/script_test.go
+++ b/internal/request/proxy/script_test.go
@@ -29,7 +29,7 @@
 // TestScripts forwards requests to faulty endpoints. A script has these commands:
 //
 //	route KIND [resumable] [attempts N] [timeout T]
-//	request [after N] [body BYTES] [cancel_after T] [id ID]
+//	request [after N] [body BYTES] [cancel_after T] [id ID|none]
 //	budget N                        set the number of retries in the budget
 //	engine NAME BEHAVIOUR...        add the endpoint that is granted next, or set the behaviour
 //	                                of one of that name, which keeps its connections
@@ -161,8 +161,7 @@
 		case "body":
 			s.request.Body = []byte(strings.Repeat("x", s.ParseInt(args[i+1])))
 		case "id":
-			s.request.ID, s.request.Info.AttemptID = ident.RequestID(args[i+1]), args[i+1]
-			s.request.Header.Set(engine.AttemptIDHeader, args[i+1])
+			s.setID(args[i+1])
 		case "cancel_after":
 			s.cancelAfter = s.ParseDuration(args[i+1])
 		default:
@@ -171,6 +170,16 @@
 	}
 }
 
+// setID sets the attempt ID, or removes it if it is engine.NoID.
+func (s *scriptRunner) setID(id string) {
+	s.request.ID, s.request.Info.AttemptID = ident.RequestID(id), id
+	s.request.Header.Set(engine.AttemptIDHeader, id)
+	if id == engine.NoID {
+		s.request.Info.AttemptID = ""
+		s.request.Header.Del(engine.AttemptIDHeader)
+	}
+}
+
 // addEngine adds the endpoint that is granted next and sets its behaviour.
 func (s *scriptRunner) addEngine(name string, args []string) {
 	var b engine.Behaviour
