Send a refused request no more on the connection of its refusal

Callers saw: a request that they sent again under the attempt ID under which an endpoint had refused it was answered 'not run' while the endpoint ran it (REFUSED), or was sent to a second endpoint (TWICE).

Cause: the attempt ID is what tells a repeated answer from the one that is due. An attempt that goes to the same endpoint on the connection that was kept after its refusal has the ID of the repeated refusal.

A connection remembers the requests that were refused on it, at most 64, after which it is closed. Pool.Get gives a request no connection that remembers it, and other requests keep using that one. A node itself avoids the endpoint for the rest of an attempt, so that only IDs that callers use again cost a connection.

--- a/internal/connection/conn/conn.go
+++ b/internal/connection/conn/conn.go
@@ -23,6 +23,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -63,6 +64,8 @@
 	// maxInformational is the number of answers after which Receive gives up if all
 	// of them were informational (1xx).
 	maxInformational = 8
+	// maxRefused bounds the refused requests that a connection remembers.
+	maxRefused = 64
 	// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT (RFC 5482).
 	tcpUserTimeout = 0x12
 )
@@ -97,14 +100,16 @@
 	idleUntil  time.Time
 	// maxIdle is how long the connection may stay idle after the current exchange.
 	maxIdle time.Duration
+	// refused holds the requests that were refused on the connection.
+	refused []string
 }
 
-// Get returns the most recently used idle connection that is still open, or dials a
-// new one. A request without an identifier gets a new one: nothing in an answer tells that it
+// Get returns the most recently used idle connection that is still open and on which the request
+// has not been refused before, or dials a new one. A request without an identifier gets a new one: nothing in an answer tells that it
 // does not belong to an earlier request on the connection.
 func (p *Pool) Get(ctx context.Context, address, request string) (*Conn, error) {
 	for request != "" {
-		c := p.takeIdle(address)
+		c := p.takeIdle(address, request)
 		if c == nil {
 			break
 		}
@@ -125,16 +130,26 @@
 	c.isReusable = false
 }
 
-func (p *Pool) takeIdle(address string) *Conn {
+func (p *Pool) takeIdle(address, request string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if !slices.Contains(c.refused, request) {
+			p.idle[address] = slices.Delete(conns, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// RecordRefused records that the endpoint refused a request, which it may state once more
+// while the request is sent to it again. The connection will not carry the request again.
+func (c *Conn) RecordRefused(request string) {
+	c.refused = append(c.refused, request)
+	if len(c.refused) >= maxRefused {
+		c.DisableReuse()
 	}
-	c := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	return c
 }
 
 // Check reports whether an address accepts connections. It opens one and closes it.
--- a/internal/connection/conn/conn_test.go
+++ b/internal/connection/conn/conn_test.go
@@ -77,6 +77,7 @@
 		"zero idle timeout": "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok",
 		"trailing bytes":    okAnswer + "more",
 		"second answer":     okAnswer + okAnswer,
+		"half of another":   okAnswer + okAnswer[:len(okAnswer)/2],
 	} {
 		t.Run(name, func(t *testing.T) {
 			address, _ := startServer(t, answer, okAnswer)
@@ -98,8 +99,9 @@
 // it, or if the endpoint closes it, while it is idle.
 func TestDisturbedWhileIdle(t *testing.T) {
 	for name, disturb := range map[string]func(net.Conn){
-		"bytes": func(c net.Conn) { io.WriteString(c, okAnswer) }, //nolint:errcheck // the assertions detect a failure.
-		"close": func(c net.Conn) { c.Close() },                   //nolint:errcheck // the assertions detect a failure.
+		"bytes": func(c net.Conn) { io.WriteString(c, okAnswer) },     //nolint:errcheck // the assertions detect a failure.
+		"half":  func(c net.Conn) { io.WriteString(c, okAnswer[:9]) }, //nolint:errcheck // the assertions detect a failure.
+		"close": func(c net.Conn) { c.Close() },                       //nolint:errcheck // the assertions detect a failure.
 	} {
 		t.Run(name, func(t *testing.T) {
 			address, serverConns := startServer(t, okAnswer)
@@ -122,6 +124,32 @@
 	}
 }
 
+// TestNotReusedForRefusedRequest checks that a request which was refused on a connection does not
+// get that connection again, on which the endpoint may repeat its refusal, while others do.
+func TestNotReusedForRefusedRequest(t *testing.T) {
+	address, _ := startServer(t, okAnswer, okAnswer)
+	p := &Pool{}
+	defer p.Close()
+	kept, err := p.Get(t.Context(), address, "r1")
+	qt.Assert(t, err, qt.IsNil)
+	exchange(t, kept)
+	kept.RecordRefused("r1")
+	p.Put(kept)
+	fresh, err := p.Get(t.Context(), address, "r1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, fresh.Reused, qt.IsFalse)
+	p.Put(fresh)
+	other, err := p.Get(t.Context(), address, "r2")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, other, qt.Equals, kept)
+	exchange(t, other)
+	for range maxRefused {
+		other.RecordRefused("r3")
+	}
+	p.Put(other)
+	qt.Assert(t, p.takeIdle(address, "r4") == nil, qt.IsTrue)
+}
+
 // TestNoLength checks that an answer without a length ends when its connection is
 // closed, and that informational answers are skipped.
 func TestNoLength(t *testing.T) {
@@ -139,7 +167,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, string(body), qt.Equals, "part")
 	p.Put(c)
-	qt.Assert(t, p.takeIdle(address) == nil, qt.IsTrue)
+	qt.Assert(t, p.takeIdle(address, "r1") == nil, qt.IsTrue)
 }
 
 // TestHead checks the encoding of a request's head without its hop-by-hop headers.
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -321,6 +321,7 @@
 // handleNotRun handles an answer by which the endpoint reports that it did not
 // run the request.
 func (x *exchange) handleNotRun(resp *http.Response) outcome {
+	x.RecordRefused(x.state.Info.AttemptID)
 	if !x.discard(resp.Body) {
 		x.DisableReuse()
 	}
