--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -84,8 +84,6 @@
 	// AnswerIDs lists the attempt IDs of the answer, separated by commas; "" is the request's
 	// and NoID none.
 	AnswerIDs string
-	// KeepStamp sends the server stamp although NotRun is set.
-	KeepStamp bool
 	// RepeatRefusal first sends the latest answer with NotRun of the connection once more.
 	RepeatRefusal bool
 	// OmitStamp omits the server stamp.
@@ -353,7 +351,7 @@
 	}
 	var h strings.Builder
 	fmt.Fprintf(&h, "HTTP/1.1 %d %s\r\n%s", status, http.StatusText(status), b.idHeader(id))
-	if !b.OmitStamp && (!b.NotRun || b.KeepStamp) {
+	if !b.OmitStamp && !b.NotRun {
 		fmt.Fprintf(&h, "%s: %s.%s\r\n", ServerStampHeader, e.ID, id)
 	}
 	if b.NotRun {
