--- a/cmd/goldcrestwick/entry_test.go
+++ b/cmd/goldcrestwick/entry_test.go
@@ -109,7 +109,7 @@
 		}
 		engines[id] = e
 		entry, err := json.Marshal(map[string]any{
-			"service": "llm", "address": serveEngine(t, e), "zone": "z", "slots": 4, "state": "ready", "seq": 1,
+			"service": "llm", "address": serveEngine(t, e), "zone": "z", "version": "v1", "slots": 4, "state": "ready", "seq": 1,
 		})
 		qt.Assert(t, err, qt.IsNil)
 		writes = append(writes, cloud.Write{Table: "servers", Key: id, Value: entry})
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,6 +77,10 @@
 	storeCalls callCounts
 	// refreshed ends the refresh command when it is closed.
 	refreshed chan struct{}
+	// hosts holds the host and port of the engines by the addresses of their entries.
+	hosts sync.Map
+	// strayDials counts the dials of addresses that no engine has.
+	strayDials atomic.Int64
 }
 
 type proxyNode struct {
@@ -190,7 +195,7 @@
 		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "crashing_request": p.crashingRequest, "reads": p.reads, "traffic": p.traffic, "crashes": p.checkCrashes,
 		"bounds": p.setBounds, "tolerance": p.setTolerance, "order": p.order, "status": p.checkStatus, "exposed": p.checkExposed, "shown": p.checkShown,
 		"kill_engine": p.killEngine, "kill_all_but": p.killAllBut, "taken_up": p.checkTakenUp, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed, "brittle": p.setBrittle, "falls": p.checkFalls, "revive": p.revive, "unmark": p.unmark, "unreadable": p.unreadable, "writes": p.failWrites, "rows": p.checkRows, "counted": p.checkCounted,
-		"store_calls": p.checkStoreCalls, "refresh": p.refresh, "restart_all": p.restartAll, "all_ready": p.checkAllReady,
+		"store_calls": p.checkStoreCalls, "refresh": p.refresh, "restart_all": p.restartAll, "only_listed": p.onlyListed, "all_ready": p.checkAllReady,
 	}
 	run, ok := commands[command]
 	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.Position, command))
@@ -263,7 +268,9 @@
 			ParseSettings: platform.ParseSettings, ParseEndpoint: platform.ParseEndpoint, HeaderCodec: platform.HeaderCodec(),
 			OrderPool: platform.OrderPool, ParseOrder: platform.ParseOrder, FormatStatus: platform.FormatStatus, StatusTable: platform.StatusTable,
 		},
-		DialEndpoint: func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) },
+		DialEndpoint: func(ctx context.Context, address string) (net.Conn, error) {
+			return dial(ctx, "tcp", p.hostOf(address))
+		},
 	}}
 	n.Prepare(mux, resumeKey)
 	n.SetLedgerKey(ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize)))
@@ -321,13 +328,10 @@
 		if given["service"] != "" {
 			service = given["service"]
 		}
-		e.entry = map[string]any{"service": service, "address": name + ":80", "zone": cmp.Or(given["zone"], "z"), "slots": p.IntOption("slots", 4), "state": "ready", "seq": 1}
+		e.entry = map[string]any{"service": service, "address": p.addressOf(name), "zone": cmp.Or(given["zone"], "z"), "version": e.Release, "slots": p.IntOption("slots", 4), "state": "ready", "seq": 1}
 		if given["born"] != "" {
 			e.entry["born"] = p.IntOption("born", 0)
 		}
-		if e.Release != "" {
-			e.entry["version"] = e.Release
-		}
 		p.engines[name] = e
 		p.listEngine(name)
 	}
@@ -437,11 +441,6 @@
 	}
 }
 
-// malformedEntry writes an invalid endpoint entry.
-func (p *proxyCase) malformedEntry(names []string, given map[string]string) {
-	p.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: "servers", Key: names[0], Value: []byte(given["text"])}}})
-}
-
 // mixed sends requests to the routes chat, label, book and read of each node, in rounds.
 func (p *proxyCase) mixed(names []string, given map[string]string) {
 	for round := range p.IntOption("rounds", 1) {
