--- a/internal/request/proxy/script_test.go
+++ b/internal/request/proxy/script_test.go
@@ -29,9 +29,10 @@
 // TestScripts forwards requests to faulty endpoints. A script has these commands:
 //
 //	route KIND [resumable] [attempts N] [timeout T]
-//	request [after N] [body BYTES] [cancel_after T]
+//	request [after N] [body BYTES] [cancel_after T] [id ID|none]
 //	budget N                        set the number of retries in the budget
-//	engine NAME BEHAVIOUR...        add the endpoint that is granted next
+//	engine NAME BEHAVIOUR...        add the endpoint that is granted next, or set the behaviour
+//	                                of one of that name, which keeps its connections
 //	send
 //	want EXPECTATION...             check the answer that the caller got
 //	arrived NAME N [HEADER VALUE]   check the requests that reached an endpoint
@@ -46,6 +47,8 @@
 //	mismatched ID                   first send an answer to the attempt ID
 //	encoded                         declare the content encoding gzip
 //	not_run                         state that the request was not run
+//	ids ID,...                      name these attempts in the answer, or none
+//	repeated                        first send the connection's latest not_run answer again
 //	unsigned                        omit the server stamp
 //	unframed                        omit the length; the end of the connection ends the answer
 //	extra                           send an answer with a body twice
@@ -93,9 +96,13 @@
 		Header: http.Header{engine.AttemptIDHeader: {"r1"}, "X-Other": {"kept"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
 		Info:   RequestInfo{AttemptID: "r1"}, Tier: &config.Tier{}, Body: []byte("body"),
 	}
+	defer s.close()
 	for s.Line = range lines {
 		s.runCommand(s.Command, s.Args)
 	}
+}
+
+func (s *scriptRunner) close() {
 	for _, c := range s.openConns {
 		c.Close() //nolint:errcheck // the test is over.
 	}
@@ -155,6 +162,8 @@
 			s.request.Info.LastEventID = s.ParseInt(args[i+1])
 		case "body":
 			s.request.Body = []byte(strings.Repeat("x", s.ParseInt(args[i+1])))
+		case "id":
+			s.setID(args[i+1])
 		case "cancel_after":
 			s.cancelAfter = s.ParseDuration(args[i+1])
 		default:
@@ -163,6 +172,16 @@
 	}
 }
 
+// setID sets the attempt ID, or removes it if it is engine.NoID.
+func (s *scriptRunner) setID(id string) {
+	s.request.ID, s.request.Info.AttemptID = ident.RequestID(id), id
+	s.request.Header.Set(engine.AttemptIDHeader, id)
+	if id == engine.NoID {
+		s.request.Info.AttemptID = ""
+		s.request.Header.Del(engine.AttemptIDHeader)
+	}
+}
+
 // addEngine adds the endpoint that is granted next and sets its behaviour.
 func (s *scriptRunner) addEngine(name string, args []string) {
 	var b engine.Behaviour
@@ -185,6 +204,11 @@
 			b.ContentEncoding = "gzip"
 		case "not_run":
 			b.NotRun = true
+		case "ids":
+			i++
+			b.AnswerIDs = args[i]
+		case "repeated":
+			b.RepeatRefusal = true
 		case "unsigned":
 			b.OmitStamp = true
 		case "unframed":
@@ -213,7 +237,7 @@
 	if strings.Contains(strings.Join(args, " "), "other") {
 		id = "another"
 	}
-	if !strings.Contains(strings.Join(args, " "), "unreachable") {
+	if s.engines[name] == nil && !strings.Contains(strings.Join(args, " "), "unreachable") {
 		s.engines[name] = &engine.Engine{ID: id, NextBehaviour: func() engine.Behaviour { return s.behaviours[name] }}
 	}
 	s.behaviours[name] = b
@@ -260,7 +284,7 @@
 		},
 		DecodeResponse: func(h http.Header) ResponseInfo {
 			return ResponseInfo{
-				AttemptID: h.Get(engine.AttemptIDHeader), NotRun: h.Get(engine.NotRunHeader) != "",
+				AttemptID: strings.Join(h.Values(engine.AttemptIDHeader), ","), NotRun: h.Get(engine.NotRunHeader) != "",
 				IsSigned: h.Get(engine.ServerStampHeader) != "",
 			}
 		},
@@ -313,8 +337,8 @@
 			i += 2
 		case "signed":
 			i++
-			// The stamp is the endpoint's ID and the attempt ID, which is r1 in all scripts.
-			qt.Check(s.T, s.recorder.Header().Get(engine.ServerStampHeader), qt.Equals, args[i]+".r1", at)
+			// The stamp is the endpoint's ID and the attempt ID.
+			qt.Check(s.T, s.recorder.Header().Get(engine.ServerStampHeader), qt.Equals, args[i]+"."+s.request.Info.AttemptID, at)
 		case "attempts":
 			i++
 			qt.Check(s.T, s.result.Attempts, qt.Equals, s.ParseInt(args[i]), at)
