Soak: nodes of two builds side by side

Processes that end by themselves are violations, and SIGTERM excuses the cut of an answer only at the end of the grace period, if its request was sent within 3 s of the signal.

--- a/internal/tool/soak/check.go
+++ b/internal/tool/soak/check.go
@@ -25,6 +25,9 @@
 	maxLateCrashing = 3
 	// maxFalls and a tenth of their number bound how often brittle models fall over.
 	maxFalls = 2
+	// stopIntake is the time after SIGTERM until which a node has to read requests whose answers
+	// may take longer than its grace period.
+	stopIntake = 3 * time.Second
 	// cutSlack is the time before the start of a request within which a fault may cut it.
 	cutSlack = 2 * time.Second
 )
@@ -61,6 +64,7 @@
 	if r.world.rollout != nil {
 		r.checkRollout()
 	}
+	r.checkOwnEnds()
 	if falls > maxFalls+len(r.world.allModels())/10 {
 		r.violation("models that survive %d refusals a second fell over %d times", r.world.brittle.Load(), falls)
 	}
@@ -101,7 +105,8 @@
 	case isStream && !rec.isCut && isWholeStream(rec.resumed+rec.body), !isStream && rec.body == "done":
 		r.report.Whole++
 	default:
-		r.violation("%s %s got a wrong body, cut %v, after %.200q: %.200q", rec.kind, rec.id, rec.isCut, rec.resumed, rec.body)
+		r.violation("%s %s at %s, sent at %s, got a wrong body, cut %v, after %.200q: %.200q", rec.kind, rec.id, rec.node, r.sinceStart(rec.start),
+			rec.isCut, rec.resumed, rec.body)
 	}
 }
 
@@ -114,14 +119,26 @@
 	return slices.ContainsFunc(r.world.allModels(), func(e *endpoint) bool { return slices.ContainsFunc(e.downAt, rec.isDuring) })
 }
 
-// nodeMayCut reports whether a fault or the end of its node may have cut the answer to a
-// request.
+// nodeMayCut reports whether a fault of its node may have cut the answer to a request, or its
+// SIGTERM: at the end of the grace period, if the request was sent by stopIntake.
 func (r *run) nodeMayCut(rec record) bool {
 	return slices.ContainsFunc(r.unplanned[rec.node], rec.isDuring) || slices.ContainsFunc(r.stopped[rec.node], func(stopped time.Time) bool {
-		return stopped.After(rec.start.Add(-graceTime)) && stopped.Before(rec.end)
+		return rec.start.Sub(stopped) <= stopIntake && rec.end.Sub(stopped) > graceTime
 	})
 }
 
+// checkOwnEnds checks that no process has ended by itself.
+func (r *run) checkOwnEnds() {
+	for _, n := range r.world.nodes {
+		n.mu.Lock()
+		ends := slices.Clone(n.ownEnds)
+		n.mu.Unlock()
+		for _, end := range ends {
+			r.violation("a process ended by itself: %s", end)
+		}
+	}
+}
+
 // isDuring reports whether a time is within the request's or shortly before.
 func (rec *record) isDuring(at time.Time) bool {
 	return at.After(rec.start.Add(-cutSlack)) && at.Before(rec.end)
--- a/internal/tool/soak/plan.go
+++ b/internal/tool/soak/plan.go
@@ -25,6 +25,9 @@
 	var faults sync.WaitGroup
 	faults.Go(func() { r.playEndpoints(ctx) })
 	faults.Go(func() { r.playLosses(ctx) })
+	if r.Earlier != "" {
+		faults.Go(func() { r.playMix(ctx) })
+	}
 	if r.world.rollout != nil {
 		faults.Go(func() { r.playRollout(ctx) })
 	}
--- a/internal/tool/soak/process.go
+++ b/internal/tool/soak/process.go
@@ -22,6 +22,12 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	starts  int
+	// hasEnded is closed when the process has ended, with waitErr. isEnded is set once a signal
+	// has been sent that ends it, and ownEnds describes the ends without one.
+	hasEnded chan struct{}
+	waitErr  error
+	isEnded  bool
+	ownEnds  []string
 
 	// settings follow those that all nodes have.
 	settings string
@@ -65,7 +71,29 @@
 	defer logFile.Close() //nolint:errcheck // the process has its own descriptor.
 	n.process = exec.Command(n.program, "entry", "--settings", settings)
 	n.process.Stdout, n.process.Stderr = logFile, logFile
-	return eris.Wrap(n.process.Start(), "start a node")
+	n.isEnded = false
+	if err := n.process.Start(); err != nil {
+		return eris.Wrap(err, "start a node")
+	}
+	process, hasEnded := n.process, make(chan struct{})
+	n.hasEnded = hasEnded
+	go func() {
+		err := process.Wait()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.waitErr = err; !n.isEnded {
+			n.ownEnds = append(n.ownEnds, fmt.Sprintf("%s, log %s: %v", n.name, n.logPath(), err))
+		}
+		close(hasEnded)
+	}()
+	return nil
+}
+
+// run sets the program that the node runs from its next start on.
+func (n *nodeProcess) run(program string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.program = program
 }
 
 // logPath returns the path of the log of the latest start. The caller holds n.mu.
@@ -86,16 +114,20 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.process != nil && n.process.Process != nil {
+		n.isEnded = n.isEnded || s == syscall.SIGTERM || s == syscall.SIGKILL
 		n.process.Process.Signal(s) //nolint:errcheck // the process may have ended.
 	}
 }
 
 func (n *nodeProcess) wait() error {
 	n.mu.Lock()
-	process := n.process
+	hasEnded := n.hasEnded
 	n.mu.Unlock()
-	if process == nil {
+	if hasEnded == nil {
 		return nil
 	}
-	return process.Wait()
+	<-hasEnded
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.waitErr
 }
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -36,6 +36,9 @@
 	// callers. Zero values select 10 s, 4 and 16.
 	Duration       time.Duration
 	Nodes, Callers int
+	// Earlier is the path of the program of an earlier build, "" if all nodes run Program; the
+	// seed says when nodes run it.
+	Earlier string
 }
 
 const (
@@ -98,6 +101,9 @@
 	if planned != nil {
 		o.Duration, o.Callers = cmp.Or(o.Duration, rolloutDuration), cmp.Or(o.Callers, rolloutCallers)
 	}
+	if o.Earlier != "" {
+		o.Duration = cmp.Or(o.Duration, mixOf(o.Seed).duration())
+	}
 	if o.Duration == 0 {
 		o.Duration = defaultDuration
 	}
@@ -112,7 +118,7 @@
 		unplanned: map[string][]time.Time{}, stopped: map[string][]time.Time{},
 	}
 	var err error
-	if r.world, err = newWorld(o.Program, o.Dir, o.Nodes, planned); err != nil {
+	if r.world, err = newWorld(o, planned); err != nil {
 		return r.report, err
 	}
 	defer r.world.close()
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -21,15 +21,23 @@
 // TestSoak plays seeds against real processes. With the flag -artifacts, their settings and
 // logs are kept in the folder that go test prints.
 func TestSoak(t *testing.T) {
+	playSeeds(t, *seedCount, Options{Program: buildProgram(t, "../../..")})
+}
+
+// buildProgram builds the program of a copy of the module. The paths of its folder are left out,
+// so that copies of the same packages are compiled once.
+func buildProgram(t *testing.T, module string) string {
 	program := filepath.Join(t.TempDir(), "goldcrestwick")
-	out, err := exec.Command("go", "build", "-o", program, "goldcrestwick/cmd/goldcrestwick").CombinedOutput()
+	out, err := exec.Command("go", "build", "-C", module, "-trimpath", "-o", program, "./cmd/goldcrestwick").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
-	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
-		dir := filepath.Join(t.ArtifactDir(), fmt.Sprint("seed_", seed))
-		qt.Assert(t, os.MkdirAll(dir, 0o700), qt.IsNil)
-		report, err := Run(t.Context(), Options{
-			Program: program, Dir: dir, Seed: seed, Duration: *duration, Nodes: *nodeCount,
-		})
+	return program
+}
+
+func playSeeds(t *testing.T, count uint64, o Options) {
+	for seed := *firstSeed; seed < *firstSeed+count; seed++ {
+		o.Dir, o.Seed, o.Duration, o.Nodes = filepath.Join(t.ArtifactDir(), fmt.Sprint("seed_", seed)), seed, *duration, *nodeCount
+		qt.Assert(t, os.MkdirAll(o.Dir, 0o700), qt.IsNil)
+		report, err := Run(t.Context(), o)
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("seed %d", seed))
 		t.Logf("seed %d: %d sent, %d whole, %d refused, %d of %d streams went on, %d of %d slow answers whole, %d crashes, %d falls, %d losses, %d faults, %d violations",
 			seed, report.Sent, report.Whole, report.Refused, report.GoneOn, report.TakenUp, report.SlowWhole, report.Slow, report.Crashes, report.Falls, report.Losses, len(report.Plan), len(report.Violations))
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -88,7 +88,7 @@
 	isLossDue bool
 }
 
-func newWorld(program, dir string, nodes int, planned *rollout) (*world, error) {
+func newWorld(o Options, planned *rollout) (*world, error) {
 	w := &world{isTaken: map[string]bool{}, rollout: planned}
 	w.server = httptest.NewServer(&w.cloud)
 	address := strings.TrimPrefix(w.server.URL, "http://")
@@ -121,8 +121,8 @@
 	}
 	w.listEndpoints()
 	w.writeSettings()
-	for i := range nodes {
-		n := &nodeProcess{name: fmt.Sprint("n", i), program: program, dir: dir, store: address}
+	for i := range o.Nodes {
+		n := &nodeProcess{name: fmt.Sprint("n", i), program: o.firstProgram(i), dir: o.Dir, store: address}
 		if planned != nil {
 			n.settings = rolloutSettings
 			n.serveStore(&w.cloud)
