Take no row for complete beside nodes that don't list releases first

Callers saw, beside nodes of a build before, streams that could go on at another software release (ORDER): a node that finds the origin of a stream nowhere trusts a row of the table releases that lists a single release. Cause: the row is complete only if every node lists a release before it uses it, which earlier builds don't do; a decision relied on a rule that not all nodes follow.

Rows of the table nodes of these builds have no schema. While such a node is a member, and for two minutes after, nodes don't use the proof, keep complete_since of all rows a minute ahead of the time, so that processes that start later don't use it either, and write the origins of all streams, with which named ones go on. Fleets without such nodes are as before.

--- a/internal/process/node/noderow.go
+++ b/internal/process/node/noderow.go
@@ -27,6 +27,18 @@
 	Schema int `json:"schema,omitempty"`
 }
 
+// earlierBuildTTL is the time for which a node of an earlier build that is no member may go on,
+// for example after a freeze.
+const earlierBuildTTL = 2 * time.Minute
+
+// earlierBuild is a node whose row has an earlier schema, or had until it was replaced. Builds
+// from before nodeRowSchema use releases before releaseTable lists them.
+type earlierBuild struct {
+	// ranAt is when it was last known to run.
+	ranAt      time.Time
+	isReplaced bool
+}
+
 // applyNodeRows applies changed rows of the table of nodes, which gives the
 // addresses of possible peers. After the first read, changes trigger a new search
 // for members.
@@ -52,6 +64,9 @@
 		if isFirst && row.Schema < nodeRowSchema {
 			n.tables.marks.hasOldNodes = true
 		}
+		if n.tables.learnBuild(r.Key, row.Schema, time.Now()) {
+			n.Log.Info("node_of_earlier_build", "node", r.Key, "schema", row.Schema, "is_replaced", row.Schema >= nodeRowSchema)
+		}
 		if err != nil {
 			n.Log.Warn("node_row_unreadable", "node", r.Key, "store_version", r.Version, "error", err)
 			continue
@@ -73,6 +88,40 @@
 	}
 }
 
+// learnBuild records the schema of a node's row, and reports whether the node is one of an
+// earlier build now, or no longer. The caller holds t.mu.
+func (t *tableState) learnBuild(name string, schema int, now time.Time) bool {
+	known, isEarlier := t.earlierBuilds[name]
+	switch {
+	case schema < nodeRowSchema:
+		if t.earlierBuilds == nil {
+			t.earlierBuilds = map[string]earlierBuild{}
+		}
+		t.earlierBuilds[name] = earlierBuild{ranAt: now}
+		return !isEarlier || known.isReplaced
+	case isEarlier && !known.isReplaced:
+		t.earlierBuilds[name] = earlierBuild{ranAt: now, isReplaced: true}
+		return true
+	}
+	return false
+}
+
+// mayUseUnlisted reports whether nodes may run that use releases before releaseTable lists them.
+func (n *Node) mayUseUnlisted(now time.Time) bool {
+	view := n.members.View()
+	n.tables.mu.Lock()
+	defer n.tables.mu.Unlock()
+	mayRun := false
+	for name, build := range n.tables.earlierBuilds {
+		if _, isMember := view.Find(ident.NodeID(name)); isMember && !build.isReplaced {
+			build.ranAt = now
+			n.tables.earlierBuilds[name] = build
+		}
+		mayRun = mayRun || now.Sub(build.ranAt) <= earlierBuildTTL
+	}
+	return mayRun
+}
+
 // registerNode writes this node's row and retries until the store confirms it or
 // ctx is done. With withMarks it marks all tables in the same transaction: rows without marks
 // may exist, and the row that this one overwrites may be all that shows it.
--- a/internal/process/node/releases.go
+++ b/internal/process/node/releases.go
@@ -96,6 +96,7 @@
 // observeReleases records the releases of the endpoints in a view.
 func (n *Node) observeReleases(v *roster.View) {
 	now := time.Now()
+	n.releases.listing.AssumeUnlisted(n.mayUseUnlisted(now))
 	n.releases.listing.Observe(n.releasesIn(v), n.endpointsAge(now) <= maxCensusAge, now)
 	n.updateMixed()
 }
--- a/internal/process/node/resume.go
+++ b/internal/process/node/resume.go
@@ -218,7 +218,7 @@
 // findStoredOrigin looks for the origin of a job's stream in the store, by reads that start
 // after the job came, since its stream may have begun just before. If the pool's row lists a
 // single release, no other can have begun the stream, since none is used before it is
-// listed.
+// listed, except by nodes of earlier builds.
 func (n *Node) findStoredOrigin(ctx context.Context, j *entry.Job, came time.Time, maxAge time.Duration) (o origin.Origin, result, reason string) {
 	if read := n.streams.originReads.running(j.Pool.ID); read != nil && j.Stream != "" {
 		// A node that has just started reads the origins.
@@ -231,7 +231,7 @@
 	if !read.wait(ctx) {
 		return o, originRefused, "the store could not be read"
 	}
-	if release, ok := read.row.Sole(int64(read.era), maxAge, time.Now()); ok {
+	if release, ok := read.row.Sole(int64(read.era), maxAge, time.Now()); ok && !n.mayUseUnlisted(time.Now()) {
 		return origin.Origin{Pool: j.Pool.ID, Release: release}, originSole, ""
 	}
 	if j.Stream == "" {
--- a/internal/process/node/tables.go
+++ b/internal/process/node/tables.go
@@ -67,6 +67,8 @@
 	// endpoint never stops leaving, whatever an older copy of its row says, but one
 	// that is started again under its name does not leave.
 	leaving map[string]int64
+	// earlierBuilds holds the nodes of earlier builds by name.
+	earlierBuilds map[string]earlierBuild
 	// hasEndpoints and hasNodes are set after the first read of each table.
 	hasEndpoints, hasNodes bool
 	// hadOwnRow is set if the table of nodes had this node's row when it was first read.
--- a/internal/process/origin/listing.go
+++ b/internal/process/origin/listing.go
@@ -20,6 +20,10 @@
 	dropDelay = 2 * time.Minute
 	// clockSkew is the most by which the clocks of two processes are assumed to differ.
 	clockSkew = 10 * time.Second
+	// unlistedMargin is how far ahead of the time CompleteSince of a row is while processes may
+	// use releases that are not listed, and unlistedRenewal the margin below which it is moved.
+	unlistedMargin  = time.Minute
+	unlistedRenewal = 30 * time.Second
 )
 
 // Listing decides which releases of each pool may serve. A release may do so once its pool's
@@ -34,6 +38,8 @@
 	pools     map[ident.PoolID]*poolListing
 	// changes counts the changes of what Admits returns.
 	changes int64
+	// mayUseUnlisted is set while processes may use releases that no row lists.
+	mayUseUnlisted bool
 	// isTableRead is set if pools that are not known yet have no row.
 	isTableRead bool
 }
@@ -192,12 +198,21 @@
 	return l.changes
 }
 
-// IsMixed reports whether a pool's row lists several releases, or will.
+// AssumeUnlisted sets whether processes may run that use releases before a row lists them. While
+// they do, rows are not complete, which the rows show to processes that start later.
+func (l *Listing) AssumeUnlisted(mayUse bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mayUseUnlisted = mayUse
+}
+
+// IsMixed reports whether a pool may have several releases: its row lists them, or will, or
+// processes may use others than it lists.
 func (l *Listing) IsMixed(id ident.PoolID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.pools[id]
-	return p != nil && len(union(p.row.Releases, p.lost, p.present)) > 1
+	return p != nil && (l.mayUseUnlisted || len(union(p.row.Releases, p.lost, p.present)) > 1)
 }
 
 // Pools returns the pools that are known.
--- a/internal/process/origin/plan.go
+++ b/internal/process/origin/plan.go
@@ -31,12 +31,16 @@
 			row.CompleteSince = now.UnixMilli()
 		}
 	}
+	if l.mayUseUnlisted && row.CompleteSince < now.Add(unlistedRenewal).UnixMilli() {
+		row.CompleteSince = now.Add(unlistedMargin).UnixMilli()
+	}
 	row.Releases = union(p.row.Releases, p.lost, p.present)
 	row.Gone = slices.DeleteFunc(slices.Clone(p.row.Gone), func(r ident.Release) bool { return slices.Contains(p.present, r) })
 	if isKeeper && p.row.Era == l.era {
 		p.markGone(&row, now)
 	}
-	isChanged = !slices.Equal(row.Releases, p.row.Releases) || !slices.Equal(row.Gone, p.row.Gone) || row.Era != p.row.Era
+	isChanged = !slices.Equal(row.Releases, p.row.Releases) || !slices.Equal(row.Gone, p.row.Gone) || row.Era != p.row.Era ||
+		row.CompleteSince > p.row.CompleteSince
 	row.Serial++
 	return row, isChanged && len(row.Releases) > 0
 }
