Refute only what others have said of a member's state

Each raise changes the views of all nodes, and with them the owners of cells and the coordinators of limits are computed anew.

Cause: any difference from the own entry was refuted. Only the state, the suspicion and a later incarnation can be said by others; all else follows from the incarnation.

--- a/internal/process/member/list.go
+++ b/internal/process/member/list.go
@@ -142,10 +142,12 @@
 }
 
 // refute raises this node's incarnation above that of m, if m is an update about
-// this node that differs from its own entry and is not older. It reports whether
-// it did.
+// this node that is later than its own entry or in which others have changed its state.
+// It reports whether it did. Nodes of earlier builds pass the entry on without the
+// fields that they do not know, which needs no answer.
 func (l *List) refute(m Member) bool {
-	if m.Incarnation < l.self.Incarnation || m == l.self {
+	isSame := m.Incarnation == l.self.Incarnation && m.State == l.self.State && m.Suspect == l.self.Suspect
+	if m.Incarnation < l.self.Incarnation || isSame {
 		return false
 	}
 	l.self.Incarnation = m.Incarnation + 1
