Pass a member's unknown state on as it is

A member in a state that a later build adds would be taken for dead by the nodes of this one, and passed on as dead to nodes that know the state, until it refutes that, again and again. An unknown state now is one of a member that lives and is not ready, and is passed on unchanged.

--- a/internal/connection/wire/builds_test.go
+++ b/internal/connection/wire/builds_test.go
@@ -225,3 +225,9 @@
 	}
 	return value
 }
+
+// TestUnknownMemberState guards against a state of a later build that is read as another one,
+// which nodes would pass on.
+func TestUnknownMemberState(t *testing.T) {
+	qt.Check(t, FromMember(Member{State: 9}.ToMember()).State, qt.Equals, uint8(9))
+}
--- a/internal/connection/wire/member.go
+++ b/internal/connection/wire/member.go
@@ -51,11 +51,12 @@
 	}
 }
 
-// ToMember converts a received member. A state out of range becomes member.Dead.
+// ToMember converts a received member. A state that is not known stays as it is: it is passed on
+// to nodes that know it.
 func (m Member) ToMember() member.Member {
 	return member.Member{
 		ID: ident.NodeID(m.ID), Region: ident.Region(m.Region), Zone: ident.AvailabilityZone(m.Zone),
-		PeerAddress: m.PeerAddress, CallerAddress: m.CallerAddress, State: min(member.State(m.State), member.Dead),
+		PeerAddress: m.PeerAddress, CallerAddress: m.CallerAddress, State: member.State(m.State),
 		Suspect: m.Suspect, Incarnation: m.Incarnation, Settings: ident.Version(m.SettingsVersion),
 		Capacity: max(m.Capacity, 0), HasNoPath: m.HasNoPath,
 	}
--- a/internal/process/member/builds_test.go
+++ b/internal/process/member/builds_test.go
@@ -35,3 +35,16 @@
 		qt.Check(t, l.Self().Incarnation, qt.Equals, said.Incarnation+1)
 	}
 }
+
+// TestUnknownState guards against a member in a state of a later build that is taken for dead, and
+// passed on as dead to nodes that know the state.
+func TestUnknownState(t *testing.T) {
+	l := &List{}
+	l.Start(Member{ID: "a", State: Ready, Incarnation: 1})
+	later := Member{ID: "b", State: Dead + 1, Incarnation: 1}
+	l.Merge([]Member{later})
+	qt.Check(t, l.View().Members, qt.HasLen, 2)
+	qt.Check(t, l.View().Ready(""), qt.HasLen, 1)
+	qt.Check(t, l.All(), qt.Contains, later)
+	qt.Check(t, later.State.String(), qt.Equals, "unknown")
+}
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -35,7 +35,7 @@
 type State uint8
 
 // The states. A member reports the first three itself; Dead is declared by the
-// other members.
+// other members. A member in a higher one, of a later build, lives and is not Ready.
 const (
 	Joining State = iota
 	Ready
@@ -45,7 +45,7 @@
 
 // String returns the state in lower case.
 func (s State) String() string {
-	return [...]string{"joining", "ready", "leaving", "dead"}[min(s, Dead)]
+	return [...]string{"joining", "ready", "leaving", "dead", "unknown"}[min(s, Dead+1)]
 }
 
 // Member is the membership entry of one node.
