--- /dev/null
+++ b/internal/process/node/rows_test.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestwick/internal/process/canary"
+	"goldcrestwick/internal/process/origin"
+	"goldcrestwick/internal/process/poison"
+	"goldcrestwick/internal/process/store"
+)
+
+// rowDecoders decode the rows of this program's tables as nodes do.
+var rowDecoders = map[string]func([]byte) (any, error){
+	"nodes": decodeAs[nodeRow], "quarantine": decodeAs[quarantineRow], "marks": decodeAs[tableMark],
+	"origins": decodeAs[originRow], "rollouts": decodeAs[rolloutRow],
+	"releases": func(value []byte) (any, error) { return decodeReleaseRow(store.Row{Version: 1, Value: value}) },
+	"crashes": func(value []byte) (any, error) {
+		report, _, err := decodeCrashRow("p", value, time.UnixMilli(1_800_000_000_000))
+		return report, err
+	},
+}
+
+func decodeAs[T any](value []byte) (any, error) {
+	var row T
+	err := json.Unmarshal(value, &row)
+	return row, err
+}
+
+// TestRowsOfOtherBuilds guards against rows in the store that a node cannot use since another
+// build wrote them, with fields that this one does not know or without some that it has.
+func TestRowsOfOtherBuilds(t *testing.T) {
+	text, err := os.ReadFile("testdata/rows.txt")
+	qt.Assert(t, err, qt.IsNil)
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		parts := strings.SplitN(strings.TrimSpace(line), " ", 3)
+		comment, decode := qt.Commentf("%s", line), rowDecoders[parts[1]]
+		row, err := decode([]byte(parts[2]))
+		qt.Assert(t, err, qt.IsNil, comment)
+
+		fields := func() map[string]any {
+			var fields map[string]any
+			qt.Assert(t, json.Unmarshal([]byte(parts[2]), &fields), qt.IsNil, comment)
+			return fields
+		}
+		later := fields()
+		later["new_text"], later["new_list"] = "x", []any{map[string]any{"deep": []any{1.5, nil}}}
+		again, err := decode(encodeJSON(t, later))
+		qt.Check(t, err, qt.IsNil, comment)
+		qt.Check(t, again, qt.DeepEquals, row, comment)
+		for name := range fields() {
+			earlier := fields()
+			delete(earlier, name)
+			_, err := decode(encodeJSON(t, earlier))
+			qt.Check(t, err, qt.IsNil, qt.Commentf("%s without %s", line, name))
+		}
+	}
+}
+
+func encodeJSON(t *testing.T, value any) []byte {
+	raw, err := json.Marshal(value)
+	qt.Assert(t, err, qt.IsNil)
+	return raw
+}
+
+// TestMeaningOfOtherBuilds guards against fields that are missing, or values that are not known
+// yet, which are taken for something that another build did not mean.
+func TestMeaningOfOtherBuilds(t *testing.T) {
+	row, err := decodeReleaseRow(store.Row{Version: 1, Value: []byte(`{"releases":["v1"]}`)})
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, row, qt.DeepEquals, origin.Row{Releases: row.Releases, Era: unknownEra})
+	_, isSole := row.Sole(0, 0, time.UnixMilli(1_800_000_000_000))
+	qt.Check(t, isSole, qt.IsFalse, qt.Commentf("the row of a build that did not list releases first"))
+	qt.Check(t, rolloutRow{State: "paused"}.canaryState(), qt.Equals, canary.Running)
+	report, _, err := decodeCrashRow("p", []byte(`{"written_unix_ms":1800000000000,"crashes":[{"endpoint":"e","traits":["not hexadecimal","ff"]}]}`), time.UnixMilli(1_800_000_000_000))
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, report.Crashes[0].Endpoint, qt.Equals, poison.Endpoint{Pool: "p", ID: "e"})
+	qt.Check(t, len(report.Crashes[0].Traits), qt.Equals, 1)
+}
