Soak: silent models after changes, odd rows, stops of all nodes, a release that joins

The soak learns faults that users have reported. In seeds that leave 1 or 2 when divided by 5, all or most models fall silent 0.6 s after a change of the settings, odd rows are written among those of the endpoints, all nodes get SIGTERM one after the other, and nodes start again at the addresses that they had. In those that leave 1, the models have one release at first, and the second one joins while a node is frozen. Violations name nodes of the earlier build.

--- a/internal/tool/soak/check.go
+++ b/internal/tool/soak/check.go
@@ -97,7 +97,7 @@
 	}
 	isStream := rec.kind == "chat" || rec.kind == "label"
 	if rec.isCut && !r.mayBeCut(rec) {
-		r.violation("%s %s at %s was cut between %s and %s with no fault but silent endpoints", rec.kind, rec.id, rec.node,
+		r.violation("%s %s at %s was cut between %s and %s with no fault but silent endpoints", rec.kind, rec.id, r.nodeOf(rec),
 			r.sinceStart(rec.start), r.sinceStart(rec.end))
 	}
 	switch {
@@ -105,7 +105,7 @@
 	case isStream && !rec.isCut && isWholeStream(rec.resumed+rec.body), !isStream && rec.body == "done":
 		r.report.Whole++
 	default:
-		r.violation("%s %s at %s, sent at %s, got a wrong body, cut %v, after %.200q: %.200q", rec.kind, rec.id, rec.node, r.sinceStart(rec.start),
+		r.violation("%s %s at %s, sent at %s, got a wrong body, cut %v, after %.200q: %.200q", rec.kind, rec.id, r.nodeOf(rec), r.sinceStart(rec.start),
 			rec.isCut, rec.resumed, rec.body)
 	}
 }
@@ -162,7 +162,7 @@
 		}
 	}
 	r.violation("%s %s at %s got no answer from %s between %s and %s, %d arrivals: %v",
-		rec.kind, rec.id, r.sinceStart(rec.start), rec.node, r.sinceStart(rec.start), r.sinceStart(rec.end), arrivals, rec.err)
+		rec.kind, rec.id, r.sinceStart(rec.start), r.nodeOf(rec), r.sinceStart(rec.start), r.sinceStart(rec.end), arrivals, rec.err)
 }
 
 // lostTime is the time within which a connection may be closed on which a request has
--- a/internal/tool/soak/endpoint.go
+++ b/internal/tool/soak/endpoint.go
@@ -31,8 +31,10 @@
 	limitedAt time.Time
 	// crashedAt holds the crashes under crashingPart and crashingPath, and downAt all.
 	crashedAt, downAt []time.Time
-	// spoken is not nil while the endpoint is silent, and closed at the end of that.
-	spoken chan struct{}
+	// spoken is not nil while the endpoint is silent, and closed at the end of that. silences
+	// counts the faults that keep it silent.
+	spoken   chan struct{}
+	silences int
 	// refusedAt holds the latest refusals for want of room, and falls counts how often the
 	// endpoint fell over for too many.
 	refusedAt []time.Time
@@ -94,14 +96,17 @@
 
 // list writes the row of the endpoint unless it has stopped or not yet started.
 func (e *endpoint) list() {
-	e.mu.Lock()
-	isListed := !e.isStopped && e.state != ""
-	e.mu.Unlock()
-	if isListed {
+	if e.isListed() {
 		e.world.put("servers", e.name, e.row())
 	}
 }
 
+func (e *endpoint) isListed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.isStopped && e.state != ""
+}
+
 func (e *endpoint) row() map[string]any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/tool/soak/loss.go
+++ b/internal/tool/soak/loss.go
@@ -57,6 +57,7 @@
 // takeAll waits until no node has a fault and takes all of them. It returns false if ctx is
 // done first.
 func (w *world) takeAll(ctx context.Context) bool {
+	w.allTaken.Lock()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.isLossDue = true
@@ -65,6 +66,7 @@
 		time.Sleep(lossPoll)
 		w.mu.Lock()
 		if ctx.Err() != nil {
+			w.allTaken.Unlock()
 			return false
 		}
 	}
@@ -79,4 +81,5 @@
 	defer w.mu.Unlock()
 	clear(w.isTaken)
 	w.isLossDue = false
+	w.allTaken.Unlock()
 }
--- a/internal/tool/soak/mixed.go
+++ b/internal/tool/soak/mixed.go
@@ -84,3 +84,13 @@
 		time.Sleep(time.Duration(random.Int64N(int64(replacePause))))
 	}
 }
+
+// nodeOf describes the node that a request was sent to.
+func (r *run) nodeOf(rec record) string {
+	for _, n := range r.world.nodes {
+		if n.name == rec.node && r.Earlier != "" && n.programAt(rec.start) == r.Earlier {
+			return n.name + " of the earlier build"
+		}
+	}
+	return rec.node
+}
--- a/internal/tool/soak/plan.go
+++ b/internal/tool/soak/plan.go
@@ -25,6 +25,9 @@
 	var faults sync.WaitGroup
 	faults.Go(func() { r.playEndpoints(ctx) })
 	faults.Go(func() { r.playLosses(ctx) })
+	if r.hasVariants() {
+		faults.Go(func() { r.playVariants(ctx) })
+	}
 	if r.Earlier != "" {
 		faults.Go(func() { r.playMix(ctx) })
 	}
@@ -165,6 +168,9 @@
 
 func (r *run) drainEndpoint(faults *sync.WaitGroup) {
 	e, pause := r.world.models[r.rand.IntN(len(r.world.models))], time.Duration(1000+r.rand.IntN(2000))*time.Millisecond
+	if !e.isListed() {
+		return // its release has not joined yet.
+	}
 	r.note("%s drains", e.name)
 	e.setState("draining")
 	r.world.listEndpoints()
--- a/internal/tool/soak/process.go
+++ b/internal/tool/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -28,14 +30,37 @@
 	waitErr  error
 	isEnded  bool
 	ownEnds  []string
+	// programs holds the programs that the node has run, in order.
+	programs []startedProgram
 
 	// settings follow those that all nodes have.
 	settings string
+	// callerAddress and peerAddress, if not empty, replace the ones of settingsFormat, whose
+	// ports the system chooses at each start.
+	callerAddress, peerAddress string
 	// ownStore serves the store to this node alone, and isCutOff ends that.
 	ownStore *httptest.Server
 	isCutOff atomic.Bool
 }
 
+// startedProgram is a program that was started at a time.
+type startedProgram struct {
+	at      time.Time
+	program string
+}
+
+// programAt returns the program that the node ran at a time.
+func (n *nodeProcess) programAt(at time.Time) (program string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.programs {
+		if !p.at.After(at) {
+			program = p.program
+		}
+	}
+	return program
+}
+
 // serveStore gives the node a server of its own for the store, so that the node can be cut
 // off from it.
 func (n *nodeProcess) serveStore(store http.Handler) {
@@ -61,7 +86,12 @@
 	defer n.mu.Unlock()
 	n.starts++
 	settings := filepath.Join(n.dir, n.name+".ini")
-	if err := os.WriteFile(settings, fmt.Appendf(nil, settingsFormat+n.settings, n.name, n.store), 0o600); err != nil {
+	text := fmt.Sprintf(settingsFormat+n.settings, n.name, n.store)
+	if n.peerAddress != "" {
+		text = strings.NewReplacer("caller_address = 127.0.0.1:0", "caller_address = "+n.callerAddress,
+			"peer_address = 127.0.0.1:0", "peer_address = "+n.peerAddress).Replace(text)
+	}
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return eris.Wrap(err, "write settings")
 	}
 	logFile, err := os.Create(n.logPath())
@@ -71,7 +101,7 @@
 	defer logFile.Close() //nolint:errcheck // the process has its own descriptor.
 	n.process = exec.Command(n.program, "entry", "--settings", settings)
 	n.process.Stdout, n.process.Stderr = logFile, logFile
-	n.isEnded = false
+	n.isEnded, n.programs = false, append(n.programs, startedProgram{time.Now(), n.program})
 	if err := n.process.Start(); err != nil {
 		return eris.Wrap(err, "start a node")
 	}
@@ -89,6 +119,20 @@
 	return nil
 }
 
+// keepAddresses makes the node's later starts use the addresses of its row, as on a machine of its
+// own. Its IP address is its own, so that no other process takes the ports meanwhile.
+func (n *nodeProcess) keepAddresses(w *world) {
+	var row struct {
+		CallerAddress string `json:"caller_address"`
+		PeerAddress   string `json:"peer_address"`
+	}
+	if json.Unmarshal(w.cloud.Rows("nodes")[n.name], &row) == nil {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.callerAddress, n.peerAddress = row.CallerAddress, row.PeerAddress
+	}
+}
+
 // run sets the program that the node runs from its next start on.
 func (n *nodeProcess) run(program string) {
 	n.mu.Lock()
--- a/internal/tool/soak/silence.go
+++ b/internal/tool/soak/silence.go
@@ -8,11 +8,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if isSilent {
-		e.spoken = make(chan struct{})
+		if e.silences++; e.silences == 1 {
+			e.spoken = make(chan struct{})
+		}
 		return
 	}
-	close(e.spoken)
-	e.spoken = nil
+	if e.silences--; e.silences == 0 {
+		close(e.spoken)
+		e.spoken = nil
+	}
 }
 
 // waitSpoken waits until the endpoint is not silent.
--- a/internal/tool/soak/slow.go
+++ b/internal/tool/soak/slow.go
@@ -78,9 +78,9 @@
 		switch {
 		case rec.status != http.StatusOK:
 		case !strings.HasPrefix(fileText, rec.body) || !rec.isCut && len(rec.body) < len(fileText):
-			r.violation("slow %s at %s got a wrong body of %d bytes, cut %v", rec.id, rec.node, len(rec.body), rec.isCut)
+			r.violation("slow %s at %s got a wrong body of %d bytes, cut %v", rec.id, r.nodeOf(rec), len(rec.body), rec.isCut)
 		case rec.isCut && !r.nodeMayCut(rec):
-			r.violation("slow %s at %s was cut after %d bytes between %s and %s with no fault of its node", rec.id, rec.node, len(rec.body),
+			r.violation("slow %s at %s was cut after %d bytes between %s and %s with no fault of its node", rec.id, r.nodeOf(rec), len(rec.body),
 				r.sinceStart(rec.start), r.sinceStart(rec.end))
 		case !rec.isCut:
 			r.report.SlowWhole++
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -7,7 +7,9 @@
 // that is away, slow or older, the kill of all nodes at once, settings that change, endpoints that crash by themselves,
 // under a part of a prompt or a request, name a limit, fall silent for a moment, or are
 // brittle. In one of five seeds a rollout moves the models to another release, which is good or bad,
-// while its conductor is killed, paused or cut off from the store. Some callers read long answers slowly. Models of two software releases serve, and callers take up streams that are cut
+// while its conductor is killed, paused or cut off from the store. In two of five, models fall silent after
+// changes of the settings, odd rows are among those of the endpoints, and all nodes are stopped one after the
+// other; in one of these, a release joins while a node is frozen. Nodes may be of two builds. Some callers read long answers slowly. Models of two software releases serve, and callers take up streams that are cut
 // at other nodes. Faults overlap. Timing differs from run to
 // run, so a seed repeats the plan, not every event.
 //
@@ -118,7 +120,7 @@
 		unplanned: map[string][]time.Time{}, stopped: map[string][]time.Time{},
 	}
 	var err error
-	if r.world, err = newWorld(o, planned); err != nil {
+	if r.world, err = newWorldOf(o.firstProgram, o.Dir, o.Nodes, o.hasVariants(), planned); err != nil {
 		return r.report, err
 	}
 	defer r.world.close()
@@ -129,6 +131,14 @@
 		return r.report, err
 	}
 	r.start = time.Now()
+	if o.hasVariants() {
+		for _, n := range r.world.nodes {
+			n.keepAddresses(r.world)
+		}
+	}
+	if o.hasJoin() {
+		r.world.unlistJoining()
+	}
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for i := range o.Callers {
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -80,6 +80,9 @@
 	rollout *rollout
 	targets []*endpoint
 
+	// allTaken is held while all nodes are taken for a fault.
+	allTaken sync.Mutex
+
 	mu      sync.Mutex
 	version int
 	isTaken map[string]bool
@@ -88,7 +91,13 @@
 	isLossDue bool
 }
 
-func newWorld(o Options, planned *rollout) (*world, error) {
+func newWorld(program, dir string, nodes int, planned *rollout) (*world, error) {
+	return newWorldOf(func(int) string { return program }, dir, nodes, false, planned)
+}
+
+// newWorldOf returns a world whose nodes run the programs that firstProgram returns, at IP
+// addresses of their own if hasOwnIP is set.
+func newWorldOf(firstProgram func(node int) string, dir string, nodes int, hasOwnIP bool, planned *rollout) (*world, error) {
 	w := &world{isTaken: map[string]bool{}, rollout: planned}
 	w.server = httptest.NewServer(&w.cloud)
 	address := strings.TrimPrefix(w.server.URL, "http://")
@@ -121,8 +130,12 @@
 	}
 	w.listEndpoints()
 	w.writeSettings()
-	for i := range o.Nodes {
-		n := &nodeProcess{name: fmt.Sprint("n", i), program: o.firstProgram(i), dir: o.Dir, store: address}
+	for i := range nodes {
+		n := &nodeProcess{name: fmt.Sprint("n", i), program: firstProgram(i), dir: dir, store: address}
+		if hasOwnIP {
+			n.callerAddress = fmt.Sprintf("127.0.1.%d:0", 1+i)
+			n.peerAddress = n.callerAddress
+		}
 		if planned != nil {
 			n.settings = rolloutSettings
 			n.serveStore(&w.cloud)
