--- a/internal/process/node/resume.go
+++ b/internal/process/node/resume.go
@@ -238,7 +238,7 @@
 // findStoredOrigin looks for the origin of a job's stream in the store, by reads that start
 // after the job came, since its stream may have begun just before. If the stream can have begun
 // in one pool only, whose row lists a single release, no other can have begun the stream, since
-// none is used before it is listed.
+// none is used before it is listed, except by nodes of earlier builds.
 func (n *Node) findStoredOrigin(ctx context.Context, j *entry.Job, r *config.Route, came time.Time) (o origin.Origin, result, reason string) {
 	pools := n.streamPools(r)
 	for _, pool := range pools {
@@ -255,7 +255,7 @@
 		if !read.wait(ctx) {
 			return o, originRefused, "the store could not be read"
 		}
-		if release, ok := read.row.Sole(int64(read.era), maxStreamAge*r.Timeout, time.Now()); ok {
+		if release, ok := read.row.Sole(int64(read.era), maxStreamAge*r.Timeout, time.Now()); ok && !n.mayUseUnlisted(time.Now()) {
 			return origin.Origin{Pool: pools[0], Release: release}, originSole, ""
 		}
 	}
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -81,6 +81,9 @@
 	rollout *rollout
 	targets []*endpoint
 
+	// allTaken is held while all nodes are taken for a fault.
+	allTaken sync.Mutex
+
 	mu      sync.Mutex
 	version int
 	// timeout replaces routeTimeout if it is not 0.
@@ -92,6 +95,12 @@
 }
 
 func newWorld(program, dir string, nodes int, planned *rollout) (*world, error) {
+	return newWorldOf(func(int) string { return program }, dir, nodes, false, planned)
+}
+
+// newWorldOf returns a world whose nodes run the programs that firstProgram returns, at IP
+// addresses of their own if hasOwnIP is set.
+func newWorldOf(firstProgram func(node int) string, dir string, nodes int, hasOwnIP bool, planned *rollout) (*world, error) {
 	w := &world{isTaken: map[string]bool{}, rollout: planned}
 	w.server = httptest.NewServer(&w.cloud)
 	address := strings.TrimPrefix(w.server.URL, "http://")
@@ -125,7 +134,11 @@
 	w.listEndpoints()
 	w.writeSettings()
 	for i := range nodes {
-		n := &nodeProcess{name: fmt.Sprint("n", i), program: program, dir: dir, store: address}
+		n := &nodeProcess{name: fmt.Sprint("n", i), program: firstProgram(i), dir: dir, store: address}
+		if hasOwnIP {
+			n.callerAddress = fmt.Sprintf("127.0.1.%d:0", 1+i)
+			n.peerAddress = n.callerAddress
+		}
 		if planned != nil {
 			n.settings = rolloutSettings
 			n.serveStore(&w.cloud)
