Tell the other nodes when a node ends

After all nodes had been stopped, callers below the highest tier waited up to 2.9 s for the first one that was back (shutdown_all_nodes: 'waited=2.235s').

Cause: nobody said that a leaving node was gone. For about 3 s it stayed a member, and a node that takes over a cell lets lower tiers wait until every member has replied.

A node that has answered its last request now declares itself dead to its neighbors, while it writes its remaining state. Such a member does not count as failed for the limits, even if nobody had heard that it was leaving.

--- a/internal/process/member/list.go
+++ b/internal/process/member/list.go
@@ -48,7 +48,7 @@
 	since time.Time
 	// transmits counts how many times the last update was transmitted.
 	transmits int
-	// hasLeft is set on a dead member whose state was Leaving before.
+	// hasLeft is set on a dead member that was leaving, or has said itself that it ends.
 	hasLeft bool
 }
 
@@ -136,7 +136,8 @@
 	if old != nil && m.State >= Leaving && old.State < m.State {
 		l.urgent.Set()
 	}
-	hasLeft := old != nil && m.State == Dead && (old.State == Leaving || old.hasLeft)
+	// Members that are declared dead by others were suspect before.
+	hasLeft := old != nil && m.State == Dead && (!m.Suspect || old.State == Leaving || old.hasLeft)
 	l.all[m.ID] = &record{Member: m, since: time.Now(), hasLeft: hasLeft}
 	return true
 }
@@ -185,7 +186,7 @@
 }
 
 // RecentlyFailed returns the number of members that this node has recorded as dead
-// for less than the given time and that were not Leaving before. They may be
+// for less than the given time and that did not leave. They may be
 // partitioned rather than dead. Dead members are forgotten after tombstoneTTL.
 func (l *List) RecentlyFailed(within time.Duration) int {
 	l.mu.Lock()
--- a/internal/process/member/list_test.go
+++ b/internal/process/member/list_test.go
@@ -231,3 +231,24 @@
 		}
 	})
 }
+
+// TestEndedMember guards against limits that are lowered for a node which has ended gracefully as
+// for one that may live behind a partition, though nobody has heard that it was leaving.
+func TestEndedMember(t *testing.T) {
+	l := &List{}
+	l.Start(Member{ID: "n1", State: Ready})
+	l.Merge([]Member{{ID: "n2", State: Ready, Incarnation: 1}, {ID: "n3", State: Ready, Incarnation: 1}})
+	l.Merge([]Member{{ID: "n2", State: Dead, Incarnation: 2}, {ID: "n3", State: Dead, Suspect: true, Incarnation: 1}})
+	qt.Check(t, l.View().Members, qt.HasLen, 1)
+	qt.Check(t, l.RecentlyFailed(time.Minute), qt.Equals, 1)
+}
+
+// TestServingMembers guards against a fleet without anybody to serve while all nodes leave.
+func TestServingMembers(t *testing.T) {
+	view := &View{Members: []Member{
+		{ID: "n1", State: Leaving}, {ID: "n2", State: Leaving, IsClosing: true}, {ID: "n3", State: Leaving, Suspect: true}, {ID: "n4", State: Joining},
+	}}
+	qt.Check(t, view.Serving(""), qt.DeepEquals, view.Members[:1])
+	qt.Check(t, (&View{Members: view.Members[1:]}).Serving(""), qt.DeepEquals, view.Members[1:3])
+	qt.Check(t, (&View{Members: append(view.Members, Member{ID: "n5", State: Ready})}).Serving(""), qt.HasLen, 1)
+}
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -34,8 +34,8 @@
 // State is a member's lifecycle state.
 type State uint8
 
-// The states. A member reports the first three itself; Dead is declared by the
-// other members.
+// The states. A member reports the first three itself, and Dead when it ends gracefully;
+// otherwise the other members declare it dead.
 const (
 	Joining State = iota
 	Ready
--- a/internal/process/node/peers.go
+++ b/internal/process/node/peers.go
@@ -85,9 +85,14 @@
 func (n *Node) broadcastState() {
 	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
 	defer cancel()
+	n.sendState(ctx, n.members.Neighbors(ctx))
+}
+
+// sendState sends this node's state to those of the members that are in its region.
+func (n *Node) sendState(ctx context.Context, to []member.Member) {
 	self := n.members.Self()
 	var pending sync.WaitGroup
-	for _, m := range n.members.Neighbors(ctx) {
+	for _, m := range to {
 		if m.Region != self.Region {
 			continue
 		}
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -16,6 +16,8 @@
 	// the node up before it began to leave, and may not be cut. It covers the time until the
 	// process has handled the signal.
 	lateMargin = 750 * time.Millisecond
+	// endNoticeTimeout bounds the time in which the node tells the others that it ends.
+	endNoticeTimeout = 150 * time.Millisecond
 	// answerTime is the time after Shutdown.ServeTime for the answers that end the requests.
 	answerTime = 150 * time.Millisecond
 )
@@ -51,6 +53,7 @@
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
+		n.announceEnd()
 		n.Stop()
 	}()
 	select {
@@ -61,6 +64,17 @@
 	return err
 }
 
+// announceEnd tells the neighbors that this node ends. They would find out in about 3 s, and
+// until then the node that takes over its cells waits for its reply before it grants anything
+// below the highest tier.
+func (n *Node) announceEnd() {
+	ctx, cancel := context.WithTimeout(context.Background(), endNoticeTimeout)
+	defer cancel()
+	neighbors := n.members.Neighbors(ctx)
+	n.members.SetSelf(func(m *member.Member) { m.State = member.Dead })
+	n.sendState(ctx, neighbors)
+}
+
 // Leave marks the node as leaving, which hands its cells and account limits over to other nodes,
 // and reports this to members of its region. Requests are served until Stop.
 func (n *Node) Leave() {
