--- a/internal/tool/soak/slow.go
+++ b/internal/tool/soak/slow.go
@@ -36,12 +36,7 @@
 // The answers that it got, whole or not, are in r.slow.
 func (r *run) runSlowCaller(ctx context.Context, number int) {
 	random := rand.New(rand.NewPCG(r.Seed, uint64(1<<33+number)))
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowReceiveBytes) //nolint:errcheck // the caller is only less slow.
-		})
-	}}
-	client := &http.Client{Timeout: slowTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+	client := newSlowClient()
 	for i := 0; ctx.Err() == nil; i++ {
 		rec := record{id: fmt.Sprintf("%d-slow%d-%d", r.Seed, number, i), kind: "file"}
 		var address string
@@ -58,6 +53,16 @@
 	}
 }
 
+// newSlowClient returns a client whose connections buffer little.
+func newSlowClient() *http.Client {
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, slowReceiveBytes) //nolint:errcheck // the caller is only less slow.
+		})
+	}}
+	return &http.Client{Timeout: slowTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+}
+
 // readSlowly reads slowStep bytes after each slowPause.
 func readSlowly(body io.Reader) ([]byte, error) {
 	var all []byte
--- a/internal/tool/soak/stop_test.go
+++ b/internal/tool/soak/stop_test.go
@@ -32,6 +32,9 @@
 	// stopTimeout is the timeout of the routes, so long that a request which is not served
 	// is still open at the end of the grace period.
 	stopTimeout = 20 * time.Second
+	// stopSlowStart is when a slow caller asks the first node for a file, so that it has all of
+	// it shortly before the end of the grace period.
+	stopSlowStart = 1800 * time.Millisecond
 	// stopMinShare is the least share of the usual answers in each second in which the
 	// stopping nodes still serve.
 	stopMinShare = 0.5
@@ -76,6 +79,17 @@
 		})
 		time.Sleep(stopInterval)
 	}
+	callers.Go(func() {
+		// Its endpoint is done at once, and the answer can still be delivered in time.
+		rec := record{id: "slow", kind: "file", node: "n0", readSlowly: true}
+		address := r.world.addresses()["n0"]
+		time.Sleep(time.Until(first.Add(stopSlowStart)))
+		rec.send(ctx, newSlowClient(), address)
+		qt.Check(t, len(rec.body), qt.Equals, fileBytes, qt.Commentf("an answer that a caller read slowly, until %.2fs", rec.end.Sub(first).Seconds()))
+	})
+	for _, n := range r.world.nodes {
+		n.signal(syscall.SIGTERM) // operators repeat it.
+	}
 	ended.Wait()
 	time.Sleep(stopSteady)
 	stopCallers()
