Let slow callers take the rest of their answers while a stopping node writes its state

A caller that read slowly got 11,948,685 of 12,582,912 bytes from a node that stopped, though the node had the whole answer. Cause: the process ended as soon as its state was written, 0.85 s before the end of the grace period. It now waits for the connections of such callers for up to 0.7 s, the time that it allows itself for the state anyway. TestAllNodesStop failed before ('got: int want: int') and passes, with a process that ends 7.70 s after the signal.

--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -10,7 +10,7 @@
 
 const (
 	// stopTimeout bounds the time in which a node that serves no requests any more writes its
-	// remaining state.
+	// remaining state and slow callers take the rest of their answers.
 	stopTimeout = 700 * time.Millisecond
 	// lateMargin is the last part of Shutdown.DrainDelay. The callers that send then have looked
 	// the node up before it began to leave, and may not be cut. It covers the time until the
@@ -50,15 +50,21 @@
 	tick.Sleep(ctx, time.Until(began.Add(s.DrainDelay)))
 	err := s.CloseCallers(ctx)
 	n.WaitDetours(ctx)
+	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
 		n.announceEnd()
 		n.Stop()
 	}()
+	if err != nil {
+		// Only answers to slow callers are left, which need nothing but the process.
+		err = s.CloseCallers(stopCtx)
+	}
 	select {
 	case <-stopped:
-	case <-time.After(stopTimeout):
+	case <-stopCtx.Done():
 		n.Log.Warn("ledger_may_be_unwritten", "reason", "the grace period is over")
 	}
 	return err
