Hand the limits over between nodes that all leave

When all nodes were shut down, an account within its limit was refused: the last node to leave handed its levels to one that knew it as ready yet, and so took nobody for the next coordinator, since nodes that leave coordinate only while no other is left. The receiver now judges as if the sender were gone. A node that closes or ends hands its levels over before it says so, as one that leaves does.

Before: account_limit_all_nodes_stop 'a2 ... status:429 retryAfter:0.59', with 'limit_taken_over origin=initial fill=300'; after, 'origin=handed_over fill=1000' and the script passes.

--- a/internal/process/node/limits.go
+++ b/internal/process/node/limits.go
@@ -56,7 +56,8 @@
 		}
 	}
 	if len(candidates) == 0 {
-		candidates = slices.DeleteFunc(slices.Clone(v.Serving("")), func(m member.Member) bool { return m.ID == except })
+		others := slices.DeleteFunc(slices.Clone(v.Members), func(m member.Member) bool { return m.ID == except })
+		candidates = (&member.View{Members: others}).Serving("")
 	}
 	if len(candidates) == 0 {
 		return member.Member{}, false
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -46,6 +46,7 @@
 	defer cancel()
 	tick.Sleep(ctx, time.Until(began.Add(s.DrainDelay-lateMargin)))
 	n.members.SetSelf(func(m *member.Member) { m.IsClosing = true })
+	n.handOverLimits()
 	n.broadcastState()
 	tick.Sleep(ctx, time.Until(began.Add(s.DrainDelay)))
 	err := s.CloseCallers(ctx)
@@ -78,6 +79,7 @@
 	defer cancel()
 	neighbors := n.members.Neighbors(ctx)
 	n.members.SetSelf(func(m *member.Member) { m.State = member.Dead })
+	n.handOverLimits()
 	n.sendState(ctx, neighbors)
 }
 
