Choose the Retry-After of a stopping node by whether another one is ready

A node that stops refused long requests with 0.2 s also when it was the last one; callers try only a few times and would have given up before a node was back. It is 1 s then.

--- a/internal/request/proxy/finish.go
+++ b/internal/request/proxy/finish.go
@@ -72,7 +72,7 @@
 	case s.parent.Err() != nil:
 		s.result.Refusal = refuse.NewMayHaveRun(refuse.CallerGone, "the caller went away")
 	case s.isEndedByStop(ctx) && !s.mayHaveRun:
-		s.result.Refusal = newStopRefusal()
+		s.result.Refusal = p.newStopRefusal()
 	case s.isEndedByStop(ctx):
 		s.result.Refusal = refuse.NewMayHaveRun(refuse.NodeStopping, "this node stopped before the answer was whole")
 	case !s.mayHaveRun:
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -219,6 +219,9 @@
 	// requests are never served through other nodes.
 	Reach  *reach.Monitor
 	Detour func(context.Context, *Request, http.ResponseWriter) (Result, bool)
+	// IsAlone reports whether no node is ready, for the callers that this one refuses because it
+	// stops. Nil means that others are.
+	IsAlone func() bool
 	// Record is called for each dispatch and each retry; it may be nil.
 	Record func(trace.Record)
 
@@ -269,7 +272,7 @@
 	s := &requestState{Request: r, w: w, parent: ctx, job: p.newJob(r), attempts: r.EarlierAttempts}
 	s.stream.resumeFrom(r)
 	if p.stop.refusesNew(r.Deadline) {
-		return p.finishWithoutGrant(ctx, s, newStopRefusal())
+		return p.finishWithoutGrant(ctx, s, p.newStopRefusal())
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
--- a/internal/request/proxy/stop.go
+++ b/internal/request/proxy/stop.go
@@ -14,8 +14,10 @@
 	// minServeTime is the least time until the end of serving for which a request whose
 	// deadline is later is still sent: most of those that are sent later would be cut.
 	minServeTime = 2 * time.Second
-	// stopRetryAfter is the wait after which a caller may try another node.
-	stopRetryAfter = 200 * time.Millisecond
+	// stopRetryAfter is the wait after which a caller may try another node, and aloneRetryAfter
+	// that while no other one is ready: callers try only a few times.
+	stopRetryAfter  = 200 * time.Millisecond
+	aloneRetryAfter = time.Second
 )
 
 // stopState is how far the stop of the node has come. The zero value is that of a node that does
@@ -91,7 +93,7 @@
 	if refusal == nil {
 		grant.Complete(sched.Completion{Unused: true})
 	}
-	return nil, newStopRefusal()
+	return nil, p.newStopRefusal()
 }
 
 // isEndedByStop reports whether a context of the request has ended because the node stops.
@@ -99,8 +101,11 @@
 	return ctx.Err() != nil && s.parent.Err() == nil && time.Now().Before(s.Deadline)
 }
 
-func newStopRefusal() *refuse.Refusal {
+func (p *Proxy) newStopRefusal() *refuse.Refusal {
 	r := refuse.New(refuse.NodeStopping, "this node stops before the answer could be whole")
 	r.RetryAfter = stopRetryAfter
+	if p.IsAlone != nil && p.IsAlone() {
+		r.RetryAfter = aloneRetryAfter
+	}
 	return r
 }
