--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/ed25519"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"iter"
@@ -17,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -118,7 +118,8 @@
 	complete   bool
 	took       time.Duration
 	err        error
-	done       bool
+	// done is set after the other fields; scripts look at calls that are still running.
+	done atomic.Bool
 }
 
 func runProxyScript(t *testing.T, lines iter.Seq[script.Line]) {
@@ -513,7 +514,10 @@
 		req = req.WithContext(ctx)
 	}
 	client := http.Client{Transport: &http.Transport{DialContext: n.Dial(callerHost), DisableKeepAlives: true}}
-	defer func() { c.took, c.done = time.Since(started), true }()
+	defer func() {
+		c.took = time.Since(started)
+		c.done.Store(true)
+	}()
 	resp, err := client.Do(req)
 	if err != nil {
 		c.err = err
@@ -558,10 +562,10 @@
 		c := p.calls[name]
 		comment := qt.Commentf("%s: %s: %+v", p.Position, name, c)
 		if given["pending"] == "yes" {
-			qt.Check(p.T, c.done, qt.IsFalse, comment)
+			qt.Check(p.T, c.done.Load(), qt.IsFalse, comment)
 			continue
 		}
-		if !qt.Check(p.T, c.done, qt.IsTrue, comment) {
+		if !qt.Check(p.T, c.done.Load(), qt.IsTrue, comment) {
 			continue
 		}
 		if given["failed"] == "yes" {
@@ -750,40 +754,6 @@
 	}
 }
 
-// shutdown stops a node gracefully, in the order of the entry command.
-func (p *proxyCase) shutdown(names []string, given map[string]string) {
-	n := p.nodes[p.resolveHosts(names, given)[0]]
-	p.running.Go(func() {
-		err := n.Shutdown(node.Shutdown{DrainDelay: 3500 * time.Millisecond, ServeTime: 7 * time.Second, CloseCallers: n.server.Shutdown})
-		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
-			p.Errorf("shut down node: %v", err)
-		}
-		n.server.Close() //nolint:errcheck // the process has ended.
-		n.peers.Close()
-	})
-	synctest.Wait()
-}
-
-// listed checks the number of nodes that the directories of nodes list to callers.
-func (p *proxyCase) listed(names []string, _ map[string]string) {
-	for _, name := range names {
-		list := p.nodes[name].EntryAddresses("z")
-		qt.Check(p.T, list, qt.HasLen, p.IntOption("count", 0), qt.Commentf("%s: %s", p.Position, name))
-	}
-}
-
-// owners checks the number of nodes that run the cell of a pool.
-func (p *proxyCase) owners(names []string, _ map[string]string) {
-	var owners []string
-	for name, n := range p.nodes {
-		_, isMember := n.Members().Find(ident.NodeID(name))
-		if isMember && n.Cells().LocalCell(ident.CellID{Pool: ident.PoolID("platform/" + names[0])}) != nil {
-			owners = append(owners, name)
-		}
-	}
-	qt.Check(p.T, owners, qt.HasLen, p.IntOption("count", 0), qt.Commentf(p.Position))
-}
-
 // ready checks whether nodes report that they are ready.
 func (p *proxyCase) ready(names []string, given map[string]string) {
 	for _, name := range names {
