Serve short requests while all nodes stop and long ones keep them from ending

When all nodes stopped at once, each closed its listener 3.5 s after the signal, though streams kept it alive for up to 3.5 s more and no other node was there: callers of short requests found nobody.

A stopping node now closes its listener later while no node is ready and requests that arrived before it refused long ones are in progress. It doesn't end later for that: they keep it from ending anyway. New requests are those that end before the node.

--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -62,7 +62,7 @@
 			n.Log.Info("endpoint_limit_changed", "endpoint", id, "requests_per_second", float64(limit))
 		},
 		Quarantined: n.findQuarantined, FindOrigin: n.findOrigin, FindFormerPool: n.findFormerPool,
-		IsAlone: func() bool { return len(n.members.View().Ready(n.Process.Region)) == 0 },
+		IsAlone: n.isAlone,
 		Started: func(stream ident.RequestID, o origin.Origin) { n.streams.known.Add(stream, o, time.Now()) },
 	}
 	n.router = router.Router{
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -16,6 +16,11 @@
 	// the node up before it began to leave, and may not be cut. It covers the time until the
 	// process has handled the signal.
 	lateMargin = 750 * time.Millisecond
+	// closeTime is the time that the node needs to close its listener and to answer the requests
+	// that have reached it by then.
+	closeTime = 500 * time.Millisecond
+	// aloneCheckInterval is the time between checks of serveAlone.
+	aloneCheckInterval = 50 * time.Millisecond
 	// endNoticeTimeout bounds the time in which the node tells the others that it ends.
 	endNoticeTimeout = 150 * time.Millisecond
 	// answerTime is the time after Shutdown.ServeTime for the answers that end the requests.
@@ -49,6 +54,7 @@
 	n.handOverLimits()
 	n.broadcastState()
 	tick.Sleep(ctx, time.Until(began.Add(s.DrainDelay)))
+	n.serveAlone(ctx, began.Add(s.ServeTime-closeTime))
 	err := s.CloseCallers(ctx)
 	n.WaitDetours(ctx)
 	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
@@ -71,6 +77,17 @@
 	return err
 }
 
+// serveAlone waits until the given time while no node is ready and earlier requests keep this one
+// from ending: callers of requests that end before them have nobody else.
+func (n *Node) serveAlone(ctx context.Context, until time.Time) {
+	for n.isAlone() && n.proxy.EarlyRequests() > 0 && time.Now().Before(until) {
+		tick.Sleep(ctx, aloneCheckInterval)
+	}
+}
+
+// isAlone reports whether no node of the region is ready.
+func (n *Node) isAlone() bool { return len(n.members.View().Ready(n.Process.Region)) == 0 }
+
 // announceEnd tells the neighbors that this node ends. They would find out in about 3 s, and
 // until then the node that takes over its cells waits for its reply before it grants anything
 // below the highest tier.
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -257,6 +257,7 @@
 // Serve forwards a request and writes the answer to w. It returns when the caller has taken
 // what its connection buffers of the answer.
 func (p *Proxy) Serve(ctx context.Context, r *Request, w http.ResponseWriter) Result {
+	defer p.stop.begin()()
 	caller := memory.FromContext(ctx)
 	caller.Begin(ctx, memory.Owner{Request: r.ID, Tier: r.Tier.Rank})
 	result := p.serve(ctx, r, w)
--- a/internal/request/proxy/stop.go
+++ b/internal/request/proxy/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"goldcrestwick/internal/process/sched"
@@ -31,6 +32,8 @@
 	mu                   sync.Mutex
 	isStopping           bool
 	refuseLongFrom, end  time.Time
+	// early is the number of requests that arrived before refuseLongFrom.
+	early atomic.Int64
 }
 
 func (s *stopState) prepare() {
@@ -54,6 +57,22 @@
 	time.AfterFunc(time.Until(end), s.endAll)
 }
 
+// EarlyRequests returns the number of requests in progress that arrived before new ones with a
+// deadline after the end were refused.
+func (p *Proxy) EarlyRequests() int { return int(p.stop.early.Load()) }
+
+// begin counts a request, whose end must be reported by done.
+func (s *stopState) begin() (done func()) {
+	s.mu.Lock()
+	isLate := s.isStopping && !time.Now().Before(s.refuseLongFrom)
+	s.mu.Unlock()
+	if isLate {
+		return func() {}
+	}
+	s.early.Add(1)
+	return func() { s.early.Add(-1) }
+}
+
 // refusesNew reports whether a request that arrives now is refused.
 func (s *stopState) refusesNew(deadline time.Time) bool {
 	s.mu.Lock()
