--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -34,8 +34,9 @@
 // State is a member's lifecycle state.
 type State uint8
 
-// The states. A member reports the first three itself; Dead is declared by the
-// other members. A member in a higher one, of a later build, lives and is not Ready.
+// The states. A member reports the first three itself, and Dead when it ends gracefully;
+// otherwise the other members declare it dead. A member in a higher one, of a later build,
+// lives and is not Ready.
 const (
 	Joining State = iota
 	Ready
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -10,12 +10,19 @@
 
 const (
 	// stopTimeout bounds the time in which a node that serves no requests any more writes its
-	// remaining state.
+	// remaining state and slow callers take the rest of their answers.
 	stopTimeout = 700 * time.Millisecond
 	// lateMargin is the last part of Shutdown.DrainDelay. The callers that send then have looked
 	// the node up before it began to leave, and may not be cut. It covers the time until the
 	// process has handled the signal.
 	lateMargin = 750 * time.Millisecond
+	// closeTime is the time that the node needs to close its listener and to answer the requests
+	// that have reached it by then.
+	closeTime = 500 * time.Millisecond
+	// aloneCheckInterval is the time between checks of serveAlone.
+	aloneCheckInterval = 50 * time.Millisecond
+	// endNoticeTimeout bounds the time in which the node tells the others that it ends.
+	endNoticeTimeout = 150 * time.Millisecond
 	// answerTime is the time after Shutdown.ServeTime for the answers that end the requests.
 	answerTime = 150 * time.Millisecond
 )
@@ -44,23 +51,55 @@
 	defer cancel()
 	tick.Sleep(ctx, time.Until(began.Add(s.DrainDelay-lateMargin)))
 	n.members.SetSelf(func(m *member.Member) { m.IsClosing = true })
+	n.handOverLimits()
 	n.broadcastState()
 	tick.Sleep(ctx, time.Until(began.Add(s.DrainDelay)))
+	n.serveAlone(ctx, began.Add(s.ServeTime-closeTime))
 	err := s.CloseCallers(ctx)
 	n.WaitDetours(ctx)
+	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
+		n.announceEnd()
 		n.Stop()
 	}()
+	if err != nil {
+		// Only answers to slow callers are left, which need nothing but the process.
+		err = s.CloseCallers(stopCtx)
+	}
 	select {
 	case <-stopped:
-	case <-time.After(stopTimeout):
+	case <-stopCtx.Done():
 		n.Log.Warn("ledger_may_be_unwritten", "reason", "the grace period is over")
 	}
 	return err
 }
 
+// serveAlone waits until the given time while no node is ready and earlier requests keep this one
+// from ending: callers of requests that end before them have nobody else.
+func (n *Node) serveAlone(ctx context.Context, until time.Time) {
+	for n.isAlone() && n.proxy.EarlyRequests() > 0 && time.Now().Before(until) {
+		tick.Sleep(ctx, aloneCheckInterval)
+	}
+}
+
+// isAlone reports whether no node of the region is ready.
+func (n *Node) isAlone() bool { return len(n.members.View().Ready(n.Process.Region)) == 0 }
+
+// announceEnd tells the neighbors that this node ends. They would find out in about 3 s, and
+// until then the node that takes over its cells waits for its reply before it grants anything
+// below the highest tier.
+func (n *Node) announceEnd() {
+	ctx, cancel := context.WithTimeout(context.Background(), endNoticeTimeout)
+	defer cancel()
+	neighbors := n.members.Neighbors(ctx)
+	n.members.SetSelf(func(m *member.Member) { m.State = member.Dead })
+	n.handOverLimits()
+	n.sendState(ctx, neighbors)
+}
+
 // Leave marks the node as leaving, which hands its cells and account limits over to other nodes,
 // and reports this to members of its region. Requests are served until Stop.
 func (n *Node) Leave() {
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -227,6 +227,9 @@
 	// requests are never served through other nodes.
 	Reach  *reach.Monitor
 	Detour func(context.Context, *Request, http.ResponseWriter) (Result, bool)
+	// IsAlone reports whether no node is ready, for the callers that this one refuses because it
+	// stops. Nil means that others are.
+	IsAlone func() bool
 	// Record is called for each dispatch and each retry; it may be nil.
 	Record func(trace.Record)
 
@@ -262,6 +265,7 @@
 // Serve forwards a request and writes the answer to w. It returns when the caller has taken
 // what its connection buffers of the answer.
 func (p *Proxy) Serve(ctx context.Context, r *Request, w http.ResponseWriter) Result {
+	defer p.stop.begin()()
 	caller := memory.FromContext(ctx)
 	caller.Begin(ctx, memory.Owner{Request: r.ID, Tier: r.Tier.Rank})
 	result := p.serve(ctx, r, w)
@@ -277,7 +281,7 @@
 	s := &requestState{Request: r, w: w, parent: ctx, job: p.newJob(r), attempts: r.EarlierAttempts}
 	s.stream.resumeFrom(r)
 	if p.stop.refusesNew(r.Deadline) {
-		return p.finishWithoutGrant(ctx, s, newStopRefusal())
+		return p.finishWithoutGrant(ctx, s, p.newStopRefusal())
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
--- a/internal/request/proxy/stop.go
+++ b/internal/request/proxy/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"goldcrestwick/internal/process/sched"
@@ -14,8 +15,10 @@
 	// minServeTime is the least time until the end of serving for which a request whose
 	// deadline is later is still sent: most of those that are sent later would be cut.
 	minServeTime = 2 * time.Second
-	// stopRetryAfter is the wait after which a caller may try another node.
-	stopRetryAfter = 200 * time.Millisecond
+	// stopRetryAfter is the wait after which a caller may try another node, and aloneRetryAfter
+	// that while no other one is ready: callers try only a few times.
+	stopRetryAfter  = 200 * time.Millisecond
+	aloneRetryAfter = time.Second
 )
 
 // stopState is how far the stop of the node has come. The zero value is that of a node that does
@@ -29,6 +32,8 @@
 	mu                   sync.Mutex
 	isStopping           bool
 	refuseLongFrom, end  time.Time
+	// early is the number of requests that arrived before refuseLongFrom.
+	early atomic.Int64
 }
 
 func (s *stopState) prepare() {
@@ -52,6 +57,22 @@
 	time.AfterFunc(time.Until(end), s.endAll)
 }
 
+// EarlyRequests returns the number of requests in progress that arrived before new ones with a
+// deadline after the end were refused.
+func (p *Proxy) EarlyRequests() int { return int(p.stop.early.Load()) }
+
+// begin counts a request, whose end must be reported by done.
+func (s *stopState) begin() (done func()) {
+	s.mu.Lock()
+	isLate := s.isStopping && !time.Now().Before(s.refuseLongFrom)
+	s.mu.Unlock()
+	if isLate {
+		return func() {}
+	}
+	s.early.Add(1)
+	return func() { s.early.Add(-1) }
+}
+
 // refusesNew reports whether a request that arrives now is refused.
 func (s *stopState) refusesNew(deadline time.Time) bool {
 	s.mu.Lock()
@@ -91,7 +112,7 @@
 	if refusal == nil {
 		grant.Complete(sched.Completion{Unused: true})
 	}
-	return nil, newStopRefusal()
+	return nil, p.newStopRefusal()
 }
 
 // isEndedByStop reports whether a context of the request has ended because the node stops.
@@ -99,8 +120,11 @@
 	return ctx.Err() != nil && s.parent.Err() == nil && time.Now().Before(s.Deadline)
 }
 
-func newStopRefusal() *refuse.Refusal {
+func (p *Proxy) newStopRefusal() *refuse.Refusal {
 	r := refuse.New(refuse.NodeStopping, "this node stops before the answer could be whole")
 	r.RetryAfter = stopRetryAfter
+	if p.IsAlone != nil && p.IsAlone() {
+		r.RetryAfter = aloneRetryAfter
+	}
 	return r
 }
