--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -410,15 +410,18 @@
 	})
 }
 
-func (p *proxyCase) settings([]string, map[string]string) {
+func (p *proxyCase) settings(added []string, _ map[string]string) {
 	p.version += 3
+	services := []map[string]any{
+		{"name": "llm", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "increment": 1}},
+		{"name": "llm2", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "increment": 1}},
+		{"name": "app"},
+	}
+	for _, name := range added {
+		services = append(services, map[string]any{"name": name})
+	}
 	p.putRow("op", "config", map[string]any{
-		"version": p.version, "routes": p.routes, "tenants": p.tenants,
-		"services": []map[string]any{
-			{"name": "llm", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "increment": 1}},
-			{"name": "llm2", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "increment": 1}},
-			{"name": "app"},
-		},
+		"version": p.version, "routes": p.routes, "tenants": p.tenants, "services": services,
 	})
 }
 
