Soak of changed settings while endpoints of real processes stand still

A plan of its own: routes are added, removed and moved and a time-out changes, each 0.6 s before all or 0.6 of the endpoints stand still for 1.0 to 1.3 s, with connections accepted by the kernel or with full accept queues, so that dials hang; at times a node is frozen, killed or stopped at the change. Requests on these routes to all nodes check that settings are in force 2 s after the acknowledgement, that no node goes back, and that a time-out has its answer 0.5 s later; the other checks of the soak hold.

With the bound of 2 s set to 0 in a trial the check found the 404 of an added route 1.4 ms after the acknowledgement.

--- a/internal/tool/soak/endpoint.go
+++ b/internal/tool/soak/endpoint.go
@@ -33,6 +33,8 @@
 	crashedAt, downAt []time.Time
 	// spoken is not nil while the endpoint is silent, and closed at the end of that.
 	spoken chan struct{}
+	// isStalled is set while the endpoint is silent and accepts no connections.
+	isStalled bool
 	// refusedAt holds the latest refusals for want of room, and falls counts how often the
 	// endpoint fell over for too many.
 	refusedAt []time.Time
@@ -72,6 +74,11 @@
 			return
 		}
 		e.mu.Lock()
+		if spoken := e.spoken; e.isStalled && spoken != nil {
+			e.mu.Unlock()
+			<-spoken
+			e.mu.Lock()
+		}
 		if e.isDown {
 			e.mu.Unlock()
 			c.Close() //nolint:errcheck // it acts like a closed port.
--- a/internal/tool/soak/silence.go
+++ b/internal/tool/soak/silence.go
@@ -1,6 +1,9 @@
 package soak
 
-import "net"
+import (
+	"net"
+	"syscall"
+)
 
 // setSilent holds up all that an endpoint reads and sends, or ends that. Its host goes on
 // acknowledging packets; conn.TestSilentPeerCut is for one that does not.
@@ -15,6 +18,24 @@
 	e.spoken = nil
 }
 
+// setStalled makes the endpoint silent, with an accept queue that is soon full, so that further dials
+// hang, or ends that.
+func (e *endpoint) setStalled(isStalled bool) {
+	backlog := syscall.SOMAXCONN
+	if isStalled {
+		backlog = 0
+	}
+	if tcp, ok := e.listener.(*net.TCPListener); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) { syscall.Listen(int(fd), backlog) }) //nolint:errcheck // the queue is only longer.
+		}
+	}
+	e.mu.Lock()
+	e.isStalled = isStalled
+	e.mu.Unlock()
+	e.setSilent(isStalled)
+}
+
 // waitSpoken waits until the endpoint is not silent.
 func (e *endpoint) waitSpoken() {
 	e.mu.Lock()
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -11,6 +11,9 @@
 // at other nodes. Faults overlap. Timing differs from run to
 // run, so a seed repeats the plan, not every event.
 //
+// Options.HasSilences selects another plan: the settings change while all or most of the endpoints
+// stand still, and requests to all nodes test which settings they go by.
+//
 // # Usage
 //
 //	report, err := soak.Run(ctx, soak.Options{Program: "./goldcrestwick", Dir: dir, Seed: 7})
@@ -36,6 +39,8 @@
 	// callers. Zero values select 10 s, 4 and 16.
 	Duration       time.Duration
 	Nodes, Callers int
+	// HasSilences selects playSilences instead of random faults.
+	HasSilences bool
 }
 
 const (
@@ -68,6 +73,8 @@
 	Falls int
 	// Rollout describes the rollout and how it ended; "" if there was none.
 	Rollout string
+	// Probes counts the requests of playSilences that test the settings.
+	Probes int
 	// Violations describes each broken promise.
 	Violations []string
 }
@@ -95,6 +102,9 @@
 // Run plays the plan of a seed. The error is that of a run that could not be played.
 func Run(ctx context.Context, o Options) (Report, error) {
 	planned := plannedRollout(o.Seed)
+	if o.HasSilences {
+		planned = nil
+	}
 	if planned != nil {
 		o.Duration, o.Callers = cmp.Or(o.Duration, rolloutDuration), cmp.Or(o.Callers, rolloutCallers)
 	}
@@ -134,7 +144,11 @@
 	if planned != nil {
 		callers.Go(func() { r.observeStatus(callersCtx) })
 	}
-	r.playPlan(ctx)
+	if o.HasSilences {
+		r.playSilences(ctx)
+	} else {
+		r.playPlan(ctx)
+	}
 	time.Sleep(settleTime)
 	stopCallers()
 	callers.Wait()
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"os"
@@ -13,26 +14,35 @@
 
 var (
 	firstSeed = flag.Uint64("soak.first", 1, "first seed")
-	seedCount = flag.Uint64("soak.seeds", 3, "number of seeds")
+	seedCount = flag.Uint64("soak.seeds", 0, "number of seeds; 0 is 3 of TestSoak and 1 of TestSilentEndpoints")
 	duration  = flag.Duration("soak.duration", 0, "time with faults of each seed")
 	nodeCount = flag.Int("soak.nodes", 0, "number of nodes")
 )
 
 // TestSoak plays seeds against real processes. With the flag -artifacts, their settings and
 // logs are kept in the folder that go test prints.
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { runSeeds(t, false, 3) }
+
+// TestSilentEndpoints guards against settings that are late, go back or lose their time-outs, and
+// against answers that are cut, while sound endpoints stand still.
+func TestSilentEndpoints(t *testing.T) { runSeeds(t, true, 1) }
+
+func runSeeds(t *testing.T, hasSilences bool, seeds uint64) {
 	program := filepath.Join(t.TempDir(), "goldcrestwick")
 	out, err := exec.Command("go", "build", "-o", program, "goldcrestwick/cmd/goldcrestwick").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
-	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
+	for seed := *firstSeed; seed < *firstSeed+cmp.Or(*seedCount, seeds); seed++ {
 		dir := filepath.Join(t.ArtifactDir(), fmt.Sprint("seed_", seed))
 		qt.Assert(t, os.MkdirAll(dir, 0o700), qt.IsNil)
 		report, err := Run(t.Context(), Options{
-			Program: program, Dir: dir, Seed: seed, Duration: *duration, Nodes: *nodeCount,
+			Program: program, Dir: dir, Seed: seed, Duration: *duration, Nodes: *nodeCount, HasSilences: hasSilences,
 		})
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("seed %d", seed))
 		t.Logf("seed %d: %d sent, %d whole, %d refused, %d of %d streams went on, %d of %d slow answers whole, %d crashes, %d falls, %d losses, %d faults, %d violations",
 			seed, report.Sent, report.Whole, report.Refused, report.GoneOn, report.TakenUp, report.SlowWhole, report.Slow, report.Crashes, report.Falls, report.Losses, len(report.Plan), len(report.Violations))
+		if hasSilences {
+			t.Logf("seed %d: %d probes", seed, report.Probes)
+		}
 		if report.Rollout != "" {
 			t.Logf("seed %d: rollout %s", seed, report.Rollout)
 		}
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -82,6 +82,8 @@
 
 	mu      sync.Mutex
 	version int
+	// probes holds the routes for playSilences by name.
+	probes  map[string]probeRoute
 	isTaken map[string]bool
 	// isLossDue is set while all nodes are to be killed at once; no other fault of a node
 	// begins then.
@@ -216,13 +218,18 @@
 			"target_latency_ms": 1000, "gap_aim_ms": 600, "attempts": attempts, "resumable": resumable,
 		}
 	}
+	routes := []map[string]any{
+		route("chat", "stream", "llm", 2, true), route("label", "stream", "llm", 1, false),
+		route("book", "non_idempotent", "app", 2, false), route("read", "idempotent", "app", 2, false),
+		route("file", "idempotent", "file", 1, false),
+	}
+	for name, p := range w.probes {
+		probe := route(name, "idempotent", p.service, 2, false)
+		probe["timeout_ms"] = p.timeout.Milliseconds()
+		routes = append(routes, probe)
+	}
 	w.put("op", "config", map[string]any{
-		"version": w.version,
-		"routes": []map[string]any{
-			route("chat", "stream", "llm", 2, true), route("label", "stream", "llm", 1, false),
-			route("book", "non_idempotent", "app", 2, false), route("read", "idempotent", "app", 2, false),
-			route("file", "idempotent", "file", 1, false),
-		},
+		"version": w.version, "routes": routes,
 		"services": []map[string]any{
 			{"name": "llm", "engine": map[string]any{"slots": modelSlots, "kv_capacity": 100000, "increment": 6}}, {"name": "app"}, {"name": "file"},
 		},
