Take what a detour sends once more from the retry budget

Cause: a node takes a retry from the budget before an attempt of its own only. For a request that it passes on it held that the serving node had charged it, and the serving node held the same of it.

The requester takes a retry from the budget before it asks another node, if the lost one had reported an attempt.

--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -157,6 +157,7 @@
 func (n *Node) prepareDetours(mux *link.Mux) {
 	n.reach = reach.Monitor{Dial: n.conns.Check, Addresses: n.endpointAddresses, Changed: n.pathChanged}
 	client := &detour.Client{Open: n.Open, PeerAddress: n.Process.PeerAddress, Peers: n.detourPeers, Log: n.Log}
+	client.TakeRetry = func(pool ident.PoolID) bool { return n.budget.TakeRetry(pool, time.Now()) }
 	n.proxy.Reach, n.proxy.Detour = &n.reach, client.Serve
 	n.detours = detour.Server{
 		AwaitSettings: n.awaitSettings, Resolve: n.router.Resolve, Serve: n.proxy.Serve, IsLost: n.reach.IsLost,
--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -10,6 +10,7 @@
 
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/request/proxy"
 	"goldcrestwick/internal/request/refuse"
@@ -24,7 +25,9 @@
 	// Peers returns the nodes that may have a path to the endpoints, the preferred ones
 	// first.
 	Peers func() []member.Member
-	Log   *log.Logger
+	// TakeRetry takes a retry from the budget of a pool, and returns false if it is used up.
+	TakeRetry func(ident.PoolID) bool
+	Log       *log.Logger
 }
 
 // outcome is how an attempt with one node ended.
@@ -48,6 +51,7 @@
 	mayHaveRun := false
 	var refused *proxy.Result
 	for _, peer := range peers[:min(len(peers), maxPeers)] {
+		attempts := r.EarlierAttempts
 		e := &exchange{request: r, w: w, from: c.PeerAddress}
 		result, out := e.run(ctx, c.Open, peer)
 		c.Log.Debug("request_detoured", "request_id", r.ID, "peer", peer.ID, "outcome", out, "reason", result.Reason)
@@ -76,7 +80,7 @@
 			continue
 		}
 		mayHaveRun = true
-		if !mayRunAgain(r) {
+		if !mayRunAgain(r) || r.EarlierAttempts > attempts && !c.TakeRetry(r.Pool.ID) {
 			break
 		}
 	}
