Soak: a killed node that serves a detour may cut its answers

The log of n11 has peer=n25, which the plan killed at 20.946s; 1.5 s later n11 took it for gone. n11 had lost its path while no endpoint accepted connections, from 18.9 s to 19.8 s. The plan of TestSoak, in which one endpoint at a time is silent, has no such detours and keeps its check.

--- a/internal/tool/soak/check.go
+++ b/internal/tool/soak/check.go
@@ -106,8 +106,12 @@
 }
 
 // mayBeCut reports whether a fault other than the silence of an endpoint may have cut the
-// answer to a request: one of its node or any crash of a model, or that its time was over.
+// answer to a request: one of its node or any crash of a model, or that its time was over. Where all
+// endpoints stand still, nodes have others serve requests, and a fault of such a one counts too.
 func (r *run) mayBeCut(rec record) bool {
+	if r.HasSilences && r.isNearUnplanned(rec.end, rec.end.Sub(rec.start)) {
+		return true
+	}
 	if r.nodeMayCut(rec) || rec.end.Sub(rec.start) > routeTimeout {
 		return true
 	}
