Count one attempt at a lost node of an earlier build

Earlier builds send heartbeats without the number of attempts. A requester took that for none, so that an idempotent request on a route with one attempt could go to a second node after the first was lost. Heartbeats say that attempts are reported; where they don't, one is assumed, as before.

--- a/internal/connection/wire/detour.go
+++ b/internal/connection/wire/detour.go
@@ -35,6 +35,8 @@
 // it has been sent to in all, with the one to which it is just being sent, or 0.
 type DetourProgress struct {
 	Attempts int `cbor:"1,keyasint,omitempty"`
+	// IsCounted is set if each attempt is reported, as earlier builds don't.
+	IsCounted bool `cbor:"2,keyasint,omitempty"`
 }
 
 // DetourHead is the head of the answer.
--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -51,8 +51,7 @@
 	mayHaveRun := false
 	var refused *proxy.Result
 	for _, peer := range peers[:min(len(peers), maxPeers)] {
-		attempts := r.EarlierAttempts
-		e := &exchange{request: r, w: w, from: c.PeerAddress}
+		e := &exchange{request: r, w: w, from: c.PeerAddress, earlierAttempts: r.EarlierAttempts}
 		result, out := e.run(ctx, c.Open, peer)
 		c.Log.Debug("request_detoured", "request_id", r.ID, "peer", peer.ID, "outcome", out, "reason", result.Reason)
 		result.Peer = peer.ID
@@ -80,7 +79,7 @@
 			continue
 		}
 		mayHaveRun = true
-		if !mayRunAgain(r) || r.EarlierAttempts > attempts && !c.TakeRetry(r.Pool.ID) {
+		if !mayRunAgain(r) || r.EarlierAttempts > e.earlierAttempts && !c.TakeRetry(r.Pool.ID) {
 			break
 		}
 	}
@@ -134,8 +133,9 @@
 type exchange struct {
 	request *proxy.Request
 	w       http.ResponseWriter
-	// from is this node's peer address.
-	from string
+	// from is this node's peer address, and earlierAttempts the number before the exchange.
+	from            string
+	earlierAttempts int
 	// hasHead is set when the head of the answer was written to the caller.
 	hasHead bool
 }
@@ -213,7 +213,11 @@
 			if err != nil {
 				return result, false, err
 			}
-			e.request.EarlierAttempts = max(e.request.EarlierAttempts, progress.Attempts)
+			attempts := progress.Attempts
+			if !progress.IsCounted {
+				attempts = e.earlierAttempts + 1
+			}
+			e.request.EarlierAttempts = max(e.request.EarlierAttempts, attempts)
 		case wire.KindDetourHead:
 			head, err := link.Decode[wire.DetourHead](body)
 			if err != nil {
--- a/internal/request/detour/server.go
+++ b/internal/request/detour/server.go
@@ -83,7 +83,7 @@
 	}()
 	w := &writer{stream: stream, header: http.Header{}}
 	r.Dispatching = func(attempts int) {
-		stream.Send(wire.KindQueued, wire.DetourProgress{Attempts: attempts}) //nolint:errcheck // the requester notices the silence.
+		stream.Send(wire.KindQueued, wire.DetourProgress{Attempts: attempts, IsCounted: true}) //nolint:errcheck // the requester notices the silence.
 	}
 	stop := w.sendHeartbeats(ctx)
 	result := s.Serve(ctx, r, w)
@@ -169,7 +169,7 @@
 	var done sync.WaitGroup
 	done.Go(func() {
 		tick.Every(ctx, heartbeatInterval, func(context.Context) {
-			w.stream.Send(wire.KindQueued, wire.DetourProgress{}) //nolint:errcheck // the requester notices the silence.
+			w.stream.Send(wire.KindQueued, wire.DetourProgress{IsCounted: true}) //nolint:errcheck // the requester notices the silence.
 		})
 	})
 	return func() {
