--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -189,7 +189,7 @@
 		"batch": p.batch, "fleet": p.fleet, "engines": p.manyEngines, "calls": p.checkCalls, "in_force": p.inForce,
 		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "crashing_request": p.crashingRequest, "reads": p.reads, "traffic": p.traffic, "crashes": p.checkCrashes,
 		"bounds": p.setBounds, "tolerance": p.setTolerance, "order": p.order, "status": p.checkStatus, "exposed": p.checkExposed, "shown": p.checkShown,
-		"kill_engine": p.killEngine, "kill_all_but": p.killAllBut, "taken_up": p.checkTakenUp, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed, "brittle": p.setBrittle, "falls": p.checkFalls, "revive": p.revive, "unmark": p.unmark, "unreadable": p.unreadable, "writes": p.failWrites, "rows": p.checkRows, "counted": p.checkCounted,
+		"kill_engine": p.killEngine, "kill_all_but": p.killAllBut, "taken_up": p.checkTakenUp, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "not_refused": p.notRefused, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed, "brittle": p.setBrittle, "falls": p.checkFalls, "revive": p.revive, "unmark": p.unmark, "unreadable": p.unreadable, "writes": p.failWrites, "rows": p.checkRows, "counted": p.checkCounted,
 		"store_calls": p.checkStoreCalls, "refresh": p.refresh, "restart_all": p.restartAll, "all_ready": p.checkAllReady,
 	}
 	run, ok := commands[command]
@@ -742,6 +742,15 @@
 	}
 }
 
+// notRefused checks that no request was answered with a status that says that it did not run.
+func (p *proxyCase) notRefused(names []string, given map[string]string) {
+	for _, name := range p.callNames(names, given) {
+		c := p.calls[name]
+		isRefused := c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests || c.status == http.StatusRequestTimeout
+		qt.Check(p.T, c.done && !isRefused, qt.IsTrue, qt.Commentf("%s: %s: %+v", p.Position, name, c))
+	}
+}
+
 // oneRelease checks that no stream holds events of two releases.
 func (p *proxyCase) oneRelease(names []string, given map[string]string) {
 	for _, name := range p.callNames(names, given) {
