Don't say of a request that a lost node may have run that it did not run

What callers saw: 503 with run=not_run for an idempotent request that ran at an endpoint.

Cause: a requester that turned from a lost node to the next one passed on that one's refusal, which speaks of its own attempts only. What the lost node had done was known to that node alone.

--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -68,6 +68,10 @@
 			refused = &result
 			continue
 		case out == done:
+			if result.Refusal != nil && mayHaveRun {
+				// The refusal speaks of this node's attempts only.
+				result.Refusal.RunState = refuse.Unknown
+			}
 			return result, true
 		case e.hasHead:
 			// A refusal after the head would end the answer as if it were whole.
