--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -10,6 +10,7 @@
 
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/wire"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/member"
 	"goldcrestwick/internal/request/proxy"
 	"goldcrestwick/internal/request/refuse"
@@ -24,7 +25,9 @@
 	// Peers returns the nodes that may have a path to the endpoints, the preferred ones
 	// first.
 	Peers func() []member.Member
-	Log   *log.Logger
+	// TakeRetry takes a retry from the budget of a pool, and returns false if it is used up.
+	TakeRetry func(ident.PoolID) bool
+	Log       *log.Logger
 }
 
 // outcome is how an attempt with one node ended.
@@ -48,7 +51,7 @@
 	mayHaveRun := false
 	var refused *proxy.Result
 	for _, peer := range peers[:min(len(peers), maxPeers)] {
-		e := &exchange{request: r, w: w, from: c.PeerAddress}
+		e := &exchange{request: r, w: w, from: c.PeerAddress, earlierAttempts: r.EarlierAttempts}
 		result, out := e.run(ctx, c.Open, peer)
 		c.Log.Debug("request_detoured", "request_id", r.ID, "peer", peer.ID, "outcome", out, "reason", result.Reason)
 		result.Peer = peer.ID
@@ -65,6 +68,10 @@
 			refused = &result
 			continue
 		case out == done:
+			if result.Refusal != nil && mayHaveRun {
+				// The refusal speaks of this node's attempts only.
+				result.Refusal.RunState = refuse.Unknown
+			}
 			return result, true
 		case e.hasHead:
 			// A refusal after the head would end the answer as if it were whole.
@@ -76,7 +83,7 @@
 			continue
 		}
 		mayHaveRun = true
-		if !mayRunAgain(r) {
+		if !mayRunAgain(r) || r.EarlierAttempts > e.earlierAttempts && !c.TakeRetry(r.Pool.ID) {
 			break
 		}
 	}
@@ -134,8 +141,9 @@
 type exchange struct {
 	request *proxy.Request
 	w       http.ResponseWriter
-	// from is this node's peer address.
-	from string
+	// from is this node's peer address, and earlierAttempts the number before the exchange.
+	from            string
+	earlierAttempts int
 	// hasHead is set when the head of the answer was written to the caller.
 	hasHead bool
 }
@@ -213,7 +221,11 @@
 			if err != nil {
 				return result, false, err
 			}
-			e.request.EarlierAttempts = max(e.request.EarlierAttempts, progress.Attempts)
+			attempts := progress.Attempts
+			if !progress.IsCounted {
+				attempts = e.earlierAttempts + 1
+			}
+			e.request.EarlierAttempts = max(e.request.EarlierAttempts, attempts)
 		case wire.KindDetourHead:
 			head, err := link.Decode[wire.DetourHead](body)
 			if err != nil {
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -194,7 +194,7 @@
 		"batch": p.batch, "fleet": p.fleet, "engines": p.manyEngines, "calls": p.checkCalls, "in_force": p.inForce,
 		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "crashing_request": p.crashingRequest, "reads": p.reads, "traffic": p.traffic, "crashes": p.checkCrashes,
 		"bounds": p.setBounds, "tolerance": p.setTolerance, "order": p.order, "status": p.checkStatus, "exposed": p.checkExposed, "shown": p.checkShown,
-		"kill_engine": p.killEngine, "kill_all_but": p.killAllBut, "taken_up": p.checkTakenUp, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed, "brittle": p.setBrittle, "falls": p.checkFalls, "revive": p.revive, "unmark": p.unmark, "unreadable": p.unreadable, "writes": p.failWrites, "rows": p.checkRows, "counted": p.checkCounted,
+		"kill_engine": p.killEngine, "kill_all_but": p.killAllBut, "taken_up": p.checkTakenUp, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "not_refused": p.notRefused, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed, "brittle": p.setBrittle, "falls": p.checkFalls, "revive": p.revive, "unmark": p.unmark, "unreadable": p.unreadable, "writes": p.failWrites, "rows": p.checkRows, "counted": p.checkCounted,
 		"store_calls": p.checkStoreCalls, "refresh": p.refresh, "restart_all": p.restartAll, "only_listed": p.onlyListed, "all_ready": p.checkAllReady,
 	}
 	run, ok := commands[command]
@@ -427,15 +427,18 @@
 	})
 }
 
-func (p *proxyCase) settings([]string, map[string]string) {
+func (p *proxyCase) settings(added []string, _ map[string]string) {
 	p.version += 3
+	services := []map[string]any{
+		{"name": "llm", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "increment": 1}},
+		{"name": "llm2", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "increment": 1}},
+		{"name": "app"},
+	}
+	for _, name := range added {
+		services = append(services, map[string]any{"name": name})
+	}
 	p.putRow("op", "config", map[string]any{
-		"version": p.version, "routes": p.routes, "tenants": p.tenants,
-		"services": []map[string]any{
-			{"name": "llm", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "increment": 1}},
-			{"name": "llm2", "engine": map[string]any{"slots": 4, "kv_capacity": 100000, "increment": 1}},
-			{"name": "app"},
-		},
+		"version": p.version, "routes": p.routes, "tenants": p.tenants, "services": services,
 	})
 }
 
@@ -611,6 +614,10 @@
 	for _, name := range p.engineNames(names, given) {
 		total += len(p.engines[name].ReceivedRequests())
 	}
+	if given["at_most"] != "" {
+		qt.Check(p.T, total <= p.IntOption("at_most", 0), qt.IsTrue, qt.Commentf("%s: %v: %d", p.Position, names, total))
+		return
+	}
 	qt.Check(p.T, total, qt.Equals, p.IntOption("count", 0), qt.Commentf("%s: %v", p.Position, names))
 }
 
@@ -751,6 +758,15 @@
 	}
 }
 
+// notRefused checks that no request was answered with a status that says that it did not run.
+func (p *proxyCase) notRefused(names []string, given map[string]string) {
+	for _, name := range p.callNames(names, given) {
+		c := p.calls[name]
+		isRefused := c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests || c.status == http.StatusRequestTimeout
+		qt.Check(p.T, c.done.Load() && !isRefused, qt.IsTrue, qt.Commentf("%s: %s: %+v", p.Position, name, c))
+	}
+}
+
 // oneRelease checks that no stream holds events of two releases.
 func (p *proxyCase) oneRelease(names []string, given map[string]string) {
 	for _, name := range p.callNames(names, given) {
--- a/internal/tool/soak/endpoint.go
+++ b/internal/tool/soak/endpoint.go
@@ -35,6 +35,8 @@
 	// counts the faults that keep it silent.
 	spoken   chan struct{}
 	silences int
+	// isStalled is set while the endpoint is silent and accepts no connections.
+	isStalled bool
 	// refusedAt holds the latest refusals for want of room, and falls counts how often the
 	// endpoint fell over for too many.
 	refusedAt []time.Time
@@ -74,6 +76,11 @@
 			return
 		}
 		e.mu.Lock()
+		if spoken := e.spoken; e.isStalled && spoken != nil {
+			e.mu.Unlock()
+			<-spoken
+			e.mu.Lock()
+		}
 		if e.isDown {
 			e.mu.Unlock()
 			c.Close() //nolint:errcheck // it acts like a closed port.
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"os"
@@ -13,7 +14,7 @@
 
 var (
 	firstSeed = flag.Uint64("soak.first", 1, "first seed")
-	seedCount = flag.Uint64("soak.seeds", 3, "number of seeds")
+	seedCount = flag.Uint64("soak.seeds", 0, "number of seeds; 0 is 3 of TestSoak and 1 of TestSilentEndpoints")
 	duration  = flag.Duration("soak.duration", 0, "time with faults of each seed")
 	nodeCount = flag.Int("soak.nodes", 0, "number of nodes")
 )
@@ -21,7 +22,13 @@
 // TestSoak plays seeds against real processes. With the flag -artifacts, their settings and
 // logs are kept in the folder that go test prints.
 func TestSoak(t *testing.T) {
-	playSeeds(t, *seedCount, Options{Program: buildProgram(t, "../../..")})
+	playSeeds(t, 3, Options{Program: buildProgram(t, "../../..")})
+}
+
+// TestSilentEndpoints guards against settings that are late, go back or lose their time-outs, and
+// against answers that are cut, while sound endpoints stand still.
+func TestSilentEndpoints(t *testing.T) {
+	playSeeds(t, 1, Options{Program: buildProgram(t, "../../.."), HasSilences: true})
 }
 
 // buildProgram builds the program of a copy of the module. The paths of its folder are left out,
@@ -34,13 +41,16 @@
 }
 
 func playSeeds(t *testing.T, count uint64, o Options) {
-	for seed := *firstSeed; seed < *firstSeed+count; seed++ {
+	for seed := *firstSeed; seed < *firstSeed+cmp.Or(*seedCount, count); seed++ {
 		o.Dir, o.Seed, o.Duration, o.Nodes = filepath.Join(t.ArtifactDir(), fmt.Sprint("seed_", seed)), seed, *duration, *nodeCount
 		qt.Assert(t, os.MkdirAll(o.Dir, 0o700), qt.IsNil)
 		report, err := Run(t.Context(), o)
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("seed %d", seed))
 		t.Logf("seed %d: %d sent, %d whole, %d refused, %d of %d streams went on, %d of %d slow answers whole, %d crashes, %d falls, %d losses, %d faults, %d violations",
 			seed, report.Sent, report.Whole, report.Refused, report.GoneOn, report.TakenUp, report.SlowWhole, report.Slow, report.Crashes, report.Falls, report.Losses, len(report.Plan), len(report.Violations))
+		if o.HasSilences {
+			t.Logf("seed %d: %d probes", seed, report.Probes)
+		}
 		if report.Rollout != "" {
 			t.Logf("seed %d: rollout %s", seed, report.Rollout)
 		}
