--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -199,9 +199,9 @@
 	// since it may have started again under its name with another one, which is known to only
 	// one of them yet.
 	HasRelease func(ident.PoolID, ident.Endpoint, ident.Release) bool
-	Conns        *conn.Pool
-	Budget       *budget.Budget
-	Codec        HeaderCodec
+	Conns      *conn.Pool
+	Budget     *budget.Budget
+	Codec      HeaderCodec
 	// MarkLeaving is called when an endpoint reports that it is shutting down; it
 	// may be nil.
 	MarkLeaving func(ident.Endpoint)
