--- a/internal/process/watch/script_test.go
+++ b/internal/process/watch/script_test.go
@@ -28,6 +28,7 @@
 // TestScripts runs scripts against a Table on a simulated platform. Their commands:
 //
 //	put KEY VALUE | remove KEY        writes or deletes a row
+//	put_unreadable KEY BYTES          writes a row that cannot be decoded
 //	down | busy | slow | up           sets the store's state
 //	drop_history                      makes the store drop its change history
 //	copy | restore                    copies the store, and restores the last copy
@@ -45,6 +46,9 @@
 //	calls_at_most N                   bounds the reads since the last such line
 func TestScripts(t *testing.T) { script.Run(t, "testdata/*.script", runScript) }
 
+// unreadable is a byte with which no row that can be decoded begins.
+const unreadable = "?"
+
 // slowDelay is how long a slow store delays a call.
 const slowDelay = 5 * time.Second
 
@@ -127,8 +131,12 @@
 	}
 }
 
-// content returns the value of a row without what follows a slash, which is its sequence number.
+// content returns the value of a row without what follows a slash, which is its sequence number,
+// or nil if it is unreadable.
 func content(r store.Row) any {
+	if len(r.Value) == 0 || r.Value[0] == unreadable[0] {
+		return nil
+	}
 	value, _, _ := strings.Cut(string(r.Value), "/")
 	return value
 }
@@ -173,6 +181,8 @@
 
 func (s *scriptRunner) runCommand(command string, args []string) {
 	switch command {
+	case "put_unreadable":
+		s.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: "things", Key: args[0], Value: []byte(strings.Repeat(unreadable, s.ParseInt(args[1])))}}})
 	case "put":
 		s.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: "things", Key: args[0], Value: []byte(args[1])}}})
 	case "remove":
