Follow long rows that cannot be decoded without their values

Callers would see old endpoints and settings used: nodes that follow a reader lost it when another writer's entries, of up to 64 KiB each, made a message longer than the 1 MiB that nodes send each other. No reader could send its changes, so that all nodes read the store themselves.

That also bounds a reader's memory: it keeps 4,096 changes for its followers, which would be 268 MB of such rows.

A row that cannot be decoded names nothing, so that followers need its key and version only. Short ones keep their values: a follower of a later version may be able to decode them.

--- a/internal/process/watch/apply.go
+++ b/internal/process/watch/apply.go
@@ -30,6 +30,7 @@
 			changed = append(changed, r)
 		default:
 			delete(t.missing, r.Key)
+			r = t.trim(r)
 			isChanged := !ok || r.Version > known.Version && !t.hasSameContent(known, r)
 			t.rows[r.Key] = r
 			if isChanged {
@@ -40,6 +41,18 @@
 	t.publish(changed, always)
 }
 
+// maxUnreadableBytes is the length up to which the value of a row that cannot be decoded is kept.
+// Another writer's rows may have 64 KiB each, and a message to a follower at most 1 MiB.
+const maxUnreadableBytes = 1 << 10
+
+// trim returns a row without its value if that is long and cannot be decoded.
+func (t *Table) trim(r store.Row) store.Row {
+	if len(r.Value) > maxUnreadableBytes && t.Content != nil && t.Content(r) == nil {
+		r.Value = nil
+	}
+	return r
+}
+
 // remove removes a row. The caller holds t.mu.
 func (t *Table) remove(key string) {
 	delete(t.rows, key)
