Leave unreadable rows out of the list of instances

The list now has all rows that can be decoded. The error, which is logged with each read, names the row.

--- a/internal/process/store/instances.go
+++ b/internal/process/store/instances.go
@@ -44,8 +44,8 @@
 
 // ListInstances returns the entry nodes of all regions and the endpoints of one region.
 // changed reports whether the list differs from that of the previous call; it is
-// also true as long as the list is empty. On an error, the previous list is
-// returned.
+// also true as long as the list is empty. If the table cannot be read, the previous list is
+// returned; rows that cannot be decoded are left out. Both are errors.
 func (c *Client) ListInstances(ctx context.Context, region ident.Region) (list []roster.Instance, changed bool, err error) {
 	var rows []Row
 	err = withBreaker(&c.instanceBreaker, func() error {
@@ -59,8 +59,9 @@
 	}
 	for _, r := range rows {
 		var row instanceRow
-		if err := json.Unmarshal(r.Value, &row); err != nil {
-			return c.list, false, eris.Wrapf(err, "decode instance row %s", r.Key)
+		if e := json.Unmarshal(r.Value, &row); e != nil {
+			err = eris.Wrapf(e, "decode instance row %s", r.Key)
+			continue
 		}
 		if row.Kind == kindEntry || row.Region == string(region) {
 			list = append(list, row.instance())
@@ -68,5 +69,5 @@
 	}
 	changed = c.list == nil || !reflect.DeepEqual(list, c.list)
 	c.list = list
-	return list, changed, nil
+	return list, changed, err
 }
