Test nodes with rows of another writer in all tables

Rows that are nested deeply, have numbers too large or other types in nodes, releases, rollouts, quarantine, crashes, stream_origins, op and servers, under keys of their own and under those that nodes use, end no node and keep none from starting or from following: odd_rows.script passes without a change of the code.

--- a/internal/process/store/instances_test.go
+++ b/internal/process/store/instances_test.go
@@ -14,7 +14,8 @@
 	c := &Client{Service: Service{Scan: func(context.Context, string) ([]Row, Position, error) { return rows, Position{}, nil }}}
 	for i, odd := range []string{`{"id":5}`, `not JSON`, ``, `[]`} {
 		rows = []Row{
-			{Key: "e1", Value: []byte(`{"id":"e1","region":"r"}`)}, {Key: "x", Value: []byte(odd)},
+			{Key: "e1", Value: []byte(`{"id":"e1","region":"r"}`)},
+			{Key: "x", Value: []byte(odd)},
 			{Key: "e2", Value: []byte(`{"id":"e2","region":"r"}`)},
 		}
 		list, _, err := c.ListInstances(t.Context(), "r")
--- a/internal/tool/fleet/entry_test.go
+++ b/internal/tool/fleet/entry_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -75,3 +76,32 @@
 	}
 	return []byte("{" + strings.Join(parts, ",") + "}")
 }
+
+// oddRows writes rows of another writer to tables, under keys of their own and, with key=, under
+// one that the nodes use.
+func (p *proxyCase) oddRows(tables []string, given map[string]string) {
+	const large = "9223372036854775807"
+	values := []string{
+		"", "not JSON", "[]", "null", "5", "{\"written_unix_ms\":1e999}", strings.Repeat("[", 30000),
+		`{"x":` + strings.Repeat("[", 9999) + strings.Repeat("]", 9999) + `}`, "\xff\xfe",
+		`{"written_unix_ms":` + large + `,"until_unix_ms":` + large + `,"capacity":` + large + `}`,
+		`{"written_unix_ms":-1,"crashes":[{"age_ms":` + large + `,"traits":["` + strings.Repeat("f", 17) + `"]}],"streams_by_release":{"":"\n"}}`,
+		`{"releases":["v1"],"era":` + large + `,"serial":` + large + `,"complete_since_unix_ms":` + large + `}`,
+		`{"peer_address":"n1:99999","caller_address":"","region":"r","capacity":-1,"availability_zone":null}`,
+	}
+	for _, table := range tables {
+		for i, value := range values {
+			key := fmt.Sprint("odd", i)
+			if given["key"] != "" {
+				key = given["key"]
+			}
+			p.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: table, Key: key, Value: []byte(value)}}})
+			if given["key"] != "" {
+				time.Sleep(oddRowPause)
+			}
+		}
+	}
+}
+
+// oddRowPause is the time for which a row has each odd value.
+const oddRowPause = 300 * time.Millisecond
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -195,7 +195,7 @@
 		"limit": p.limit, "rate": p.checkRate, "crashing_part": p.crashingPart, "crashing_request": p.crashingRequest, "reads": p.reads, "traffic": p.traffic, "crashes": p.checkCrashes,
 		"bounds": p.setBounds, "tolerance": p.setTolerance, "order": p.order, "status": p.checkStatus, "exposed": p.checkExposed, "shown": p.checkShown,
 		"kill_engine": p.killEngine, "kill_all_but": p.killAllBut, "taken_up": p.checkTakenUp, "one_release": p.oneRelease, "at_most_once": p.atMostOnce, "partition": p.partition, "direct": p.checkDirect, "mixed": p.mixed, "brittle": p.setBrittle, "falls": p.checkFalls, "revive": p.revive, "unmark": p.unmark, "unreadable": p.unreadable, "writes": p.failWrites, "rows": p.checkRows, "counted": p.checkCounted,
-		"store_calls": p.checkStoreCalls, "refresh": p.refresh, "restart_all": p.restartAll, "only_listed": p.onlyListed, "all_ready": p.checkAllReady,
+		"store_calls": p.checkStoreCalls, "refresh": p.refresh, "restart_all": p.restartAll, "only_listed": p.onlyListed, "odd_rows": p.oddRows, "all_ready": p.checkAllReady,
 	}
 	run, ok := commands[command]
 	qt.Assert(p.T, ok, qt.IsTrue, qt.Commentf("%s: unknown command %s", p.Position, command))
