Let the soak's endpoints repeat refusals, beside odd entries of another writer

Applications refuse one of six calls as not run and repeat the refusal on kept connections, with the next answer or 3 ms after the first time, half of the refusals without an attempt ID. Entries that are nested deeply, have too large a number or a port out of range, some with the address of a sound endpoint, are among the endpoints' entries.

A violation names the endpoints, the times and the node. A request that reaches an endpoint under the name of another entry is a violation.

--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -100,6 +100,8 @@
 	NoEvents bool
 	// SendTwice sends an answer with a Body twice.
 	SendTwice bool
+	// SecondAfter sends an answer with a Body once more after this time; 0 does not.
+	SecondAfter time.Duration
 	// AnswerBeforeBody answers before the request's body is read and closes the
 	// connection.
 	AnswerBeforeBody bool
@@ -332,6 +334,9 @@
 	if b.SendTwice {
 		answer += answer
 	}
+	if b.SecondAfter > 0 && send(c, answer) {
+		time.Sleep(b.SecondAfter)
+	}
 	return send(c, answer) && e.endAnswer(c, b)
 }
 
--- a/internal/tool/soak/check.go
+++ b/internal/tool/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -31,12 +32,15 @@
 
 // check checks all records against what the endpoints received.
 func (r *run) check() {
-	arrivals := map[string]int{}
+	arrivals := map[string][]arrived{}
 	for _, e := range slices.Concat(r.world.allModels(), r.world.apps) {
 		for _, a := range e.ReceivedRequests() {
-			if want := a.Header.Get(engine.ExpectInstanceHeader); want == e.name {
-				arrivals[a.Header.Get(engine.AttemptIDHeader)]++
+			if want := a.Header.Get(engine.ExpectInstanceHeader); want != e.name {
+				r.violation("%s was sent to %s as %q", a.Header.Get(engine.AttemptIDHeader), e.name, want)
+				continue
 			}
+			id := a.Header.Get(engine.AttemptIDHeader)
+			arrivals[id] = append(arrivals[id], arrived{e.name, a.At, a.WasRefused})
 		}
 	}
 	for _, rec := range r.records {
@@ -66,24 +70,53 @@
 	}
 }
 
-// checkRecord checks one request that reached endpoints a number of times.
-func (r *run) checkRecord(rec record, arrivals int) {
-	isOnce := rec.kind == "book" || rec.kind == "label"
-	if isOnce && arrivals > 1 {
-		r.violation("%s %s reached endpoints %d times", rec.kind, rec.id, arrivals)
+// arrived is a request that reached an endpoint, which runs it unless it refuses it as not run.
+type arrived struct {
+	endpoint   string
+	at         time.Time
+	wasRefused bool
+}
+
+// attemptsOf holds, for the kinds of requests that may run once, the numbers of endpoints to which
+// one may be sent.
+var attemptsOf = map[string]int{"label": 1, "book": 2}
+
+func (r *run) describe(arrivals []arrived) string {
+	var b strings.Builder
+	for _, a := range arrivals {
+		fmt.Fprintf(&b, " %s at %s, refused there: %v;", a.endpoint, r.sinceStart(a.at), a.wasRefused)
+	}
+	return b.String()
+}
+
+// checkRecord checks one request that reached endpoints.
+func (r *run) checkRecord(rec record, arrivals []arrived) {
+	attempts, isOnce := attemptsOf[rec.kind]
+	runs := 0
+	for _, a := range arrivals {
+		if !a.wasRefused {
+			runs++
+		}
+	}
+	if isOnce && (runs > 1 || len(arrivals) > attempts) {
+		r.violation("%s %s ran at endpoints %d times:%s", rec.kind, rec.id, runs, r.describe(arrivals))
 	}
 	switch {
 	case rec.status == http.StatusServiceUnavailable || rec.status == http.StatusTooManyRequests || rec.status == http.StatusRequestTimeout:
 		r.report.Refused++
-		if isOnce && arrivals > 0 {
-			r.violation("%s %s was refused with %d and reached an endpoint", rec.kind, rec.id, rec.status)
+		if len(arrivals) > 0 && runs == 0 {
+			r.report.RefusedThere++
+		}
+		if isOnce && runs > 0 {
+			r.violation("%s %s was refused with %d by %s between %s and %s and ran at an endpoint:%s", rec.kind, rec.id, rec.status,
+				rec.node, r.sinceStart(rec.start), r.sinceStart(rec.end), r.describe(arrivals))
 		}
 	case rec.status >= http.StatusBadRequest && rec.status < http.StatusInternalServerError:
 		r.violation("%s %s got %d", rec.kind, rec.id, rec.status)
 	case rec.status == http.StatusOK:
 		r.checkAnswer(rec)
 	case rec.err != nil:
-		r.checkCut(rec, arrivals)
+		r.checkCut(rec, len(arrivals))
 	}
 }
 
--- a/internal/tool/soak/endpoint.go
+++ b/internal/tool/soak/endpoint.go
@@ -42,7 +42,7 @@
 func newEndpoint(w *world, name, service, release string) (*endpoint, error) {
 	e := &endpoint{name: name, service: service, world: w, state: "ready", born: 1, conns: map[net.Conn]bool{}}
 	e.ID, e.Release = name, release
-	e.NextBehaviour = func() engine.Behaviour { return engine.Behaviour{Body: "done", EventInterval: callTime} }
+	e.NextBehaviour = nextCall
 	if service == "file" {
 		e.NextBehaviour = func() engine.Behaviour { return engine.Behaviour{Body: fileText} }
 	}
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -5,8 +5,8 @@
 // nodes as processes, and callers that keep their connections until the process at the
 // other end is gone. A seed gives the plan: signals, kills and restarts of nodes, a store
 // that is away, slow or older, the kill of all nodes at once, settings that change, endpoints that crash by themselves,
-// under a part of a prompt or a request, name a limit, fall silent for a moment, or are
-// brittle. In one of five seeds a rollout moves the models to another release, which is good or bad,
+// under a part of a prompt or a request, name a limit, fall silent for a moment, are
+// brittle, or repeat refusals, and entries of another writer among theirs. In one of five seeds a rollout moves the models to another release, which is good or bad,
 // while its conductor is killed, paused or cut off from the store. Some callers read long answers slowly. Models of two software releases serve, and callers take up streams that are cut
 // at other nodes. Faults overlap. Timing differs from run to
 // run, so a seed repeats the plan, not every event.
@@ -55,8 +55,9 @@
 	// Plan lists the faults with the time since the start.
 	Plan []string
 	// Sent counts the requests, Whole the whole answers, Refused the refusals that state
-	// that the request was not run, and Crashes the endpoints that a prompt crashed.
-	Sent, Whole, Refused, Crashes int
+	// that the request was not run, RefusedThere those of them of requests that endpoints had
+	// refused, and Crashes the endpoints that a prompt crashed.
+	Sent, Whole, Refused, RefusedThere, Crashes int
 	// TakenUp counts the streams that callers took up after they were cut, and GoneOn
 	// those of them that went on.
 	TakenUp, GoneOn int
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -120,6 +120,7 @@
 		return nil, err
 	}
 	w.listEndpoints()
+	w.writeOddEntries()
 	w.writeSettings()
 	for i := range nodes {
 		n := &nodeProcess{name: fmt.Sprint("n", i), program: program, dir: dir, store: address}
