--- a/internal/request/proxy/script_test.go
+++ b/internal/request/proxy/script_test.go
@@ -49,6 +49,7 @@
 //	not_run                         state that the request was not run
 //	ids ID,...                      name these attempts in the answer, or none
 //	repeated                        first send the connection's latest not_run answer again
+//	repeated_before N               send it again in front of this event
 //	unsigned                        omit the server stamp
 //	unframed                        omit the length; the end of the connection ends the answer
 //	extra                           send an answer with a body twice
@@ -204,6 +205,9 @@
 		case "ids":
 			i++
 			b.AnswerIDs = args[i]
+		case "repeated_before":
+			i++
+			b.RepeatBeforeEvent = s.ParseInt(args[i])
 		case "repeated":
 			b.RepeatRefusal = true
 		case "unsigned":
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -85,7 +85,9 @@
 	// and NoID none.
 	AnswerIDs string
 	// RepeatRefusal first sends the latest answer with NotRun of the connection once more.
-	RepeatRefusal bool
+	// RepeatBeforeEvent sends it in front of the event of a stream with this number instead.
+	RepeatRefusal     bool
+	RepeatBeforeEvent int
 	// OmitStamp omits the server stamp.
 	OmitStamp bool
 	// ContentEncoding is the content encoding to declare, "" for none.
--- a/internal/stand/engine/events.go
+++ b/internal/stand/engine/events.go
@@ -54,6 +54,9 @@
 		if n > first {
 			time.Sleep(b.EventInterval)
 		}
+		if n == b.RepeatBeforeEvent && !send(c, e.refusal(c)) {
+			return false
+		}
 		text := EventText(n, e.Release)
 		if n == b.LastEvent && b.EndMode == EndMidEvent {
 			text = text[:len(text)/2]
