End a stream in which another answer begins

Evidence, before: not_run_repeated_in_stream.script:24: {Status:200 Truncated:false Events:4}, body 'id: 1 ... HTTP/1.1 503 Service Unavailable Goldcrestwick-Attempt-Id: r2 ... id: 2 ...'.

No line of an event begins like the head of an answer.

--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -52,6 +52,12 @@
 	raw   []byte
 }
 
+// answerStart begins the head of an answer, and no line of an event: an endpoint has sent another
+// answer in the middle of a stream.
+const answerStart = "HTTP/1."
+
+var errAnswerInStream = eris.New("another answer is in the middle of the stream")
+
 var errEventTooLong = eris.Errorf("an event has more than %d bytes", maxEventBytes)
 
 // readEvent reads up to the blank line that ends an event (WHATWG HTML, section
@@ -79,6 +85,9 @@
 		if len(text) == 0 {
 			return e, nil
 		}
+		if bytes.HasPrefix(text, []byte(answerStart)) {
+			return e, errAnswerInStream
+		}
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			n, err := strconv.Atoi(string(bytes.TrimSpace(id)))
 			if err != nil {
