Take ages in crash rows that are too large for outdated

Evidence, before: TestCrashRowAges, age: a crash at 22:15:00.001 by a clock at 22:15:00. Ages are bounded before they become durations.

--- a/internal/process/node/crashrow.go
+++ b/internal/process/node/crashrow.go
@@ -87,7 +87,8 @@
 		base = now
 	}
 	before := func(age int64) time.Time {
-		return base.Add(-time.Duration(max(age, 0)) * time.Millisecond)
+		// Longer ages count as just outdated: as durations they may overflow.
+		return base.Add(-time.Duration(min(max(age, 0), 2*poison.EvidenceTime.Milliseconds())) * time.Millisecond)
 	}
 	for _, entry := range row.Crashes {
 		c := poison.Crash{
--- a/internal/process/node/crashrow_test.go
+++ b/internal/process/node/crashrow_test.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"fmt"
 	"io"
+	"math"
 	"testing"
 	"time"
 
@@ -53,6 +54,24 @@
 	}
 }
 
+// TestCrashRowAges guards against crashes and completions of now or later that a row of another
+// writer names with ages that are too large, or negative.
+func TestCrashRowAges(t *testing.T) {
+	now := time.UnixMilli(1_700_000_100_000)
+	for _, age := range []int64{math.MaxInt64, math.MaxInt64 / 2, math.MaxInt64 / 1_000_000 * 3, 9_223_372_036_855} {
+		value := fmt.Appendf(nil, `{"written_unix_ms":1700000100000,"crashes":[{"endpoint":"e","age_ms":%d,"traits":["a"]}],"completed_ages_ms":{"a":%d}}`, age, age)
+		report, _, err := decodeCrashRow("p", value, now)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, report.Crashes, qt.HasLen, 0, qt.Commentf("%d", age))
+		for _, at := range report.Completed {
+			qt.Check(t, at.After(now.Add(-poison.EvidenceTime)), qt.IsFalse, qt.Commentf("%d", age))
+		}
+	}
+	report, _, err := decodeCrashRow("p", []byte(`{"written_unix_ms":9223372036854775807,"crashes":[{"age_ms":-9223372036854775808}]}`), now)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, report.Crashes[0].At, qt.Equals, now)
+}
+
 // TestCrashStoreBounds guards against rows that the store rejects for their size, and against
 // memory that grows while the store is unavailable, when all endpoints crash at once.
 func TestCrashStoreBounds(t *testing.T) {
