--- a/internal/stand/cloud/serve.go
+++ b/internal/stand/cloud/serve.go
@@ -17,7 +17,9 @@
 	maxObjectBytes     = 8 << 20
 	maxRows            = 500
 	maxTransactionRows = 100
-	maxWait            = 30 * time.Second
+	// maxTextBytes bounds tables, parts and keys.
+	maxTextBytes = 200
+	maxWait      = 30 * time.Second
 )
 
 // platformTables are the tables that only the platform itself writes: op holds the
@@ -164,6 +166,10 @@
 
 func (p *Platform) serveRows(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
+	if max(len(q.Get("table")), len(q.Get("part")), len(q.Get("from")), len(q.Get("to"))) > maxTextBytes {
+		http.Error(w, "a text is too long", http.StatusBadRequest)
+		return
+	}
 	rows, version := p.rowsInRange(q.Get("table"), q.Get("part"), q.Get("from"), q.Get("to"))
 	limit := maxRows
 	if n, err := strconv.Atoi(q.Get("max_items")); err == nil && n > 0 {
