--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -85,7 +85,9 @@
 	// and NoID none.
 	AnswerIDs string
 	// RepeatRefusal first sends the latest answer with NotRun of the connection once more.
-	RepeatRefusal bool
+	// RepeatBeforeEvent sends it in front of the event of a stream with this number instead.
+	RepeatRefusal     bool
+	RepeatBeforeEvent int
 	// OmitStamp omits the server stamp.
 	OmitStamp bool
 	// ContentEncoding is the content encoding to declare, "" for none.
@@ -100,6 +102,8 @@
 	NoEvents bool
 	// SendTwice sends an answer with a Body twice.
 	SendTwice bool
+	// SecondAfter sends an answer with a Body once more after this time; 0 does not.
+	SecondAfter time.Duration
 	// AnswerBeforeBody answers before the request's body is read and closes the
 	// connection.
 	AnswerBeforeBody bool
@@ -332,6 +336,9 @@
 	if b.SendTwice {
 		answer += answer
 	}
+	if b.SecondAfter > 0 && send(c, answer) {
+		time.Sleep(b.SecondAfter)
+	}
 	return send(c, answer) && e.endAnswer(c, b)
 }
 
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -46,8 +46,8 @@
 		qt.Assert(t, os.MkdirAll(o.Dir, 0o700), qt.IsNil)
 		report, err := Run(t.Context(), o)
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("seed %d", seed))
-		t.Logf("seed %d: %d sent, %d whole, %d refused, %d of %d streams went on, %d of %d slow answers whole, %d crashes, %d falls, %d losses, %d faults, %d violations",
-			seed, report.Sent, report.Whole, report.Refused, report.GoneOn, report.TakenUp, report.SlowWhole, report.Slow, report.Crashes, report.Falls, report.Losses, len(report.Plan), len(report.Violations))
+		t.Logf("seed %d: %d sent, %d whole, %d refused, %d of them by endpoints, %d of %d streams went on, %d of %d slow answers whole, %d crashes, %d falls, %d losses, %d faults, %d violations",
+			seed, report.Sent, report.Whole, report.Refused, report.RefusedThere, report.GoneOn, report.TakenUp, report.SlowWhole, report.Slow, report.Crashes, report.Falls, report.Losses, len(report.Plan), len(report.Violations))
 		if o.HasSilences {
 			t.Logf("seed %d: %d probes", seed, report.Probes)
 		}
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -134,6 +134,7 @@
 		return nil, err
 	}
 	w.listEndpoints()
+	w.writeOddEntries()
 	w.writeSettings()
 	for i := range nodes {
 		n := &nodeProcess{name: fmt.Sprint("n", i), program: firstProgram(i), dir: dir, store: address}
