--- a/internal/tool/soak/check.go
+++ b/internal/tool/soak/check.go
@@ -28,6 +28,9 @@
 	// stopIntake is the time after SIGTERM until which a node has to read requests whose answers
 	// may take longer than its grace period.
 	stopIntake = 3 * time.Second
+	// maxHeld is the longest time to the refusal of a request while nothing but the replacement of
+	// nodes happens.
+	maxHeld = time.Second
 	// cutSlack is the time before the start of a request within which a fault may cut it.
 	cutSlack = 2 * time.Second
 )
@@ -79,6 +82,9 @@
 	switch {
 	case rec.status == http.StatusServiceUnavailable || rec.status == http.StatusTooManyRequests || rec.status == http.StatusRequestTimeout:
 		r.report.Refused++
+		if held := rec.end.Sub(rec.start); r.IsCalm && held > maxHeld && !r.isOfEarlier(rec) {
+			r.violation("%s %s at %s, sent at %s, was refused after %s", rec.kind, rec.id, rec.node, r.sinceStart(rec.start), held)
+		}
 		if isOnce && arrivals > 0 {
 			r.violation("%s %s was refused with %d and reached an endpoint", rec.kind, rec.id, rec.status)
 		}
--- a/internal/tool/soak/mixed.go
+++ b/internal/tool/soak/mixed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -85,12 +86,17 @@
 	}
 }
 
+// isOfEarlier reports whether the node that a request was sent to ran the earlier build.
+func (r *run) isOfEarlier(rec record) bool {
+	return r.Earlier != "" && slices.ContainsFunc(r.world.nodes, func(n *nodeProcess) bool {
+		return n.name == rec.node && n.programAt(rec.start) == r.Earlier
+	})
+}
+
 // nodeOf describes the node that a request was sent to.
 func (r *run) nodeOf(rec record) string {
-	for _, n := range r.world.nodes {
-		if n.name == rec.node && r.Earlier != "" && n.programAt(rec.start) == r.Earlier {
-			return n.name + " of the earlier build"
-		}
+	if r.isOfEarlier(rec) {
+		return rec.node + " of the earlier build"
 	}
 	return rec.node
 }
--- a/internal/tool/soak/plan.go
+++ b/internal/tool/soak/plan.go
@@ -14,6 +14,10 @@
 // playPlan injects faults until the run's time is over, and returns when the last of them
 // has ended.
 func (r *run) playPlan(ctx context.Context) {
+	if r.IsCalm {
+		r.playMix(ctx)
+		return
+	}
 	actions := []func(*sync.WaitGroup){
 		r.terminateNode, r.terminateNode, r.killNode, r.freezeNode, r.storeFault, r.restoreStore,
 		r.changeSettings, r.crashEndpoint, r.drainEndpoint, r.limitEndpoint, r.truncateHistory,
--- a/internal/tool/soak/slow.go
+++ b/internal/tool/soak/slow.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -71,6 +72,14 @@
 	}
 }
 
+// isStoppedLate reports whether an answer may have been cut since its node stopped when the timeout
+// of the route had passed.
+func (r *run) isStoppedLate(rec record) bool {
+	return rec.end.Sub(rec.start) > routeTimeout && slices.ContainsFunc(r.stopped[rec.node], func(stopped time.Time) bool {
+		return stopped.Before(rec.end) && stopped.After(rec.start.Add(-graceTime))
+	})
+}
+
 // checkSlow checks that slow callers got whole answers, or visibly cut ones if their node
 // had a fault.
 func (r *run) checkSlow() {
@@ -79,7 +88,7 @@
 		case rec.status != http.StatusOK:
 		case !strings.HasPrefix(fileText, rec.body) || !rec.isCut && len(rec.body) < len(fileText):
 			r.violation("slow %s at %s got a wrong body of %d bytes, cut %v", rec.id, r.nodeOf(rec), len(rec.body), rec.isCut)
-		case rec.isCut && !r.nodeMayCut(rec):
+		case rec.isCut && !r.nodeMayCut(rec) && !r.isStoppedLate(rec):
 			r.violation("slow %s at %s was cut after %d bytes between %s and %s with no fault of its node", rec.id, r.nodeOf(rec), len(rec.body),
 				r.sinceStart(rec.start), r.sinceStart(rec.end))
 		case !rec.isCut:
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -41,6 +41,9 @@
 	// Earlier is the path of the program of an earlier build, "" if all nodes run Program; the
 	// seed says when nodes run it.
 	Earlier string
+	// IsCalm is set if there are no other faults than the replacement of nodes. Then nodes of Program
+	// are to refuse requests soon or not at all.
+	IsCalm bool
 }
 
 const (
