--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -46,6 +46,9 @@
 	Earlier string
 	// HasSilences selects playSilences instead of random faults.
 	HasSilences bool
+	// IsCalm is set if there are no other faults than the replacement of nodes. Then nodes of Program
+	// are to refuse requests soon or not at all.
+	IsCalm bool
 }
 
 const (
