--- a/cmd/goldcrestwick/entry_test.go
+++ b/cmd/goldcrestwick/entry_test.go
@@ -201,7 +201,7 @@
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	e := &engine.Engine{ID: "e1", NextBehaviour: func() engine.Behaviour { return engine.Behaviour{LastEvent: 2} }}
-	entry := fmt.Sprintf(`{"service":"llm","address":%q,"zone":"z","slots":4,"state":"ready","seq":1}`, serveEngine(t, e))
+	entry := fmt.Sprintf(`{"service":"llm","address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","seq":1}`, serveEngine(t, e))
 	cloudPlatform.Apply(cloud.Transaction{Writes: []cloud.Write{
 		{Table: "op", Key: "config", Value: []byte(operatorSettings)}, {Table: "servers", Key: "e1", Value: []byte(entry)},
 	}})
@@ -209,7 +209,7 @@
 	other, stopOther := startEntry(t, "n2", address)
 	for len(owner.node.Members().Ready("")) < 2 || len(other.node.Members().Ready("")) < 2 ||
 		len(owner.node.Cells().Loads())+len(other.node.Cells().Loads()) != 1 {
-		time.Sleep(10 * time.Millisecond)
+		getStatus(t, owner.startSettings.ReadyAddress, "/api/readyz")
 	}
 	if len(owner.node.Cells().Loads()) == 0 {
 		owner, stopOwner, other, stopOther = other, stopOther, owner, stopOwner
