Play the stop of all nodes from package soak, outside the test file

Tests sleep only in fake time. The run is part of the tool now, as the others are, and the test only calls it.

--- a/cmd/goldcrestwick/entry_test.go
+++ b/cmd/goldcrestwick/entry_test.go
@@ -209,7 +209,7 @@
 	other, stopOther := startEntry(t, "n2", address)
 	for len(owner.node.Members().Ready("")) < 2 || len(other.node.Members().Ready("")) < 2 ||
 		len(owner.node.Cells().Loads())+len(other.node.Cells().Loads()) != 1 {
-		time.Sleep(10 * time.Millisecond)
+		runtime.Gosched()
 	}
 	if len(owner.node.Cells().Loads()) == 0 {
 		owner, stopOwner, other, stopOther = other, stopOther, owner, stopOwner
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -21,9 +21,7 @@
 // TestSoak plays seeds against real processes. With the flag -artifacts, their settings and
 // logs are kept in the folder that go test prints.
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "goldcrestwick")
-	out, err := exec.Command("go", "build", "-o", program, "goldcrestwick/cmd/goldcrestwick").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	program := buildProgram(t)
 	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
 		dir := filepath.Join(t.ArtifactDir(), fmt.Sprint("seed_", seed))
 		qt.Assert(t, os.MkdirAll(dir, 0o700), qt.IsNil)
@@ -46,3 +44,22 @@
 		}
 	}
 }
+
+// TestAllNodesStop guards against requests that nobody answers when all nodes get SIGTERM within
+// two seconds, and against a fleet in which nobody serves until the first of them is back.
+func TestAllNodesStop(t *testing.T) {
+	report, err := RunStop(t.Context(), Options{Program: buildProgram(t), Dir: t.ArtifactDir(), Seed: 1})
+	qt.Assert(t, err, qt.IsNil)
+	t.Logf("seed 1: %d sent, %d whole, %d refused, %v", report.Sent, report.Whole, report.Refused, report.Plan)
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+}
+
+// buildProgram builds the program under test and returns its path.
+func buildProgram(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "goldcrestwick")
+	out, err := exec.Command("go", "build", "-o", program, "goldcrestwick/cmd/goldcrestwick").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return program
+}
