--- a/internal/tool/soak/check.go
+++ b/internal/tool/soak/check.go
@@ -14,8 +14,6 @@
 const (
 	// stableWindow is the time after a fault of a node that it needs to be in touch again.
 	stableWindow = 3 * time.Second
-	// graceTime is the time after SIGTERM for which requests are served, with a margin.
-	graceTime = 6 * time.Second
 	// limitWindow, limitFactor and limitSlack bound the requests at an endpoint that
 	// names a limit; maxLateCrashing bounds those that crash endpoints, later
 	// than stableWindow after the fifth crash under a part or the third under a request.
@@ -117,9 +115,13 @@
 // nodeMayCut reports whether a fault or the end of its node may have cut the answer to a
 // request.
 func (r *run) nodeMayCut(rec record) bool {
-	return slices.ContainsFunc(r.unplanned[rec.node], rec.isDuring) || slices.ContainsFunc(r.stopped[rec.node], func(stopped time.Time) bool {
-		return stopped.After(rec.start.Add(-graceTime)) && stopped.Before(rec.end)
-	})
+	return slices.ContainsFunc(r.unplanned[rec.node], rec.isDuring) || slices.ContainsFunc(r.stopped[rec.node], rec.isCutByStop)
+}
+
+// isCutByStop reports whether the node of a request may have cut its answer at the end of the grace
+// period: the request was sent before the callers' addresses had expired, and ended late.
+func (rec *record) isCutByStop(stopped time.Time) bool {
+	return rec.start.Before(stopped.Add(stopServeTime)) && rec.end.After(stopped.Add(stopCutFrom))
 }
 
 // isDuring reports whether a time is within the request's or shortly before.
@@ -128,7 +130,8 @@
 }
 
 // checkCut checks a request that got no answer: its node was killed or frozen, was not
-// reached, ended its grace time, or ended an idle connection at the same moment.
+// reached, had to end while the request was at an endpoint, or ended an idle connection at the
+// same moment.
 func (r *run) checkCut(rec record, arrivals int) {
 	var dial *net.OpError
 	if errors.As(rec.err, &dial) && dial.Op == "dial" || arrivals == 0 && rec.end.Sub(rec.start) < lostTime {
@@ -139,10 +142,8 @@
 			return
 		}
 	}
-	for _, stopped := range r.stopped[rec.node] {
-		if rec.end.Sub(stopped) > graceTime && stopped.After(rec.start.Add(-graceTime)) {
-			return
-		}
+	if arrivals > 0 && slices.ContainsFunc(r.stopped[rec.node], rec.isCutByStop) {
+		return
 	}
 	r.violation("%s %s at %s got no answer from %s between %s and %s, %d arrivals: %v",
 		rec.kind, rec.id, r.sinceStart(rec.start), rec.node, r.sinceStart(rec.start), r.sinceStart(rec.end), arrivals, rec.err)
--- a/internal/tool/soak/stop.go
+++ b/internal/tool/soak/stop.go
@@ -166,7 +166,7 @@
 		var dial *net.OpError
 		isUnconnected := errors.As(rec.err, &dial) && dial.Op == "dial"
 		at := s.stopped[rec.node]
-		mayCut := rec.start.Before(at.Add(stopServeTime)) && rec.end.After(at.Add(stopCutFrom)) && arrivals[rec.id] > 0
+		mayCut := rec.isCutByStop(at) && arrivals[rec.id] > 0
 		switch {
 		case rec.status == http.StatusOK && !rec.isCut:
 			r.report.Whole++
