--- a/internal/tool/soak/check.go
+++ b/internal/tool/soak/check.go
@@ -15,8 +15,6 @@
 const (
 	// stableWindow is the time after a fault of a node that it needs to be in touch again.
 	stableWindow = 3 * time.Second
-	// graceTime is the time after SIGTERM for which requests are served, with a margin.
-	graceTime = 6 * time.Second
 	// limitWindow, limitFactor and limitSlack bound the requests at an endpoint that
 	// names a limit; maxLateCrashing bounds those that crash endpoints, later
 	// than stableWindow after the fifth crash under a part or the third under a request.
@@ -26,9 +24,6 @@
 	maxLateCrashing = 3
 	// maxFalls and a tenth of their number bound how often brittle models fall over.
 	maxFalls = 2
-	// stopIntake is the time after SIGTERM until which a node has to read requests whose answers
-	// may take longer than its grace period.
-	stopIntake = 3 * time.Second
 	// maxHeld is the longest time to the refusal of a request while nothing but the replacement of
 	// nodes happens.
 	maxHeld = time.Second
@@ -162,12 +157,16 @@
 	return slices.ContainsFunc(r.world.allModels(), func(e *endpoint) bool { return slices.ContainsFunc(e.downAt, rec.isDuring) })
 }
 
-// nodeMayCut reports whether a fault of its node may have cut the answer to a request, or its
-// SIGTERM: at the end of the grace period, if the request was sent by stopIntake.
+// nodeMayCut reports whether a fault or the end of its node may have cut the answer to a
+// request.
 func (r *run) nodeMayCut(rec record) bool {
-	return slices.ContainsFunc(r.unplanned[rec.node], rec.isDuring) || slices.ContainsFunc(r.stopped[rec.node], func(stopped time.Time) bool {
-		return rec.start.Sub(stopped) <= stopIntake && rec.end.Sub(stopped) > graceTime
-	})
+	return slices.ContainsFunc(r.unplanned[rec.node], rec.isDuring) || slices.ContainsFunc(r.stopped[rec.node], rec.isCutByStop)
+}
+
+// isCutByStop reports whether the node of a request may have cut its answer at the end of the grace
+// period: the request was sent before the callers' addresses had expired, and ended late.
+func (rec *record) isCutByStop(stopped time.Time) bool {
+	return rec.start.Before(stopped.Add(stopServeTime)) && rec.end.After(stopped.Add(stopCutFrom))
 }
 
 // checkOwnEnds checks that no process has ended by itself.
@@ -188,7 +187,8 @@
 }
 
 // checkCut checks a request that got no answer: its node was killed or frozen, was not
-// reached, ended its grace time, or ended an idle connection at the same moment.
+// reached, had to end while the request was at an endpoint, or ended an idle connection at the
+// same moment.
 func (r *run) checkCut(rec record, arrivals int) {
 	var dial *net.OpError
 	if errors.As(rec.err, &dial) && dial.Op == "dial" || arrivals == 0 && rec.end.Sub(rec.start) < lostTime {
@@ -199,10 +199,8 @@
 			return
 		}
 	}
-	for _, stopped := range r.stopped[rec.node] {
-		if rec.end.Sub(stopped) > graceTime && stopped.After(rec.start.Add(-graceTime)) {
-			return
-		}
+	if arrivals > 0 && slices.ContainsFunc(r.stopped[rec.node], rec.isCutByStop) {
+		return
 	}
 	r.violation("%s %s at %s got no answer from %s between %s and %s, %d arrivals: %v",
 		rec.kind, rec.id, r.sinceStart(rec.start), r.nodeOf(rec), r.sinceStart(rec.start), r.sinceStart(rec.end), arrivals, rec.err)
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -63,3 +63,14 @@
 		}
 	}
 }
+
+// TestAllNodesStop guards against requests that nobody answers when all nodes get SIGTERM within
+// two seconds, and against a fleet in which nobody serves until the first of them is back.
+func TestAllNodesStop(t *testing.T) {
+	report, err := RunStop(t.Context(), Options{Program: buildProgram(t, "../../.."), Dir: t.ArtifactDir(), Seed: 1})
+	qt.Assert(t, err, qt.IsNil)
+	t.Logf("seed 1: %d sent, %d whole, %d refused, %v", report.Sent, report.Whole, report.Refused, report.Plan)
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+}
