--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -112,7 +112,7 @@
 		unplanned: map[string][]time.Time{}, stopped: map[string][]time.Time{},
 	}
 	var err error
-	if r.world, err = newWorld(o.Program, o.Dir, o.Nodes, planned); err != nil {
+	if r.world, err = newWorld(o.Program, o.Dir, o.Nodes, planned, releases, false); err != nil {
 		return r.report, err
 	}
 	defer r.world.close()
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -21,9 +21,7 @@
 // TestSoak plays seeds against real processes. With the flag -artifacts, their settings and
 // logs are kept in the folder that go test prints.
 func TestSoak(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "goldcrestwick")
-	out, err := exec.Command("go", "build", "-o", program, "goldcrestwick/cmd/goldcrestwick").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	program := buildProgram(t)
 	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
 		dir := filepath.Join(t.ArtifactDir(), fmt.Sprint("seed_", seed))
 		qt.Assert(t, os.MkdirAll(dir, 0o700), qt.IsNil)
@@ -46,3 +44,10 @@
 		}
 	}
 }
+
+func buildProgram(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "goldcrestwick")
+	out, err := exec.Command("go", "build", "-o", program, "goldcrestwick/cmd/goldcrestwick").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return program
+}
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -88,7 +88,9 @@
 	isLossDue bool
 }
 
-func newWorld(program, dir string, nodes int, planned *rollout) (*world, error) {
+// newWorld starts the stand-ins and the nodes. The models have the releases in turn. With
+// cutOffs, or a rollout, nodes can be cut off from the store.
+func newWorld(program, dir string, nodes int, planned *rollout, releases []string, cutOffs bool) (*world, error) {
 	w := &world{isTaken: map[string]bool{}, rollout: planned}
 	w.server = httptest.NewServer(&w.cloud)
 	address := strings.TrimPrefix(w.server.URL, "http://")
@@ -125,6 +127,8 @@
 		n := &nodeProcess{name: fmt.Sprint("n", i), program: program, dir: dir, store: address}
 		if planned != nil {
 			n.settings = rolloutSettings
+		}
+		if planned != nil || cutOffs {
 			n.serveStore(&w.cloud)
 		}
 		w.nodes = append(w.nodes, n)
