--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -134,7 +134,8 @@
 		unplanned: map[string][]time.Time{}, stopped: map[string][]time.Time{},
 	}
 	var err error
-	if r.world, err = newWorldOf(o.firstProgram, o.Dir, o.Nodes, o.hasVariants(), planned); err != nil {
+	w := worldOptions{dir: o.Dir, nodes: o.Nodes, firstProgram: o.firstProgram, releases: releases, hasOwnIPs: o.hasVariants(), rollout: planned}
+	if r.world, err = newWorld(w); err != nil {
 		return r.report, err
 	}
 	defer r.world.close()
--- a/internal/tool/soak/stop.go
+++ b/internal/tool/soak/stop.go
@@ -53,7 +53,7 @@
 	o.Nodes, o.Callers = stopNodes, stopCallers
 	r := &run{Options: o, start: time.Now()}
 	var err error
-	if r.world, err = newWorld(o.Program, o.Dir, o.Nodes, nil); err != nil {
+	if r.world, err = newWorld(worldOptions{dir: o.Dir, nodes: o.Nodes, firstProgram: only(o.Program), releases: releases}); err != nil {
 		return r.report, err
 	}
 	defer r.world.close()
@@ -72,7 +72,7 @@
 	time.Sleep(2 * stopSteady)
 	s := &stops{first: time.Now(), stopped: map[string]time.Time{}, end: map[string]time.Time{}}
 	callers.Go(func() { r.readFile(callersCtx, s.first) })
-	r.stopAll(s)
+	r.terminateAll(s)
 	time.Sleep(stopSteady)
 	stopCallers()
 	callers.Wait()
@@ -88,8 +88,8 @@
 	w.writeSettings()
 }
 
-// stopAll sends SIGTERM to all nodes, twice as operators may, and starts them again.
-func (r *run) stopAll(s *stops) {
+// terminateAll sends SIGTERM to all nodes, twice as operators may, and starts them again.
+func (r *run) terminateAll(s *stops) {
 	var ended sync.WaitGroup
 	for _, n := range r.world.nodes {
 		s.stopped[n.name] = time.Now()
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -96,18 +96,31 @@
 	isLossDue bool
 }
 
-func newWorld(program, dir string, nodes int, planned *rollout) (*world, error) {
-	return newWorldOf(func(int) string { return program }, dir, nodes, false, planned)
+// worldOptions configures a world.
+type worldOptions struct {
+	dir   string
+	nodes int
+	// firstProgram returns the program that a node runs at first.
+	firstProgram func(node int) string
+	// releases are those of the models, in turn.
+	releases []string
+	// hasOwnIPs gives each node an IP address of its own, and hasCutOffs lets nodes be cut off from
+	// the store, as a rollout does too.
+	hasOwnIPs, hasCutOffs bool
+	rollout               *rollout
 }
 
-// newWorldOf returns a world whose nodes run the programs that firstProgram returns, at IP
-// addresses of their own if hasOwnIP is set.
-func newWorldOf(firstProgram func(node int) string, dir string, nodes int, hasOwnIP bool, planned *rollout) (*world, error) {
+// only returns a function for worldOptions.firstProgram.
+func only(program string) func(int) string { return func(int) string { return program } }
+
+// newWorld starts the stand-ins and the nodes.
+func newWorld(o worldOptions) (*world, error) {
+	planned := o.rollout
 	w := &world{isTaken: map[string]bool{}, rollout: planned}
 	w.server = httptest.NewServer(&w.cloud)
 	address := strings.TrimPrefix(w.server.URL, "http://")
 	for i := range modelCount {
-		e, err := newEndpoint(w, fmt.Sprint("m", i), "llm", releases[i%len(releases)])
+		e, err := newEndpoint(w, fmt.Sprint("m", i), "llm", o.releases[i%len(o.releases)])
 		if err != nil {
 			return nil, err
 		}
@@ -136,14 +149,16 @@
 	w.listEndpoints()
 	w.writeOddEntries()
 	w.writeSettings()
-	for i := range nodes {
-		n := &nodeProcess{name: fmt.Sprint("n", i), program: firstProgram(i), dir: dir, store: address}
-		if hasOwnIP {
+	for i := range o.nodes {
+		n := &nodeProcess{name: fmt.Sprint("n", i), program: o.firstProgram(i), dir: o.dir, store: address}
+		if o.hasOwnIPs {
 			n.callerAddress = fmt.Sprintf("127.0.1.%d:0", 1+i)
 			n.peerAddress = n.callerAddress
 		}
 		if planned != nil {
 			n.settings = rolloutSettings
+		}
+		if planned != nil || o.hasCutOffs {
 			n.serveStore(&w.cloud)
 		}
 		w.nodes = append(w.nodes, n)
