--- a/internal/connection/conn/conn.go
+++ b/internal/connection/conn/conn.go
@@ -104,9 +104,9 @@
 	refused []string
 }
 
-// Get returns the most recently used idle connection that is still open and on which the request
-// has not been refused before, or dials a new one. A request without an identifier gets a new one: nothing in an answer tells that it
-// does not belong to an earlier request on the connection.
+// Get returns the most recently used idle connection that is still open and on which the
+// request has not been refused before, or dials a new one. A request without an identifier gets a
+// new one: nothing tells its answer from one to an earlier request on the connection.
 func (p *Pool) Get(ctx context.Context, address, request string) (*Conn, error) {
 	for request != "" {
 		c := p.takeIdle(address, request)
