Complete members' entries that nodes of earlier builds pass on

A node that first heard of a member through a node of an earlier build kept its entry without the fields that the build does not know, as long as the member did not change: the entry that the member itself sends has the same incarnation, and was ignored.

Entries of one incarnation are of one entry of the member, so that a field that one of them has completes the other.

--- a/internal/process/member/builds_test.go
+++ b/internal/process/member/builds_test.go
@@ -48,3 +48,25 @@
 	qt.Check(t, l.All(), qt.Contains, later)
 	qt.Check(t, later.State.String(), qt.Equals, "unknown")
 }
+
+// TestFieldsLostInRelay guards against members that are known for good without their capacity or
+// the loss of their path, since a node of an earlier build passed their entry on first: nodes
+// would choose different owners.
+func TestFieldsLostInRelay(t *testing.T) {
+	l := &List{}
+	l.Start(Member{ID: "a", State: Ready, Incarnation: 1})
+	whole := Member{ID: "b", State: Ready, Incarnation: 5, Settings: 3, Capacity: 400, HasNoPath: true}
+	relayed := Member{ID: "b", State: Ready, Incarnation: 5}
+	for _, update := range []Member{relayed, whole, relayed} {
+		l.Merge([]Member{update})
+	}
+	known, _ := l.View().Find("b")
+	qt.Check(t, known, qt.Equals, whole)
+	suspected := relayed
+	suspected.Suspect = true
+	l.Merge([]Member{suspected})
+	l.Merge([]Member{whole})
+	known, _ = l.View().Find("b")
+	qt.Check(t, known.Suspect, qt.IsTrue)
+	qt.Check(t, known.Capacity, qt.Equals, 400)
+}
--- a/internal/process/member/list.go
+++ b/internal/process/member/list.go
@@ -131,7 +131,13 @@
 		return false
 	}
 	if old != nil && !m.supersedes(old.Member) {
-		return false
+		completed := old.completedBy(m)
+		isCompleted := completed != old.Member
+		old.Member = completed
+		return isCompleted
+	}
+	if old != nil {
+		m = m.completedBy(old.Member)
 	}
 	if old != nil && m.State >= Leaving && old.State < m.State {
 		l.urgent.Set()
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -81,6 +81,19 @@
 	return m.precedence() > old.precedence()
 }
 
+// completedBy returns the entry with the fields that it lacks and another entry of the same
+// incarnation has. Both are of one entry of the member, which nodes of earlier builds pass on
+// without the fields that they do not know.
+func (m Member) completedBy(other Member) Member {
+	if m.Incarnation != other.Incarnation {
+		return m
+	}
+	m.Settings = cmp.Or(m.Settings, other.Settings)
+	m.Capacity = cmp.Or(m.Capacity, other.Capacity)
+	m.HasNoPath = m.HasNoPath || other.HasNoPath
+	return m
+}
+
 func (m Member) precedence() int {
 	switch {
 	case m.State == Dead:
