Tell nodes of earlier builds that a pool has several releases

A node of a build between that does not know the origin of a stream takes it up at the only release that it has seen, unless another node replies that the pool is mixed.

The reply has the field again, as key 7.

--- a/internal/connection/wire/builds_test.go
+++ b/internal/connection/wire/builds_test.go
@@ -93,7 +93,7 @@
 
 // removedKeys holds the keys that messages of earlier builds have and no later one may use for
 // something else.
-var removedKeys = map[string][]uint64{"OriginReply": {4, 5, 6, 7}}
+var removedKeys = map[string][]uint64{"OriginReply": {4, 5, 6}}
 
 // TestMessagesOfOtherBuilds guards against messages that another build cannot read while nodes
 // of both run. The files of testdata have each message as the build of a commit encoded it, with
--- a/internal/connection/wire/origin.go
+++ b/internal/connection/wire/origin.go
@@ -43,6 +43,9 @@
 	IsKnown bool   `cbor:"1,keyasint,omitempty"`
 	Pool    string `cbor:"2,keyasint,omitempty"`
 	Release string `cbor:"3,keyasint,omitempty"`
+	// IsMixed tells nodes of builds that take up streams at the only release which they have seen
+	// that the pool may have others.
+	IsMixed bool `cbor:"7,keyasint,omitempty"`
 }
 
 // ToOrigin converts the origin of a stream that is known.
--- a/internal/process/node/streams.go
+++ b/internal/process/node/streams.go
@@ -147,7 +147,9 @@
 }
 
 func (n *Node) serveOriginQuery(_ context.Context, s *link.Stream, m wire.OriginQuery) {
-	s.Send(wire.KindOriginQuery, n.originOf(ident.RequestID(m.Stream))) //nolint:errcheck // the asker decides without it.
+	reply := n.originOf(ident.RequestID(m.Stream))
+	reply.IsMixed = n.releases.listing.IsMixed(ident.PoolID(m.Pool))
+	s.Send(wire.KindOriginQuery, reply) //nolint:errcheck // the asker decides without it.
 }
 
 func (n *Node) withoutSelf(members []member.Member) []member.Member {
