--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -123,7 +123,7 @@
 		unplanned: map[string][]time.Time{}, stopped: map[string][]time.Time{},
 	}
 	var err error
-	if r.world, err = newWorldOf(o.firstProgram, o.Dir, o.Nodes, o.hasVariants(), planned); err != nil {
+	if r.world, err = newWorldOf(o, planned); err != nil {
 		return r.report, err
 	}
 	defer r.world.close()
@@ -139,9 +139,6 @@
 			n.keepAddresses(r.world)
 		}
 	}
-	if o.hasJoin() {
-		r.world.unlistJoining()
-	}
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for i := range o.Callers {
--- a/internal/tool/soak/variants.go
+++ b/internal/tool/soak/variants.go
@@ -43,7 +43,7 @@
 }
 
 // hasJoin reports whether the models have one release at first and the second one joins.
-func (o Options) hasJoin() bool { return o.Seed%rolloutEvery == 1 }
+func (o Options) hasJoin() bool { return o.Seed%rolloutEvery == 1 && !o.IsCalm }
 
 // playVariants lets models fall silent after changes of the settings, writes odd rows among those of
 // the endpoints, stops all nodes one after the other, and lets a release join while a node is
@@ -115,14 +115,6 @@
 	ending.Wait()
 }
 
-// unlistJoining removes the models of the release that joins.
-func (w *world) unlistJoining() {
-	for _, e := range w.joining() {
-		e.setState("")
-		w.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{{Table: "servers", Key: e.name}}})
-	}
-}
-
 // joining returns the models of the second release.
 func (w *world) joining() (joining []*endpoint) {
 	for _, e := range w.models {
