Have nodes of earlier builds serve requests of others last

A node that has lost its path to the endpoints sends its requests through other nodes. One of a build before does not know these messages and closes the stream, so that the request counts as one that may have run and fails, unless it may be repeated, though another node could have served it. Nodes of builds before, which the schema of their rows shows, are now asked last.

Evidence: TestDetourToEarlierBuild failed before: got [n1 n3 n2], want [n3 n2 n1]; it passes now.

--- a/internal/process/node/builds_test.go
+++ b/internal/process/node/builds_test.go
@@ -10,6 +10,8 @@
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/connection/wire"
 	"goldcrestwick/internal/process/ident"
+	"goldcrestwick/internal/process/member"
+	"goldcrestwick/internal/version/config"
 )
 
 // TestOriginReplyToEarlierBuild guards against streams that a node of a build before d023f67 takes
@@ -38,3 +40,25 @@
 	n.releases.listing.AssumeUnlisted(true)
 	qt.Check(t, isMixed("q"), qt.IsTrue)
 }
+
+// TestDetourToEarlierBuild guards against requests that are sent to a node of a build which does
+// not serve them for other nodes, while one of this build could.
+func TestDetourToEarlierBuild(t *testing.T) {
+	n := &Node{Process: config.Process{Name: "n0", Zone: "z", Region: "r"}}
+	n.members.Start(member.Member{ID: "n0", State: member.Ready})
+	n.members.Merge([]member.Member{
+		{ID: "n1", Region: "r", Zone: "z", State: member.Ready},
+		{ID: "n2", Region: "r", Zone: "other", State: member.Ready},
+		{ID: "n3", Region: "r", Zone: "z", State: member.Ready},
+	})
+	n.tables.learnBuild("n1", 0, time.Now())
+	n.tables.learnBuild("n3", 0, time.Now())
+	n.tables.learnBuild("n3", nodeRowSchema, time.Now())
+	for range 10 {
+		var order []ident.NodeID
+		for _, m := range n.detourPeers() {
+			order = append(order, m.ID)
+		}
+		qt.Assert(t, order, qt.DeepEquals, []ident.NodeID{"n3", "n2", "n1"})
+	}
+}
--- a/internal/process/node/noderow.go
+++ b/internal/process/node/noderow.go
@@ -106,6 +106,17 @@
 	return false
 }
 
+// earlierNodes returns the nodes whose rows have an earlier schema.
+func (t *tableState) earlierNodes() map[ident.NodeID]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	nodes := map[ident.NodeID]bool{}
+	for name, build := range t.earlierBuilds {
+		nodes[ident.NodeID(name)] = !build.isReplaced
+	}
+	return nodes
+}
+
 // mayUseUnlisted reports whether nodes may run that use releases before releaseTable lists them.
 func (n *Node) mayUseUnlisted(now time.Time) bool {
 	view := n.members.View()
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -133,23 +133,30 @@
 }
 
 // detourPeers returns the nodes that may serve a request for this one, in random order, those
-// of its availability zone first.
+// of its availability zone first and those of earlier builds, which may not know detours, last.
 func (n *Node) detourPeers() []member.Member {
 	peers := slices.DeleteFunc(n.withoutSelf(n.members.View().Ready(n.Process.Region)), func(m member.Member) bool {
 		return m.HasNoPath || m.Suspect || n.cells.IsUnresponsive(m.ID)
 	})
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	slices.SortStableFunc(peers, func(a, b member.Member) int {
-		return cmp.Compare(distance(a.Zone, n.Process.Zone), distance(b.Zone, n.Process.Zone))
-	})
+	isEarlier := n.tables.earlierNodes()
+	rank := func(m member.Member) int {
+		if isEarlier[m.ID] {
+			return maxDistance + 1
+		}
+		return distance(m.Zone, n.Process.Zone)
+	}
+	slices.SortStableFunc(peers, func(a, b member.Member) int { return cmp.Compare(rank(a), rank(b)) })
 	return peers
 }
 
+const maxDistance = 1
+
 func distance(a, b ident.AvailabilityZone) int {
 	if a == b {
 		return 0
 	}
-	return 1
+	return maxDistance
 }
 
 // prepareDetours connects the components by which nodes serve requests for each other.
