--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -35,7 +35,7 @@
 type State uint8
 
 // The states. A member reports the first three itself; Dead is declared by the
-// other members. A member in a higher one, of a later build, lives and is not Ready.
+// other members.
 const (
 	Joining State = iota
 	Ready
@@ -43,7 +43,8 @@
 	Dead
 )
 
-// String returns the state in lower case.
+// String returns the state in lower case. A member in a state above Dead, of a later build, lives
+// and is not Ready.
 func (s State) String() string {
 	return [...]string{"joining", "ready", "leaving", "dead", "unknown"}[min(s, Dead+1)]
 }
--- a/internal/tool/soak/mixed_test.go
+++ b/internal/tool/soak/mixed_test.go
@@ -22,13 +22,13 @@
 	if *mixedSeeds == 0 {
 		t.Skip("selected with -soak.mixed")
 	}
-	playSeeds(t, *mixedSeeds, Options{Program: buildProgram(t, "../../.."), Earlier: buildEarlier(t)})
+	playSeeds(t, *mixedSeeds, Options{Program: buildModule(t, "../../.."), Earlier: buildEarlier(t)})
 }
 
 // TestCalmUpgrade guards against requests that are held up and refused, or cut, while nodes are
 // replaced by those of another build and nothing else happens.
 func TestCalmUpgrade(t *testing.T) {
-	playSeeds(t, *calmSeeds, Options{Program: buildProgram(t, "../../.."), Earlier: buildEarlier(t), IsCalm: true})
+	playSeeds(t, *calmSeeds, Options{Program: buildModule(t, "../../.."), Earlier: buildEarlier(t), IsCalm: true})
 }
 
 // buildEarlier builds the program of the earlier commit.
@@ -42,5 +42,5 @@
 		out, err := exec.Command(command[0], command[1:]...).CombinedOutput()
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("%v, with the whole history of the repository: %s", command, out))
 	}
-	return buildProgram(t, source)
+	return buildModule(t, source)
 }
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -21,11 +21,11 @@
 // TestSoak plays seeds against real processes. With the flag -artifacts, their settings and
 // logs are kept in the folder that go test prints.
 func TestSoak(t *testing.T) {
-	playSeeds(t, *seedCount, Options{Program: buildProgram(t, "../../..")})
+	playSeeds(t, *seedCount, Options{Program: buildModule(t, "../../..")})
 }
 
-// buildProgram builds the program of a copy of the module.
-func buildProgram(t *testing.T, module string) string {
+// buildModule builds the program of a copy of the module.
+func buildModule(t *testing.T, module string) string {
 	program := filepath.Join(t.TempDir(), "goldcrestwick")
 	out, err := exec.Command("go", "build", "-C", module, "-o", program, "./cmd/goldcrestwick").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
