--- a/internal/tool/soak/variants.go
+++ b/internal/tool/soak/variants.go
@@ -59,7 +59,7 @@
 		case isJoinDue && time.Now().After(joinAt):
 			isJoinDue = !r.joinRelease(random, &faults)
 		case action < seriesShare:
-			r.stopAll(ctx, random)
+			r.terminateAll(ctx, random)
 		case action < 0.6:
 			r.hush(random, &faults)
 		default:
@@ -101,8 +101,8 @@
 	r.world.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{w}})
 }
 
-// stopAll stops all nodes one after the other, the next ones before the first ones are back.
-func (r *run) stopAll(ctx context.Context, random *rand.Rand) {
+// terminateAll stops all nodes one after the other, the next ones before the first ones are back.
+func (r *run) terminateAll(ctx context.Context, random *rand.Rand) {
 	if !r.world.takeAll(ctx) {
 		return
 	}
