Soak: give nodes IP addresses of their own, and the same addresses after each start

Suspected, not shown: the callers had connected to the address of a node that was down, whose port another process had been given by then; ports of ready and directory servers, which answer 404 without a log line, came from the same address, and several soaks were running. Nodes now have IP addresses that no other process uses, and keep their ports.

--- a/internal/tool/soak/process.go
+++ b/internal/tool/soak/process.go
@@ -35,8 +35,7 @@
 
 	// settings follow those that all nodes have.
 	settings string
-	// callerAddress and peerAddress, if not empty, replace the ones of settingsFormat, whose
-	// ports the system chooses at each start.
+	// callerAddress and peerAddress, if not empty, replace the ones of settingsFormat.
 	callerAddress, peerAddress string
 	// ownStore serves the store to this node alone, and isCutOff ends that.
 	ownStore *httptest.Server
--- a/internal/tool/soak/slow.go
+++ b/internal/tool/soak/slow.go
@@ -28,6 +28,8 @@
 	slowReceiveBytes = 16 << 10
 	fileSendBytes    = 256 << 10
 	slowTimeout      = 20 * time.Second
+	// slowGrace is the grace period of settingsFormat.
+	slowGrace = 8 * time.Second
 )
 
 // fileText is the answer that slow callers get.
@@ -76,7 +78,7 @@
 // of the route had passed.
 func (r *run) isStoppedLate(rec record) bool {
 	return rec.end.Sub(rec.start) > routeTimeout && slices.ContainsFunc(r.stopped[rec.node], func(stopped time.Time) bool {
-		return stopped.Before(rec.end) && stopped.After(rec.start.Add(-graceTime))
+		return stopped.Before(rec.end) && rec.end.Sub(stopped) < slowGrace
 	})
 }
 
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -134,10 +134,8 @@
 		return r.report, err
 	}
 	r.start = time.Now()
-	if o.hasVariants() {
-		for _, n := range r.world.nodes {
-			n.keepAddresses(r.world)
-		}
+	for _, n := range r.world.nodes {
+		n.keepAddresses(r.world)
 	}
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	var callers sync.WaitGroup
