--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -35,8 +35,7 @@
 type State uint8
 
 // The states. A member reports the first three itself, and Dead when it ends gracefully;
-// otherwise the other members declare it dead. A member in a higher one, of a later build,
-// lives and is not Ready.
+// otherwise the other members declare it dead.
 const (
 	Joining State = iota
 	Ready
@@ -44,7 +43,8 @@
 	Dead
 )
 
-// String returns the state in lower case.
+// String returns the state in lower case. A member in a state above Dead, of a later build, lives
+// and is not Ready.
 func (s State) String() string {
 	return [...]string{"joining", "ready", "leaving", "dead", "unknown"}[min(s, Dead+1)]
 }
@@ -85,6 +85,19 @@
 	return m.precedence() > old.precedence()
 }
 
+// completedBy returns the entry with the fields that it lacks and another entry of the same
+// incarnation has. Both are of one entry of the member, which nodes of earlier builds pass on
+// without the fields that they do not know.
+func (m Member) completedBy(other Member) Member {
+	if m.Incarnation != other.Incarnation {
+		return m
+	}
+	m.Settings = cmp.Or(m.Settings, other.Settings)
+	m.Capacity = cmp.Or(m.Capacity, other.Capacity)
+	m.HasNoPath = m.HasNoPath || other.HasNoPath
+	return m
+}
+
 func (m Member) precedence() int {
 	switch {
 	case m.State == Dead:
--- a/internal/tool/soak/probe.go
+++ b/internal/tool/soak/probe.go
@@ -185,5 +185,5 @@
 	excuses := func(window time.Duration) func(time.Time) bool {
 		return func(at time.Time) bool { return at.Before(p.start.Add(p.took)) && at.After(p.start.Add(-window)) }
 	}
-	return slices.ContainsFunc(r.unplanned[p.node], excuses(stableWindow)) || slices.ContainsFunc(r.stopped[p.node], excuses(graceTime+stableWindow))
+	return slices.ContainsFunc(r.unplanned[p.node], excuses(stableWindow)) || slices.ContainsFunc(r.stopped[p.node], excuses(stopGrace+stableWindow))
 }
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -134,7 +134,9 @@
 		unplanned: map[string][]time.Time{}, stopped: map[string][]time.Time{},
 	}
 	var err error
-	w := worldOptions{dir: o.Dir, nodes: o.Nodes, firstProgram: o.firstProgram, releases: releases, hasOwnIPs: o.hasVariants(), rollout: planned}
+	w := worldOptions{
+		dir: o.Dir, nodes: o.Nodes, firstProgram: o.firstProgram, releases: releases, hasJoin: o.hasJoin(), rollout: planned,
+	}
 	if r.world, err = newWorld(w); err != nil {
 		return r.report, err
 	}
@@ -146,13 +148,8 @@
 		return r.report, err
 	}
 	r.start = time.Now()
-	if o.hasVariants() {
-		for _, n := range r.world.nodes {
-			n.keepAddresses(r.world)
-		}
-	}
-	if o.hasJoin() {
-		r.world.unlistJoining()
+	for _, n := range r.world.nodes {
+		n.keepAddresses(r.world)
 	}
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	var callers sync.WaitGroup
--- a/internal/tool/soak/stop.go
+++ b/internal/tool/soak/stop.go
@@ -72,7 +72,7 @@
 	time.Sleep(2 * stopSteady)
 	s := &stops{first: time.Now(), stopped: map[string]time.Time{}, end: map[string]time.Time{}}
 	callers.Go(func() { r.readFile(callersCtx, s.first) })
-	r.terminateAll(s)
+	r.restartAll(s)
 	time.Sleep(stopSteady)
 	stopCallers()
 	callers.Wait()
@@ -88,8 +88,8 @@
 	w.writeSettings()
 }
 
-// terminateAll sends SIGTERM to all nodes, twice as operators may, and starts them again.
-func (r *run) terminateAll(s *stops) {
+// restartAll sends SIGTERM to all nodes, twice as operators may, and starts them again.
+func (r *run) restartAll(s *stops) {
 	var ended sync.WaitGroup
 	for _, n := range r.world.nodes {
 		s.stopped[n.name] = time.Now()
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -104,10 +105,10 @@
 	firstProgram func(node int) string
 	// releases are those of the models, in turn.
 	releases []string
-	// hasOwnIPs gives each node an IP address of its own, and hasCutOffs lets nodes be cut off from
-	// the store, as a rollout does too.
-	hasOwnIPs, hasCutOffs bool
-	rollout               *rollout
+	// hasJoin keeps the models of all releases but the first unlisted at first. hasCutOffs lets
+	// nodes be cut off from the store, as a rollout does too.
+	hasJoin, hasCutOffs bool
+	rollout             *rollout
 }
 
 // only returns a function for worldOptions.firstProgram.
@@ -146,15 +147,19 @@
 	if w.files, err = newEndpoint(w, "f0", "file", ""); err != nil {
 		return nil, err
 	}
+	if o.hasJoin {
+		for _, e := range w.joining() {
+			e.setState("")
+		}
+	}
 	w.listEndpoints()
 	w.writeOddEntries()
 	w.writeSettings()
 	for i := range o.nodes {
 		n := &nodeProcess{name: fmt.Sprint("n", i), program: o.firstProgram(i), dir: o.dir, store: address}
-		if o.hasOwnIPs {
-			n.callerAddress = fmt.Sprintf("127.0.1.%d:0", 1+i)
-			n.peerAddress = n.callerAddress
-		}
+		// Other processes would take the port of a node that is down, and answer its callers.
+		n.callerAddress = fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()/250%250, os.Getpid()%250, 1+i)
+		n.peerAddress = n.callerAddress
 		if planned != nil {
 			n.settings = rolloutSettings
 		}
