Take only a refused or reset connection for evidence of an endpoint that is gone

A node without sockets (EMFILE) took every whole answer without a length for one that was broken off: its callers got a cut answer, 502, or a second run.

--- a/internal/request/proxy/script_test.go
+++ b/internal/request/proxy/script_test.go
@@ -1,8 +1,8 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"iter"
 	"net"
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -62,7 +63,8 @@
 //	                                the connection open
 //	other                           the address belongs to another instance
 //	unreachable                     connections to the endpoint fail
-//	killed                          connections to the endpoint fail after the first one
+//	killed                          connections to the endpoint are refused after the first one
+//	no_sockets                      this node has no sockets for further connections to it
 func TestScripts(t *testing.T) { script.Run(t, "testdata/*.script", runScript) }
 
 // scriptRunner runs one script.
@@ -80,12 +82,12 @@
 	recorder    *httptest.ResponseRecorder
 	result      Result
 	openConns   []net.Conn
-	// killed holds the endpoints that end after their first connection.
-	killed map[string]bool
+	// dialErrors holds, by endpoint, the error of dials after the first one.
+	dialErrors map[string]error
 }
 
 func runScript(t *testing.T, lines iter.Seq[script.Line]) {
-	s := &scriptRunner{T: t, engines: map[string]*engine.Engine{}, behaviours: map[string]engine.Behaviour{}, killed: map[string]bool{}}
+	s := &scriptRunner{T: t, engines: map[string]*engine.Engine{}, behaviours: map[string]engine.Behaviour{}, dialErrors: map[string]error{}}
 	s.proxy = Proxy{
 		RequestGrant: s.requestGrant, IsLeaving: func(ident.CellID, ident.Endpoint) bool { return false },
 		Conns: &conn.Pool{Dial: s.dial}, Codec: testCodec(),
@@ -231,7 +233,9 @@
 		case "whole", "cut", "torn", "silent":
 			b.EndMode = engine.EndMode(arg)
 		case "killed":
-			s.killed[name] = true
+			s.dialErrors[name] = errUnreachable
+		case "no_sockets":
+			s.dialErrors[name] = syscall.EMFILE
 		case "unreachable", "other":
 		default:
 			s.Fatalf("%s: unknown argument %s", s.Position, arg)
@@ -261,14 +265,14 @@
 	}, nil
 }
 
-var errUnreachable = errors.New("connection refused")
+var errUnreachable = syscall.ECONNREFUSED
 
 func (s *scriptRunner) dial(_ context.Context, address string) (net.Conn, error) {
 	e := s.engines[address]
 	if e == nil {
-		return nil, errUnreachable
+		return nil, cmp.Or(s.dialErrors[address], error(errUnreachable))
 	}
-	if s.killed[address] {
+	if s.dialErrors[address] != nil {
 		delete(s.engines, address)
 	}
 	client, server := net.Pipe()
