Soak: sound endpoints where an earlier build serves or all nodes stop; one set of odd entries

The odd entries of playVariants lacked required fields, so that ports and numbers out of range were not tested there; they are those of the start now. Silences of several endpoints are in one function.

--- a/internal/tool/soak/probe.go
+++ b/internal/tool/soak/probe.go
@@ -75,11 +75,11 @@
 		routes[name] = next
 		r.changeProbes(routes)
 		acknowledged := time.Now()
-		share, silence, isStalled := []float64{1, 0.6}[random.IntN(2)], time.Duration(1000+random.IntN(300))*time.Millisecond, random.IntN(2) == 0
-		r.note("%s is changed, %g of the endpoints are silent for %s, accepting none %v", name, share, silence, isStalled)
+		share, length, isStalled := []float64{1, 0.6}[random.IntN(2)], time.Duration(1000+random.IntN(300))*time.Millisecond, random.IntN(2) == 0
+		r.note("%s is changed, %g of the endpoints are silent for %s, accepting none %v", name, share, length, isStalled)
 		var silent sync.WaitGroup
 		seed := random.Uint64()
-		silent.Go(func() { r.silence(seed, share, silence, isStalled) })
+		silent.Go(func() { silence(r.chooseEndpoints(seed, share), length, isStalled) })
 		faults := []func(*sync.WaitGroup){func(*sync.WaitGroup) {}, r.freezeNode, r.freezeNode, r.killNode, r.terminateNode}
 		for range 2 {
 			faults[random.IntN(len(faults))](&silent)
@@ -98,21 +98,25 @@
 	r.world.writeSettings()
 }
 
-// silence makes a share of the endpoints stand still silenceDelay from now on.
-func (r *run) silence(seed uint64, share float64, duration time.Duration, isStalled bool) {
+// chooseEndpoints returns a share of the models and applications.
+func (r *run) chooseEndpoints(seed uint64, share float64) []*endpoint {
 	random, all := rand.New(rand.NewPCG(seed, 0)), slices.Concat(r.world.models, r.world.apps)
 	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	all = all[:int(share*float64(len(all))+0.5)]
+	return all[:int(share*float64(len(all))+0.5)]
+}
+
+// silence makes endpoints stand still silenceDelay from now on.
+func silence(endpoints []*endpoint, duration time.Duration, isStalled bool) {
 	set := (*endpoint).setSilent
 	if isStalled {
 		set = (*endpoint).setStalled
 	}
 	time.Sleep(silenceDelay)
-	for _, e := range all {
+	for _, e := range endpoints {
 		set(e, true)
 	}
 	time.Sleep(duration)
-	for _, e := range all {
+	for _, e := range endpoints {
 		set(e, false)
 	}
 }
--- a/internal/tool/soak/repeat.go
+++ b/internal/tool/soak/repeat.go
@@ -15,10 +15,15 @@
 	repeatDelay  = 3 * time.Millisecond
 )
 
+// callBehaviour is that of a call to an application that is served.
+var callBehaviour = engine.Behaviour{Body: "done", EventInterval: callTime}
+
 // nextCall returns the behaviour of an application for its next call.
 func nextCall() engine.Behaviour {
 	if rand.IntN(refusalEvery) > 0 {
-		return engine.Behaviour{Body: "done", EventInterval: callTime, RepeatRefusal: true}
+		b := callBehaviour
+		b.RepeatRefusal = true
+		return b
 	}
 	b := engine.Behaviour{Status: 503, NotRun: true, Body: "busy", EventInterval: callTime}
 	if rand.IntN(2) == 0 {
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -136,6 +136,8 @@
 	var err error
 	w := worldOptions{
 		dir: o.Dir, nodes: o.Nodes, firstProgram: o.firstProgram, releases: releases, hasJoin: o.hasJoin(), rollout: planned,
+		// Earlier builds take a repeated refusal for an answer, and some odd entries for sound ones.
+		isSound: o.Earlier != "",
 	}
 	if r.world, err = newWorld(w); err != nil {
 		return r.report, err
--- a/internal/tool/soak/stop.go
+++ b/internal/tool/soak/stop.go
@@ -53,7 +53,7 @@
 	o.Nodes, o.Callers = stopNodes, stopCallers
 	r := &run{Options: o, start: time.Now()}
 	var err error
-	if r.world, err = newWorld(worldOptions{dir: o.Dir, nodes: o.Nodes, firstProgram: only(o.Program), releases: releases}); err != nil {
+	if r.world, err = newWorld(worldOptions{dir: o.Dir, nodes: o.Nodes, firstProgram: only(o.Program), releases: releases, isSound: true}); err != nil {
 		return r.report, err
 	}
 	defer r.world.close()
--- a/internal/tool/soak/variants.go
+++ b/internal/tool/soak/variants.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -13,8 +12,6 @@
 )
 
 const (
-	// hushDelay is the time from a change of the settings until models fall silent.
-	hushDelay = 600 * time.Millisecond
 	// variantPause is the longest pause between two faults of playVariants.
 	variantPause = 4 * time.Second
 	// seriesShare is the share of these faults that stop all nodes, which is rare since it
@@ -24,17 +21,6 @@
 	joinCrashes = 3
 )
 
-// oddRows are rows of the table of endpoints that name no endpoint.
-var oddRows = []string{
-	strings.Repeat("[", 20000) + strings.Repeat("]", 20000),
-	`{"service":"llm","address":"127.0.0.1:9","state":"ready","slots":1e400}`,
-	`{"service":"llm","address":"127.0.0.1:9","state":"ready","slots":4,"born":1e300}`,
-	`{"service":"llm","address":"127.0.0.1:99999","state":"ready","slots":4}`,
-	`{"service":"llm","address":"127.0.0.1:-1","state":"ready","slots":-9223372036854775808}`,
-	`{"service":7,"address":["127.0.0.1:9"],"state":{}}`,
-	`{"service":"llm","state":"ready"}`, "\xff\xfe{", "null", `""`, "",
-}
-
 // hasVariants reports whether the run has the faults of playVariants. Seeds with a rollout and those
 // whose rest is 0 or 4 play as they did before these faults were added.
 func (o Options) hasVariants() bool {
@@ -45,7 +31,7 @@
 // hasJoin reports whether the models have one release at first and the second one joins.
 func (o Options) hasJoin() bool { return o.Seed%rolloutEvery == 1 && !o.IsCalm }
 
-// playVariants lets models fall silent after changes of the settings, writes odd rows among those of
+// playVariants lets models fall silent after changes of the settings, writes odd entries among those of
 // the endpoints, stops all nodes one after the other, and lets a release join while a node is
 // frozen. Its draws are its own, so that those of playPlan stay as they are.
 func (r *run) playVariants(ctx context.Context) {
@@ -61,9 +47,9 @@
 		case action < seriesShare:
 			r.terminateAll(ctx, random)
 		case action < 0.6:
-			r.hush(random, &faults)
+			r.silenceModels(random, &faults)
 		default:
-			r.writeOddRow(random)
+			r.writeOddEntry(random)
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(variantPause))))
 	}
@@ -72,32 +58,27 @@
 	}
 }
 
-// hush changes the settings, after which all models or most of them are silent for a second.
-func (r *run) hush(random *rand.Rand, faults *sync.WaitGroup) {
-	share, silence := []float64{1, 0.6}[random.IntN(2)], time.Duration(1000+random.IntN(300))*time.Millisecond
+// silenceModels changes the settings, after which all models or most of them are silent for a second.
+func (r *run) silenceModels(random *rand.Rand, faults *sync.WaitGroup) {
+	share, length := []float64{1, 0.6}[random.IntN(2)], time.Duration(1000+random.IntN(300))*time.Millisecond
 	models := r.world.models[:int(share*float64(len(r.world.models)))]
-	r.note("settings, then %d models are silent for %s", len(models), silence)
+	r.note("settings, then %d models are silent for %s", len(models), length)
 	r.world.writeSettings()
-	faults.Go(func() {
-		time.Sleep(hushDelay)
-		for _, e := range models {
-			e.setSilent(true)
-		}
-		time.Sleep(silence)
-		for _, e := range models {
-			e.setSilent(false)
-		}
-	})
+	faults.Go(func() { silence(models, length, false) })
 }
 
-// writeOddRow writes, or removes, an odd row of the table of endpoints.
-func (r *run) writeOddRow(random *rand.Rand) {
-	i := random.IntN(len(oddRows))
-	w := cloud.Write{Table: "servers", Key: fmt.Sprint("odd", i), Value: []byte(oddRows[i])}
+// writeOddEntry writes, or removes, an odd entry among those of the endpoints. Earlier builds use some of them.
+func (r *run) writeOddEntry(random *rand.Rand) {
+	if r.Earlier != "" {
+		return
+	}
+	entries := r.world.oddEntries()
+	i := random.IntN(len(entries))
+	w := cloud.Write{Table: "servers", Key: fmt.Sprint("odd", i), Value: []byte(entries[i])}
 	if r.world.cloud.Rows("servers")[w.Key] != nil {
 		w.Value = nil
 	}
-	r.note("odd row %d, removed %v", i, w.Value == nil)
+	r.note("odd entry %d, removed %v", i, w.Value == nil)
 	r.world.cloud.Apply(cloud.Transaction{Writes: []cloud.Write{w}})
 }
 
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"goldcrestwick/internal/stand/cloud"
+	"goldcrestwick/internal/stand/engine"
 )
 
 const (
@@ -108,7 +109,9 @@
 	// hasJoin keeps the models of all releases but the first unlisted at first. hasCutOffs lets
 	// nodes be cut off from the store, as a rollout does too.
 	hasJoin, hasCutOffs bool
-	rollout             *rollout
+	// isSound leaves out refusals that applications repeat, and odd entries of another writer.
+	isSound bool
+	rollout *rollout
 }
 
 // only returns a function for worldOptions.firstProgram.
@@ -132,6 +135,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if o.isSound {
+			e.NextBehaviour = func() engine.Behaviour { return callBehaviour }
+		}
 		w.apps = append(w.apps, e)
 	}
 	if planned != nil {
@@ -153,7 +159,9 @@
 		}
 	}
 	w.listEndpoints()
-	w.writeOddEntries()
+	if !o.isSound {
+		w.writeOddEntries()
+	}
 	w.writeSettings()
 	for i := range o.nodes {
 		n := &nodeProcess{name: fmt.Sprint("n", i), program: o.firstProgram(i), dir: o.dir, store: address}
