--- a/internal/tool/soak/outofstep_test.go
+++ b/internal/tool/soak/outofstep_test.go
@@ -11,6 +11,7 @@
 // TestStreamsTakenUpAtNodeOutOfStep checks that streams go on at the release that began them, or
 // not at all, at a node that missed that endpoints of this release joined.
 func TestStreamsTakenUpAtNodeOutOfStep(t *testing.T) {
+	t.Parallel()
 	program := buildProgram(t, "../../..")
 	for name, o := range map[string]OutOfStep{
 		"stopped":               {Lost: 1, Stops: true, For: 2 * time.Second},
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -28,6 +28,7 @@
 // TestSilentEndpoints guards against settings that are late, go back or lose their time-outs, and
 // against answers that are cut, while sound endpoints stand still.
 func TestSilentEndpoints(t *testing.T) {
+	t.Parallel()
 	playSeeds(t, 1, Options{Program: buildProgram(t, "../../.."), HasSilences: true})
 }
 
@@ -67,6 +68,7 @@
 // TestAllNodesStop guards against requests that nobody answers when all nodes get SIGTERM within
 // two seconds, and against a fleet in which nobody serves until the first of them is back.
 func TestAllNodesStop(t *testing.T) {
+	t.Parallel()
 	report, err := RunStop(t.Context(), Options{Program: buildProgram(t, "../../.."), Dir: t.ArtifactDir(), Seed: 1})
 	qt.Assert(t, err, qt.IsNil)
 	t.Logf("seed 1: %d sent, %d whole, %d refused, %v", report.Sent, report.Whole, report.Refused, report.Plan)
