Complete IsClosing of members that earlier builds pass on; excuse what earlier builds cut when they end

The soak holds this build to rule LOST around SIGTERM. TestCalmUpgrade then found what does itself: book 1-9-13 got no answer from n3 of the earlier build, closed at the end of its grace period. For nodes of an earlier build the check is the one from before, from five sixths of the period on.

--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -95,6 +95,7 @@
 	m.Settings = cmp.Or(m.Settings, other.Settings)
 	m.Capacity = cmp.Or(m.Capacity, other.Capacity)
 	m.HasNoPath = m.HasNoPath || other.HasNoPath
+	m.IsClosing = m.IsClosing || other.IsClosing
 	return m
 }
 
--- a/internal/tool/soak/check.go
+++ b/internal/tool/soak/check.go
@@ -199,7 +199,13 @@
 			return
 		}
 	}
-	if arrivals > 0 && slices.ContainsFunc(r.stopped[rec.node], rec.isCutByStop) {
+	if slices.ContainsFunc(r.stopped[rec.node], func(stopped time.Time) bool {
+		if r.isOfEarlier(rec) {
+			// Earlier builds answer nothing that they hold at the end of the grace period.
+			return rec.start.Before(stopped.Add(stopGrace)) && rec.end.After(stopped.Add(stopCutFrom))
+		}
+		return arrivals > 0 && rec.isCutByStop(stopped)
+	}) {
 		return
 	}
 	r.violation("%s %s at %s got no answer from %s between %s and %s, %d arrivals: %v",
