Start with the settings of a later build's template

An entry node now ignores them and logs setting_ignored for each. Other settings are checked as before.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -111,6 +111,9 @@
 	defer logWriter.Close()
 	e := newEntryNode(p, newLogger(p, logWriter))
 	e.log.Info("process_started", "node", p.Name, "availability_zone", p.Zone, "callers", p.CallerAddress)
+	for _, f := range p.Ignored {
+		e.log.Warn("setting_ignored", "finding", f.String())
+	}
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
 	go func() {
--- a/internal/version/config/document.go
+++ b/internal/version/config/document.go
@@ -19,6 +19,9 @@
 	sections []string
 	keys     map[string][]string
 	findings Findings
+	// ignoresUnknown makes unknown sections and keys part of ignored instead of findings.
+	ignoresUnknown bool
+	ignored        Findings
 }
 
 // location identifies a key, or a section if key is empty.
@@ -118,6 +121,14 @@
 	d.addFindingAt(loc, line, problem)
 }
 
+// addUnknown records an unknown section or key.
+func (d *document) addUnknown(loc location, problem string) {
+	d.addFinding(loc, problem)
+	if last := len(d.findings) - 1; d.ignoresUnknown {
+		d.findings, d.ignored = d.findings[:last], append(d.ignored, d.findings[last])
+	}
+}
+
 func (d *document) addFindingAt(loc location, line int, problem string) {
 	d.findings = append(d.findings, Finding{File: d.file, Section: loc.section, Key: loc.key, Line: line, Problem: problem})
 }
--- a/internal/version/config/process.go
+++ b/internal/version/config/process.go
@@ -18,9 +18,11 @@
 // platform's address, the paths of its keys, the regions of the availability zones,
 // its memory size, its grace period, the fleet's retry budget and its logging.
 type Process struct {
-	Name   ident.NodeID
-	Zone   ident.AvailabilityZone
-	Region ident.Region
+	// Ignored lists the unknown sections and keys.
+	Ignored Findings
+	Name    ident.NodeID
+	Zone    ident.AvailabilityZone
+	Region  ident.Region
 	// CallerAddress is the IP and TCP port for callers.
 	CallerAddress string
 	// PeerAddress is the IP and UDP port for other nodes.
@@ -274,14 +276,16 @@
 }
 
 // ParseProcess parses the settings of one process. Paths in the settings are
-// relative to the directory of file. The error is of type Findings.
+// relative to the directory of file. The error is of type Findings. With a section [entry],
+// unknown sections and keys are ignored: the platform may fill in the template of a later build.
 func ParseProcess(file string, content []byte) (Process, error) {
 	p := Process{LogLevel: "info", LogFormat: "logfmt"}
 	d := parseDocument(file, content)
+	d.ignoresUnknown = slices.Contains(d.sections, "entry")
 	for _, section := range d.sections {
 		fields, ok := processFields[section]
 		if !ok {
-			d.addFinding(location{section: section}, "unknown section; known are "+sortedKeys(processFields))
+			d.addUnknown(location{section: section}, "unknown section; known are "+sortedKeys(processFields))
 			continue
 		}
 		setFields(d, section, &p, fields)
@@ -298,6 +302,7 @@
 	if err := d.findings.Err(); err != nil {
 		return Process{}, err
 	}
+	p.Ignored = d.ignored
 	dir := filepath.Dir(file)
 	for _, path := range []*string{&p.TreeDir, &p.CAFile, &p.CertFile, &p.KeyFile, &p.ResumeKeyFile, &p.LedgerKeyFile} {
 		if *path != "" && !filepath.IsAbs(*path) {
--- a/internal/version/config/values.go
+++ b/internal/version/config/values.go
@@ -39,7 +39,7 @@
 	for _, key := range d.keys[section] {
 		f, ok := known[key]
 		if !ok {
-			d.addFinding(location{section, key}, "unknown key; known are "+fieldKeys(fields))
+			d.addUnknown(location{section, key}, "unknown key; known are "+fieldKeys(fields))
 			continue
 		}
 		given[key] = true
