Detour: refuse requests that no endpoint has got when their node stops

Callers of a stopping node without a path saw 502 endpoint_failed, "the caller went away", at its end: both for requests that waited for a grant at another node and reached no endpoint, and for those that ran. Only these may have run, and callers of the others could not go elsewhere in time.

Cause: serve passed Detour only the context that ends with the node, not the one of requests that have not been sent, and the client took each end that was not the deadline for the caller's leaving.

The contexts now end with ErrStopped as their cause. minServeTime before the end the client withdraws a request for which no attempt was reported, and waits for the serving node's reply, which says whether it has run; if it has not, the request is refused like one that waits here. What may have run ends with 504 node_stopping. Nodes of earlier builds take the message for the caller's leaving and reply the same; those that don't report attempts get no message.

TestProxy/partitioned_node_stops failed before: script:27: w00, w01, w02: status:0 2 s before the end; :31: b1: status:502 endpoint_failed, "the caller went away".

--- a/internal/connection/wire/detour.go
+++ b/internal/connection/wire/detour.go
@@ -1,9 +1,14 @@
 package wire
 
+// KindDetourWithdraw ends a detour without closing its stream. Nodes of earlier builds take any
+// message that follows the body for the end as well.
+const KindDetourWithdraw = KindRolloutQuery + 1
+
 // Detour opens the stream on which a node that has no path to the endpoints has another one
 // serve a request. KindDetourBody messages with BodyBytes bytes follow. The reply is
 // KindQueued from time to time, KindDetourHead, KindDetourData and KindDetourEnd; the
-// requester closes the stream when its caller is gone.
+// requester closes the stream when its caller is gone. If it wants to know whether a request that it
+// gives up has run, it sends KindDetourWithdraw, without content, and waits for KindDetourEnd.
 type Detour struct {
 	Method    string              `cbor:"1,keyasint"`
 	Target    string              `cbor:"2,keyasint"`
--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -44,15 +45,16 @@
 
 // Serve has other nodes serve a request, one after the other while they do nothing for it,
 // reach no endpoint or, if it may be repeated, are lost. It writes the answer to w unless the
-// result has a refusal. It returns false if no node has done anything for the request. The
+// result has a refusal. It returns false if no node has done anything for the request, or if no
+// endpoint has got it by the end of unsent, a context within ctx: it then withdraws the request. The
 // attempts that nodes report are added to those of r.
-func (c *Client) Serve(ctx context.Context, r *proxy.Request, w http.ResponseWriter) (proxy.Result, bool) {
+func (c *Client) Serve(ctx, unsent context.Context, r *proxy.Request, w http.ResponseWriter) (proxy.Result, bool) {
 	peers := c.Peers()
 	mayHaveRun := false
 	var refused *proxy.Result
 	for _, peer := range peers[:min(len(peers), maxPeers)] {
 		e := &exchange{request: r, w: w, from: c.PeerAddress, earlierAttempts: r.EarlierAttempts}
-		result, out := e.run(ctx, c.Open, peer)
+		result, out := e.run(ctx, unsent, c.Open, peer)
 		c.Log.Debug("request_detoured", "request_id", r.ID, "peer", peer.ID, "outcome", out, "reason", result.Reason)
 		result.Peer = peer.ID
 		if out == done && ctx.Err() == nil && isAbandoned(result) {
@@ -79,10 +81,14 @@
 			return result, true
 		case ctx.Err() != nil:
 			return interrupted(ctx, result), true
+		case out == untouched && unsent.Err() != nil:
+			return proxy.Result{}, false
 		case out == untouched:
 			continue
+		case e.isWithdrawn.Load():
+			return interrupted(unsent, result), true
 		}
-		mayHaveRun = true
+		mayHaveRun, unsent = true, ctx
 		if !mayRunAgain(r) || r.EarlierAttempts > e.earlierAttempts && !c.TakeRetry(r.Pool.ID) {
 			break
 		}
@@ -117,19 +123,25 @@
 
 // reasonOf returns why a node's result did not come.
 func reasonOf(ctx context.Context) string {
+	cause := context.Cause(ctx)
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case cause == nil:
+		return "the node that served the request is gone"
+	case errors.Is(cause, context.DeadlineExceeded):
 		return "the deadline passed"
-	case ctx.Err() != nil:
-		return "the caller went away"
+	case errors.Is(cause, proxy.ErrStopped):
+		return proxy.ErrStopped.Error()
 	}
-	return "the node that served the request is gone"
+	return "the caller went away"
 }
 
 func interrupted(ctx context.Context, result proxy.Result) proxy.Result {
 	reason := refuse.EndpointFailed
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
 		reason = refuse.DeadlinePassed
+	case errors.Is(cause, proxy.ErrStopped):
+		reason = refuse.NodeStopping
 	}
 	result.Interrupted++
 	result.Reason = reasonOf(ctx)
@@ -146,10 +158,13 @@
 	earlierAttempts int
 	// hasHead is set when the head of the answer was written to the caller.
 	hasHead bool
+	// hasAttempt is set once an endpoint may have got the request, and isWithdrawn when the
+	// request is withdrawn before that.
+	hasAttempt, isWithdrawn atomic.Bool
 }
 
-func (e *exchange) run(ctx context.Context, open link.Opener, peer member.Member) (proxy.Result, outcome) {
-	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
+func (e *exchange) run(ctx, unsent context.Context, open link.Opener, peer member.Member) (proxy.Result, outcome) {
+	openCtx, cancel := context.WithTimeout(unsent, openTimeout)
 	stream, err := open(openCtx, peer.PeerAddress)
 	cancel()
 	if err != nil {
@@ -161,6 +176,7 @@
 		// The node may have all of the request nevertheless.
 		return proxy.Result{Reason: err.Error()}, lost
 	}
+	defer context.AfterFunc(unsent, func() { e.withdraw(ctx, stream) })()
 	result, isDone, err := e.receive(stream)
 	switch {
 	case err != nil:
@@ -188,6 +204,16 @@
 	return sendData(stream, wire.KindDetourBody, r.Body)
 }
 
+// withdraw asks the node to give a request up that no endpoint has got. The node may be sending it
+// just now, so its reply says whether it has run.
+func (e *exchange) withdraw(ctx context.Context, stream *link.Stream) {
+	if ctx.Err() != nil || e.hasAttempt.Load() {
+		return
+	}
+	e.isWithdrawn.Store(true)
+	stream.Send(wire.KindDetourWithdraw, wire.Empty{}) //nolint:errcheck // receive notices that the node is gone.
+}
+
 // sendData sends data in messages of at most maxDataBytes.
 func sendData(stream *link.Stream, kind link.Kind, data []byte) error {
 	for len(data) > 0 {
@@ -225,12 +251,16 @@
 			if !progress.IsCounted {
 				attempts = e.earlierAttempts + 1
 			}
+			if attempts > e.earlierAttempts {
+				e.hasAttempt.Store(true)
+			}
 			e.request.EarlierAttempts = max(e.request.EarlierAttempts, attempts)
 		case wire.KindDetourHead:
 			head, err := link.Decode[wire.DetourHead](body)
 			if err != nil {
 				return result, false, err
 			}
+			e.hasAttempt.Store(true)
 			e.writeHead(head)
 			result.TimeToFirstAnswer = time.Since(e.request.Arrived)
 			result.Status = head.Status
--- a/internal/request/detour/server.go
+++ b/internal/request/detour/server.go
@@ -78,7 +78,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		stream.Receive() //nolint:errcheck // the requester sends nothing more; it returns when the stream ends.
+		stream.Receive() //nolint:errcheck // it returns when the requester withdraws the request or the stream ends.
 		cancel()
 	}()
 	w := &writer{stream: stream, header: http.Header{}}
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -258,7 +258,7 @@
 	switch {
 	case x.state.parent.Err() != nil:
 		completion, reason = sched.Completion{Cancelled: true}, "the caller went away"
-	case x.state.isEndedByStop(ctx):
+	case isEndedByStop(ctx):
 		completion, reason = sched.Completion{Cancelled: true}, "this node stopped"
 	case ctx.Err() != nil:
 		completion, reason = sched.Completion{Cancelled: true}, "the deadline passed"
--- a/internal/request/proxy/detour.go
+++ b/internal/request/proxy/detour.go
@@ -17,8 +17,8 @@
 }
 
 // detour has another node serve the request from where it is. It returns false if none has
-// done anything for it.
-func (p *Proxy) detour(ctx context.Context, s *requestState) (Result, bool) {
+// done anything for it, or if no endpoint has got it by the end of unsent.
+func (p *Proxy) detour(ctx, unsent context.Context, s *requestState) (Result, bool) {
 	r := *s.Request
 	r.EarlierAttempts, r.Release, r.Info.LastEventID = s.attempts, s.job.Release, s.stream.lastEventID
 	w := s.w
@@ -26,9 +26,13 @@
 	if s.stream.headSent {
 		w = rest
 	}
-	result, ok := p.Detour(ctx, &r, w)
+	if !s.hasNotRun() {
+		unsent = ctx
+	}
+	result, ok := p.Detour(ctx, unsent, &r, w)
 	if !ok {
 		s.hasNoDetour = true
+		s.attempts = max(s.attempts, r.EarlierAttempts)
 		return Result{}, false
 	}
 	result.Interrupted += s.result.Interrupted
@@ -42,7 +46,7 @@
 		s.result = result
 		return p.finish(ctx, s, outcome{result: interrupted, reason: "the endpoint failed to go on with the stream"}), true
 	}
-	if result.Refusal == nil || !s.mayHaveRun && s.failureAnswer == nil && !s.stream.headSent {
+	if result.Refusal == nil || s.hasNotRun() {
 		return result, true
 	}
 	// The refusal speaks of the other node's attempts only.
--- a/internal/request/proxy/finish.go
+++ b/internal/request/proxy/finish.go
@@ -71,10 +71,10 @@
 		s.result.Status = s.failureAnswer.status
 	case s.parent.Err() != nil:
 		s.result.Refusal = refuse.NewMayHaveRun(refuse.CallerGone, "the caller went away")
-	case s.isEndedByStop(ctx) && !s.mayHaveRun:
+	case isEndedByStop(ctx) && !s.mayHaveRun:
 		s.result.Refusal = p.newStopRefusal()
-	case s.isEndedByStop(ctx):
-		s.result.Refusal = refuse.NewMayHaveRun(refuse.NodeStopping, "this node stopped before the answer was whole")
+	case isEndedByStop(ctx):
+		s.result.Refusal = refuse.NewMayHaveRun(refuse.NodeStopping, ErrStopped.Error())
 	case !s.mayHaveRun:
 		s.result.Refusal = noEndpointRefusal(out)
 	case ctx.Err() != nil:
@@ -99,7 +99,7 @@
 // refused: that refusal, or the result of the earlier attempts if one of them may
 // have run or produced an answer.
 func (p *Proxy) finishWithoutGrant(ctx context.Context, s *requestState, refusal *refuse.Refusal) Result {
-	if s.mayHaveRun || s.failureAnswer != nil || s.stream.headSent {
+	if !s.hasNotRun() {
 		return p.finish(ctx, s, outcome{result: interrupted, reason: "no endpoint for a repeat: " + string(refusal.Reason)})
 	}
 	s.result.Attempts = s.attempts
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -223,10 +223,11 @@
 	// nil.
 	Started func(stream ident.RequestID, o origin.Origin)
 	// Reach tells whether this node has a path to the endpoints, and Detour has other nodes
-	// serve a request; it returns false if they have done nothing for it. Nil means that
+	// serve a request; it returns false if they have done nothing for it. Unsent ends earlier
+	// than ctx if a request that no endpoint has got is to be given up. Nil means that
 	// requests are never served through other nodes.
 	Reach  *reach.Monitor
-	Detour func(context.Context, *Request, http.ResponseWriter) (Result, bool)
+	Detour func(ctx, unsent context.Context, r *Request, w http.ResponseWriter) (Result, bool)
 	// IsAlone reports whether no node is ready, for the callers that this one refuses because it
 	// stops. Nil means that others are.
 	IsAlone func() bool
@@ -283,8 +284,10 @@
 	if p.stop.refusesNew(r.Deadline) {
 		return p.finishWithoutGrant(ctx, s, p.newStopRefusal())
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ctx, cancelDeadline := context.WithDeadline(ctx, r.Deadline)
+	defer cancelDeadline()
 	unsent, release := p.stop.bind(ctx, r.Deadline, cancel)
 	defer release()
 	if !r.IsDetour {
@@ -298,7 +301,7 @@
 			return p.finishWithoutGrant(ctx, s, refusal)
 		}
 		if p.takesDetour(s) {
-			if result, ok := p.detour(ctx, s); ok {
+			if result, ok := p.detour(ctx, unsent, s); ok {
 				return result
 			}
 		}
--- a/internal/request/proxy/stop.go
+++ b/internal/request/proxy/stop.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/request/entry"
 	"goldcrestwick/internal/request/refuse"
@@ -21,6 +24,9 @@
 	aloneRetryAfter = time.Second
 )
 
+// ErrStopped is the cause of the end of a request's contexts when the node stops.
+var ErrStopped = eris.New("this node stopped before the answer was whole")
+
 // stopState is how far the stop of the node has come. The zero value is that of a node that does
 // not stop.
 type stopState struct {
@@ -81,32 +87,32 @@
 }
 
 // bind returns a context for a request that has not been sent, which ends when it is not to be
-// sent any more, and makes cancel be called when every request ends. Release must be called when
-// the request ends.
-func (s *stopState) bind(ctx context.Context, deadline time.Time, cancel context.CancelFunc) (unsent context.Context, release func()) {
+// sent any more, and makes cancel be called when every request ends, both with ErrStopped. Release
+// must be called when the request ends.
+func (s *stopState) bind(ctx context.Context, deadline time.Time, cancel context.CancelCauseFunc) (unsent context.Context, release func()) {
 	s.prepare()
-	unsent, cancelUnsent := context.WithCancel(ctx)
+	unsent, cancelUnsent := context.WithCancelCause(ctx)
 	stopUnsent := context.AfterFunc(s.unsent, func() {
 		if s.refusesNew(deadline) {
-			cancelUnsent()
+			cancelUnsent(ErrStopped)
 		}
 	})
-	stopAll := context.AfterFunc(s.all, cancel)
+	stopAll := context.AfterFunc(s.all, func() { cancel(ErrStopped) })
 	return unsent, func() {
 		stopUnsent()
 		stopAll()
-		cancelUnsent()
+		cancelUnsent(nil)
 	}
 }
 
 // requestGrant requests a grant for the next attempt. A request that cannot have run is refused
 // when unsent ends because the node stops.
 func (p *Proxy) requestGrant(ctx, unsent context.Context, s *requestState) (*entry.Grant, *refuse.Refusal) {
-	if !s.mayHaveRun && s.failureAnswer == nil && !s.stream.headSent {
+	if s.hasNotRun() {
 		ctx = unsent
 	}
 	grant, refusal := p.RequestGrant(ctx, s.job)
-	if !s.isEndedByStop(ctx) {
+	if !isEndedByStop(ctx) {
 		return grant, refusal
 	}
 	if refusal == nil {
@@ -115,9 +121,12 @@
 	return nil, p.newStopRefusal()
 }
 
-// isEndedByStop reports whether a context of the request has ended because the node stops.
-func (s *requestState) isEndedByStop(ctx context.Context) bool {
-	return ctx.Err() != nil && s.parent.Err() == nil && time.Now().Before(s.Deadline)
+// isEndedByStop reports whether a context of a request has ended because the node stops.
+func isEndedByStop(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopped) }
+
+// hasNotRun reports whether no endpoint can have run the request.
+func (s *requestState) hasNotRun() bool {
+	return !s.mayHaveRun && s.failureAnswer == nil && !s.stream.headSent
 }
 
 func (p *Proxy) newStopRefusal() *refuse.Refusal {
