Detour: keep the attempts of the route and the retry budget when endpoints refuse

A refusal that came after an attempt at another node sent the request on to the next node without asking for the attempts left or the budget: 200 requests of two attempts reached endpoints that refused all of them 630 times, 3 times each or more. Endpoints that refuse for want of room so get three times the load.

Cause: the client goes on when the node that it asked could reach no endpoint, but the reason NoEndpoint also says that each endpoint refused.

The client now goes on after an exchange with an attempt only while the route has attempts left and the budget has a retry, as a request that stays on its node does. It counts the attempts as the result states them.

TestProxy/partitioned_node_endpoints_refuse failed before: script:19: s75: 3, s02: 4; :20: 630, 297 are allowed.

--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -50,13 +50,17 @@
 // attempts that nodes report are added to those of r.
 func (c *Client) Serve(ctx, unsent context.Context, r *proxy.Request, w http.ResponseWriter) (proxy.Result, bool) {
 	peers := c.Peers()
-	mayHaveRun := false
+	mayHaveRun, isExhausted := false, false
 	var refused *proxy.Result
 	for _, peer := range peers[:min(len(peers), maxPeers)] {
 		e := &exchange{request: r, w: w, from: c.PeerAddress, earlierAttempts: r.EarlierAttempts}
 		result, out := e.run(ctx, unsent, c.Open, peer)
 		c.Log.Debug("request_detoured", "request_id", r.ID, "peer", peer.ID, "outcome", out, "reason", result.Reason)
 		result.Peer = peer.ID
+		if out == done {
+			// Attempts may have been reported that sent nothing in the end.
+			r.EarlierAttempts = max(e.earlierAttempts, result.Attempts)
+		}
 		if out == done && ctx.Err() == nil && isAbandoned(result) {
 			// The node ends. The caller waits.
 			out = lost
@@ -68,7 +72,6 @@
 		case out == done && isForOthers(result):
 			// The node has no path either and does not know it yet, or it stops.
 			refused = &result
-			continue
 		case out == done:
 			if result.Refusal != nil && mayHaveRun {
 				// The refusal speaks of this node's attempts only.
@@ -84,17 +87,18 @@
 		case out == untouched && unsent.Err() != nil:
 			return proxy.Result{}, false
 		case out == untouched:
-			continue
 		case e.isWithdrawn.Load():
 			return interrupted(unsent, result), true
+		default:
+			mayHaveRun, unsent = true, ctx
 		}
-		mayHaveRun, unsent = true, ctx
-		if !mayRunAgain(r) || r.EarlierAttempts > e.earlierAttempts && !c.TakeRetry(r.Pool.ID) {
+		if mayHaveRun && !r.Route.IsRetryable() || !c.maySendAgain(e) {
+			isExhausted = true
 			break
 		}
 	}
 	switch {
-	case mayHaveRun:
+	case mayHaveRun || isExhausted && refused == nil:
 		return interrupted(ctx, proxy.Result{}), true
 	case refused != nil:
 		return *refused, true
@@ -102,6 +106,13 @@
 	return proxy.Result{}, false
 }
 
+// maySendAgain reports whether the request may be sent to an endpoint after an exchange. If it was
+// sent to one in it, that takes a retry, also if each endpoint refused it.
+func (c *Client) maySendAgain(e *exchange) bool {
+	r := e.request
+	return r.EarlierAttempts == e.earlierAttempts || r.EarlierAttempts < r.Route.MaxAttempts && c.TakeRetry(r.Pool.ID)
+}
+
 // mayRunAgain reports whether another node may run a request that one may have run.
 func mayRunAgain(r *proxy.Request) bool {
 	return r.Route.IsRetryable() && r.EarlierAttempts < r.Route.MaxAttempts
