--- a/cmd/goldcrestwick/entry_test.go
+++ b/cmd/goldcrestwick/entry_test.go
@@ -89,6 +89,18 @@
 	return resp.StatusCode, string(raw)
 }
 
+// postChat sends a request of the route chat to a node.
+func postChat(t *testing.T, e *entryNode, id string) *http.Response {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+e.startSettings.CallerAddress+"/chat/x", strings.NewReader("hello"))
+	qt.Assert(t, err, qt.IsNil)
+	req.Host = "h.example"
+	req.Header.Set(engine.AttemptIDHeader, id)
+	req.Header.Set("X-Api-Key", "k1")
+	resp, err := http.DefaultClient.Do(req)
+	qt.Assert(t, err, qt.IsNil)
+	return resp
+}
+
 // TestEntryNodes runs two nodes on loopback against a simulated platform. Over
 // real sockets they discover and authenticate each other through the store,
 // resume a stream that is interrupted at its first endpoint, count it in the
@@ -125,13 +137,7 @@
 			break
 		}
 	}
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+second.startSettings.CallerAddress+"/chat/x", strings.NewReader("hello"))
-	qt.Assert(t, err, qt.IsNil)
-	req.Host = "h.example"
-	req.Header.Set(engine.AttemptIDHeader, "r1")
-	req.Header.Set("X-Api-Key", "k1")
-	resp, err := http.DefaultClient.Do(req)
-	qt.Assert(t, err, qt.IsNil)
+	resp := postChat(t, second, "r1")
 	body, err := io.ReadAll(resp.Body)
 	qt.Assert(t, err, qt.IsNil)
 	resp.Body.Close() //nolint:errcheck // the body has been read.
@@ -220,15 +226,52 @@
 	for getStatus(t, owner.startSettings.ReadyAddress, "/api/readyz") == http.StatusOK {
 		continue
 	}
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+owner.startSettings.CallerAddress+"/chat/x", strings.NewReader("hello"))
-	qt.Assert(t, err, qt.IsNil)
-	req.Host = "h.example"
-	req.Header.Set(engine.AttemptIDHeader, "r1")
-	req.Header.Set("X-Api-Key", "k1")
-	resp, err := http.DefaultClient.Do(req)
-	qt.Assert(t, err, qt.IsNil)
+	resp := postChat(t, owner, "r1")
 	resp.Body.Close() //nolint:errcheck // the body is not used.
 	qt.Check(t, resp.StatusCode, qt.Equals, http.StatusOK)
 	qt.Check(t, <-stopped, qt.IsNil)
 	qt.Check(t, stopOther(), qt.IsNil)
 }
+
+// TestStopReportsCutRequests guards against a log that says that no request was cut although the stop
+// of the node ended some that had been sent: here a stream, and a request without an answer.
+func TestStopReportsCutRequests(t *testing.T) {
+	var cloudPlatform cloud.Platform
+	server := httptest.NewServer(&cloudPlatform)
+	defer server.Close()
+	e := &engine.Engine{ID: "e1"}
+	e.NextBehaviour = func() engine.Behaviour {
+		if len(e.ReceivedRequests()) == 0 {
+			return engine.Behaviour{LastEvent: 1000, EventInterval: 10 * time.Millisecond}
+		}
+		return engine.Behaviour{LastEvent: 2, EventInterval: time.Minute}
+	}
+	entry := fmt.Sprintf(`{"service":"llm","address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","seq":1}`, serveEngine(t, e))
+	cloudPlatform.Apply(cloud.Transaction{Writes: []cloud.Write{
+		{Table: "op", Key: "config", Value: []byte(operatorSettings)}, {Table: "servers", Key: "e1", Value: []byte(entry)},
+	}})
+	n, stop := startEntry(t, "n1", strings.TrimPrefix(server.URL, "http://"))
+	var logged strings.Builder
+	n.log.SetOutput(&logged)
+	p := *n.settings.Load()
+	p.GracePeriod = graceMargin + 200*time.Millisecond
+	n.settings.Store(&p)
+	stream := postChat(t, n, "r1")
+	defer stream.Body.Close() //nolint:errcheck // it has been read.
+	silent := make(chan int, 1)
+	go func() {
+		defer close(silent)
+		resp := postChat(t, n, "r2")
+		resp.Body.Close() //nolint:errcheck // the body is not used.
+		silent <- resp.StatusCode
+	}()
+	for len(e.ReceivedRequests()) < 2 {
+		runtime.Gosched()
+	}
+	qt.Check(t, stop(), qt.IsNil)
+	_, err := io.ReadAll(stream.Body)
+	qt.Check(t, err, qt.Not(qt.IsNil))
+	qt.Check(t, <-silent, qt.Equals, http.StatusGatewayTimeout)
+	n.log.SetOutput(io.Discard)
+	qt.Check(t, logged.String(), qt.Matches, `(?s).*process_stopped [^\n]*requests_cut=2 .*`)
+}
