Log how many requests a stopping node has cut

process_stopped said requests_cut=false though streams were cut at the end of the grace period, so operators looked for the cause elsewhere. Since the proxy ends its requests itself at that time, their handlers return within answerTime, and CloseCallers, by whose error the cut was told, returns nil.

The proxy counts the requests that ErrStopped has ended after they were sent, and process_stopped says how many; answers_left has what requests_cut meant, that callers had not taken all of their answers. TestStopReportsCutRequests failed before, with requests_cut=false, and passes now, twice under the race detector.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -290,6 +290,6 @@
 	err := e.node.Shutdown(node.Shutdown{
 		DrainDelay: e.drainDelay, ServeTime: grace - graceMargin, CloseCallers: e.callerServer.Shutdown,
 	})
-	e.log.Info("process_stopped", "took", time.Since(began), "requests_cut", err != nil)
+	e.log.Info("process_stopped", "took", time.Since(began), "requests_cut", e.node.CutRequests(), "answers_left", err != nil)
 	return nil
 }
--- a/internal/process/node/stop.go
+++ b/internal/process/node/stop.go
@@ -40,8 +40,9 @@
 	CloseCallers func(context.Context) error
 }
 
-// Shutdown leaves the fleet and stops the node. It returns an error if requests were cut because
-// ServeTime was over.
+// Shutdown leaves the fleet and stops the node. It returns an error if callers have not taken the
+// whole of their answers by the end. CutRequests has the number of requests that were ended
+// because ServeTime was over.
 func (n *Node) Shutdown(s Shutdown) error {
 	began := time.Now()
 	n.router.DisableKeepAlives()
@@ -77,6 +78,10 @@
 	return err
 }
 
+// CutRequests returns the number of proxied requests that the stop of the node has ended after they
+// were sent, those served for other nodes included.
+func (n *Node) CutRequests() int { return n.proxy.CutRequests() }
+
 // serveAlone waits until the given time while no node is ready and earlier requests keep this one
 // from ending: callers of requests that end before them have nobody else.
 func (n *Node) serveAlone(ctx context.Context, until time.Time) {
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -278,7 +278,7 @@
 	return deliver(caller, w, result)
 }
 
-func (p *Proxy) serve(ctx context.Context, r *Request, w http.ResponseWriter) Result {
+func (p *Proxy) serve(ctx context.Context, r *Request, w http.ResponseWriter) (result Result) {
 	s := &requestState{Request: r, w: w, parent: ctx, job: p.newJob(r), attempts: r.EarlierAttempts}
 	s.stream.resumeFrom(r)
 	if p.stop.refusesNew(r.Deadline) {
@@ -290,6 +290,7 @@
 	defer cancelDeadline()
 	unsent, release := p.stop.bind(ctx, r.Deadline, cancel)
 	defer release()
+	defer func() { p.stop.countCut(ctx, result) }()
 	if !r.IsDetour {
 		p.Budget.RecordRequest(r.Pool.ID, time.Now())
 	}
--- a/internal/request/proxy/stop.go
+++ b/internal/request/proxy/stop.go
@@ -38,8 +38,9 @@
 	mu                   sync.Mutex
 	isStopping           bool
 	refuseLongFrom, end  time.Time
-	// early is the number of requests that arrived before refuseLongFrom.
-	early atomic.Int64
+	// early is the number of requests that arrived before refuseLongFrom, and cut that of those
+	// that were ended after they were sent.
+	early, cut atomic.Int64
 }
 
 func (s *stopState) prepare() {
@@ -67,6 +68,17 @@
 // deadline after the end were refused.
 func (p *Proxy) EarlyRequests() int { return int(p.stop.early.Load()) }
 
+// CutRequests returns the number of requests that the stop has ended after they were sent: their
+// callers got a part of a stream, or an answer that says that the request may have run.
+func (p *Proxy) CutRequests() int { return int(p.stop.cut.Load()) }
+
+// countCut counts a request if its result is one that the stop has brought about.
+func (s *stopState) countCut(ctx context.Context, r Result) {
+	if isEndedByStop(ctx) && (r.Truncated || r.Refusal != nil && r.Refusal.MayHaveRun()) {
+		s.cut.Add(1)
+	}
+}
+
 // begin counts a request, whose end must be reported by done.
 func (s *stopState) begin() (done func()) {
 	s.mu.Lock()
