Detour: go on with a stream at another node when the serving one stops

Callers of a node without a path had their streams cut when another node, which served them, stopped: neither their own node nor a fault of an endpoint was the cause, and each had to take its stream up itself.

Cause: the end of a stream that was cut at a serving node says only that it was. DetourEnd now says after which event it was cut because the node stops (CutAfter; earlier builds don't send it and ignore it). The node of the caller goes on as after a failed endpoint: within the attempts of the route, its deadline and the retry budget, at the release that began the stream.

TestProxy/partitioned_node_streams_peer_stops failed before: script:19: w00, w02, w03, w05 are cut.

--- a/internal/connection/wire/detour.go
+++ b/internal/connection/wire/detour.go
@@ -62,4 +62,6 @@
 	Endpoint    string   `cbor:"7,keyasint,omitempty"`
 	Releases    []string `cbor:"8,keyasint,omitempty"`
 	Reason      string   `cbor:"9,keyasint,omitempty"`
+	// CutAfter is the last event of a stream that the node cut because it stops, 0 otherwise.
+	CutAfter int `cbor:"10,keyasint,omitempty"`
 }
--- a/internal/request/proxy/detour.go
+++ b/internal/request/proxy/detour.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"slices"
+
+	"goldcrestwick/internal/process/trace"
 )
 
 // takesDetour reports whether another node should serve the request: this one has lost its
@@ -56,6 +58,26 @@
 	return p.finish(ctx, s, outcome{result: interrupted, reason: reason}), true
 }
 
+// takeUpCut prepares the request to go on with a stream that another node has cut because it stops,
+// and reports whether it may.
+func (p *Proxy) takeUpCut(ctx context.Context, s *requestState, result Result) bool {
+	if !result.Truncated || result.CutAfter == 0 || len(result.Releases) == 0 || !s.isStream() {
+		return false
+	}
+	s.attempts = max(s.attempts, result.Attempts)
+	out := outcome{result: interrupted, reason: result.Reason}
+	if !p.canRetry(ctx, s, out) {
+		return false
+	}
+	p.record(s, trace.Record{Event: trace.Retried, Endpoint: result.Endpoint, Reason: out.reason})
+	s.mayHaveRun = true
+	s.stream = streamState{headSent: true, lastEventID: result.CutAfter}
+	s.job.Release = &result.Releases[len(result.Releases)-1]
+	s.result = result
+	s.result.Truncated, s.result.CutAfter, s.result.Peer, s.result.Reason = false, 0, "", ""
+	return true
+}
+
 // restWriter writes the rest of an answer whose head the caller has. It drops the head, and
 // all of a failure, whose body is not the rest.
 type restWriter struct {
--- a/internal/request/proxy/finish.go
+++ b/internal/request/proxy/finish.go
@@ -66,6 +66,9 @@
 	case out.result == answered:
 	case s.stream.headSent:
 		s.result.Truncated = true
+		if isEndedByStop(ctx) {
+			s.result.CutAfter = s.stream.lastEventID
+		}
 	case s.failureAnswer != nil:
 		s.failureAnswer.write(s.w)
 		s.result.Status = s.failureAnswer.status
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -166,6 +166,9 @@
 	// Truncated is set if an answer was written only in part; the connection must be
 	// closed.
 	Truncated bool
+	// CutAfter is the identifier of the last event of a stream that was cut because the node that
+	// served it stops, 0 if it was not or the events have none.
+	CutAfter int
 	// Status is the HTTP status of the answer, 0 without one.
 	Status int
 	// Attempts counts the attempts that sent any part of the request, and Interrupted
@@ -302,7 +305,11 @@
 			return p.finishWithoutGrant(ctx, s, refusal)
 		}
 		if p.takesDetour(s) {
-			if result, ok := p.detour(ctx, unsent, s); ok {
+			result, ok := p.detour(ctx, unsent, s)
+			if ok && p.takeUpCut(ctx, s, result) {
+				continue
+			}
+			if ok {
 				return result
 			}
 		}
