Detour: let a request run that is withdrawn while it is sent to an endpoint

A request that was sent while its requester's message was on its way would have been ended, and its caller told that it may have run. The serving node now ends it only if no endpoint has got it; the answer or the end of the requester comes as without the message. TestWithdrawnWhileSent/sent failed before: the result had a refusal.

--- a/internal/connection/wire/detour.go
+++ b/internal/connection/wire/detour.go
@@ -1,7 +1,7 @@
 package wire
 
-// KindDetourWithdraw ends a detour without closing its stream. Nodes of earlier builds take any
-// message that follows the body for the end as well.
+// KindDetourWithdraw ends a detour without closing its stream, unless the request has been sent to an
+// endpoint. Nodes of earlier builds end it then as well, as at any message that follows the body.
 const KindDetourWithdraw = KindRolloutQuery + 1
 
 // Detour opens the stream on which a node that has no path to the endpoints has another one
--- a/internal/request/detour/server.go
+++ b/internal/request/detour/server.go
@@ -77,12 +77,19 @@
 	// Without the deadline, so that it is not taken for the requester's leaving.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	var hasAttempt atomic.Bool
 	go func() {
-		stream.Receive() //nolint:errcheck // it returns when the requester withdraws the request or the stream ends.
-		cancel()
+		defer cancel()
+		for {
+			kind, _, err := stream.Receive()
+			if err != nil || kind != wire.KindDetourWithdraw || !hasAttempt.Load() {
+				return // the requester gives the request up or is gone.
+			}
+		}
 	}()
 	w := &writer{stream: stream, header: http.Header{}}
 	r.Dispatching = func(attempts int) {
+		hasAttempt.Store(true)
 		stream.Send(wire.KindQueued, wire.DetourProgress{Attempts: attempts, IsCounted: true}) //nolint:errcheck // the requester notices the silence.
 	}
 	stop := w.sendHeartbeats(ctx)
