--- a/internal/request/proxy/detour.go
+++ b/internal/request/proxy/detour.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"slices"
+
+	"goldcrestwick/internal/process/trace"
 )
 
 // takesDetour reports whether another node should serve the request: this one has lost its
@@ -17,8 +19,8 @@
 }
 
 // detour has another node serve the request from where it is. It returns false if none has
-// done anything for it.
-func (p *Proxy) detour(ctx context.Context, s *requestState) (Result, bool) {
+// done anything for it, or if no endpoint has got it by the end of unsent.
+func (p *Proxy) detour(ctx, unsent context.Context, s *requestState) (Result, bool) {
 	r := *s.Request
 	r.EarlierAttempts, r.Release, r.Info.LastEventID = s.attempts, s.job.Release, s.stream.lastEventID
 	w := s.w
@@ -26,9 +28,13 @@
 	if s.stream.headSent {
 		w = rest
 	}
-	result, ok := p.Detour(ctx, &r, w)
+	if !s.hasNotRun() {
+		unsent = ctx
+	}
+	result, ok := p.Detour(ctx, unsent, &r, w)
 	if !ok {
 		s.hasNoDetour = true
+		s.attempts = max(s.attempts, r.EarlierAttempts)
 		return Result{}, false
 	}
 	result.Interrupted += s.result.Interrupted
@@ -42,7 +48,7 @@
 		s.result = result
 		return p.finish(ctx, s, outcome{result: interrupted, reason: "the endpoint failed to go on with the stream"}), true
 	}
-	if result.Refusal == nil || !s.mayHaveRun && s.failureAnswer == nil && !s.stream.headSent {
+	if result.Refusal == nil || s.hasNotRun() {
 		return result, true
 	}
 	// The refusal speaks of the other node's attempts only.
@@ -52,6 +58,26 @@
 	return p.finish(ctx, s, outcome{result: interrupted, reason: reason}), true
 }
 
+// takeUpCut prepares the request to go on with a stream that another node has cut because it stops,
+// and reports whether it may.
+func (p *Proxy) takeUpCut(ctx context.Context, s *requestState, result Result) bool {
+	if !result.Truncated || result.CutAfter == 0 || len(result.Releases) == 0 || !s.isStream() {
+		return false
+	}
+	s.attempts = max(s.attempts, result.Attempts)
+	out := outcome{result: interrupted, reason: result.Reason}
+	if !p.canRetry(ctx, s, out) {
+		return false
+	}
+	p.record(s, trace.Record{Event: trace.Retried, Endpoint: result.Endpoint, Reason: out.reason})
+	s.mayHaveRun = true
+	s.stream = streamState{headSent: true, lastEventID: result.CutAfter}
+	s.job.Release = &result.Releases[len(result.Releases)-1]
+	s.result = result
+	s.result.Truncated, s.result.CutAfter, s.result.Peer, s.result.Reason = false, 0, "", ""
+	return true
+}
+
 // restWriter writes the rest of an answer whose head the caller has. It drops the head, and
 // all of a failure, whose body is not the rest.
 type restWriter struct {
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -166,6 +166,9 @@
 	// Truncated is set if an answer was written only in part; the connection must be
 	// closed.
 	Truncated bool
+	// CutAfter is the identifier of the last event of a stream that was cut because the node that
+	// served it stops, 0 if it was not or the events have none.
+	CutAfter int
 	// Status is the HTTP status of the answer, 0 without one.
 	Status int
 	// Attempts counts the attempts that sent any part of the request, and Interrupted
@@ -223,10 +226,11 @@
 	// nil.
 	Started func(stream ident.RequestID, o origin.Origin)
 	// Reach tells whether this node has a path to the endpoints, and Detour has other nodes
-	// serve a request; it returns false if they have done nothing for it. Nil means that
+	// serve a request; it returns false if they have done nothing for it. Unsent ends earlier
+	// than ctx if a request that no endpoint has got is to be given up. Nil means that
 	// requests are never served through other nodes.
 	Reach  *reach.Monitor
-	Detour func(context.Context, *Request, http.ResponseWriter) (Result, bool)
+	Detour func(ctx, unsent context.Context, r *Request, w http.ResponseWriter) (Result, bool)
 	// IsAlone reports whether no node is ready, for the callers that this one refuses because it
 	// stops. Nil means that others are.
 	IsAlone func() bool
@@ -277,16 +281,19 @@
 	return deliver(caller, w, result)
 }
 
-func (p *Proxy) serve(ctx context.Context, r *Request, w http.ResponseWriter) Result {
+func (p *Proxy) serve(ctx context.Context, r *Request, w http.ResponseWriter) (result Result) {
 	s := &requestState{Request: r, w: w, parent: ctx, job: p.newJob(r), attempts: r.EarlierAttempts}
 	s.stream.resumeFrom(r)
 	if p.stop.refusesNew(r.Deadline) {
 		return p.finishWithoutGrant(ctx, s, p.newStopRefusal())
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ctx, cancelDeadline := context.WithDeadline(ctx, r.Deadline)
+	defer cancelDeadline()
 	unsent, release := p.stop.bind(ctx, r.Deadline, cancel)
 	defer release()
+	defer func() { p.stop.countCut(ctx, result) }()
 	if !r.IsDetour {
 		p.Budget.RecordRequest(r.Pool.ID, time.Now())
 	}
@@ -298,7 +305,11 @@
 			return p.finishWithoutGrant(ctx, s, refusal)
 		}
 		if p.takesDetour(s) {
-			if result, ok := p.detour(ctx, s); ok {
+			result, ok := p.detour(ctx, unsent, s)
+			if ok && p.takeUpCut(ctx, s, result) {
+				continue
+			}
+			if ok {
 				return result
 			}
 		}
