Keep where stream routes led in a row of the store, and read it for each proof of an origin

Callers saw streams with events of v1 and then of v7: a route had moved to another pool, and a node took its streams up in the present one. Cause: each process alone knew the pools that a route had left. One that had started since, or had stood still while the route led elsewhere, took the single release of the present pool for the one that began the stream. In fleets of more than 33 nodes it also asked only the nodes of the present pool, so that the node that began the stream was never asked.

The row `|routes` of the table `releases` now holds the pools of each stream route, those that it left and when, the era, and since when that is complete. It is created in the transaction of the first rows of pools. The first ready member writes it when stream routes change, the next two check it, and so does a proof that finds it outdated. Starting nodes read it with the table, and each proof of a single release reads it after the request came: without it, or if it shows another pool, there is no proof. The nodes of the cells of all these pools are asked for an origin.

--- a/internal/process/node/formerpools.go
+++ b/internal/process/node/formerpools.go
@@ -1,10 +1,12 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"goldcrestwick/internal/process/ident"
+	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/version/config"
 )
 
@@ -18,12 +20,24 @@
 	mu sync.Mutex
 	// leftAt holds when each pool was last left, by route.
 	leftAt map[string]map[ident.PoolID]time.Time
+	// since is when the first settings came into force here. isNew is set if releaseTable was
+	// empty then, so that no stream can have begun before.
+	since time.Time
+	isNew bool
+	// row is the row routesKey as last read, valid if hasRow is set.
+	row    routesRow
+	hasRow bool
+	// due is set when the row routesKey may have to be written.
+	due tick.Signal
 }
 
 // update records the pools that routes leave with new settings, and forgets old ones.
 func (f *formerPools) update(old, next *config.Tree, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.since.IsZero() {
+		f.since = now
+	}
 	for route, pools := range f.leftAt {
 		for id, at := range pools {
 			if now.Sub(at) > formerPoolTTL {
@@ -34,17 +48,91 @@
 			delete(f.leftAt, route)
 		}
 	}
+	for route, pools := range old.PoolsLeft(next) {
+		for _, pool := range pools {
+			f.record(route, pool.ID, now)
+		}
+	}
+}
+
+// record records that a route left a pool at a time. The caller holds f.mu.
+func (f *formerPools) record(route string, pool ident.PoolID, at time.Time) {
 	if f.leftAt == nil {
 		f.leftAt = map[string]map[ident.PoolID]time.Time{}
 	}
-	for route, pools := range old.PoolsLeft(next) {
-		for _, pool := range pools {
-			if f.leftAt[route] == nil {
-				f.leftAt[route] = map[ident.PoolID]time.Time{}
+	if f.leftAt[route] == nil {
+		f.leftAt[route] = map[ident.PoolID]time.Time{}
+	}
+	if f.leftAt[route][pool].Before(at) {
+		f.leftAt[route][pool] = at
+	}
+}
+
+// learn records the pools that a row shows and to which routes lead no longer, as far as this
+// node knows. Those to which routes led when the row was written count as left now.
+func (f *formerPools) learn(row routesRow, present map[string][]ident.PoolID, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if row.Era != unknownEra {
+		f.row, f.hasRow = row, true
+	}
+	for route, known := range row.Routes {
+		for _, pool := range known.Pools {
+			if at := f.leftAt[route][pool]; !slices.Contains(present[route], pool) && now.Sub(at) > formerPoolTTL {
+				f.record(route, pool, now)
 			}
-			f.leftAt[route][pool.ID] = now
+		}
+		for pool, at := range known.LeftAt {
+			f.record(route, pool, time.UnixMilli(at))
+		}
+	}
+}
+
+// learnTable records whether releaseTable had rows as this node started.
+func (f *formerPools) learnTable(isEmpty bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isNew = isEmpty
+}
+
+// latestRow returns the row routesKey as last read.
+func (f *formerPools) latestRow() routesRow {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.hasRow {
+		return routesRow{Era: unknownEra}
+	}
+	return f.row
+}
+
+// mayCreate reports whether the row routesKey has to be created with the first rows of pools.
+func (f *formerPools) mayCreate() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isNew && !f.hasRow
+}
+
+// completeSince returns the time in Unix milliseconds since when this node knows all pools.
+func (f *formerPools) completeSince() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isNew {
+		return 0
+	}
+	return f.since.UnixMilli()
+}
+
+// left returns when a route left pools recently, other than those to which it leads.
+func (f *formerPools) left(route string, present []ident.PoolID, now time.Time) map[ident.PoolID]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	left := map[ident.PoolID]int64{}
+	for id, at := range f.leftAt[route] {
+		if now.Sub(at) <= formerPoolTTL && !slices.Contains(present, id) {
+			left[id] = at.UnixMilli()
 		}
 	}
+	return left
 }
 
 // of returns the pools to which a route led until recently.
--- a/internal/process/node/releases.go
+++ b/internal/process/node/releases.go
@@ -125,6 +125,7 @@
 		n.Log.Warn("table_not_read", "table", releaseTable, "error", err)
 		return releaseScan{}
 	}
+	n.formerPools.learnTable(len(rows) == 0 && n.Store.Era() == 0)
 	n.learnMarks(rows, started)
 	return releaseScan{rows, started}
 }
@@ -267,6 +268,8 @@
 			n.applyReleases()
 			return nil
 		}
+		routesChecks, routesWrites := n.firstRoutesRow(int64(era))
+		checks, writes = append(checks, routesChecks...), append(writes, routesWrites...)
 		started := time.Now()
 		result, err := n.Store.Service.Transact(ctx, checks, writes)
 		if err == nil && n.Store.Era() != era {
@@ -283,6 +286,10 @@
 			return nil
 		}
 		for _, r := range result.Conflicts {
+			if r.Key == routesKey {
+				n.learnRoutesRow(r)
+				continue
+			}
 			n.learnReleaseRow(r, started)
 		}
 	}
--- a/internal/process/node/restore.go
+++ b/internal/process/node/restore.go
@@ -35,6 +35,7 @@
 	n.Log.Warn("store_restored_from_copy", "era", era)
 	n.releases.listing.EnterEra(int64(era), time.Now())
 	n.releases.due.Set()
+	n.formerPools.due.Set()
 	n.rewriteOrigins()
 	n.poison.rows.rewrite(time.Now())
 	n.tasks.Go(func() { n.restore(n.ctx, era) })
--- a/internal/process/node/resume.go
+++ b/internal/process/node/resume.go
@@ -55,6 +55,8 @@
 	// row and era are what a read of releaseTable found.
 	row origin.Row
 	era store.Era
+	// routes is what a read of the row routesKey found.
+	routes routesRow
 }
 
 // wait waits for the read, and returns false if ctx is done first or the read has failed.
@@ -226,7 +228,7 @@
 		if o, ok := n.streams.stored.Find(j.Stream); ok {
 			return originSearch{Origin: o, result: originStored}
 		}
-		if n.askForOrigin(ctx, j, &s) {
+		if n.askForOrigin(ctx, j, r, &s) {
 			s.result = originKnownPeer
 			return s
 		}
@@ -251,11 +253,15 @@
 		}
 	}
 	if len(pools) == 1 {
-		read := n.readRow(pools[0], came)
-		if !read.wait(ctx) {
+		read, routes := n.readRow(pools[0], came), n.readRoutes(came)
+		if !read.wait(ctx) || !routes.wait(ctx) {
 			return o, originRefused, "the store could not be read"
 		}
-		if release, ok := read.row.Sole(int64(read.era), maxStreamAge*r.Timeout, time.Now()); ok && !n.mayUseUnlisted(time.Now()) {
+		now, maxAge := time.Now(), maxStreamAge*r.Timeout
+		release, isSole := read.row.Sole(int64(read.era), maxAge, now)
+		// The row may show that the route led elsewhere while this node did not run.
+		pools = n.streamPools(r)
+		if isSole && len(pools) == 1 && routes.routes.covers(r.Name, int64(routes.era), maxAge, now) && !n.mayUseUnlisted(now) {
 			return origin.Origin{Pool: pools[0], Release: release}, originSole, ""
 		}
 	}
--- a/internal/process/node/rows_test.go
+++ b/internal/process/node/rows_test.go
@@ -19,6 +19,7 @@
 var rowDecoders = map[string]func([]byte) (any, error){
 	"nodes": decodeAs[nodeRow], "quarantine": decodeAs[quarantineRow], "marks": decodeAs[tableMark],
 	"origins": decodeAs[originRow], "rollouts": decodeAs[rolloutRow],
+	"routes":   func(value []byte) (any, error) { return decodeRoutesRow(store.Row{Version: 1, Value: value}) },
 	"releases": func(value []byte) (any, error) { return decodeReleaseRow(store.Row{Version: 1, Value: value}) },
 	"crashes": func(value []byte) (any, error) {
 		report, _, err := decodeCrashRow("p", value, time.UnixMilli(1_800_000_000_000))
--- a/internal/process/node/settings.go
+++ b/internal/process/node/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -43,6 +44,9 @@
 	earlier := n.tree.Load()
 	n.formerPools.update(earlier, t, time.Now())
 	n.tree.Store(t)
+	if !maps.EqualFunc(earlier.StreamPools(), t.StreamPools(), slices.Equal) {
+		n.formerPools.due.Set()
+	}
 	n.buildRoster()
 	n.appendToLedger(trace.Record{Time: time.Now(), Node: n.Process.Name, Event: trace.SettingsApplied, Settings: t.Version})
 	n.Log.Info("settings_in_force", "settings_version", t.Version, "earlier_version", earlier.Version,
--- a/internal/process/node/streams.go
+++ b/internal/process/node/streams.go
@@ -13,6 +13,7 @@
 	"goldcrestwick/internal/process/origin"
 	"goldcrestwick/internal/process/tick"
 	"goldcrestwick/internal/request/entry"
+	"goldcrestwick/internal/version/config"
 )
 
 const (
@@ -44,6 +45,8 @@
 	hasUnwritten tick.Signal
 	// rowReads and originReads are the reads of releaseTable and originTable.
 	rowReads, originReads poolReads
+	// routeReads has the reads of the row routesKey.
+	routeReads poolReads
 	// hasUnreported is set when unreported is no longer empty.
 	hasUnreported tick.Signal
 	mu            sync.Mutex
@@ -103,11 +106,11 @@
 
 // askForOrigin asks the other nodes for the origin of a job's stream, and reports whether one
 // knows it.
-func (n *Node) askForOrigin(ctx context.Context, j *entry.Job, s *originSearch) (ok bool) {
+func (n *Node) askForOrigin(ctx context.Context, j *entry.Job, r *config.Route, s *originSearch) (ok bool) {
 	query := wire.OriginQuery{Stream: string(j.Stream), Pool: string(j.Pool.ID)}
 	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
 	defer cancel()
-	holders := n.originHolders(j)
+	holders := n.originHolders(j, r)
 	s.asked = len(holders)
 	callUntil(ctx, n, holders, wire.KindOriginQuery, query, func(r wire.OriginReply) bool {
 		s.replied++
@@ -119,26 +122,33 @@
 	return ok
 }
 
-// originHolders returns the nodes that may know the origin of a job's stream: in a small
-// fleet all, and in a larger one those that may have decided for the cells that the job
-// can have gone to, the likeliest first.
-func (n *Node) originHolders(j *entry.Job) []member.Member {
+// originHolders returns the nodes that may know the origin of the stream of a job of a route:
+// in a small fleet all, and in a larger one those that may have decided for the cells that the
+// job can have gone to in any of the route's pools, the likeliest first.
+func (n *Node) originHolders(j *entry.Job, r *config.Route) (holders []member.Member) {
 	others := n.withoutSelf(n.members.View().Members)
 	if len(others) <= maxOriginQueries {
 		return others
 	}
-	var holders []member.Member
-	for _, cell := range n.entry.RankCells(j) {
-		for _, m := range n.withoutSelf(n.cells.PreferenceList(cell)) {
-			if !slices.ContainsFunc(holders, func(h member.Member) bool { return h.ID == m.ID }) {
-				holders = append(holders, m)
+	var ranked [][]ident.CellID
+	for _, pool := range n.streamPools(r) {
+		ranked = append(ranked, n.entry.RankCells(j, pool))
+	}
+	for place, isLast := 0, false; !isLast && len(holders) < maxOriginQueries; place++ {
+		isLast = true
+		for _, cells := range ranked {
+			if place >= len(cells) {
+				continue
+			}
+			isLast = false
+			for _, m := range n.withoutSelf(n.cells.PreferenceList(cells[place])) {
+				if !slices.ContainsFunc(holders, func(h member.Member) bool { return h.ID == m.ID }) {
+					holders = append(holders, m)
+				}
 			}
-		}
-		if len(holders) >= maxOriginQueries {
-			return holders[:maxOriginQueries]
 		}
 	}
-	return holders
+	return holders[:min(len(holders), maxOriginQueries)]
 }
 
 // originOf returns what this node knows of the origin of a stream.
--- a/internal/process/node/tables.go
+++ b/internal/process/node/tables.go
@@ -183,6 +183,7 @@
 	})
 	n.tasks.Go(func() { n.runRollouts(ctx) })
 	n.tasks.Go(func() { n.keepReleases(ctx, releasesRead) })
+	n.tasks.Go(func() { n.keepRoutes(ctx) })
 	joinCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	n.members.Seed(joinCtx)
 	for _, read := range []chan struct{}{quarantinesRead, releasesRead, rolloutsRead} {
--- a/internal/request/entry/choose.go
+++ b/internal/request/entry/choose.go
@@ -41,9 +41,9 @@
 	})
 }
 
-// RankCells returns the cells of the request's pool in the order in which chooseCell
-// prefers them, whether or not they have an endpoint for the request.
-func (e *Entry) RankCells(j *Job) []ident.CellID {
+// RankCells returns the cells of a pool in the order in which chooseCell prefers them for the
+// request, whether or not they have an endpoint for it.
+func (e *Entry) RankCells(j *Job, pool ident.PoolID) []ident.CellID {
 	type candidate struct {
 		id     ident.CellID
 		isNear bool
@@ -51,7 +51,7 @@
 	}
 	var all []candidate
 	key := j.cellKey()
-	for _, c := range e.Cells.Roster().Cells(j.Pool.ID) {
+	for _, c := range e.Cells.Roster().Cells(pool) {
 		all = append(all, candidate{c.ID, c.Zone == e.Zone, member.Score(key, c.ID.String())})
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
--- a/internal/version/config/route.go
+++ b/internal/version/config/route.go
@@ -128,6 +128,26 @@
 	return left
 }
 
+// StreamPools returns the pools, sorted, to which each stream route leads, by its name.
+func (t *Tree) StreamPools() map[string][]ident.PoolID {
+	all := map[string][]ident.PoolID{}
+	for _, routes := range t.routesByHost {
+		for _, r := range routes {
+			if r.Kind != Stream {
+				continue
+			}
+			for _, s := range r.Shares {
+				all[r.Name] = append(all[r.Name], s.Pool.ID)
+			}
+		}
+	}
+	for name, pools := range all {
+		slices.Sort(pools)
+		all[name] = slices.Compact(pools)
+	}
+	return all
+}
+
 // rankPair is the priority of a request. The account's rank takes precedence
 // over the route's.
 type rankPair struct{ account, route ident.Tier }
