--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -234,14 +234,8 @@
 
 // ReleaseOf returns the release of an endpoint of a pool, "" if it has none or is not listed.
 func (m *Manager) ReleaseOf(pool ident.PoolID, id ident.Endpoint) ident.Release {
-	for _, c := range m.Roster().Cells(pool) {
-		for _, spec := range c.Endpoints {
-			if spec.ID == id {
-				return spec.Release
-			}
-		}
-	}
-	return ""
+	spec, _ := m.findEndpoint(pool, id)
+	return spec.Release
 }
 
 // Reconcile starts the cells that this node now owns, hands over those that it
--- a/internal/process/cells/owners.go
+++ b/internal/process/cells/owners.go
@@ -65,35 +65,35 @@
 // a fleet that starts at once: its first ready nodes would own every cell, one after
 // the other, and ask all members for each of them.
 func candidates(v *member.View, region ident.Region) []member.Member {
-	ready := v.Serving(region)
+	serving := v.Serving(region)
 	var joining []member.Member
 	for _, m := range v.Members {
 		if m.State == member.Joining && (region == "" || m.Region == region) {
 			joining = append(joining, m)
 		}
 	}
-	if len(joining) <= len(ready) {
-		return ready
+	if len(joining) <= len(serving) {
+		return serving
 	}
-	return slices.Concat(ready, joining)
+	return slices.Concat(serving, joining)
 }
 
 // preferenceList ranks the nodes for a cell. Nodes of the cell's availability zone,
 // if it has one, go before the others, because each grant takes two messages between
 // the cell's node and an entry node, which mostly is in that zone. Within a zone,
 // nodes with much capacity go first.
-func preferenceList(ready []member.Member, id ident.CellID, zone ident.AvailabilityZone) []member.Member {
+func preferenceList(candidates []member.Member, id ident.CellID, zone ident.AvailabilityZone) []member.Member {
 	key, list := id.String(), make([]member.Member, 0, maxPreferred)
 	for _, isOwnZone := range []bool{true, false} {
 		isInGroup := func(n *member.Member) bool { return (zone == "" || n.Zone == zone) == isOwnZone }
 		largest := 0
-		for i := range ready {
-			if isInGroup(&ready[i]) {
-				largest = max(largest, ready[i].Capacity)
+		for i := range candidates {
+			if isInGroup(&candidates[i]) {
+				largest = max(largest, candidates[i].Capacity)
 			}
 		}
 		for _, isLarge := range []bool{true, false} {
-			list = appendBest(list, ready, key, func(n *member.Member) bool {
+			list = appendBest(list, candidates, key, func(n *member.Member) bool {
 				return isInGroup(n) && (2*n.Capacity >= largest) == isLarge
 			})
 			if len(list) == maxPreferred {
--- a/internal/process/node/callers.go
+++ b/internal/process/node/callers.go
@@ -38,9 +38,9 @@
 	if zone == "" {
 		zone = n.Process.Zone
 	}
-	ready := n.members.View().Serving(n.Process.Region)
-	count := min(n.addressCount(account, len(ready)), len(ready))
-	ranked := member.Ranked(ready, "addresses/"+string(account.ID))
+	serving := n.members.View().Serving(n.Process.Region)
+	count := min(n.addressCount(account, len(serving)), len(serving))
+	ranked := member.Ranked(serving, "addresses/"+string(account.ID))
 	chosen := ranked[:count:count]
 	if !hasOtherZone(chosen) {
 		// Replaces the last node by one in another zone, so that the loss of one
--- a/internal/process/node/limits.go
+++ b/internal/process/node/limits.go
@@ -111,9 +111,9 @@
 // reachableFraction returns the fraction of the fleet that this node can reach. A
 // node in a small partition must not grant the limits of the whole fleet.
 func (n *Node) reachableFraction() float64 {
-	ready := len(n.members.View().Serving(""))
+	serving := len(n.members.View().Serving(""))
 	failed := n.members.RecentlyFailed(recentFailureWindow)
-	return float64(max(ready, 1)) / float64(max(ready+failed, 1))
+	return float64(max(serving, 1)) / float64(max(serving+failed, 1))
 }
 
 // viewUnchangedSince returns when this node's view of the fleet last changed, or
@@ -125,13 +125,13 @@
 	return time.Now()
 }
 
-// equalShare returns the share of a limit that each ready node gets when it is
+// equalShare returns the share of a limit that each serving node gets when it is
 // divided equally.
 func (n *Node) equalShare() float64 {
 	return 1 / float64(max(len(n.members.View().Serving("")), 1))
 }
 
-// maxNodesWithShares is the number of ready nodes up to which shares of the limits
+// maxNodesWithShares is the number of serving nodes up to which shares of the limits
 // are allocated by demand where each request is charged at the coordinator. They
 // only serve while it cannot be reached, and in a larger fleet the demand of one node
 // says little; the equal share applies there.
@@ -140,15 +140,15 @@
 // requestShares requests this node's share of the limit of each account in use
 // from the account's coordinator.
 func (n *Node) requestShares(ctx context.Context) {
-	ready := n.members.View().Serving("")
-	if n.Platform != nil && len(ready) > maxNodesWithShares {
+	serving := n.members.View().Serving("")
+	if n.Platform != nil && len(serving) > maxNodesWithShares {
 		n.quotaLimiter.ClearShares()
 		return
 	}
 	demandsOf := map[ident.NodeID]map[string]float64{}
 	coordinators := map[ident.NodeID]member.Member{}
 	for account, demand := range n.quotaLimiter.Demand() {
-		coordinator, ok := member.Owner(ready, accountKey(account))
+		coordinator, ok := member.Owner(serving, accountKey(account))
 		if !ok {
 			continue
 		}
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -4,14 +4,16 @@
 // A run has stand-ins for the store and for endpoints of both kinds in this process, some
 // nodes as processes, and callers that keep their connections until the process at the
 // other end is gone. A seed gives the plan: signals, kills and restarts of nodes, a store
-// that is away, slow or older, the kill of all nodes at once, settings that change, endpoints that crash by themselves,
-// under a part of a prompt or a request, name a limit, fall silent for a moment, are
-// brittle, or repeat refusals, and entries of another writer among theirs. In one of five seeds a rollout moves the models to another release, which is good or bad,
-// while its conductor is killed, paused or cut off from the store. In two of five, models fall silent after
-// changes of the settings, odd rows are among those of the endpoints, and all nodes are stopped one after the
-// other; in one of these, a release joins while a node is frozen. Nodes may be of two builds. Some callers read long answers slowly. Models of two software releases serve, and callers take up streams that are cut
-// at other nodes. Faults overlap. Timing differs from run to
-// run, so a seed repeats the plan, not every event.
+// that is away, slow or older, the kill of all nodes at once, settings that change, endpoints
+// that crash by themselves, under a part of a prompt or a request, name a limit, fall silent for
+// a moment, are brittle, or repeat refusals, and entries of another writer among theirs. In one
+// of five seeds a rollout moves the models to another release, which is good or bad, while its
+// conductor is killed, paused or cut off from the store. In two of five, models fall silent after
+// changes of the settings, odd entries come and go, and all nodes are stopped one after the
+// other; in one of these, a release joins while a node is frozen. Nodes may be of two builds.
+// Some callers read long answers slowly. Models of two software releases serve, and callers take
+// up streams that are cut at other nodes. Faults overlap. Timing differs from run to run, so a
+// seed repeats the plan, not every event.
 //
 // Options.HasSilences selects another plan: the settings change while all or most of the endpoints
 // stand still, and requests to all nodes test which settings they go by.
