--- a/internal/process/cells/cells.go
+++ b/internal/process/cells/cells.go
@@ -215,12 +215,6 @@
 	return !ok || spec.Leaving
 }
 
-// HasRelease reports whether an endpoint of a pool has a release as far as this node knows.
-func (m *Manager) HasRelease(pool ident.PoolID, id ident.Endpoint, release ident.Release) bool {
-	spec, ok := m.findEndpoint(pool, id)
-	return ok && spec.Release == release
-}
-
 func (m *Manager) findEndpoint(pool ident.PoolID, id ident.Endpoint) (spec sched.EndpointSpec, ok bool) {
 	for _, c := range m.Roster().Cells(pool) {
 		for _, spec := range c.Endpoints {
@@ -232,12 +226,6 @@
 	return sched.EndpointSpec{}, false
 }
 
-// ReleaseOf returns the release of an endpoint of a pool, "" if it has none or is not listed.
-func (m *Manager) ReleaseOf(pool ident.PoolID, id ident.Endpoint) ident.Release {
-	spec, _ := m.findEndpoint(pool, id)
-	return spec.Release
-}
-
 // Reconcile starts the cells that this node now owns, hands over those that it
 // no longer owns, and drops the requests of members that left the view. It must
 // be called after each change of the members, the settings or the endpoints.
--- a/internal/process/cells/release.go
+++ b/internal/process/cells/release.go
@@ -48,3 +48,15 @@
 	}
 	return pools
 }
+
+// HasRelease reports whether an endpoint of a pool has a release as far as this node knows.
+func (m *Manager) HasRelease(pool ident.PoolID, id ident.Endpoint, release ident.Release) bool {
+	spec, ok := m.findEndpoint(pool, id)
+	return ok && spec.Release == release
+}
+
+// ReleaseOf returns the release of an endpoint of a pool, "" if it has none or is not listed.
+func (m *Manager) ReleaseOf(pool ident.PoolID, id ident.Endpoint) ident.Release {
+	spec, _ := m.findEndpoint(pool, id)
+	return spec.Release
+}
