Don't write a row of routes that the store refuses

With more than about 1,000 stream routes the row has over 64 KiB. The store would refuse the first rows of pools with it, so that no endpoint is used, and the writers of moves would repeat it for good. TestLongRoutesRow fails without the bound (5000 routes). Without the row, streams of unknown origin are refused, as with an outdated one.

--- a/internal/process/node/routesrow.go
+++ b/internal/process/node/routesrow.go
@@ -25,6 +25,9 @@
 	// routesStartDelay is how long a node that starts leaves an outdated row to others, since
 	// it counts itself among the first while it knows few members.
 	routesStartDelay = time.Second
+	// maxRoutesRowBytes bounds the row, since the store takes rows of at most 64 KiB. More than about
+	// 1,000 stream routes have none, and no stream of unknown origin goes on then.
+	maxRoutesRowBytes = 60 << 10
 )
 
 // routesRow is the value of the row routesKey. It outlives all nodes, so that one that starts
@@ -119,12 +122,13 @@
 	return next
 }
 
-func encodeRoutesRow(row routesRow) []byte {
+// encodeRoutesRow returns the value of the row; ok is false if it is too long.
+func encodeRoutesRow(row routesRow) (value []byte, ok bool) {
 	value, err := json.Marshal(row)
 	if err != nil {
 		panic(err) // encoding strings and integers cannot fail.
 	}
-	return value
+	return value, len(value) <= maxRoutesRowBytes
 }
 
 // firstRoutesRow returns what creates the row together with the first rows of pools, none
@@ -134,7 +138,10 @@
 	if !n.formerPools.mayCreate() {
 		return nil, nil
 	}
-	value := encodeRoutesRow(n.nextRoutesRow(routesRow{Era: unknownEra}, era))
+	value, ok := encodeRoutesRow(n.nextRoutesRow(routesRow{Era: unknownEra}, era))
+	if !ok {
+		return nil, nil
+	}
 	return []store.Check{{Table: releaseTable, Key: routesKey}}, []store.Write{{Table: releaseTable, Key: routesKey, Value: value}}
 }
 
@@ -192,7 +199,8 @@
 	}
 }
 
-// writeRoutes reads the row, writes it if it is outdated, and reports whether it is up to date.
+// writeRoutes reads the row, writes it if it is outdated, and reports whether it is up to date or
+// cannot be.
 func (n *Node) writeRoutes(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, releaseCallTimeout)
 	defer cancel()
@@ -207,8 +215,13 @@
 	if !known.isOutdated(next) {
 		return true
 	}
+	value, ok := encodeRoutesRow(next)
+	if !ok {
+		n.Log.Error("routes_not_written", "error", "the row is too long", "routes", len(next.Routes), "bytes", len(value))
+		return true
+	}
 	result, err := n.Store.Service.Transact(ctx, []store.Check{{Table: releaseTable, Key: routesKey, Version: r.Version}},
-		[]store.Write{{Table: releaseTable, Key: routesKey, Value: encodeRoutesRow(next)}})
+		[]store.Write{{Table: releaseTable, Key: routesKey, Value: value}})
 	if err == nil && n.Store.Era() != era {
 		err = errStoreRestored
 	}
--- a/internal/process/node/rows_test.go
+++ b/internal/process/node/rows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 	"goldcrestwick/internal/process/origin"
 	"goldcrestwick/internal/process/poison"
 	"goldcrestwick/internal/process/store"
+	"goldcrestwick/internal/version/config"
 )
 
 // rowDecoders decode the rows of this program's tables as nodes do.
@@ -86,3 +88,27 @@
 	qt.Check(t, report.Crashes[0].Endpoint, qt.Equals, poison.Endpoint{Pool: "p", ID: "e"})
 	qt.Check(t, len(report.Crashes[0].Traits), qt.Equals, 1)
 }
+
+// TestLongRoutesRow guards against first rows of pools that the store refuses with a row of too many
+// routes, without which no endpoint is used.
+func TestLongRoutesRow(t *testing.T) {
+	for count, isCreated := range map[int]bool{10: true, 5000: false} {
+		team := &config.Team{ID: "t"}
+		pool := config.NewPool("t/p", team)
+		team.Pools = []*config.Pool{pool}
+		spec := config.TreeSpec{Version: 1, Team: team}
+		for i := range count {
+			spec.Routes = append(spec.Routes, &config.Route{
+				Name: fmt.Sprint("route", i), Host: "h", Prefix: fmt.Sprintf("/%d/", i), Kind: config.Stream, Timeout: time.Second, MaxAttempts: 1,
+				FirstAnswerTarget: time.Second, Shares: []config.PoolShare{{Pool: pool, Weight: 1}},
+			})
+		}
+		tree, err := config.NewTree(spec)
+		qt.Assert(t, err, qt.IsNil)
+		var n Node
+		n.tree.Store(tree)
+		n.formerPools.learnTable(true)
+		_, writes := n.firstRoutesRow(1)
+		qt.Check(t, len(writes) == 1, qt.Equals, isCreated, qt.Commentf("%d routes", count))
+	}
+}
