Prove a sole release only in the pools that the row of routes shows

Found in review, by reading: the proof asked only that the row has some pools of the route. A node whose settings changed while a resumption waited took the release of the pool that the route had left for the one that began the stream, though the row shows another pool. The row must not show any other pool now (TestRoutesRowOfAnotherPool: three of five cases fail with the earlier condition). Besides: a node that is not ready yet keeps a due write of the row, and a node that has created the row, or met it in a conflict, does not try to create it with its next listing.

--- a/internal/process/node/formerpools.go
+++ b/internal/process/node/formerpools.go
@@ -24,6 +24,8 @@
 	// empty then, so that no stream can have begun before.
 	since time.Time
 	isNew bool
+	// isCreated is set if this node has created the row routesKey, or has found that it exists.
+	isCreated bool
 	// row is the row routesKey as last read, valid if hasRow is set.
 	row    routesRow
 	hasRow bool
@@ -109,7 +111,14 @@
 func (f *formerPools) mayCreate() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.isNew && !f.hasRow
+	return f.isNew && !f.hasRow && !f.isCreated
+}
+
+// setCreated records that the row routesKey exists.
+func (f *formerPools) setCreated() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isCreated = true
 }
 
 // completeSince returns the time in Unix milliseconds since when this node knows all pools.
--- a/internal/process/node/releases.go
+++ b/internal/process/node/releases.go
@@ -282,11 +282,15 @@
 			}
 			return err
 		case result.Applied:
+			if len(routesWrites) > 0 {
+				n.formerPools.setCreated()
+			}
 			n.confirmReleases(rows, started)
 			return nil
 		}
 		for _, r := range result.Conflicts {
 			if r.Key == routesKey {
+				n.formerPools.setCreated()
 				n.learnRoutesRow(r)
 				continue
 			}
--- a/internal/process/node/resume.go
+++ b/internal/process/node/resume.go
@@ -261,7 +261,7 @@
 		release, isSole := read.row.Sole(int64(read.era), maxAge, now)
 		// The row may show that the route led elsewhere while this node did not run.
 		pools = n.streamPools(r)
-		if isSole && len(pools) == 1 && routes.routes.covers(r.Name, int64(routes.era), maxAge, now) && !n.mayUseUnlisted(now) {
+		if isSole && len(pools) == 1 && routes.routes.covers(r.Name, pools, int64(routes.era), maxAge, now) && !n.mayUseUnlisted(now) {
 			return origin.Origin{Pool: pools[0], Release: release}, originSole, ""
 		}
 	}
--- a/internal/process/node/routesrow.go
+++ b/internal/process/node/routesrow.go
@@ -57,10 +57,18 @@
 	return row, nil
 }
 
-// covers reports whether the row tells all pools in which streams of a route can have begun
-// within maxAge before now, given that it was read from a store of an era just now.
-func (r routesRow) covers(route string, era int64, maxAge time.Duration, now time.Time) bool {
-	return r.Era == era && len(r.Routes[route].Pools) > 0 && now.UnixMilli()-r.CompleteSince >= maxAge.Milliseconds()
+// covers reports whether the row tells that streams of a route can have begun in none but the given
+// pools within maxAge before now, given that it was read from a store of an era just now.
+func (r routesRow) covers(route string, pools []ident.PoolID, era int64, maxAge time.Duration, now time.Time) bool {
+	known := r.Routes[route]
+	isOther := func(id ident.PoolID) bool { return !slices.Contains(pools, id) }
+	for id, at := range known.LeftAt {
+		if isOther(id) && now.Sub(time.UnixMilli(at)) <= formerPoolTTL {
+			return false
+		}
+	}
+	return r.Era == era && len(known.Pools) > 0 && !slices.ContainsFunc(known.Pools, isOther) &&
+		now.UnixMilli()-r.CompleteSince >= maxAge.Milliseconds()
 }
 
 // isOutdated reports whether the row lacks what next has. One that a node with later settings
@@ -185,7 +193,15 @@
 		}
 		ranked := member.Ranked(n.members.View().Ready(""), "route_pools")
 		rank := slices.IndexFunc(ranked, func(m member.Member) bool { return m.ID == n.Process.Name })
-		if rank < 0 || rank >= routesWriters {
+		if rank < 0 {
+			// A node that is not ready yet may be one of the writers when it is.
+			n.formerPools.due.Set()
+			if !tick.Sleep(ctx, routesStartDelay) {
+				return
+			}
+			continue
+		}
+		if rank >= routesWriters {
 			continue
 		}
 		if !tick.Sleep(ctx, time.Duration(rank)*routesWriterDelay) {
--- a/internal/process/node/rows_test.go
+++ b/internal/process/node/rows_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestwick/internal/process/canary"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/origin"
 	"goldcrestwick/internal/process/poison"
 	"goldcrestwick/internal/process/store"
@@ -112,3 +113,23 @@
 		qt.Check(t, len(writes) == 1, qt.Equals, isCreated, qt.Commentf("%d routes", count))
 	}
 }
+
+// TestRoutesRowOfAnotherPool guards against the release of one pool as proof for streams that began
+// in another one, to which the row shows that their route leads or led.
+func TestRoutesRowOfAnotherPool(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	lately := map[ident.PoolID]int64{"b": now.Add(-time.Minute).UnixMilli()}
+	for _, c := range []struct {
+		row  routePools
+		want bool
+	}{
+		{routePools{Pools: []ident.PoolID{"a"}}, true},
+		{routePools{Pools: []ident.PoolID{"b"}}, false},
+		{routePools{Pools: []ident.PoolID{"a", "b"}}, false},
+		{routePools{Pools: []ident.PoolID{"a"}, LeftAt: lately}, false},
+		{routePools{}, false},
+	} {
+		row := routesRow{Era: 1, Routes: map[string]routePools{"r": c.row}}
+		qt.Check(t, row.covers("r", []ident.PoolID{"a"}, 1, time.Minute, now), qt.Equals, c.want, qt.Commentf("%+v", c.row))
+	}
+}
