Detours: take no retry after the last node, and take up no stream of another pool

Where all endpoints refuse, a request took a retry from the budget after its last node too, though nothing is sent again: other requests of the pool got fewer. A stream that another node has cut because it stops was taken up by its release alone: if the route led to another pool there, a pool with the same release would have gone on with it. DetourEnd names the pool.

--- a/internal/connection/wire/detour.go
+++ b/internal/connection/wire/detour.go
@@ -64,4 +64,6 @@
 	Reason      string   `cbor:"9,keyasint,omitempty"`
 	// CutAfter is the last event of a stream that the node cut because it stops, 0 otherwise.
 	CutAfter int `cbor:"10,keyasint,omitempty"`
+	// Pool is the one in which the request was served.
+	Pool string `cbor:"11,keyasint,omitempty"`
 }
--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -52,7 +52,8 @@
 	peers := c.Peers()
 	mayHaveRun, isExhausted := false, false
 	var refused *proxy.Result
-	for _, peer := range peers[:min(len(peers), maxPeers)] {
+	peers = peers[:min(len(peers), maxPeers)]
+	for i, peer := range peers {
 		e := &exchange{request: r, w: w, from: c.PeerAddress, earlierAttempts: r.EarlierAttempts}
 		result, out := e.run(ctx, unsent, c.Open, peer)
 		c.Log.Debug("request_detoured", "request_id", r.ID, "peer", peer.ID, "outcome", out, "reason", result.Reason)
@@ -92,6 +93,9 @@
 		default:
 			mayHaveRun, unsent = true, ctx
 		}
+		if i == len(peers)-1 && refused != nil {
+			break // nothing is sent again.
+		}
 		if mayHaveRun && !r.Route.IsRetryable() || !c.maySendAgain(e) {
 			isExhausted = true
 			break
--- a/internal/request/detour/detour.go
+++ b/internal/request/detour/detour.go
@@ -54,7 +54,7 @@
 func fromResult(r proxy.Result) wire.DetourEnd {
 	m := wire.DetourEnd{
 		Truncated: r.Truncated, Attempts: r.Attempts, Interrupted: r.Interrupted, Events: r.Events,
-		Endpoint: string(r.Endpoint), Reason: r.Reason, CutAfter: r.CutAfter,
+		Endpoint: string(r.Endpoint), Reason: r.Reason, CutAfter: r.CutAfter, Pool: string(r.Pool),
 	}
 	for _, release := range r.Releases {
 		m.Releases = append(m.Releases, string(release))
@@ -70,7 +70,7 @@
 func toResult(m wire.DetourEnd) proxy.Result {
 	r := proxy.Result{
 		Truncated: m.Truncated, Attempts: m.Attempts, Interrupted: m.Interrupted, Events: m.Events,
-		Endpoint: ident.Endpoint(m.Endpoint), Reason: m.Reason, CutAfter: m.CutAfter,
+		Endpoint: ident.Endpoint(m.Endpoint), Reason: m.Reason, CutAfter: m.CutAfter, Pool: ident.PoolID(m.Pool),
 	}
 	for _, release := range m.Releases {
 		r.Releases = append(r.Releases, ident.Release(release))
--- a/internal/request/proxy/detour.go
+++ b/internal/request/proxy/detour.go
@@ -64,6 +64,9 @@
 	if !result.Truncated || result.CutAfter == 0 || len(result.Releases) == 0 || !s.isStream() {
 		return false
 	}
+	if result.Pool != s.Pool.ID {
+		return false // the route led to another pool at the other node.
+	}
 	s.attempts = max(s.attempts, result.Attempts)
 	out := outcome{result: interrupted, reason: result.Reason}
 	if !p.canRetry(ctx, s, out) {
--- a/internal/request/proxy/finish.go
+++ b/internal/request/proxy/finish.go
@@ -67,7 +67,7 @@
 	case s.stream.headSent:
 		s.result.Truncated = true
 		if isEndedByStop(ctx) {
-			s.result.CutAfter = s.stream.lastEventID
+			s.result.CutAfter, s.result.Pool = s.stream.lastEventID, s.Pool.ID
 		}
 	case s.failureAnswer != nil:
 		s.failureAnswer.write(s.w)
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -169,6 +169,8 @@
 	// CutAfter is the identifier of the last event of a stream that was cut because the node that
 	// served it stops, 0 if it was not or the events have none.
 	CutAfter int
+	// Pool is the one in which the request was served, set with CutAfter.
+	Pool ident.PoolID
 	// Status is the HTTP status of the answer, 0 without one.
 	Status int
 	// Attempts counts the attempts that sent any part of the request, and Interrupted
