--- a/internal/process/node/marks.go
+++ b/internal/process/node/marks.go
@@ -68,7 +68,8 @@
 }
 
 // learnMarks records the marks among the rows of releaseTable, as a call that started at a time
-// has read them, and that of the routes, and returns the other rows. A mark that cannot be decoded never ends.
+// has read them, learns the row routesKey, and returns the other rows. A mark that cannot be
+// decoded never ends.
 func (n *Node) learnMarks(rows []store.Row, started time.Time) (others []store.Row) {
 	marks := map[string]tableMark{}
 	for _, r := range rows {
