--- a/review/stand/drain.go
+++ b/review/stand/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -62,6 +63,9 @@
 	// outageTime how long it lasts.
 	outageAfter = 400 * time.Millisecond
 	outageTime  = 3450 * time.Millisecond
+	// leavesAfter is the time after the acknowledgement at which a leaving runner ends: drain_ms "and a little
+	// longer (at times many seconds)".
+	leavesAfter = 2400 * time.Millisecond
 )
 
 // outage plays an outage of the store, unless the disruption is left out, and returns its end.
@@ -130,3 +134,42 @@
 	w.note("the old service ran %d requests that were sent later than %s after the acknowledgement, to nodes in touch", late, configTime)
 	return late > 0, nil
 }
+
+// playDrain has a runner leave before an outage of the store, and another one as soon as the store counts as stable
+// after it. That one's entry is removed, and it goes on serving for the usual time. It counts the requests that reach
+// the second one later than drain_ms after the store's acknowledgement.
+func playDrain(w *world) (isBroken bool, err error) {
+	if err := w.startPlain(3); err != nil {
+		return false, err
+	}
+	load := w.startTraffic("POST", "/book/")
+	time.Sleep(lead)
+	first, second := w.runners[0], w.runners[1]
+	first.remove()
+	w.note("the store acknowledges that runner %s is gone", first.id)
+	ended := w.outage()
+	first.end()
+	time.Sleep(time.Until(ended.Add(stableWindow + 50*time.Millisecond)))
+	acknowledged := second.remove()
+	w.note("the store acknowledges that runner %s is gone", second.id)
+	time.Sleep(time.Until(acknowledged.Add(leavesAfter)))
+	w.note("runner %s ends, with %d requests at work", second.id, second.end())
+	time.Sleep(2 * time.Second)
+	load.end()
+	late, lost := 0, 0
+	for _, run := range second.runsAfter(acknowledged.Add(drainTime)) {
+		r := load.sent[run.id]
+		if !r.sent.After(ended.Add(stableWindow)) {
+			continue
+		}
+		late++
+		if r.status != http.StatusOK {
+			lost++
+		}
+		w.note("request %s was sent %.3f s after the outage, and reached runner %s %.3f s after the acknowledgement; its client got status %d",
+			run.id, r.sent.Sub(ended).Seconds(), second.id, run.at.Sub(acknowledged).Seconds(), r.status)
+	}
+	w.note("%d requests reached the leaving runner later than %s after the acknowledgement, from nodes in touch; %d of them have no answer of the runner",
+		late, drainTime, lost)
+	return late > 0, nil
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 // cases holds the cases by the name of their folder's subject. Each reports whether its rule was broken.
 var cases = map[string]func(*world) (isBroken bool, err error){
 	"tokens": playTokens,
+	"drain":  playDrain,
 	"stale":  playStale,
 }
 
