--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review2
-go build -o target/review2/ ./review/6
+go build -o target/review2/ ./review/6 ./review/7
