soak: crowds of clients that do not behave, at every port of a process

What callers saw: clients that send heads without end, or many unfinished heads within the limits, bring a process beyond its memory; connections that do nothing take all descriptors, and ordinary callers get no answer.

TestCrowds starts a node as a process with memory = 64MiB and 512 descriptors, and plays 34 crowds of 64 to 700 clients on loopback, one at a time: heads and request lines without end, unfinished heads, whole requests of many short lines, empty lines, silent connections, connections between requests, bodies that do not come, trailers, a head in the packet of the request before, answers that are not read and long identifiers, at the ports for callers, the directory, readiness, operators and metrics. TestHandshakes begins 3,200 handshakes at the port for nodes. While the crowd keeps its connections, and again after it, the process must live, its peak memory and its descriptors must be under what its settings state, and an ordinary client must get its answer within three tries; a crowd without a key may not make more than 1 MiB of log.

--- a/internal/tool/soak/process.go
+++ b/internal/tool/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -37,11 +38,57 @@
 	settings string
 	// callerAddress and peerAddress, if not empty, replace the ones of settingsFormat.
 	callerAddress, peerAddress string
+	// others holds the addresses of the node's other ports, and replacements pairs of a line of
+	// settingsFormat and what replaces it.
+	others       map[port]string
+	replacements []string
+	// descriptors, if not 0, is the limit on open descriptors of the process.
+	descriptors int
 	// ownStore serves the store to this node alone, and isCutOff ends that.
 	ownStore *httptest.Server
 	isCutOff atomic.Bool
 }
 
+// port is one that a node listens on.
+type port string
+
+// The ports. The first two are in the node's row.
+const (
+	callerPort    port = "caller"
+	peerPort      port = "peer"
+	directoryPort port = "directory"
+	readyPort     port = "ready"
+	operatorPort  port = "operator"
+	metricsPort   port = "metrics"
+)
+
+// chooseOthers chooses the addresses of the ports that are not in the node's row.
+func (n *nodeProcess) chooseOthers(ip string) error {
+	n.others = map[port]string{}
+	for _, p := range []port{directoryPort, readyPort, operatorPort, metricsPort} {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return eris.Wrap(err, "choose a port")
+		}
+		n.others[p] = l.Addr().String()
+		l.Close() //nolint:errcheck // no other process uses the IP address.
+	}
+	return nil
+}
+
+// address returns the address of a port.
+func (n *nodeProcess) address(p port) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch p {
+	case callerPort:
+		return n.callerAddress
+	case peerPort:
+		return n.peerAddress
+	}
+	return n.others[p]
+}
+
 // startedProgram is a program that was started at a time.
 type startedProgram struct {
 	at      time.Time
@@ -90,6 +137,10 @@
 		text = strings.NewReplacer("caller_address = 127.0.0.1:0", "caller_address = "+n.callerAddress,
 			"peer_address = 127.0.0.1:0", "peer_address = "+n.peerAddress).Replace(text)
 	}
+	for p, address := range n.others {
+		text = strings.Replace(text, string(p)+"_address = 127.0.0.1:0", string(p)+"_address = "+address, 1)
+	}
+	text = strings.NewReplacer(n.replacements...).Replace(text)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return eris.Wrap(err, "write settings")
 	}
@@ -99,6 +150,10 @@
 	}
 	defer logFile.Close() //nolint:errcheck // the process has its own descriptor.
 	n.process = exec.Command(n.program, "entry", "--settings", settings)
+	if n.descriptors > 0 {
+		limit := fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, n.descriptors)
+		n.process = exec.Command("sh", "-c", limit, n.program, "entry", "--settings", settings)
+	}
 	n.process.Stdout, n.process.Stderr = logFile, logFile
 	n.isEnded, n.programs = false, append(n.programs, startedProgram{time.Now(), n.program})
 	if err := n.process.Start(); err != nil {
--- a/internal/tool/soak/world.go
+++ b/internal/tool/soak/world.go
@@ -40,6 +40,7 @@
 	// callTime is the duration of a call to an application.
 	callTime = 20 * time.Millisecond
 
+	memorySetting  = "memory = 284MiB"
 	settingsFormat = `[node]
 name = %s
 availability_zone = z
@@ -120,6 +121,9 @@
 	// isSound leaves out refusals that applications repeat, and odd entries of another writer.
 	isSound bool
 	rollout *rollout
+	// replacements are those of each node, and descriptors, if not 0, limits its descriptors.
+	replacements []string
+	descriptors  int
 }
 
 // only returns a function for worldOptions.firstProgram.
@@ -180,8 +184,13 @@
 	for i := range o.nodes {
 		n := &nodeProcess{name: fmt.Sprint("n", i), program: o.firstProgram(i), dir: o.dir, store: address}
 		// Other processes would take the port of a node that is down, and answer its callers.
-		n.callerAddress = fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, number%250, 1+i)
+		ip := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, number%250, 1+i)
+		n.callerAddress = ip + ":0"
 		n.peerAddress = n.callerAddress
+		n.replacements, n.descriptors = o.replacements, o.descriptors
+		if err := n.chooseOthers(ip); err != nil {
+			return nil, err
+		}
 		if planned != nil {
 			n.settings = rolloutSettings
 		}
