guard: bound what the connections of every port hold together

What callers saw: a crowd's heads took the process beyond its memory, or so near the soft limit of the runtime that the collector left no time for others; connections that did nothing took all descriptors, and ordinary callers were not accepted.

Cause: nothing bounded the connections of a port, nor what all their heads cost. net/http bounds the bytes of one head (1 MiB by default, 64 KiB for callers), not what its lines become: a line of four bytes takes some 120 once parsed, and again in the copy that is forwarded. Handlers that read no body waited for its rest without a deadline, and answers that nobody read were kept without end.

Change: connection/guard, one mechanism for the ports of entry and serve. A port has places, by memory and descriptors; a new connection takes the place of the one that has waited for its client for longest. The cost of a head is counted as its bytes are read, before net/http parses them, and what is above an ordinary head is taken from a budget of the port; the largest unfinished head goes first. Requests in progress leave an eighth of the places to new connections. Refusals: 431, and 503 with Retry-After, both not run. [entry] has descriptors, from the platform's max_fds. Metrics by port, clients_given_up at most every 10 s for each port and reason. docs/design/25-connections.md.

Why this works: ordinary heads cost less than what their place includes, so they need nothing that a crowd can use up, and an ordinary connection sends its request long before it is the oldest.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -20,6 +20,7 @@
 	"github.com/urfave/cli/v3"
 
 	"goldcrestwick/internal/connection/drain"
+	"goldcrestwick/internal/connection/guard"
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/process/node"
 	"goldcrestwick/internal/process/spool"
@@ -56,6 +57,10 @@
 	authorityCreateDelay = 6 * time.Second
 	authorityLoadTimeout = 2 * time.Second
 	readHeaderTimeout    = 5 * time.Second
+	// requestTimeout bounds the reading of a request, and answerTimeout that and the answer, on
+	// the ports that do not serve callers. An operator's change of the settings takes longest.
+	requestTimeout = 30 * time.Second
+	answerTimeout  = time.Minute
 )
 
 func entryCommand() *cli.Command {
@@ -217,21 +222,23 @@
 // settings, requests of callers are refused with the reason node_not_ready.
 func (e *entryNode) serve() {
 	e.callerServer = drain.New(e.node.Router().Server())
+	callers := e.node.NewPort("callers", guard.CallerShare)
+	callers.Refuse = e.node.Router().RefuseFull
+	l := callers.Protect(e.callerServer.HTTP, e.callerServer.Listener(e.listeners[e.startSettings.CallerAddress]))
+	go serveHTTP(e.callerServer.HTTP, e.node.CallerListener(l), e.failures)
 	operators := e.node.Operators().Handler()
-	for address, server := range map[string]*http.Server{
-		e.startSettings.CallerAddress:    e.callerServer.HTTP,
-		e.startSettings.ReadyAddress:     newHTTPServer(platform.ReadinessHandler(e.node.IsReady)),
-		e.startSettings.DirectoryAddress: newHTTPServer(platform.DirectoryHandler(e.node.EntryAddresses, addressesTTL)),
-		e.startSettings.OperatorAddress:  newHTTPServer(operators),
-		e.startSettings.MetricsAddress:   newHTTPServer(operators),
-	} {
-		l := e.listeners[address]
-		if server == e.callerServer.HTTP && l != nil {
-			l = e.node.CallerListener(e.callerServer.Listener(l))
-		}
-		if l != nil {
-			go serveHTTP(server, l, e.failures)
-		}
+	p := &e.startSettings
+	e.servePort("ready", p.ReadyAddress, platform.ReadinessHandler(e.node.IsReady), guard.OperatorShare)
+	e.servePort("directory", p.DirectoryAddress, platform.DirectoryHandler(e.node.EntryAddresses, addressesTTL), guard.DirectoryShare)
+	e.servePort("operators", p.OperatorAddress, operators, guard.OperatorShare)
+	e.servePort("metrics", p.MetricsAddress, operators, guard.OperatorShare)
+}
+
+// servePort starts the HTTP server of a port, if the settings have its address.
+func (e *entryNode) servePort(name, address string, h http.Handler, share guard.Share) {
+	if l := e.listeners[address]; l != nil {
+		server := newHTTPServer(h, e.log)
+		go serveHTTP(server, e.node.NewPort(name, share).Protect(server, l), e.failures)
 	}
 }
 
@@ -242,8 +249,11 @@
 	}
 }
 
-func newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Minute}
+func newHTTPServer(h http.Handler, logger *log.Logger) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: requestTimeout, WriteTimeout: answerTimeout, IdleTimeout: time.Minute,
+		ErrorLog: logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
 }
 
 // join loads the fleet's certificate authority from the store, retrying until it
--- a/cmd/goldcrestwick/reload.go
+++ b/cmd/goldcrestwick/reload.go
@@ -70,10 +70,10 @@
 		e.log.SetLevel(level)
 	}
 	limitMemory(next)
-	e.node.SetMemory(next.MemoryBytes)
+	e.node.SetMemory(next.MemoryBytes, next.Descriptors)
 	e.node.SetRetryBudget(next.RetryBudget)
 	old := *e.settings.Swap(&next)
-	old.LogLevel, old.MemoryBytes, old.GracePeriod = next.LogLevel, next.MemoryBytes, next.GracePeriod
+	old.LogLevel, old.MemoryBytes, old.Descriptors, old.GracePeriod = next.LogLevel, next.MemoryBytes, next.Descriptors, next.GracePeriod
 	old.RetryBudget.Ratio, old.RetryBudget.Extra = next.RetryBudget.Ratio, next.RetryBudget.Extra
 	return !reflect.DeepEqual(old, next)
 }
--- a/cmd/goldcrestwick/serve.go
+++ b/cmd/goldcrestwick/serve.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"goldcrestwick/internal/connection/guard"
 	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/process/node"
 	"goldcrestwick/internal/process/store"
@@ -157,9 +158,9 @@
 	s.node.Prepare(s.link.Mux, resumeKey)
 	s.node.Start(context.Background())
 	s.callerServer = s.node.Front().Server()
-	s.operatorServer = &http.Server{Handler: s.node.Operators().Handler(), ReadHeaderTimeout: s.node.Settings().Limits.HeaderTimeout}
-	go serveHTTP(s.callerServer, callers, s.failures)
-	go serveHTTP(s.operatorServer, operators, s.failures)
+	s.operatorServer = newHTTPServer(s.node.Operators().Handler(), s.log)
+	go serveHTTP(s.callerServer, s.node.NewPort("callers", guard.CallerShare).Protect(s.callerServer, callers), s.failures)
+	go serveHTTP(s.operatorServer, s.node.NewPort("operators", guard.OperatorShare).Protect(s.operatorServer, operators), s.failures)
 	s.log.Info("listening", "callers", p.CallerAddress, "peers", p.PeerAddress, "operators", operators.Addr().String())
 	return nil
 }
--- a/internal/connection/router/body.go
+++ b/internal/connection/router/body.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"goldcrestwick/internal/connection/guard"
 	"goldcrestwick/internal/process/memory"
 	"goldcrestwick/internal/request/proxy"
 	"goldcrestwick/internal/request/refuse"
@@ -37,7 +38,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return share, refuse.New(refuse.BodyTooLarge, "the body is longer than "+strconv.FormatInt(limits.BodyBytes, 10)+" bytes")
-	case errors.Is(err, memory.ErrNoRoom):
+	case errors.Is(err, memory.ErrNoRoom), errors.Is(err, guard.ErrNoPlace):
 		w.Header().Set("Connection", "close")
 		refusal := refuse.New(refuse.NodeFull, err.Error())
 		refusal.RetryAfter = noRoomRetryAfter
--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -33,6 +33,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"goldcrestwick/internal/connection/guard"
 	"goldcrestwick/internal/connection/linger"
 	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/memory"
@@ -46,14 +47,13 @@
 )
 
 const (
-	// headerTimeout limits the time to read a request's header. Like idleTimeout and
-	// maxHeaderBytes it is fixed, because the server starts before any settings are
-	// loaded; few callers are slower than the settings' limit.
+	// headerTimeout limits the time to read a request's header. Like idleTimeout it is fixed,
+	// because the server starts before any settings are loaded; few callers are slower than
+	// the settings' limit.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is longer than callers keep idle connections, so that the server
 	// rarely closes a connection on which a request is already on its way.
-	idleTimeout    = 90 * time.Second
-	maxHeaderBytes = 64 << 10
+	idleTimeout = 90 * time.Second
 	// notReadyRetryAfter is the Retry-After of a node that has no settings yet.
 	notReadyRetryAfter = 500 * time.Millisecond
 )
@@ -87,10 +87,11 @@
 	openIDs sync.Map
 }
 
-// Server returns the HTTP server for callers.
+// Server returns the HTTP server for callers. It bounds neither heads nor connections; a
+// guard.Port does.
 func (rt *Router) Server() *http.Server {
 	return &http.Server{
-		Handler: linger.Handler(rt), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: linger.Handler(rt), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ConnContext: memory.ConnContext,
 		ErrorLog:    rt.Log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
@@ -100,6 +101,14 @@
 // called when the node begins to stop.
 func (rt *Router) DisableKeepAlives() { rt.stoppingSince.Observe(time.Now()) }
 
+// RefuseFull refuses a request that has not run, as this node has no room for it. The caller may
+// come back after a time.
+func (rt *Router) RefuseFull(w http.ResponseWriter, r *http.Request, retryAfter time.Duration) {
+	refusal := refuse.New(refuse.NodeFull, guard.ErrNoPlace.Error())
+	refusal.RetryAfter = retryAfter
+	rt.refuse(w, r, &proxy.Request{Arrived: time.Now(), Method: r.Method}, refusal)
+}
+
 // stoppingFor returns for how long the node has been stopping, 0 if it is not.
 func (rt *Router) stoppingFor() time.Duration {
 	if since := rt.stoppingSince.Time(); !since.IsZero() {
--- a/internal/process/memory/conn.go
+++ b/internal/process/memory/conn.go
@@ -72,7 +72,7 @@
 			conn.raw, conn.writeFunc = raw, conn.writeOnce
 		}
 	}
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp := findTCP(c); tcp != nil {
 		tcp.SetWriteBuffer(sendBufferBytes) //nolint:errcheck // the connection works without.
 	}
 	return conn
@@ -186,9 +186,26 @@
 	return errors.ErrUnsupported
 }
 
+// NetConn returns the connection that c writes to, as that of tls.Conn does.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
+// findTCP returns the TCP connection that c is or wraps, or nil.
+func findTCP(c net.Conn) *net.TCPConn {
+	for {
+		switch v := c.(type) {
+		case *net.TCPConn:
+			return v
+		case interface{ NetConn() net.Conn }:
+			c = v.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
 // reset closes the connection so that an answer without a length does not look complete.
 func (c *Conn) reset() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp := findTCP(c.Conn); tcp != nil {
 		tcp.SetLinger(0) //nolint:errcheck // the connection is closed anyway.
 	}
 	c.Close() //nolint:errcheck // nothing more is sent.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -151,6 +151,7 @@
 	detours      detour.Server
 	// answers and bodies bound what is held for slow callers.
 	answers, bodies memory.Budget
+	ports           ports
 
 	claimCoordinatorSet atomic.Pointer[claimCoordinatorSet]
 	quotaCoordinators   atomic.Pointer[viewCoordinators]
--- a/internal/version/config/process.go
+++ b/internal/version/config/process.go
@@ -63,6 +63,9 @@
 	Zones map[ident.AvailabilityZone]ident.Region
 	// MemoryBytes is how much memory this process can use; 0 means unknown.
 	MemoryBytes int64
+	// Descriptors is how many file descriptors this process may open; 0 means as many as the
+	// system allows.
+	Descriptors int
 	// GracePeriod is the longest time that the process may take to exit after a stop
 	// signal.
 	GracePeriod time.Duration
@@ -125,6 +128,7 @@
 		{"metrics_address", false, addrPortSetter(func(p *Process) *string { return &p.MetricsAddress })},
 		{"zones", false, setZones},
 		{"memory", false, byteSizeSetter(func(p *Process) *int64 { return &p.MemoryBytes })},
+		{"descriptors", false, setDescriptors},
 		{"grace", true, durationSetter(func(p *Process) *time.Duration { return &p.GracePeriod })},
 	},
 	"repeats": {
@@ -187,6 +191,19 @@
 	return nil
 }
 
+// setDescriptors parses a number of file descriptors; an empty value is unknown.
+func setDescriptors(p *Process, v string) error {
+	if v == "" {
+		return nil
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil || n <= 0 {
+		return eris.Errorf("%q is not a positive number of descriptors", v)
+	}
+	p.Descriptors = n
+	return nil
+}
+
 // setExposeSlack parses a number of requests; an empty value is unknown.
 func setExposeSlack(p *Process, v string) error {
 	if v == "" {
--- a/internal/version/config/process_test.go
+++ b/internal/version/config/process_test.go
@@ -43,3 +43,15 @@
 		qt.Check(t, p.LimitTolerance.IsSet(), qt.Equals, c.isSet, qt.Commentf(name))
 	}
 }
+
+// TestDescriptors checks the number of descriptors, which a platform may leave empty.
+func TestDescriptors(t *testing.T) {
+	for text, want := range map[string]int{"4100": 4100, "": 0} {
+		var p Process
+		qt.Check(t, setDescriptors(&p, text), qt.IsNil)
+		qt.Check(t, p.Descriptors, qt.Equals, want)
+	}
+	for _, text := range []string{"0", "-1", "many", "1.5"} {
+		qt.Check(t, setDescriptors(&Process{}, text), qt.IsNotNil, qt.Commentf(text))
+	}
+}
