proxy: keep the hash of a request's identifier if it is very long

What callers saw: a process beyond its memory, after requests within the limits whose identifiers were as long as a head may be.

Cause: a node keeps the identifiers of the latest 16,384 requests, to explain them, and in maps, origins of streams, connections to endpoints and log lines, however long they are: 15 KiB each are 250 MB.

The caller's own is forwarded as it came, and answers are matched against it, as before.

--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -234,7 +234,7 @@
 // reserveID returns a caller's request identifier and adds it to openIDs. It appends
 // a suffix if the identifier is in use. If id is empty, it returns a new identifier.
 func (rt *Router) reserveID(id string) ident.RequestID {
-	unique := ident.RequestID(id)
+	unique := ident.CallerID(id)
 	if id == "" {
 		unique = ident.NewRequestID()
 	}
@@ -242,7 +242,7 @@
 		if _, taken := rt.openIDs.LoadOrStore(unique, true); !taken {
 			return unique
 		}
-		unique = ident.RequestID(id + "~" + strconv.FormatUint(rt.idSuffix.Add(1), 10))
+		unique = ident.RequestID(string(ident.CallerID(id)) + "~" + strconv.FormatUint(rt.idSuffix.Add(1), 10))
 	}
 }
 
--- a/internal/process/ident/ident.go
+++ b/internal/process/ident/ident.go
@@ -13,7 +13,9 @@
 
 import (
 	"crypto/rand"
+	"crypto/sha256"
 	"encoding/base32"
+	"encoding/hex"
 	"fmt"
 	"math"
 	"strings"
@@ -114,6 +116,20 @@
 
 var requestIDEncoding = base32.NewEncoding("0123456789abcdefghjkmnpqrstvwxyz").WithPadding(base32.NoPadding)
 
+// maxCallerIDBytes bounds a caller's identifier of a request. Identifiers are kept after their
+// requests, and callers choose them.
+const maxCallerIDBytes = 256
+
+// CallerID returns the identifier that a caller gives to a request, or the SHA-256 of one that is
+// longer than maxCallerIDBytes.
+func CallerID(text string) RequestID {
+	if len(text) <= maxCallerIDBytes {
+		return RequestID(text)
+	}
+	sum := sha256.Sum256([]byte(text))
+	return RequestID(hex.EncodeToString(sum[:]))
+}
+
 // NewRequestID returns a new identifier: 6 bytes of Unix milliseconds and 10
 // random bytes, in lower-case Crockford base 32, which keeps their order.
 func NewRequestID() RequestID {
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"goldcrestwick/internal/connection/conn"
+	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/reach"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/process/trace"
@@ -39,7 +40,7 @@
 	p.record(s, trace.Record{Event: trace.Dispatched, Endpoint: g.Response.Endpoint})
 	s.result.Endpoint = g.Response.Endpoint
 	for {
-		c, err := p.Conns.Get(ctx, g.Response.Address, s.Info.AttemptID)
+		c, err := p.Conns.Get(ctx, g.Response.Address, string(ident.CallerID(s.Info.AttemptID)))
 		if err != nil {
 			isFailure := ctx.Err() == nil && !p.suspectsPath(func(m *reach.Monitor) { m.DialFailed(g.Response.Endpoint) })
 			return outcome{notSent, err.Error(), sched.Completion{Failed: isFailure, Unused: !isFailure}}
@@ -337,7 +338,7 @@
 // handleNotRun handles an answer by which the endpoint reports that it did not
 // run the request.
 func (x *exchange) handleNotRun(resp *http.Response) outcome {
-	x.RecordRefused(x.state.Info.AttemptID)
+	x.RecordRefused(string(ident.CallerID(x.state.Info.AttemptID)))
 	if !x.discard(resp.Body) {
 		x.DisableReuse()
 	}
--- a/internal/request/proxy/release.go
+++ b/internal/request/proxy/release.go
@@ -16,9 +16,9 @@
 	case r.Route.Kind != config.Stream:
 		return ""
 	case r.Info.LastEventID > 0:
-		return ident.RequestID(r.Info.Resumes)
+		return ident.CallerID(r.Info.Resumes)
 	}
-	return ident.RequestID(r.Info.AttemptID)
+	return ident.CallerID(r.Info.AttemptID)
 }
 
 // bindRelease binds a request that takes up a stream to the release that began it. It
