router: bound the log lines of refused requests without an account

What callers saw: nothing; the log of a node grew by 250 bytes and more for each request to an unknown path or with an unknown key, however many a client without a key sends.

Cause: each refusal has a log line.

Change: lines of refused requests that belong to no account, on no public route, are at most 20 a second and 200 at once; the next line has the number left out in lines_left_out, and the metrics count all. Requests of accounts have their lines as before.

--- a/internal/connection/router/router.go
+++ b/internal/connection/router/router.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/time/rate"
 
 	"goldcrestwick/internal/connection/guard"
 	"goldcrestwick/internal/connection/linger"
@@ -54,6 +55,10 @@
 	// idleTimeout is longer than callers keep idle connections, so that the server
 	// rarely closes a connection on which a request is already on its way.
 	idleTimeout = 90 * time.Second
+	// unknownLinesPerSecond and unknownLinesBurst bound the log lines of refused requests that
+	// belong to no account, since clients without a key can send any number of them.
+	unknownLinesPerSecond = 20
+	unknownLinesBurst     = 200
 	// notReadyRetryAfter is the Retry-After of a node that has no settings yet.
 	notReadyRetryAfter = 500 * time.Millisecond
 )
@@ -82,6 +87,10 @@
 	// stoppingSince is when DisableKeepAlives was called, zero before that.
 	stoppingSince tick.Latest
 	idSuffix      atomic.Uint64
+	// unknownLines limits the lines of requests without an account, and unknownOmitted counts
+	// those left out since the last one.
+	unknownLines   *rate.Limiter
+	unknownOmitted atomic.Int64
 	// openIDs holds the identifiers of the requests in progress, since callers may
 	// use the same one twice.
 	openIDs sync.Map
@@ -90,6 +99,7 @@
 // Server returns the HTTP server for callers. It bounds neither heads nor connections; a
 // guard.Port does.
 func (rt *Router) Server() *http.Server {
+	rt.unknownLines = rate.NewLimiter(unknownLinesPerSecond, unknownLinesBurst)
 	return &http.Server{
 		Handler: linger.Handler(rt), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ConnContext: memory.ConnContext,
@@ -285,11 +295,9 @@
 		tier = req.Tier.Name
 	}
 	rt.Meter.Refused(tier, string(refusal.Reason), string(refusal.RunState))
-	rt.Log.Info("request_refused", "request_id", string(req.ID), "reason", refusal.Reason, "run", refusal.RunState,
-		"status", status, "retry_after", refusal.RetryAfter, "message", refusal.Message,
-		"account", accountName(req.Account), "route", routeName(req.Route), "caller_gone", r.Context().Err() != nil,
-		"prompt_tokens", int64(req.Info.PromptTokens), "max_output_tokens", int64(req.Info.MaxOutputTokens),
-		"took", time.Since(req.Arrived), "stopping", rt.stoppingFor(), "settings_version", uint64(req.Version), "unknown_target", unknownTarget(req))
+	if rt.logsRefusal(req) {
+		rt.logRefusal(r, req, refusal, status)
+	}
 	if refusal.RetryAfter > 0 && !refusal.MayHaveRun() {
 		// Round up, since callers retry at once on 0.00.
 		hundredths := math.Ceil(refusal.RetryAfter.Seconds() * 100)
@@ -298,6 +306,26 @@
 	refusal.WriteAs(w, req.ID, status)
 }
 
+// logsRefusal reports whether a refusal is logged. Only those of requests without an account may
+// be left out.
+func (rt *Router) logsRefusal(req *proxy.Request) bool {
+	belongs := req.Account != nil || req.Route != nil && req.Route.Public
+	if belongs || rt.unknownLines == nil || rt.unknownLines.Allow() {
+		return true
+	}
+	rt.unknownOmitted.Add(1)
+	return false
+}
+
+func (rt *Router) logRefusal(r *http.Request, req *proxy.Request, refusal *refuse.Refusal, status int) {
+	rt.Log.Info("request_refused", "request_id", string(req.ID), "reason", refusal.Reason, "run", refusal.RunState,
+		"status", status, "retry_after", refusal.RetryAfter, "message", refusal.Message,
+		"account", accountName(req.Account), "route", routeName(req.Route), "caller_gone", r.Context().Err() != nil,
+		"prompt_tokens", int64(req.Info.PromptTokens), "max_output_tokens", int64(req.Info.MaxOutputTokens),
+		"took", time.Since(req.Arrived), "stopping", rt.stoppingFor(), "settings_version", uint64(req.Version), "unknown_target", unknownTarget(req),
+		"lines_left_out", rt.unknownOmitted.Swap(0))
+}
+
 // recordStep fills in the request's fields of a record and records it.
 func (rt *Router) recordStep(req *proxy.Request, r trace.Record) {
 	r.Time, r.Request, r.Pool, r.Settings = time.Now(), req.ID, req.Pool.ID, req.Version
