link: bound the handshakes that peers begin

What callers saw: a process beyond its memory, while clients without a certificate begin QUIC handshakes at the port for nodes and answer nothing.

Cause: quic-go holds a connection and the state of TLS for each first packet, for up to 2 s, and nothing bounded them together; addresses were not validated.

Change: at most 0.05 of the memory at 96 KiB each may be in progress. Above a quarter of that, peers prove their address by a Retry, for which nothing is held; above it, only known nodes get in, up to twice as many. Metrics goldcrestwick_handshakes*, and handshakes_refused at most every 10 s.

--- a/cmd/goldcrestwick/entry.go
+++ b/cmd/goldcrestwick/entry.go
@@ -162,9 +162,10 @@
 		return err
 	}
 	client := newStoreClient(e.startSettings.StoreAddress)
-	e.link = &link.Transport{Mux: newMux(e.log)}
+	e.link = newTransport(e.startSettings, e.log)
 	e.node = &node.Node{
 		Process: e.startSettings, Store: client, Open: e.link.Open, Forget: e.link.Forget, Redial: e.link.Redial, Log: e.log,
+		Handshakes: e.link.Handshakes,
 		Platform: &node.Platform{
 			SettingsTable: platform.SettingsTable, SettingsKey: platform.SettingsKey,
 			EndpointTable: platform.EndpointTable, SettingsVersion: platform.SettingsVersion,
@@ -193,6 +194,16 @@
 	}
 }
 
+// newTransport returns the transport of a process, without certificates.
+func newTransport(p config.Process, logger *log.Logger) *link.Transport {
+	return &link.Transport{
+		Mux: newMux(logger), MaxHandshakes: link.HandshakesFor(p.MemoryBytes),
+		HandshakesRefused: func(s link.HandshakeStats) {
+			logger.Warn("handshakes_refused", "refused_since_start", s.Refused, "pending", s.Pending, "limit", s.Limit)
+		},
+	}
+}
+
 // newMux returns a mux for the messages of other nodes that logs a handler's panic.
 func newMux(logger *log.Logger) *link.Mux {
 	return &link.Mux{Panicked: func(kind link.Kind, value any, stack []byte) {
--- a/cmd/goldcrestwick/serve.go
+++ b/cmd/goldcrestwick/serve.go
@@ -92,7 +92,8 @@
 		return nil, err
 	}
 	s := &server{failures: make(chan error, 2), log: newLogger(p, logTo)}
-	s.link = &link.Transport{TLSConfig: files.TLSConfig, Mux: newMux(s.log)}
+	s.link = newTransport(p, s.log)
+	s.link.TLSConfig = files.TLSConfig
 	if err := s.link.Listen(p.PeerAddress); err != nil {
 		return nil, err
 	}
@@ -148,7 +149,7 @@
 	s.callerAddress, s.operatorAddress = p.CallerAddress, operators.Addr().String()
 	s.node = &node.Node{
 		Process: p, Tree: tree, Open: s.link.Open, Forget: s.link.Forget, Redial: s.link.Redial, Log: s.log,
-		Store: newStoreClient(p.StoreAddress),
+		Store: newStoreClient(p.StoreAddress), Handshakes: s.link.Handshakes,
 	}
 	if p.LedgerKeyFile != "" {
 		if s.node.LedgerKey, err = readLedgerKey(p.LedgerKeyFile); err != nil {
--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -20,6 +20,7 @@
 package link
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -147,6 +148,12 @@
 	// WrapSocket wraps the UDP socket, to count packets or inject faults. If nil, the
 	// socket is used directly.
 	WrapSocket func(net.PacketConn) net.PacketConn
+	// MaxHandshakes bounds the handshakes that peers have begun and not completed; 0 means
+	// defaultHandshakes.
+	MaxHandshakes int
+	// HandshakesRefused, if not nil, is called after handshakes were refused, at most every
+	// refusalReportInterval. It must not block.
+	HandshakesRefused func(HandshakeStats)
 
 	socket        net.PacketConn
 	quicTransport *quic.Transport
@@ -156,6 +163,7 @@
 	goroutines    sync.WaitGroup
 	dialCount     atomic.Int64
 	arrivals      arrivals
+	handshakes    handshakes
 	mu            sync.Mutex
 	peers         map[string]*peer
 }
@@ -171,7 +179,8 @@
 		socket = t.WrapSocket(socket)
 	}
 	t.socket = socket
-	t.quicTransport = &quic.Transport{Conn: socket}
+	t.handshakes.setLimit(cmp.Or(t.MaxHandshakes, defaultHandshakes))
+	t.quicTransport = &quic.Transport{Conn: socket, ConnContext: t.beginHandshake, VerifySourceAddress: t.needsValidation}
 	t.peers = map[string]*peer{}
 	server := t.peerTLSConfig()
 	server.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
@@ -238,6 +247,7 @@
 // socket that it listens on, so the remote address is the peer's listen address.
 // If this node is dialing the same peer, it uses that connection afterwards.
 func (t *Transport) useIncoming(conn *quic.Conn) {
+	endHandshake(conn.Context())
 	address := conn.RemoteAddr().String()
 	// A peer that dials again may have lost the previous connection, as after a
 	// restart. Streams on the previous connection are left open.
--- a/internal/connection/router/unknown_test.go
+++ b/internal/connection/router/unknown_test.go
@@ -26,7 +26,9 @@
 			DecodeRequest: func(http.Header) (proxy.RequestInfo, error) { return proxy.RequestInfo{}, nil },
 		}
 		rt.Server()
-		send := func() { rt.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", nil)) }
+		send := func() {
+			rt.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", nil))
+		}
 		for range 5000 {
 			send()
 		}
--- a/internal/process/node/memory.go
+++ b/internal/process/node/memory.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"goldcrestwick/internal/connection/guard"
+	"goldcrestwick/internal/connection/link"
 	"goldcrestwick/internal/process/memory"
 )
 
@@ -20,6 +21,7 @@
 
 // prepareMemory sets up the budgets for what is held for slow callers.
 func (n *Node) prepareMemory() {
+	n.meterHandshakes()
 	n.answers.StallTime, n.bodies.StallTime = memory.AnswerStallTime, memory.BodyStallTime
 	n.SetMemory(n.Process.MemoryBytes, n.Process.Descriptors)
 	for what, b := range map[string]*memory.Budget{"answers": &n.answers, "bodies": &n.bodies} {
@@ -39,6 +41,20 @@
 	}
 }
 
+// meterHandshakes adds the metrics of the handshakes that peers have begun.
+func (n *Node) meterHandshakes() {
+	if n.Handshakes == nil {
+		return
+	}
+	for metric, read := range map[string]func(link.HandshakeStats) float64{
+		"goldcrestwick_handshakes":               func(s link.HandshakeStats) float64 { return float64(s.Pending) },
+		"goldcrestwick_handshakes_limit":         func(s link.HandshakeStats) float64 { return float64(s.Limit) },
+		"goldcrestwick_handshakes_refused_total": func(s link.HandshakeStats) float64 { return float64(s.Refused) },
+	} {
+		n.meter.Gauge(metric, func() float64 { return read(n.Handshakes()) })
+	}
+}
+
 // SetMemory sets the memory and the descriptors that this process can use, 0 if they are not
 // known. It is safe for concurrent use.
 func (n *Node) SetMemory(bytes int64, descriptors int) {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -87,6 +87,8 @@
 	Forget func(address string)
 	// Redial, if not nil, replaces a connection whose peer does not respond.
 	Redial func(address string)
+	// Handshakes, if not nil, returns the handshakes that peers have begun, for the metrics.
+	Handshakes func() link.HandshakeStats
 	// Client sends requests to endpoints, except for proxied ones; nil means a new
 	// client with the default settings.
 	Client *client.Client
