guard: leave a new connection time for its request

What callers saw: while clients open new connections as fast as the node closes them, an ordinary caller's connection was closed before its request was read, at all three tries.

Cause: a new connection took the place of the oldest one at once. In a crowd that opens connections all the time all are some milliseconds old, and an ordinary one was the oldest before the node had read what it sent. Bodies that had begun less than a second ago kept their places altogether, so that new callers were refused.

Change: a connection from which bytes have come that were not read yet waits for the node, and is not given up; none is within 25 ms, and new ones are accepted after that. A body that has begun waits like a head.

Measured: soak.TestCrowds has four crowds of 400 clients that open a new connection whenever the node closes one (silent, head, body at the callers' port, body at the directory's).

--- a/internal/connection/guard/conn.go
+++ b/internal/connection/guard/conn.go
@@ -205,6 +205,19 @@
 	return ok
 }
 
+// hasUnreadBytes reports whether bytes have come from the client that nothing has read yet.
+func (c *conn) hasUnreadBytes() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	control := raw.Control(func(fd uintptr) {
+		n, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return control == nil && err == nil && n > 0
+}
+
 // Write writes to the client. While that takes, the connection waits for its client.
 func (c *conn) Write(b []byte) (int, error) {
 	p := c.port
--- a/internal/connection/guard/guard.go
+++ b/internal/connection/guard/guard.go
@@ -55,10 +55,18 @@
 	defaultHeaderBytes = 64 << 10
 	// headerSlackBytes is read of a head beyond its limit, as in net/http.
 	headerSlackBytes = 4 << 10
-	// requestGrace and answerGrace are how long a connection must have waited for a request, or
-	// for its client to read, before it is given up for one that was just opened.
+	// requestGrace is how long a connection must have waited for a request to be given up before
+	// an unread answer, and answerGrace for its client to read to be given up at all.
 	requestGrace = time.Second
 	answerGrace  = time.Second
+	// minWait is how long a new connection may wait for its request before it can be given up,
+	// so that clients that open connections all the time do not keep others out. The connections
+	// that come meanwhile are not accepted yet.
+	minWait = 25 * time.Millisecond
+	// maxLooked bounds the connections that are looked at for bytes that have not been read, and
+	// lookInterval is the time until the next look.
+	maxLooked    = 64
+	lookInterval = 5 * time.Millisecond
 	// progressBytes is the part of a body with which a connection begins to wait anew.
 	progressBytes = 4 << 10
 	// retryAfter is when a client that was refused for lack of room may come back.
@@ -232,29 +240,33 @@
 	p.Report(report)
 }
 
-// admit gives a new connection a place. It returns nil if all places have requests that are
-// being answered; the connection is closed then.
+// admit gives a new connection a place, as soon as there is one. It returns nil if all places have
+// requests that are being answered; the connection is closed then.
 func (p *Port) admit(raw net.Conn) *conn {
 	c := &conn{Conn: raw, port: p, inHead: true}
 	p.mu.Lock()
-	var victim *conn
-	if p.open >= p.limits.Connections {
-		if victim = p.waiting.choose(time.Now()); victim == nil {
-			p.mu.Unlock()
+	var victims []*conn
+	for p.open >= p.limits.Connections {
+		victim, retry := p.waiting.choose(time.Now())
+		if victim != nil {
+			p.remove(victim)
+			victims = append(victims, victim)
+			break
+		}
+		p.mu.Unlock()
+		if retry == 0 {
 			p.record(AllAnswering, 1)
 			writeRefusal(raw, http.StatusServiceUnavailable)
 			raw.Close() //nolint:errcheck // the client was refused.
 			return nil
 		}
-		p.remove(victim)
+		time.Sleep(min(retry, lookInterval))
+		p.mu.Lock()
 	}
 	p.open++
 	p.wait(c, waitsForHead)
 	p.mu.Unlock()
-	if victim != nil {
-		victim.Conn.Close() //nolint:errcheck // the client was given up.
-		p.record(PlaceNeeded, 1)
-	}
+	p.closeAll(victims, PlaceNeeded)
 	return c
 }
 
--- a/internal/connection/guard/guard_test.go
+++ b/internal/connection/guard/guard_test.go
@@ -189,6 +189,30 @@
 	}
 }
 
+// TestNewConnectionHasTime guards against clients that open connections so fast that none is open
+// until its request has come.
+func TestNewConnectionHasTime(t *testing.T) {
+	servePort(t, Limits{4, 1 << 20}, ok, func(t *testing.T, p *testPort) {
+		start := time.Now()
+		var open []*client
+		opened := make(chan *client)
+		go func() {
+			for range 40 {
+				opened <- p.dial()
+			}
+			close(opened)
+		}()
+		for c := range opened {
+			open = append(open, c)
+		}
+		qt.Check(t, time.Since(start) >= 8*minWait, qt.IsTrue)
+		c := open[len(open)-1]
+		c.send(ordinary)
+		c.checkStatus(http.StatusOK)
+		qt.Check(t, open[0].isClosed(), qt.IsTrue)
+	})
+}
+
 // TestDrippedBody guards against a client that keeps its place by a byte now and then.
 func TestDrippedBody(t *testing.T) {
 	readAll := func(_ http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) } //nolint:errcheck // the test checks who is closed.
--- a/internal/connection/guard/wait.go
+++ b/internal/connection/guard/wait.go
@@ -46,24 +46,46 @@
 	c.isListed, c.previous, c.next = false, nil, nil
 }
 
-// choose returns the connection to give up for a new one, or nil if there is none: the one that
-// has waited for a request for longest, if for longer than requestGrace. If there is none, an
-// answer that is not read goes before a connection that may just have been opened.
-func (l *waitList) choose(now time.Time) *conn {
-	var young *conn
-	for c := l.first; c != nil; c = c.next {
-		switch {
-		case c.state == waitsForReader || c.state == waitsForBody && !c.isReading: // the latter waits for the node.
-		case now.Sub(c.since) >= requestGrace:
-			return c
-		case c.state == waitsForHead && young == nil:
-			young = c
-		}
+// choose returns the connection to give up for a new one: the one that has waited for a request
+// for longest. If that is not longer than requestGrace, an answer that is not read goes before it.
+// If no connection may be given up yet, it returns nil and the time after which to try again, or 0
+// if all are being answered.
+func (l *waitList) choose(now time.Time) (c *conn, retry time.Duration) {
+	oldest, retry := l.silent(now)
+	if oldest != nil && now.Sub(oldest.since) >= requestGrace {
+		return oldest, 0
+	}
+	if unread := l.unread(now); unread != nil {
+		return unread, 0
+	}
+	if oldest == nil {
+		return nil, retry
 	}
-	if c := l.unread(now); c != nil {
-		return c
+	if waited := now.Sub(oldest.since); waited < minWait {
+		return nil, minWait - waited
+	}
+	return oldest, 0
+}
+
+// silent returns the connection that has waited for a request for longest. One from which bytes
+// have come that were not read yet waits for the node, and begins to wait anew. If there are only
+// such ones, silent returns nil and the time after which to look again.
+func (l *waitList) silent(now time.Time) (oldest *conn, retry time.Duration) {
+	looked := 0
+	for c := l.first; c != nil && looked < maxLooked; {
+		next := c.next
+		if c.state == waitsForHead || c.state == waitsForBody && c.isReading {
+			if !c.hasUnreadBytes() {
+				return c, 0
+			}
+			looked++
+			retry = lookInterval
+			c.since = now
+			l.moveToBack(c)
+		}
+		c = next
 	}
-	return young
+	return nil, retry
 }
 
 // unread returns the connection whose client has not read its answer for longest, if for longer
--- a/internal/tool/soak/crowd.go
+++ b/internal/tool/soak/crowd.go
@@ -39,6 +39,8 @@
 	connections int
 	// isKeyed is set if the requests carry the key of an account.
 	isKeyed bool
+	// reopens makes the clients open a new connection whenever the node closes one.
+	reopens bool
 	// act uses a connection, and returns when the client has sent what it has to send.
 	act func(c net.Conn, client int)
 }
@@ -60,9 +62,8 @@
 					acting.Done()
 				}
 				if err == nil && isLast {
-					<-ctx.Done()
-				}
-				if err == nil {
+					c.keep(ctx, conn, address, client)
+				} else if err == nil {
 					conn.Close() //nolint:errcheck // the client is done.
 				}
 			}
@@ -72,6 +73,29 @@
 	return open.Wait
 }
 
+// keep keeps a connection until ctx is done, or opens new ones until then.
+func (c crowd) keep(ctx context.Context, conn net.Conn, address string, client int) {
+	if !c.reopens {
+		<-ctx.Done()
+		conn.Close() //nolint:errcheck // the client is done.
+		return
+	}
+	for ctx.Err() == nil {
+		stop := context.AfterFunc(ctx, func() { conn.Close() }) //nolint:errcheck // ends the read.
+		conn.SetReadDeadline(time.Time{})                       //nolint:errcheck // the read waits then anyway.
+		io.Copy(io.Discard, conn)                               //nolint:errcheck // it ends with the connection.
+		stop()
+		conn.Close() //nolint:errcheck // the node has closed it.
+		next, err := dialCrowd(ctx, address)
+		if err != nil {
+			return
+		}
+		conn = next
+		c.act(conn, client)
+	}
+	conn.Close() //nolint:errcheck // the client is done.
+}
+
 // dialCrowd opens a connection that receives little.
 func dialCrowd(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: patience, Control: func(_, _ string, raw syscall.RawConn) error {
--- a/internal/tool/soak/crowd_test.go
+++ b/internal/tool/soak/crowd_test.go
@@ -1,14 +1,10 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/http"
 	"os"
-	"path/filepath"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -55,6 +51,10 @@
 	{name: "silent", port: directoryPort, clients: 700, act: silent},
 	{name: "silent", port: readyPort, clients: 700, act: silent},
 	{name: "silent", port: operatorPort, clients: 700, act: silent},
+	{name: "silent_reopened", port: callerPort, clients: 400, reopens: true, act: silent},
+	{name: "head_reopened", port: callerPort, clients: 400, reopens: true, act: sendUnfinishedHead},
+	{name: "body_reopened", port: callerPort, clients: 400, isKeyed: true, reopens: true, act: sendNoBody},
+	{name: "body_reopened", port: directoryPort, clients: 400, reopens: true, act: sendNoBodyAnywhere},
 	{name: "between_requests", port: callerPort, clients: 700, act: sendRequestAndWait},
 	{name: "between_requests", port: directoryPort, clients: 700, act: sendRequestAndWait},
 	{name: "between_requests", port: metricsPort, clients: 700, act: sendRequestAndWait},
@@ -70,9 +70,6 @@
 	{name: "long_identifiers", port: callerPort, clients: 300, isKeyed: true, act: sendLongIDs},
 }
 
-func endlessLines(i int) string { return shortLines(4096, i*1024) }
-func endlessPath(int) string    { return strings.Repeat("a", 4096) }
-
 // TestCrowds guards against clients that end a process, make it hang, or keep ordinary callers
 // out: heads without end or of very many short lines, and connections that take places and do
 // nothing. Each crowd keeps its connections while an ordinary caller sends a request.
@@ -125,10 +122,11 @@
 		qt.Check(t, isAnswered(t, n.address(p), path), qt.IsTrue, qt.Commentf("%s is not answered", path))
 	}
 	n.mu.Lock()
-	process, ends := n.process.Process.Pid, n.ownEnds
+	ends := n.ownEnds
 	n.mu.Unlock()
 	qt.Assert(t, ends, qt.HasLen, 0)
-	peak, descriptors := peakMemory(t, process), openDescriptors(t, process)
+	peak, descriptors, err := usage(n.pid())
+	qt.Assert(t, err, qt.IsNil)
 	t.Logf("peak memory %.1f MiB, %d descriptors open", float64(peak)/(1<<20), descriptors)
 	qt.Check(t, peak <= crowdMemory, qt.IsTrue, qt.Commentf("peak memory %d MiB", peak>>20))
 	qt.Check(t, descriptors < crowdDescriptors, qt.IsTrue, qt.Commentf("%d descriptors open", descriptors))
@@ -156,12 +154,6 @@
 	return false
 }
 
-// ordinaryPaths are what ordinary clients ask for at the ports that do not serve callers.
-var ordinaryPaths = map[port]string{
-	directoryPort: "/api/resolve?name=h.example&region=r&zone=z", readyPort: "/api/readyz",
-	operatorPort: "/v1/settings/status", metricsPort: "/metrics",
-}
-
 func isAnswered(t *testing.T, address, path string) bool {
 	for i := range ordinaryTries {
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+path, nil)
@@ -185,20 +177,3 @@
 func newOrdinaryClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
 }
-
-// peakMemory returns the largest resident set of a process so far in bytes.
-func peakMemory(t *testing.T, process int) int64 {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process))
-	qt.Assert(t, err, qt.IsNil)
-	_, rest, ok := bytes.Cut(status, []byte("VmHWM:"))
-	qt.Assert(t, ok, qt.IsTrue)
-	kilobytes, err := strconv.ParseInt(strings.Fields(string(rest))[0], 10, 64)
-	qt.Assert(t, err, qt.IsNil)
-	return kilobytes << 10
-}
-
-func openDescriptors(t *testing.T, process int) int {
-	all, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", process))
-	qt.Assert(t, err, qt.IsNil)
-	return len(all)
-}
