--- a/internal/tool/soak/plan.go
+++ b/internal/tool/soak/plan.go
@@ -30,6 +30,10 @@
 	faults.Go(func() { r.playEndpoints(ctx) })
 	faults.Go(func() { r.playLosses(ctx) })
 	faults.Go(func() { r.playStore(ctx) })
+	if r.Earlier == "" {
+		// Builds up to b24ccf9 do not bound what such clients make them hold.
+		faults.Go(func() { r.playCrowds(ctx) })
+	}
 	if r.hasVariants() {
 		faults.Go(func() { r.playVariants(ctx) })
 	}
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -11,7 +11,8 @@
 // conductor is killed, paused or cut off from the store. In two of five, models fall silent after
 // changes of the settings, odd entries come and go, and all nodes are stopped one after the
 // other; in one of these, a release joins while a node is frozen. Nodes may be of two builds.
-// Some callers read long answers slowly. Models of two software releases serve, and callers take
+// Some callers read long answers slowly. Crowds of clients that do not behave come to the ports of
+// single nodes. Models of two software releases serve, and callers take
 // up streams that are cut at other nodes. Faults overlap. Timing differs from run to run, so a
 // seed repeats the plan, not every event.
 //
