guard: clients that send requests ahead give way to new ones

What callers saw (trial: the crowds of soak.TestCrowds four times as large, at 284 MiB and 4,100 descriptors): while clients send hundreds of requests without waiting for answers, ordinary callers were not accepted within 6 s at the callers' and the directory's port, and not at all three tries at the metrics port.

Cause: such a connection never waits for its client, so its place cannot be taken; and its goroutine serves all that was sent ahead, some 10 ms, before another one runs.

Change: while a new connection waits for a place, answers carry Connection: close; a goroutine yields before a request that was sent ahead.

--- a/internal/connection/guard/conn.go
+++ b/internal/connection/guard/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -126,6 +127,8 @@
 	if early := c.behindHead - max(c.bodyBytes, 0); early > 0 {
 		c.headBytes = min(early, bufferBytes)
 		c.headLines = min(c.headBytes, c.behindLines)
+		// The goroutine would serve all that the client has sent ahead before it yields.
+		runtime.Gosched()
 	}
 	c.inHead = true
 	p := c.port
--- a/internal/connection/guard/guard.go
+++ b/internal/connection/guard/guard.go
@@ -182,7 +182,9 @@
 	answering int
 	heads     int64
 	waiting   waitList
-	counts    map[Reason]*count
+	// hasNewcomer is set while a new connection waits until there is a place.
+	hasNewcomer bool
+	counts      map[Reason]*count
 }
 
 // count counts the clients given up for one reason.
@@ -253,6 +255,7 @@
 			victims = append(victims, victim)
 			break
 		}
+		p.hasNewcomer = retry > 0
 		p.mu.Unlock()
 		if retry == 0 {
 			p.record(AllAnswering, 1)
@@ -263,6 +266,7 @@
 		time.Sleep(min(retry, lookInterval))
 		p.mu.Lock()
 	}
+	p.hasNewcomer = false
 	p.open++
 	p.wait(c, waitsForHead)
 	p.mu.Unlock()
@@ -338,6 +342,15 @@
 	return true
 }
 
+// endsConnection reports whether a connection is to end with the answer to its request, since
+// another one waits for its place. A client that sends the next request before it has the answer
+// never waits, and would keep its place.
+func (p *Port) endsConnection() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hasNewcomer
+}
+
 // refuse answers a request for which there is no room.
 func (p *Port) refuse(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Connection", "close")
--- a/internal/connection/guard/guard_test.go
+++ b/internal/connection/guard/guard_test.go
@@ -213,6 +213,22 @@
 	})
 }
 
+// TestPlaceOfBusyClient guards against clients that send request after request, and keep new ones
+// out: their connections end with an answer.
+func TestPlaceOfBusyClient(t *testing.T) {
+	servePort(t, Limits{2, 1 << 20}, ok, func(t *testing.T, p *testPort) {
+		busy := p.dial()
+		busy.send(ordinary)
+		qt.Check(t, busy.checkStatus(http.StatusOK).Close, qt.IsFalse)
+		p.mu.Lock()
+		p.hasNewcomer = true
+		p.mu.Unlock()
+		busy.send(ordinary)
+		qt.Check(t, busy.checkStatus(http.StatusOK).Close, qt.IsTrue)
+		qt.Check(t, busy.isClosed(), qt.IsTrue)
+	})
+}
+
 // TestDrippedBody guards against a client that keeps its place by a byte now and then.
 func TestDrippedBody(t *testing.T) {
 	readAll := func(_ http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) } //nolint:errcheck // the test checks who is closed.
--- a/internal/connection/guard/server.go
+++ b/internal/connection/guard/server.go
@@ -90,6 +90,9 @@
 			p.refuse(w, r)
 			return
 		}
+		if p.endsConnection() {
+			w.Header().Set("Connection", "close")
+		}
 		if hasBody(r) {
 			tracked := *r
 			tracked.Body = &body{r.Body, r, c}
