guard: count a head until net/http has read it

What callers saw: nothing yet; found by reading the change.

Cause: the port took the first blank line for the end of a head. When the beginning of a line has come with the request before, its end alone looks blank; behind a POST, net/http skips a blank line. What came then was not counted, up to the limit of net/http, 64 MiB.

Change: a head ends with StateActive of net/http; if it reads on behind a blank line, what came is counted. The beginning of the last line is known also behind a head. The limit of net/http behind the port's is 4 MiB.

The soak's non-test code takes the name of a header from the stand-in engine.

--- a/internal/connection/guard/conn.go
+++ b/internal/connection/guard/conn.go
@@ -29,10 +29,11 @@
 
 	// The fields below are used by the goroutine of net/http that reads.
 
-	// inHead is set until the blank line after a head.
-	inHead bool
+	// inHead is set until net/http has read a head, and hasBlank if its blank line seems to have
+	// come. If net/http reads on nevertheless, the line was within the head.
+	inHead, hasBlank bool
 	// headBytes and headLines count what has come of the head. lineBytes and lineStart are the
-	// length of its last line so far and that line's first byte.
+	// length of the last line so far and that line's first byte.
 	headBytes, headLines int64
 	lineBytes            int64
 	lineStart            byte
@@ -86,22 +87,25 @@
 
 // countHead counts the part of a read that belongs to the head.
 func (c *conn) countHead(b []byte) {
+	if c.hasBlank {
+		c.hasBlank = false
+		c.headBytes += c.behindHead
+		c.headLines += c.behindLines
+	}
 	for len(b) > 0 {
-		if c.lineBytes == 0 {
-			c.lineStart = b[0]
-		}
 		i := bytes.IndexByte(b, '\n')
 		if i < 0 {
-			c.lineBytes += int64(len(b))
 			c.headBytes += int64(len(b))
+			c.countLine(b)
 			return
 		}
-		isBlank := c.lineBytes+int64(i) == 0 || c.lineBytes+int64(i) == 1 && c.lineStart == '\r'
+		c.countLine(b[:i])
+		isBlank := c.lineBytes == 0 || c.lineBytes == 1 && c.lineStart == '\r'
 		c.headBytes += int64(i) + 1
 		c.lineBytes = 0
 		b = b[i+1:]
 		if isBlank && c.headLines > 0 {
-			c.inHead = false
+			c.hasBlank = true
 			c.behindHead, c.behindLines = 0, 0
 			c.countBehind(b)
 			return
@@ -110,25 +114,41 @@
 	}
 }
 
+// countLine counts a part of a line.
+func (c *conn) countLine(b []byte) {
+	if c.lineBytes == 0 && len(b) > 0 {
+		c.lineStart = b[0]
+	}
+	c.lineBytes += int64(len(b))
+}
+
 // countBehind counts what comes behind a head. It is the body, and the beginning of the next
 // head if the client does not wait for the answer.
 func (c *conn) countBehind(b []byte) {
 	c.behindHead += int64(len(b))
 	c.behindLines = int64(bytes.Count(b[max(len(b)-bufferBytes, 0):], []byte{'\n'}))
+	if i := bytes.LastIndexByte(b, '\n'); i >= 0 {
+		c.lineBytes = 0
+		b = b[i+1:]
+	}
+	c.countLine(b)
 }
 
-// endHead records that net/http has read a head, which may have come with the request before.
-func (c *conn) endHead() { c.inHead = false }
+// endHead records that net/http has read a head. What has come behind it is known if the head did
+// not come with the request before; otherwise it is at most what had come then.
+func (c *conn) endHead() { c.inHead, c.hasBlank = false, false }
 
 // beginHead prepares for the next request. What net/http has read of its head already is a part
 // of its last read, and behind the body.
 func (c *conn) beginHead() {
-	c.headBytes, c.headLines, c.lineBytes = 0, 0, 0
+	c.headBytes, c.headLines = 0, 0
 	if early := c.behindHead - max(c.bodyBytes, 0); early > 0 {
 		c.headBytes = min(early, bufferBytes)
 		c.headLines = min(c.headBytes, c.behindLines)
 		// The goroutine would serve all that the client has sent ahead before it yields.
 		runtime.Gosched()
+	} else {
+		c.lineBytes = 0
 	}
 	c.inHead = true
 	p := c.port
--- a/internal/connection/guard/guard_test.go
+++ b/internal/connection/guard/guard_test.go
@@ -312,6 +312,43 @@
 	})
 }
 
+// TestBlankLineWithinHead guards against heads that are not counted behind a line that only looks
+// blank to the port: the end of a line whose beginning came with the request before, and one
+// before the request line, which net/http skips behind a POST.
+func TestBlankLineWithinHead(t *testing.T) {
+	readAll := func(_ http.ResponseWriter, r *http.Request) { io.Copy(io.Discard, r.Body) } //nolint:errcheck // the test checks what is held.
+	many := strings.Repeat("x:\r\n", 1000)
+	chunked := "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	for name, parts := range map[string][]string{
+		"end of a line":     {ordinary + "GET / HTTP/1.1\r\nHost: h\r\nX: y", "\r\n" + many},
+		"before the line":   {chunked, "\r\n", "GET / HTTP/1.1\r\nHost: h\r\n" + many},
+		"together":          {chunked, "\r\nGET / HTTP/1.1\r\nHost: h\r\n" + many},
+		"before its end":    {ordinary + "GET / HTTP/1.1\r\nHost: h\r\n\r", "\n" + ordinary + "GET / HTTP/1.1\r\nHost: h\r\n" + many},
+		"with the body":     {chunked + "\r\nGET / HTTP/1.1\r\nHost: h\r\n", many},
+		"in the first head": {"GET / HTTP/1.1\r\nHost: h\r\n" + many},
+	} {
+		t.Run(name, func(t *testing.T) {
+			servePort(t, Limits{8, 8 << 20}, readAll, func(t *testing.T, p *testPort) {
+				c := p.dial()
+				for _, part := range parts {
+					c.send(part)
+					if strings.HasPrefix(part, chunked) || strings.HasPrefix(part, ordinary) {
+						c.checkStatus(http.StatusOK)
+					}
+					if strings.HasPrefix(part, "\n") {
+						c.checkStatus(http.StatusOK)
+						c.checkStatus(http.StatusOK)
+					}
+				}
+				c.send(strings.Repeat("y:\r\n", 100))
+				qt.Check(t, p.Stats().HeldHeadBytes >= headCost(0, 1000), qt.IsTrue, qt.Commentf("%d bytes", p.Stats().HeldHeadBytes))
+				c.send(strings.Repeat("y:\r\n", siteHeaderBytes))
+				c.checkStatus(http.StatusRequestHeaderFieldsTooLarge)
+			})
+		})
+	}
+}
+
 // TestAllAnswering guards against requests in progress that take all places, so that new clients
 // are not even refused, and against answers that nobody reads.
 func TestAllAnswering(t *testing.T) {
--- a/internal/connection/guard/server.go
+++ b/internal/connection/guard/server.go
@@ -8,9 +8,9 @@
 	"net/http"
 )
 
-// maxHeaderBytes is the limit of net/http on a head. It is above any of the settings, since the
-// port bounds heads before it.
-const maxHeaderBytes = 64 << 20
+// maxHeaderBytes is the limit of net/http on a head, above that of any sensible settings: the port
+// bounds heads before it.
+const maxHeaderBytes = 4 << 20
 
 // Protect makes a server serve within the limits of the port, on the returned listener. The
 // handler, ConnState and ConnContext of the server must have been set before.
--- a/internal/tool/soak/crowd.go
+++ b/internal/tool/soak/crowd.go
@@ -12,11 +12,12 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+
+	"goldcrestwick/internal/stand/engine"
 )
 
 const (
-	// headBytes is the length of a head within the limits of the settings, and shortLines
-	// consists of that many bytes.
+	// headBytes is the length of the lines of a head within the limits of the settings.
 	headBytes = 15 << 10
 	// pipelinedBytes is what net/http reads at once behind a request.
 	pipelinedBytes = 3900
@@ -138,8 +139,8 @@
 const (
 	requestStart = "GET /nothing HTTP/1.1\r\nHost: h.example\r\n"
 	// keyedStart has the id of the request as its argument.
-	keyedStart = "POST /chat/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: k1\r\nGoldcrestwick-Attempt-Id: %s\r\n"
-	readStart  = "POST /read/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: k1\r\nGoldcrestwick-Attempt-Id: %s\r\n"
+	keyedStart = "POST /chat/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: k1\r\n" + engine.AttemptIDHeader + ": %s\r\n"
+	readStart  = "POST /read/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: k1\r\n" + engine.AttemptIDHeader + ": %s\r\n"
 )
 
 func silent(net.Conn, int) {}
