guard: a connection between two reads waits for the node

Cause: when net/http had read the bytes of a request, none were unread, but its goroutine had not begun the answer yet; on a machine without a free processor that lasts for longer than 25 ms, and the connection was the oldest that seemed to wait for its client.

Change: only a connection that is within a read, with no unread bytes, waits for its client. A new connection waits at most a second for a place, then it is refused with 503 and Retry-After.

--- a/internal/connection/guard/conn.go
+++ b/internal/connection/guard/conn.go
@@ -45,10 +45,10 @@
 
 	state       state
 	isAnswering bool
-	// since is when the connection began to wait for its client. isReading is set while something
-	// reads the body.
-	since     time.Time
-	isReading bool
+	// since is when the connection began to wait for its client. inRead is set while Read waits for
+	// bytes; between two reads the connection waits for the node.
+	since  time.Time
+	inRead bool
 	// held is the cost of the head beyond headAllowance, and progress counts the bytes of a body
 	// since the connection began to wait.
 	held, progress int64
@@ -65,7 +65,9 @@
 // returned; if there is no room for it, the client gets the refusal, and the error makes
 // net/http close the connection without another answer.
 func (c *conn) Read(b []byte) (int, error) {
+	c.setInRead(true)
 	n, err := c.Conn.Read(b)
+	c.setInRead(false)
 	if n == 0 {
 		return n, err
 	}
@@ -193,11 +195,11 @@
 	return c.port.startAnswer(c)
 }
 
-// setReading records that something begins to read the body, net/http itself behind the handler.
-func (c *conn) setReading() {
+// setInRead records that a read from the client begins or ends.
+func (c *conn) setInRead(inRead bool) {
 	c.port.mu.Lock()
 	defer c.port.mu.Unlock()
-	c.isReading = true
+	c.inRead = inRead
 }
 
 // received records the end of a read of the body. The time for which a connection waits begins
@@ -206,7 +208,6 @@
 	p := c.port
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.isReading = false
 	c.progress += int64(n)
 	if c.progress >= progressBytes && c.state == waitsForBody && !c.isRemoved {
 		c.progress = 0
--- a/internal/connection/guard/guard.go
+++ b/internal/connection/guard/guard.go
@@ -67,6 +67,9 @@
 	// lookInterval is the time until the next look.
 	maxLooked    = 64
 	lookInterval = 5 * time.Millisecond
+	// maxAcceptWait is how long a new connection waits for a place before it is refused. Clients
+	// wait for a second until a connection is established.
+	maxAcceptWait = time.Second
 	// progressBytes is the part of a body with which a connection begins to wait anew.
 	progressBytes = 4 << 10
 	// retryAfter is when a client that was refused for lack of room may come back.
@@ -243,13 +246,18 @@
 }
 
 // admit gives a new connection a place, as soon as there is one. It returns nil if all places have
-// requests that are being answered; the connection is closed then.
+// requests that are being answered, or wait for the node; the connection is refused then.
 func (p *Port) admit(raw net.Conn) *conn {
 	c := &conn{Conn: raw, port: p, inHead: true}
 	p.mu.Lock()
 	var victims []*conn
+	end := time.Now().Add(maxAcceptWait)
 	for p.open >= p.limits.Connections {
-		victim, retry := p.waiting.choose(time.Now())
+		now := time.Now()
+		victim, retry := p.waiting.choose(now)
+		if now.After(end) {
+			retry = 0
+		}
 		if victim != nil {
 			p.remove(victim)
 			victims = append(victims, victim)
--- a/internal/connection/guard/guard_test.go
+++ b/internal/connection/guard/guard_test.go
@@ -312,6 +312,27 @@
 	})
 }
 
+// TestWaitsForNode guards against giving up a connection whose request has come, while the node, on a
+// machine without a free processor, has read it and not yet begun to answer.
+func TestWaitsForNode(t *testing.T) {
+	local, remote := net.Pipe()
+	defer local.Close()  //nolint:errcheck // the test is over.
+	defer remote.Close() //nolint:errcheck // the test is over.
+	p := &Port{limits: Limits{1, 1 << 20}}
+	c := p.admit(local)
+	later := c.since.Add(time.Hour)
+	victim, retry := p.waiting.choose(later)
+	qt.Check(t, victim, qt.IsNil)
+	qt.Check(t, retry, qt.Equals, lookInterval)
+	c.setInRead(true)
+	victim, _ = p.waiting.choose(later)
+	qt.Check(t, victim, qt.Equals, c)
+	c.setInRead(false)
+	p.wait(c, waitsForBody)
+	victim, _ = p.waiting.choose(later)
+	qt.Check(t, victim, qt.IsNil)
+}
+
 // TestBlankLineWithinHead guards against heads that are not counted behind a line that only looks
 // blank to the port: the end of a line whose beginning came with the request before, and one
 // before the request line, which net/http skips behind a POST.
--- a/internal/connection/guard/server.go
+++ b/internal/connection/guard/server.go
@@ -99,7 +99,6 @@
 			r = &tracked
 		}
 		next.ServeHTTP(w, r)
-		c.setReading()
 	})
 }
 
@@ -117,7 +116,6 @@
 // Read reads from the body. At its end it returns ErrNoPlace if too many requests are being
 // answered.
 func (b *body) Read(data []byte) (int, error) {
-	b.conn.setReading()
 	n, err := b.ReadCloser.Read(data)
 	b.conn.received(n)
 	if errors.Is(err, io.EOF) {
--- a/internal/connection/guard/wait.go
+++ b/internal/connection/guard/wait.go
@@ -68,20 +68,22 @@
 }
 
 // silent returns the connection that has waited for a request for longest. One from which bytes
-// have come that were not read yet waits for the node, and begins to wait anew. If there are only
-// such ones, silent returns nil and the time after which to look again.
+// have come that net/http has not read, or not used yet, waits for the node. If there are only such
+// ones, silent returns nil and the time after which to look again.
 func (l *waitList) silent(now time.Time) (oldest *conn, retry time.Duration) {
 	looked := 0
 	for c := l.first; c != nil && looked < maxLooked; {
 		next := c.next
-		if c.state == waitsForHead || c.state == waitsForBody && c.isReading {
-			if !c.hasUnreadBytes() {
-				return c, 0
-			}
-			looked++
+		if c.state == waitsForHead || c.state == waitsForBody {
 			retry = lookInterval
-			c.since = now
-			l.moveToBack(c)
+			if c.inRead {
+				if !c.hasUnreadBytes() {
+					return c, 0
+				}
+				looked++
+				c.since = now
+				l.moveToBack(c)
+			}
 		}
 		c = next
 	}
