--- a/internal/tool/soak/process.go
+++ b/internal/tool/soak/process.go
@@ -199,6 +199,20 @@
 	return filepath.Join(n.dir, fmt.Sprintf("%s.%d.log", n.name, n.starts))
 }
 
+// logEndBytes bounds the part of a log that logEnd returns.
+const logEndBytes = 4 << 10
+
+// logEnd returns the last lines of the log of the latest start.
+func (n *nodeProcess) logEnd() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	text, err := os.ReadFile(n.logPath())
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(len(text)-logEndBytes, 0):])
+}
+
 // hasLogged reports whether the process that was started last has logged anything. It does so
 // after it has begun to handle signals.
 func (n *nodeProcess) hasLogged() bool {
