reply: check the status line of every answer

Callers got the answer behind one with status 000 to 099 or 101 on the same connection, which may be another request's, answers with status 600 to 999, and answers of HTTP/0.9, 2.0 and 3.7 read as HTTP/1.1. One with status 000 or 101 alone held its caller until the deadline.

Cause: conn.Receive skipped every answer below 200 as informational, and net/http accepts three characters that are a number, of any version.

Change: package reply checks the head of an answer as its bytes are read, before net/http parses it. conn.Conn reads through it. A status outside of 100 to 599 (RFC 9110, section 15), 101 without a request for it (section 15.2.2), another version (section 2.5) or anything but a status line (RFC 9112, section 4) is an error: the endpoint has failed, the request may have run.

Failed before, in TestBrokenAnswers, each on new and kept connections, once, repeated, as a stream and as a stream taken up: status_000 (not as a stream), status_000_empty, status_099, status_600, status_999, status_plus, switching (not as a stream), switching_then_another, version_0_9, version_2_0, version_3_7, reason_control, reason_carriage_return.

--- a/internal/connection/conn/conn.go
+++ b/internal/connection/conn/conn.go
@@ -32,6 +32,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"goldcrestwick/internal/connection/reply"
 )
 
 const (
@@ -58,12 +60,6 @@
 	// bufferBytes is the size of the read buffer, and the length up to which a body is
 	// always sent in a single write with its head.
 	bufferBytes = 4 << 10
-	// maxHeadBytes bounds what is read for the head of an answer, informational answers
-	// included.
-	maxHeadBytes = 64 << 10
-	// maxInformational is the number of answers after which Receive gives up if all
-	// of them were informational (1xx).
-	maxInformational = 8
 	// maxRefused bounds the refused requests that a connection remembers.
 	maxRefused = 64
 	// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT (RFC 5482).
@@ -83,14 +79,12 @@
 
 // Conn is a connection to an endpoint. Send and Receive may run concurrently.
 type Conn struct {
-	net.Conn
+	*reply.Conn
 	// Reused reports whether the connection has carried an exchange before.
 	Reused bool
 
-	address string
-	reader  *bufio.Reader
-	// headLimit is the source of reader.
-	headLimit   headLimiter
+	address     string
+	reader      *bufio.Reader
 	writeBuffer []byte
 	// hasWritten reports whether a byte of the current request was written.
 	hasWritten atomic.Bool
@@ -178,31 +172,8 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &Conn{Conn: c, address: address, headLimit: headLimiter{Conn: c}}
-	conn.reader = bufio.NewReaderSize(&conn.headLimit, bufferBytes)
-	return conn, nil
-}
-
-var errHeadTooLong = eris.Errorf("the head of the answer has more than %d bytes", maxHeadBytes)
-
-// headLimiter reads from a connection. While isInHead is set, it fails after remaining
-// bytes, since net/http bounds the heads of requests only.
-type headLimiter struct {
-	net.Conn
-	isInHead  bool
-	remaining int
-}
-
-func (l *headLimiter) Read(b []byte) (int, error) {
-	if !l.isInHead {
-		return l.Conn.Read(b)
-	}
-	if l.remaining <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := l.Conn.Read(b[:min(len(b), l.remaining)])
-	l.remaining -= n
-	return n, err
+	checked := &reply.Conn{Conn: c}
+	return &Conn{Conn: checked, address: address, reader: bufio.NewReaderSize(checked, bufferBytes)}, nil
 }
 
 // DialCount returns the number of dials, including those that failed.
@@ -285,7 +256,7 @@
 // Bytes that arrive on an idle connection do not answer any request. A connection
 // that does not implement syscall.Conn is assumed to be healthy.
 func (c *Conn) isHealthy() bool {
-	s, ok := c.Conn.(syscall.Conn)
+	s, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -342,28 +313,24 @@
 
 // Receive reads the head of the next answer and skips informational ones. The
 // connection is reusable once the body has been read to its end, unless the header
-// forbids it or does not delimit the body.
+// forbids it or does not delimit the body. The error is a *reply.Error if there is an
+// answer, which must not be used.
 func (c *Conn) Receive(method string) (*http.Response, error) {
-	c.headLimit.isInHead, c.headLimit.remaining = true, maxHeadBytes
-	defer func() { c.headLimit.isInHead = false }()
-	for range maxInformational {
+	ahead, _ := c.reader.Peek(c.reader.Buffered()) //nolint:errcheck // the bytes are buffered.
+	if err := c.Begin(ahead); err != nil {
+		return nil, eris.Wrap(err, "receive the answer")
+	}
+	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, eris.Wrap(err, "receive the answer")
+			return nil, eris.Wrap(c.Classify(err), "receive the answer")
 		}
-		if resp.StatusCode >= http.StatusOK {
+		if reply.IsFinalStatus(resp.StatusCode) {
 			c.maxIdle = parseKeepAlive(resp.Header)
-			c.isReusable = !resp.Close && IsDelimited(resp) && c.maxIdle > 0
+			c.isReusable = !resp.Close && reply.IsDelimited(resp) && c.maxIdle > 0
 			return resp, nil
 		}
 	}
-	return nil, eris.New("the endpoint sent only informational answers")
-}
-
-// IsDelimited reports whether the end of an answer can be told from the end of its
-// connection.
-func IsDelimited(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
 // DisableReuse makes Put close the connection instead of keeping it for reuse.
--- /dev/null
+++ b/internal/connection/reply/conn.go
@@ -0,0 +1,142 @@
+package reply
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// settleTimeout is how long the end of a connection waits for a write in progress, which fails
+// soon if the peer has reset the connection.
+const settleTimeout = 50 * time.Millisecond
+
+// Conn is a connection whose answers are checked as they are read. Reads may run concurrently
+// with writes.
+type Conn struct {
+	net.Conn
+
+	mu   sync.Mutex
+	head head
+	// writing counts the writes in progress. settled is closed when there is none; it is nil if
+	// nothing waits for that.
+	writing  int
+	settled  chan struct{}
+	writeErr error
+	written  int64
+}
+
+// Begin expects another answer, of which the caller may have read the first bytes ahead.
+func (c *Conn) Begin(ahead []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = head{}
+	return c.head.check(ahead)
+}
+
+// HasHead reports whether the head of the answer has been read.
+func (c *Conn) HasHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.isWhole
+}
+
+// Classify returns the error of parsing an answer. If its head was whole and valid, net/http cannot
+// tell from its fields where the body ends.
+func (c *Conn) Classify(err error) error {
+	var unusable *Error
+	if errors.As(err, &unusable) || !c.HasHead() {
+		return err
+	}
+	text := err.Error()
+	return &Error{Framing, text[:min(len(text), maxTextBytes)], err}
+}
+
+// maxTextBytes bounds the text of an error of net/http, which may quote the answer.
+const maxTextBytes = 120
+
+// Written returns the number of bytes written.
+func (c *Conn) Written() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
+
+// Write writes to the connection.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.writing++
+	c.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.written += int64(n)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	if c.writing--; c.writing == 0 && c.settled != nil {
+		close(c.settled)
+		c.settled = nil
+	}
+	return n, err
+}
+
+// Read reads from the connection. It returns an *Error if the head of the answer is not valid, or
+// the connection ends within it or after a write has failed.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.mu.Lock()
+		headErr := c.head.check(b[:n])
+		c.mu.Unlock()
+		if headErr != nil {
+			return 0, headErr
+		}
+	}
+	if err == io.EOF { //nolint:errorlint // readers of connections return it unwrapped.
+		err = c.checkEnd()
+	}
+	return n, err
+}
+
+// checkEnd returns io.EOF if the peer has ended the connection behind the head of an answer, or
+// before one, and no write has failed.
+func (c *Conn) checkEnd() error {
+	c.mu.Lock()
+	hasBegun := c.head.hasBegun()
+	c.mu.Unlock()
+	if hasBegun {
+		return &Error{HeadCut, "the connection ended within the head", io.ErrUnexpectedEOF}
+	}
+	if err := c.WriteError(); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// WriteError returns an *Error if a write has failed. It waits for a write in progress for at most
+// settleTimeout. The kernel reports the reset of a connection once, to a write if that comes first;
+// reads then find the end of the connection, as if the peer had closed it.
+func (c *Conn) WriteError() error {
+	c.mu.Lock()
+	if c.writing > 0 && c.settled == nil {
+		c.settled = make(chan struct{})
+	}
+	settled := c.settled
+	c.mu.Unlock()
+	if settled != nil {
+		timer := time.NewTimer(settleTimeout)
+		defer timer.Stop()
+		select {
+		case <-settled:
+		case <-timer.C:
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeErr == nil {
+		return nil
+	}
+	return &Error{Reset, "the connection failed while the request was being sent: " + c.writeErr.Error(), c.writeErr}
+}
--- /dev/null
+++ b/internal/connection/reply/head.go
@@ -0,0 +1,112 @@
+package reply
+
+import (
+	"bytes"
+	"net/http"
+)
+
+// maxStatus is the largest status code (RFC 9110, section 15).
+const maxStatus = 599
+
+// head checks the bytes of an answer up to the end of its head, which come in parts of any length.
+// The heads of informational answers may precede it.
+type head struct {
+	// isWhole is set once the head of the final answer has been checked.
+	isWhole bool
+	// bytes counts the bytes so far, and informational the informational answers.
+	bytes         int
+	informational int
+	// line holds the start of a line whose end has not come.
+	line []byte
+	// hasStatusLine is set behind the status line of the current answer, and status is what it states.
+	hasStatusLine bool
+	status        int
+}
+
+// hasBegun reports whether a part of the head has come, and not all of it.
+func (h *head) hasBegun() bool { return !h.isWhole && (h.hasStatusLine || len(h.line) > 0) }
+
+// check checks the next bytes of the answer. Those behind the head are not looked at.
+func (h *head) check(b []byte) error {
+	for len(b) > 0 && !h.isWhole {
+		line, rest, hasEnd := bytes.Cut(b, []byte{'\n'})
+		h.bytes += len(b) - len(rest)
+		if h.bytes > MaxHeadBytes {
+			return newError(HeadLength, "the head has more than %d bytes", MaxHeadBytes)
+		}
+		if !hasEnd {
+			h.line = append(h.line, line...)
+			return nil
+		}
+		if len(h.line) > 0 {
+			h.line = append(h.line, line...)
+			line = h.line
+		}
+		// A line may end without a carriage return (RFC 9112, section 2.2).
+		if err := h.checkLine(bytes.TrimSuffix(line, []byte{'\r'})); err != nil {
+			return err
+		}
+		h.line, b = h.line[:0], rest
+	}
+	return nil
+}
+
+func (h *head) checkLine(line []byte) error {
+	switch {
+	case !h.hasStatusLine:
+		return h.checkStatusLine(line)
+	case len(line) == 0:
+		return h.finish()
+	}
+	return nil
+}
+
+// checkStatusLine checks HTTP-version SP status-code [SP reason-phrase] (RFC 9112, section 4). More than
+// one blank may precede the code.
+func (h *head) checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	if len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/")) || !isDigit(version[5]) || version[6] != '.' || !isDigit(version[7]) {
+		return newError(StatusLine, "the status line is %s", quote(line))
+	}
+	if version[5] != '1' {
+		return newError(Version, "the version is %s", quote(version))
+	}
+	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
+	if len(code) != 3 || !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) {
+		return newError(StatusLine, "the status line is %s", quote(line))
+	}
+	status := int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0')
+	switch {
+	case status < http.StatusContinue || status > maxStatus:
+		return newError(Status, "the status code is %s", code)
+	case status == http.StatusSwitchingProtocols:
+		return newError(Switching, "the endpoint switches protocols")
+	}
+	h.hasStatusLine, h.status = true, status
+	if hasControl(reason) {
+		return newError(StatusLine, "a control character is in the reason phrase")
+	}
+	return nil
+}
+
+// finish checks the head of an answer as a whole, and begins the next one after that of an
+// informational answer.
+func (h *head) finish() error {
+	if h.status >= http.StatusOK {
+		h.isWhole, h.line = true, nil
+		return nil
+	}
+	if h.informational++; h.informational >= maxInformational {
+		return newError(Informational, "%d informational answers precede the final one", maxInformational)
+	}
+	*h = head{bytes: h.bytes, informational: h.informational, line: h.line}
+	return nil
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+// hasControl reports whether a text has a control character other than a tab (RFC 9110, section 5.5;
+// RFC 9112, section 4).
+func hasControl(text []byte) bool {
+	return bytes.ContainsFunc(text, func(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f })
+}
--- /dev/null
+++ b/internal/request/proxy/broken_test.go
@@ -0,0 +1,218 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"goldcrestwick/internal/connection/conn"
+	"goldcrestwick/internal/connection/reply"
+	"goldcrestwick/internal/process/budget"
+	"goldcrestwick/internal/process/ident"
+	"goldcrestwick/internal/process/sched"
+	"goldcrestwick/internal/request/entry"
+	"goldcrestwick/internal/request/refuse"
+	"goldcrestwick/internal/stand/broken"
+	"goldcrestwick/internal/stand/engine"
+	"goldcrestwick/internal/version/config"
+)
+
+// rawRig is a proxy whose endpoints send given bytes.
+type rawRig struct {
+	*testing.T
+	proxy Proxy
+	route *config.Route
+	// serve holds, by endpoint, the handler of its connections.
+	serve map[string]func(net.Conn)
+	// grants are the endpoints that are granted next.
+	grants      []string
+	completions []sched.Completion
+}
+
+func newRawRig(t *testing.T) *rawRig {
+	g := &rawRig{T: t, serve: map[string]func(net.Conn){}}
+	g.proxy = Proxy{
+		IsLeaving: func(ident.CellID, ident.Endpoint) bool { return false }, Conns: &conn.Pool{Dial: g.dial}, Codec: testCodec(),
+		Budget: &budget.Budget{Limit: config.RetryBudget{Extra: 100, Window: time.Second}, NodeCount: func() int { return 1 }},
+		RequestGrant: func(context.Context, *entry.Job) (*entry.Grant, *refuse.Refusal) {
+			if len(g.grants) == 0 {
+				return nil, refuse.New(refuse.Overload, "no more endpoints")
+			}
+			name := g.grants[0]
+			g.grants = g.grants[1:]
+			return &entry.Grant{
+				Response: sched.GrantResponse{Outcome: sched.Granted, Endpoint: ident.Endpoint(name), Address: name, TTL: time.Second},
+				Received: time.Now(), ReportStarted: func(*sched.Statement) {}, ReportProgress: func(time.Duration) {},
+				Complete: func(c sched.Completion) { g.completions = append(g.completions, c) },
+			}, nil
+		},
+	}
+	return g
+}
+
+func (g *rawRig) dial(_ context.Context, address string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go g.serve[address](server)
+	return client, nil
+}
+
+// send sends a request and returns what its caller got.
+func (g *rawRig) send(id, method string, body []byte, grants ...string) (*httptest.ResponseRecorder, Result) {
+	g.grants, g.completions = grants, nil
+	w := httptest.NewRecorder()
+	now := time.Now()
+	r := &Request{
+		ID: ident.RequestID(id), Method: method, Target: "/", Host: "h.example", Header: http.Header{engine.AttemptIDHeader: {id}},
+		Body: body, Info: RequestInfo{AttemptID: id}, Arrived: now, Deadline: now.Add(g.route.Timeout), Route: g.route,
+		Pool: &config.Pool{ID: "team/pool", Kind: ident.ModelRunner, TokensPerEvent: 1}, Tier: &config.Tier{},
+	}
+	return w, g.proxy.Serve(g.Context(), r, w)
+}
+
+// answerFields returns the lines that make an answer one to the attempt.
+func answerFields(id string) string {
+	return engine.AttemptIDHeader + ": " + id + "\r\n" + engine.ServerStampHeader + ": e." + id + "\r\n"
+}
+
+// rawEndpoint answers the requests of a connection by texts, in turn. It keeps the connection
+// open after the last one if keepsOpen is set.
+func rawEndpoint(arrived *int, keepsOpen bool, texts ...string) func(net.Conn) {
+	return func(c net.Conn) {
+		defer c.Close() //nolint:errcheck // the proxy notices.
+		reader := bufio.NewReader(c)
+		for _, text := range texts {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body) //nolint:errcheck // the connection is a pipe.
+			*arrived++
+			if _, err := io.WriteString(c, text); err != nil {
+				return
+			}
+		}
+		if keepsOpen {
+			io.Copy(io.Discard, reader) //nolint:errcheck // blocks until the proxy closes the connection.
+		}
+	}
+}
+
+// answerShape is a kind of request that gets an answer.
+type answerShape struct {
+	name       string
+	kind       config.RouteKind
+	isRepeated bool
+	isTakenUp  bool
+}
+
+var answerShapes = []answerShape{
+	{name: "once", kind: config.NonIdempotent},
+	{name: "repeated", kind: config.Idempotent, isRepeated: true},
+	{name: "stream", kind: config.Stream},
+	{name: "taken_up", kind: config.Stream, isTakenUp: true},
+}
+
+// TestBrokenAnswers sends each answer of package broken to each kind of request, on a new
+// connection and on one that was kept.
+func TestBrokenAnswers(t *testing.T) {
+	for _, a := range append(broken.Answers(), broken.HeadCuts(answerFields("r1"))...) {
+		for _, shape := range answerShapes {
+			for _, connection := range []string{"new", "kept"} {
+				t.Run(a.Name+"/"+shape.name+"/"+connection, func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { checkBrokenAnswer(t, a, shape, connection == "kept") })
+				})
+			}
+		}
+	}
+}
+
+func checkBrokenAnswer(t *testing.T, a broken.Answer, shape answerShape, isKept bool) {
+	g := newRawRig(t)
+	defer g.proxy.Conns.Close()
+	g.route = &config.Route{Kind: shape.kind, MaxAttempts: 2, Resumable: shape.isTakenUp, Timeout: 10 * time.Second, FirstAnswerTarget: time.Second}
+	first, body := "", "the whole answer"
+	switch {
+	case shape.isTakenUp:
+		first, body = eventsOf(1, 2), eventsOf(3, 4)
+	case shape.kind == config.Stream:
+		body = eventsOf(1, 2)
+	}
+	texts := []string{a.Text(answerFields("r1"), body)}
+	warmUp := "HTTP/1.1 200 OK\r\n" + answerFields("r0") + "Content-Length: 0\r\n\r\n"
+	if isKept {
+		texts = []string{warmUp, texts[0]}
+	}
+	var arrived, others int
+	g.serve["a"] = rawEndpoint(&arrived, a.KeepsOpen, texts...)
+	// The first endpoint of a stream breaks off; the one of a repeat is sound.
+	g.serve["start"] = rawEndpoint(&others, false, "HTTP/1.1 200 OK\r\n"+answerFields("r1")+"Transfer-Encoding: chunked\r\n\r\n"+
+		fmt.Sprintf("%x\r\n%s\r\n", len(first), first))
+	sound := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", answerFields("r1"), len(body), body)
+	g.serve["b"] = rawEndpoint(&others, true, sound)
+	if isKept {
+		w, _ := g.send("r0", http.MethodPost, []byte("body"), "a")
+		qt.Assert(t, w.Code, qt.Equals, http.StatusOK)
+		qt.Assert(t, arrived, qt.Equals, 1)
+	}
+	grants := []string{"a", "b"}
+	if shape.isTakenUp {
+		grants = []string{"start", "a"}
+	}
+	begin := time.Now()
+	w, result := g.send("r1", http.MethodPost, []byte("body"), grants...)
+	at := qt.Commentf("%+v, body %q", result, w.Body)
+	qt.Check(t, time.Since(begin) < time.Second, qt.IsTrue, at)
+	dials := 1
+	if shape.isTakenUp || shape.isRepeated && a.Fault != "" {
+		dials++
+	}
+	if a.IsUndelimited() && a.Fault == "" {
+		dials++ // the check whether the endpoint is gone.
+	}
+	qt.Check(t, g.proxy.Conns.DialCount(), qt.Equals, int64(dials), at)
+	if a.Fault == "" || shape.isRepeated {
+		qt.Check(t, result.Refusal == nil && !result.Truncated, qt.IsTrue, at)
+		qt.Check(t, w.Code, qt.Equals, http.StatusOK, at)
+		qt.Check(t, w.Body.String(), qt.Equals, first+body, at)
+	} else {
+		checkUnusable(t, a, w, result, first, body)
+	}
+	if a.Fault == "" {
+		qt.Check(t, g.completions[len(g.completions)-1].Failed, qt.IsFalse, at)
+		return
+	}
+	failed := 0
+	if shape.isTakenUp {
+		failed = 1
+	}
+	qt.Check(t, g.completions[failed].Failed, qt.IsTrue, at)
+	qt.Check(t, others == 1, qt.Equals, shape.isTakenUp || shape.isRepeated, at)
+}
+
+// checkUnusable checks that a caller gets neither a whole answer nor the promise that its request
+// did not run, and of a stream only events that came before the fault.
+func checkUnusable(t *testing.T, a broken.Answer, w *httptest.ResponseRecorder, result Result, first, body string) {
+	at := qt.Commentf("%+v, body %q", result, w.Body)
+	isBodyFault := reply.Fault(a.Fault) == reply.BodyCut || reply.Fault(a.Fault) == reply.Other
+	if w.Body.Len() == 0 {
+		qt.Assert(t, result.Refusal != nil, qt.IsTrue, at)
+		qt.Check(t, result.Refusal.Reason, qt.Equals, refuse.EndpointFailed, at)
+		qt.Check(t, result.Refusal.MayHaveRun(), qt.IsTrue, at)
+		return
+	}
+	qt.Check(t, result.Truncated, qt.IsTrue, at)
+	qt.Check(t, strings.HasPrefix(first+body, w.Body.String()), qt.IsTrue, at)
+	if !isBodyFault {
+		qt.Check(t, w.Body.String(), qt.Equals, first, at)
+	}
+}
--- a/internal/request/proxy/cutoff.go
+++ b/internal/request/proxy/cutoff.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"goldcrestwick/internal/connection/conn"
+	"goldcrestwick/internal/connection/reply"
 	"goldcrestwick/internal/process/tick"
 )
 
@@ -22,7 +22,7 @@
 // or reset connection is evidence. An endpoint that does not reply in time leaves it open, and then the
 // answer must not look complete to its caller. Other dials fail for want of something on this node.
 func (x *exchange) isCutOff(ctx context.Context, resp *http.Response) bool {
-	if conn.IsDelimited(resp) || resp.Body == http.NoBody {
+	if reply.IsDelimited(resp) {
 		return false
 	}
 	if !tick.Sleep(ctx, cutOffDelay) {
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -12,7 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"goldcrestwick/internal/connection/conn"
+	"goldcrestwick/internal/connection/reply"
 	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/origin"
 	"goldcrestwick/internal/process/sched"
@@ -117,7 +117,7 @@
 	for {
 		e, err := readEvent(events, buffer)
 		buffer = e.raw
-		if errors.Is(err, io.EOF) && (t.events == 0 && !conn.IsDelimited(resp) || x.isCutOff(ctx, resp)) {
+		if errors.Is(err, io.EOF) && (t.events == 0 && !reply.IsDelimited(resp) || x.isCutOff(ctx, resp)) {
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
--- /dev/null
+++ b/internal/stand/broken/broken.go
@@ -0,0 +1,89 @@
+// Package broken has answers that violate HTTP/1.1 in one way each, and sound ones beside them, for
+// stand-ins that send them on raw connections.
+//
+// # Usage
+//
+//	for _, a := range broken.Answers() {
+//		io.WriteString(conn, a.Text("X-Request-Id: r1\r\n", "body"))
+//		if !a.KeepsOpen {
+//			conn.Close()
+//		}
+//	}
+package broken
+
+import (
+	_ "embed"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+//go:embed answers.txt
+var answersText string
+
+// Answer is an answer of an endpoint.
+type Answer struct {
+	Name string
+	// Fault says why the answer must not be used, "" if it is sound.
+	Fault string
+	// KeepsOpen is set if the endpoint keeps the connection open after the answer.
+	KeepsOpen bool
+
+	template string
+}
+
+// Answers returns all answers of answers.txt.
+func Answers() []Answer {
+	var answers []Answer
+	for line := range strings.Lines(answersText) {
+		fields := strings.Fields(line)
+		if len(fields) == 0 || strings.HasPrefix(line, "#") {
+			continue
+		}
+		quoted := strings.TrimSpace(line[strings.Index(line, `"`):])
+		template, err := strconv.Unquote(quoted)
+		if err != nil {
+			panic("answers.txt: " + fields[0] + ": " + err.Error())
+		}
+		a := Answer{Name: fields[0], Fault: fields[1], KeepsOpen: fields[2] == "keep", template: template}
+		if a.Fault == "-" {
+			a.Fault = ""
+		}
+		answers = append(answers, a)
+	}
+	return answers
+}
+
+// Find returns the answer with a name.
+func Find(name string) (Answer, bool) {
+	for _, a := range Answers() {
+		if a.Name == name {
+			return a, true
+		}
+	}
+	return Answer{}, false
+}
+
+// Text returns the bytes of the answer with the given header lines, each with its line end, and body.
+func (a Answer) Text(fields, body string) string {
+	half := len(body) / 2
+	return strings.NewReplacer(
+		"{fields}", fields, "{length}", fmt.Sprintf("Content-Length: %d\r\n", len(body)), "{body}", body, "{part}", body[:half],
+		"{chunks}", fmt.Sprintf("%x\r\n%s\r\n%x\r\n%s\r\n", half, body[:half], len(body)-half, body[half:]),
+	).Replace(a.template)
+}
+
+// HeadCuts returns the answers that end at each byte of the head of a sound answer without a length.
+func HeadCuts(fields string) []Answer {
+	head := "HTTP/1.1 200 OK\r\n" + fields + "\r\n"
+	var answers []Answer
+	for n := 1; n < len(head); n++ {
+		answers = append(answers, Answer{Name: fmt.Sprint("head_cut_at_", n), Fault: "head_cut", template: head[:n]})
+	}
+	return answers
+}
+
+// IsUndelimited reports whether only the end of its connection ends the answer.
+func (a Answer) IsUndelimited() bool {
+	return !strings.Contains(a.template, "{length}") && !strings.Contains(a.template, "Transfer-Encoding") && !strings.Contains(a.template, "Content-Length")
+}
