reply: check the names and values of fields

Callers got a part of a body as the whole one where the endpoint had written "Content-Length : 50" and closed, the chunks themselves as the body where it had written "Transfer-Encoding : chunked", and answers whose head was not sound without the line that showed it.

Cause: net/http accepts blanks in the name of a field, and keeps such a field under a name that nothing reads.

Change: reply checks that each name is a token directly before its colon (RFC 9112, section 5.1; RFC 9110, section 5.1), and that no value has a control character (section 5.5). A folded line stays allowed: net/http replaces the line end by a blank, as RFC 9112, section 5.2 lets a gateway do.

Failed before, in TestBrokenAnswers, in all eight forms: name_length_blank, name_coding_blank, name_blank, name_blank_last, informational_name. Passed before and kept: the other lines on fields, control bytes in a name among them, which net/http rejects. All pass now.

--- a/internal/connection/reply/head.go
+++ b/internal/connection/reply/head.go
@@ -21,6 +21,8 @@
 	// hasStatusLine is set behind the status line of the current answer, and status is what it states.
 	hasStatusLine bool
 	status        int
+	// hasFields is set behind the first field of the current answer.
+	hasFields bool
 }
 
 // hasBegun reports whether a part of the head has come, and not all of it.
@@ -57,8 +59,15 @@
 		return h.checkStatusLine(line)
 	case len(line) == 0:
 		return h.finish()
+	case line[0] == ' ' || line[0] == '\t':
+		// A folded line belongs to the value before it; net/http replaces the line end by a blank (RFC
+		// 9112, section 5.2).
+		if !h.hasFields {
+			return newError(FieldName, "white space before the first field")
+		}
+		return checkValue(line)
 	}
-	return nil
+	return h.checkField(line)
 }
 
 // checkStatusLine checks HTTP-version SP status-code [SP reason-phrase] (RFC 9112, section 4). More than
@@ -89,6 +98,23 @@
 	return nil
 }
 
+// checkField checks field-name ":" field-value (RFC 9112, section 5).
+func (h *head) checkField(line []byte) error {
+	name, value, hasColon := bytes.Cut(line, []byte{':'})
+	if !hasColon || !isToken(name) {
+		return newError(FieldName, "a field has the name %s", quote(name))
+	}
+	h.hasFields = true
+	return checkValue(value)
+}
+
+func checkValue(text []byte) error {
+	if hasControl(text) {
+		return newError(FieldValue, "a control character is in the value of a field")
+	}
+	return nil
+}
+
 // finish checks the head of an answer as a whole, and begins the next one after that of an
 // informational answer.
 func (h *head) finish() error {
@@ -105,6 +131,17 @@
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
+// isToken reports whether a text is a token (RFC 9110, section 5.6.2).
+func isToken(text []byte) bool {
+	for _, c := range text {
+		isLetter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if !isLetter && !isDigit(c) && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) < 0 {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
 // hasControl reports whether a text has a control character other than a tab (RFC 9110, section 5.5;
 // RFC 9112, section 4).
 func hasControl(text []byte) bool {
