reply: refuse answers with a length and chunks, or with chunks in HTTP/1.0

Callers got the chunks of an answer of HTTP/1.0 as its body, and answers whose two statements of their length contradict each other.

Cause: net/http ignores the transfer coding of HTTP/1.0, and the length beside a transfer coding.

Change: both are errors. RFC 9112, section 6.1: the framing of an HTTP/1.0 message with a transfer coding is faulty; section 6.3: a message with both fields ought to be handled as an error.

Failed before, in TestBrokenAnswers, in all eight forms: length_and_chunks, chunks_and_length, chunks_in_1_0. Passed before and kept: the other lines on framing. All pass now.

--- a/internal/connection/reply/head.go
+++ b/internal/connection/reply/head.go
@@ -18,11 +18,14 @@
 	informational int
 	// line holds the start of a line whose end has not come.
 	line []byte
-	// hasStatusLine is set behind the status line of the current answer, and status is what it states.
+	// hasStatusLine is set behind the status line of the current answer. status and isOldVersion
+	// are what it states.
 	hasStatusLine bool
 	status        int
+	isOldVersion  bool
 	// hasFields is set behind the first field of the current answer.
-	hasFields bool
+	hasFields            bool
+	hasCoding, hasLength bool
 }
 
 // hasBegun reports whether a part of the head has come, and not all of it.
@@ -91,7 +94,7 @@
 	case status == http.StatusSwitchingProtocols:
 		return newError(Switching, "the endpoint switches protocols")
 	}
-	h.hasStatusLine, h.status = true, status
+	h.hasStatusLine, h.status, h.isOldVersion = true, status, version[7] == '0'
 	if hasControl(reason) {
 		return newError(StatusLine, "a control character is in the reason phrase")
 	}
@@ -105,6 +108,12 @@
 		return newError(FieldName, "a field has the name %s", quote(name))
 	}
 	h.hasFields = true
+	switch {
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		h.hasCoding = true
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		h.hasLength = true
+	}
 	return checkValue(value)
 }
 
@@ -118,6 +127,12 @@
 // finish checks the head of an answer as a whole, and begins the next one after that of an
 // informational answer.
 func (h *head) finish() error {
+	switch {
+	case h.hasCoding && h.hasLength:
+		return newError(Framing, "the answer has a length and a transfer coding")
+	case h.hasCoding && h.isOldVersion:
+		return newError(Framing, "the answer of HTTP/1.0 has a transfer coding")
+	}
 	if h.status >= http.StatusOK {
 		h.isWhole, h.line = true, nil
 		return nil
