proxy: an answer that a reset connection ends is not whole

Cause: the kernel reports a reset once. Where the write of the upload got the report, the read found the end of the connection, as if the endpoint had closed it, and nothing asked how the write had ended. The dial that tells a killed endpoint from one that has closed the connection is accepted here.

RFC 9112, section 8: an answer that only its connection ends is incomplete unless that was closed as intended; section 9.6 on resets while a request is sent. A write that is in progress still, without an error, says nothing: a half-closed connection is a sound end.

--- a/internal/request/proxy/cutoff.go
+++ b/internal/request/proxy/cutoff.go
@@ -28,6 +28,11 @@
 	if !tick.Sleep(ctx, cutOffDelay) {
 		return true
 	}
+	if err := x.WriteError(); err != nil {
+		// The endpoint has closed the connection first, and reset it as more of the request came.
+		x.state.result.EndCheck = err.Error()
+		return true
+	}
 	err := x.proxy.Conns.Check(ctx, x.grant.Response.Address)
 	x.state.result.EndCheck = "accepted"
 	if err != nil {
