--- a/internal/connection/reply/conn.go
+++ b/internal/connection/reply/conn.go
@@ -1,7 +1,6 @@
 package reply
 
 import (
-	"errors"
 	"io"
 	"net"
 	"sync"
@@ -19,6 +18,8 @@
 
 	mu   sync.Mutex
 	head head
+	// readErr is the *Error of a read of the current answer, nil without one.
+	readErr error
 	// writing counts the writes in progress. settled is closed when there is none; it is nil if
 	// nothing waits for that.
 	writing  int
@@ -32,7 +33,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head = head{}
-	return c.head.check(ahead)
+	c.readErr = c.head.check(ahead)
+	return c.readErr
 }
 
 // HasHead reports whether the head of the answer has been read.
@@ -42,11 +44,16 @@
 	return c.head.isWhole
 }
 
-// Classify returns the error of parsing an answer. If its head was whole and valid, net/http cannot
-// tell from its fields where the body ends.
+// Classify returns the error behind one of parsing an answer. net/http may report a part of a line in
+// place of the error of the connection. If the head was whole and valid, net/http cannot tell from
+// its fields where the body ends.
 func (c *Conn) Classify(err error) error {
-	var unusable *Error
-	if errors.As(err, &unusable) || !c.HasHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.readErr != nil:
+		return c.readErr
+	case !c.head.isWhole:
 		return err
 	}
 	text := err.Error()
@@ -83,14 +90,18 @@
 }
 
 // Read reads from the connection. It returns an *Error if the head of the answer is not valid, or
-// the connection ends within it or after a write has failed.
+// the connection ends within it or after a write has failed, and then again until Begin: a
+// bufio.Reader may hold the first one back behind a part of a line.
 func (c *Conn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	readErr := c.readErr
+	c.mu.Unlock()
+	if readErr != nil {
+		return 0, readErr
+	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.mu.Lock()
-		headErr := c.head.check(b[:n])
-		c.mu.Unlock()
-		if headErr != nil {
+		if headErr := c.check(b[:n]); headErr != nil {
 			return 0, headErr
 		}
 	}
@@ -100,19 +111,31 @@
 	return n, err
 }
 
+func (c *Conn) check(b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := c.head.check(b); err != nil {
+		c.readErr = err
+		return err
+	}
+	return nil
+}
+
 // checkEnd returns io.EOF if the peer has ended the connection behind the head of an answer, or
 // before one, and no write has failed.
 func (c *Conn) checkEnd() error {
+	writeErr := c.WriteError()
 	c.mu.Lock()
-	hasBegun := c.head.hasBegun()
-	c.mu.Unlock()
-	if hasBegun {
-		return &Error{HeadCut, "the connection ended within the head", io.ErrUnexpectedEOF}
-	}
-	if err := c.WriteError(); err != nil {
-		return err
+	defer c.mu.Unlock()
+	switch {
+	case c.head.hasBegun():
+		c.readErr = &Error{HeadCut, "the connection ended within the head", io.ErrUnexpectedEOF}
+	case writeErr != nil:
+		c.readErr = writeErr
+	default:
+		return io.EOF
 	}
-	return io.EOF
+	return c.readErr
 }
 
 // WriteError returns an *Error if a write has failed. It waits for a write in progress for at most
