client: check answers on the paths of serve

Callers of serve got answers of application runners with status 000, 600 or 999, with chunks of HTTP/1.0 or a part of a body behind "Content-Length : 50" as the whole one, and the bytes that a runner had sent until it was killed as its whole answer, if that had no length. Load reports and resumed streams are read by the same client.

Cause: net/http's Transport accepts what http.ReadResponse does, and nothing asked whether a runner whose connection had ended was still there.

Change: reply.Transport reads through reply.Conn, as the proxy's connections do, and begins an answer with each request, so that bytes which came before it are no answer to it.

Failed before, on, in TestBrokenServiceAnswers on new and kept connections: chunks_and_length, chunks_in_1_0, informational_many, informational_name, length_and_chunks, name_blank, name_blank_last, name_coding_blank, name_length_blank, reason_carriage_return, reason_control, status_000, status_000_closed, status_000_empty, status_099, status_600, status_999, status_plus, version_0_9, version_2_0, version_3_7; switching, which also hung a goroutine; and TestKilledServiceWithoutLength. Passed before and kept: TestServiceAnswerAmidUpload, as net/http closes a connection whose write has failed. All pass now.

--- a/internal/connection/client/client.go
+++ b/internal/connection/client/client.go
@@ -25,14 +25,15 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"goldcrestwick/internal/connection/reply"
 )
 
 const (
-	dialTimeout            = 2 * time.Second
-	idleTimeout            = 20 * time.Second
-	maxIdlePerHost         = 64
-	maxResponseHeaderBytes = 64 << 10
-	bufferBytes            = 4 << 10
+	dialTimeout    = 2 * time.Second
+	idleTimeout    = 20 * time.Second
+	maxIdlePerHost = 64
+	bufferBytes    = 4 << 10
 )
 
 // Client is an HTTP client for all endpoints. The zero value is ready for use and
@@ -45,50 +46,32 @@
 	client http.Client
 }
 
-// countingConn counts the bytes written to a connection.
-type countingConn struct {
-	net.Conn
-	written atomic.Int64
-}
-
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.written.Add(int64(n))
-	return n, err
-}
-
 func (c *Client) initTransport() {
 	dial := c.Dial
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	c.client.Transport = &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: conn}, nil
-		},
+	c.client.Transport = &reply.Transport{Transport: http.Transport{
+		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxResponseHeaderBytes: reply.MaxHeadBytes,
 		DisableCompression:     true,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
-	}
+	}}
 	c.client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 }
 
-// Do sends a request once. It reports sent as false only if no byte of the request
+// Do sends a request once. Its answer has been checked by package reply. It reports sent as false only if no byte of the request
 // can have reached the endpoint.
 func (c *Client) Do(req *http.Request) (resp *http.Response, sent bool, err error) {
 	c.once.Do(c.initTransport)
-	var usedConn atomic.Pointer[countingConn]
+	var usedConn atomic.Pointer[reply.Conn]
 	var writtenBefore atomic.Int64
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*countingConn); ok {
-			writtenBefore.Store(conn.written.Load())
+		if conn, ok := info.Conn.(*reply.Conn); ok {
+			writtenBefore.Store(conn.Written())
 			usedConn.Store(conn)
 		}
 	}}
@@ -96,7 +79,7 @@
 	preventRetry(req)
 	resp, err = c.client.Do(req)
 	conn := usedConn.Load()
-	sent = err == nil || conn != nil && conn.written.Load() > writtenBefore.Load()
+	sent = err == nil || conn != nil && conn.Written() > writtenBefore.Load()
 	return resp, sent, err
 }
 
--- a/internal/connection/reply/conn.go
+++ b/internal/connection/reply/conn.go
@@ -1,6 +1,7 @@
 package reply
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -16,10 +17,12 @@
 type Conn struct {
 	net.Conn
 
-	mu   sync.Mutex
-	head head
-	// readErr is the *Error of a read of the current answer, nil without one.
-	readErr error
+	// address is the one that was dialed, "" if the connection is not of a Transport.
+	address string
+
+	mu sync.Mutex
+	// current is the answer that is being read, nil before the first one.
+	current *exchange
 	// writing counts the writes in progress. settled is closed when there is none; it is nil if
 	// nothing waits for that.
 	writing  int
@@ -28,32 +31,48 @@
 	written  int64
 }
 
+// exchange is the state of reading one answer. It outlives the answer, since a connection may carry
+// the next one before it has been looked at.
+type exchange struct {
+	head head
+	// err is the *Error of a read, nil without one.
+	err error
+}
+
 // Begin expects another answer, of which the caller may have read the first bytes ahead.
 func (c *Conn) Begin(ahead []byte) error {
+	e := c.begin()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = head{}
-	c.readErr = c.head.check(ahead)
-	return c.readErr
+	e.err = e.head.check(ahead)
+	return e.err
 }
 
-// HasHead reports whether the head of the answer has been read.
-func (c *Conn) HasHead() bool {
+func (c *Conn) begin() *exchange {
+	e := &exchange{}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.isWhole
+	c.current = e
+	return e
 }
 
-// Classify returns the error behind one of parsing an answer. net/http may report a part of a line in
-// place of the error of the connection. If the head was whole and valid, net/http cannot tell from
-// its fields where the body ends.
+// Classify returns the error behind one of parsing the current answer. net/http may report a part
+// of a line in place of the error of the connection. If the head was whole and valid, net/http
+// cannot tell from its fields where the body ends.
 func (c *Conn) Classify(err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.current.classify(err)
+}
+
+// classify is Classify for any exchange. The caller holds the connection's lock.
+func (e *exchange) classify(err error) error {
 	switch {
-	case c.readErr != nil:
-		return c.readErr
-	case !c.head.isWhole:
+	case e == nil:
+		return err
+	case e.err != nil:
+		return e.err
+	case !e.head.isWhole:
 		return err
 	}
 	text := err.Error()
@@ -79,7 +98,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written += int64(n)
-	if err != nil && c.writeErr == nil {
+	if err != nil && c.writeErr == nil && !errors.Is(err, net.ErrClosed) {
 		c.writeErr = err
 	}
 	if c.writing--; c.writing == 0 && c.settled != nil {
@@ -93,11 +112,8 @@
 // the connection ends within it or after a write has failed, and then again until Begin: a
 // bufio.Reader may hold the first one back behind a part of a line.
 func (c *Conn) Read(b []byte) (int, error) {
-	c.mu.Lock()
-	readErr := c.readErr
-	c.mu.Unlock()
-	if readErr != nil {
-		return 0, readErr
+	if err := c.failure(); err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
@@ -111,11 +127,24 @@
 	return n, err
 }
 
+// failure returns the error of an earlier read of the current answer, or nil.
+func (c *Conn) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == nil {
+		return nil
+	}
+	return c.current.err
+}
+
 func (c *Conn) check(b []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if err := c.head.check(b); err != nil {
-		c.readErr = err
+	if c.current == nil {
+		return nil // bytes before the first request, which nobody asked for.
+	}
+	if err := c.current.head.check(b); err != nil {
+		c.current.err = err
 		return err
 	}
 	return nil
@@ -127,15 +156,18 @@
 	writeErr := c.WriteError()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	e := c.current
 	switch {
-	case c.head.hasBegun():
-		c.readErr = &Error{HeadCut, "the connection ended within the head", io.ErrUnexpectedEOF}
+	case e == nil:
+		return io.EOF
+	case e.head.hasBegun():
+		e.err = &Error{HeadCut, "the connection ended within the head", io.ErrUnexpectedEOF}
 	case writeErr != nil:
-		c.readErr = writeErr
+		e.err = writeErr
 	default:
 		return io.EOF
 	}
-	return c.readErr
+	return e.err
 }
 
 // WriteError returns an *Error if a write has failed. It waits for a write in progress for at most
--- a/internal/connection/reply/conn_test.go
+++ b/internal/connection/reply/conn_test.go
@@ -80,7 +80,9 @@
 		"HTTP/1.1 200 OK\r\n\r":        io.ErrUnexpectedEOF,
 		"HTTP/1.1 103 Early Hints\r\n": io.ErrUnexpectedEOF,
 	} {
-		_, err := io.ReadAll(&Conn{Conn: &endingConn{answer: text}})
+		c := &Conn{Conn: &endingConn{answer: text}}
+		qt.Assert(t, c.Begin(nil), qt.IsNil)
+		_, err := io.ReadAll(c)
 		if want == nil {
 			qt.Check(t, err, qt.IsNil, qt.Commentf("%q", text))
 			continue
--- a/internal/connection/reply/head_test.go
+++ b/internal/connection/reply/head_test.go
@@ -15,6 +15,7 @@
 // readAnswer reads an answer that comes in parts of at most partBytes.
 func readAnswer(text string, partBytes int) (*http.Response, []byte, error) {
 	c := &Conn{Conn: &partsConn{endingConn{answer: text}, partBytes}}
+	c.Begin(nil) //nolint:errcheck // nothing was read ahead.
 	reader := bufio.NewReader(c)
 	for {
 		resp, err := http.ReadResponse(reader, nil)
