node: decode a report of an endpoint only once it is whole

Load reports and cache events whose chunks were cut or invalid were used if the JSON value in them was whole.

Cause: the decoder stopped behind the value and the end of the body was never read.

Change: the body is read to its end, up to the bound it had, and then decoded.

Failed before, in TestBrokenLoadReports: chunk_size_letters, chunks_cut, last_chunk_cut and trailers_cut. All pass now; TestEndlessReport as before.

--- a/internal/process/node/endpoints.go
+++ b/internal/process/node/endpoints.go
@@ -80,10 +80,16 @@
 	return decodeReport[T](resp.Body)
 }
 
-// decodeReport decodes what an endpoint says of itself, up to maxReportBytes: a faulty one may send bytes
-// without end.
+// decodeReport decodes what an endpoint says of itself, if it is whole and has at most maxReportBytes: a
+// faulty one may send bytes without end.
 func decodeReport[T any](r io.Reader) (T, error) {
 	var reply T
-	err := json.NewDecoder(io.LimitReader(r, maxReportBytes)).Decode(&reply)
-	return reply, eris.Wrap(err, "decode the response of the endpoint")
+	raw, err := io.ReadAll(io.LimitReader(r, maxReportBytes+1))
+	if err != nil {
+		return reply, eris.Wrap(err, "read the response of the endpoint")
+	}
+	if len(raw) > maxReportBytes {
+		return reply, eris.Errorf("the response of the endpoint has more than %d bytes", maxReportBytes)
+	}
+	return reply, eris.Wrap(json.Unmarshal(raw, &reply), "decode the response of the endpoint")
 }
