cmd: check the answers of nodes in the commands that query them

Change: they read with reply.Transport.

TestBrokenNodeAnswers passes; with the default client it had not ended after 200 s, when it was stopped.

--- a/cmd/goldcrestwick/query.go
+++ b/cmd/goldcrestwick/query.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"goldcrestwick/internal/connection/front"
+	"goldcrestwick/internal/connection/reply"
 )
 
 const (
@@ -100,6 +101,9 @@
 	return nil
 }
 
+// nodeClient sends requests to nodes.
+var nodeClient = http.Client{Transport: &reply.Transport{Transport: http.Transport{Proxy: http.ProxyFromEnvironment}}}
+
 // queryNode sends a GET request to an entry node and returns the body of the
 // response. It sends key as the bearer key unless key is empty. A status other
 // than 200 is an error.
@@ -113,7 +117,7 @@
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := nodeClient.Do(req)
 	if err != nil {
 		return nil, eris.Wrap(err, "query the node")
 	}
--- a/cmd/goldcrestwick/stored.go
+++ b/cmd/goldcrestwick/stored.go
@@ -134,7 +134,7 @@
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := nodeClient.Do(req)
 	if err != nil {
 		return eris.Wrap(err, "query the node")
 	}
