detour: check the head of an answer that another node has read

A node that serves a request for another one may run an earlier build, which passes answers on that this one refuses. With status 0 or 1000 the handler of the request panicked; 101, 103 and 600 and fields with invalid names were written to the caller.

Cause: the head in the message was written as it came.

Change: it is checked like one read from an endpoint. Otherwise the exchange has ended without an answer, and the request may have run.

--- a/internal/connection/reply/reply.go
+++ b/internal/connection/reply/reply.go
@@ -112,6 +112,25 @@
 // IsFinalStatus reports whether a status code is that of a final answer (RFC 9110, section 15).
 func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= maxStatus }
 
+// CheckHead checks the head of a final answer that another node has read, perhaps one of an earlier
+// build.
+func CheckHead(status int, header http.Header) error {
+	if !IsFinalStatus(status) {
+		return newError(Status, "the status code is %d", status)
+	}
+	for name, values := range header {
+		if !isToken([]byte(name)) {
+			return newError(FieldName, "a field has the name %s", quote([]byte(name)))
+		}
+		for _, value := range values {
+			if err := checkValue([]byte(value)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // IsDelimited reports whether the end of an answer can be told from the end of its connection
 // (RFC 9112, section 6.3).
 func IsDelimited(resp *http.Response) bool {
--- a/internal/request/detour/client.go
+++ b/internal/request/detour/client.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/reply"
 	"goldcrestwick/internal/connection/wire"
 	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/member"
@@ -276,6 +277,9 @@
 				return result, false, err
 			}
 			e.hasAttempt.Store(true)
+			if err := reply.CheckHead(head.Status, head.Header); err != nil {
+				return result, false, err
+			}
 			e.writeHead(head)
 			result.TimeToFirstAnswer = time.Since(e.request.Arrived)
 			result.Status = head.Status
