proxy: count and log why an answer was not used

The reason of a failed attempt was only in the line of its request, with as much of the answer as net/http or an event's number quoted, up to 1 MiB, and the endpoint's own reason phrase.

Change: goldcrestwick_unused_answers_total counts by fault, and a line answer_not_used names request, endpoint, fault and reason, for the proxy and for all that the client of serve reads. At most 20 lines a second (200 at once) and 200 bytes of a reason; lines_left_out has the others. Reasons of attempts are bounded alike, and name the status without the endpoint's phrase.

--- a/internal/connection/client/client.go
+++ b/internal/connection/client/client.go
@@ -42,6 +42,10 @@
 	// Dial opens connections. If nil, TCP is used.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+	// Unused is called when an answer of the endpoint at an address cannot be used; it may be nil.
+	// reply.FaultOf returns the fault.
+	Unused func(address string, err error)
+
 	once   sync.Once
 	client http.Client
 }
@@ -51,7 +55,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	c.client.Transport = &reply.Transport{Transport: http.Transport{
+	c.client.Transport = &reply.Transport{Unused: c.Unused, Transport: http.Transport{
 		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        idleTimeout,
--- a/internal/connection/reply/transport.go
+++ b/internal/connection/reply/transport.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +18,9 @@
 // http.Transport must be set before the first request.
 type Transport struct {
 	http.Transport
+	// Unused is called when an answer of the server at an address cannot be used, with an error of
+	// which FaultOf returns the fault. It may be nil, and must be set before the first request.
+	Unused func(address string, err error)
 
 	once sync.Once
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -54,31 +57,38 @@
 	}}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	mu.Lock()
-	defer mu.Unlock()
-	if used == nil {
+	c, answer := used, e
+	mu.Unlock()
+	if c == nil {
 		return resp, err
 	}
-	used.mu.Lock()
-	defer used.mu.Unlock()
-	switch {
-	case err != nil && req.Context().Err() != nil:
-		return nil, err
-	case err != nil:
-		return nil, e.classify(err)
-	case !e.head.isWhole:
+	c.mu.Lock()
+	hasHead := answer.head.isWhole
+	if err != nil {
+		err = answer.classify(err)
+	}
+	c.mu.Unlock()
+	if err == nil && !hasHead {
 		resp.Body.Close() //nolint:errcheck // the answer is not used.
-		return nil, newError(Unrequested, "the answer came before the request")
+		err = newError(Unrequested, "the answer came before the request")
+	}
+	if err != nil {
+		t.report(req, c.address, err)
+		return nil, err
 	}
-	if !IsDelimited(resp) {
-		address := used.address
-		resp.Body = &undelimitedBody{ReadCloser: resp.Body, checkEnd: func() bool {
-			_, isCutOff := CheckEnd(req.Context(), func(ctx context.Context) error { return t.check(ctx, address) })
-			return isCutOff
-		}}
+	if resp.Body != http.NoBody {
+		resp.Body = &body{ReadCloser: resp.Body, transport: t, resp: resp, address: c.address}
 	}
 	return resp, nil
 }
 
+// report calls Unused unless the request was given up.
+func (t *Transport) report(req *http.Request, address string, err error) {
+	if t.Unused != nil && req.Context().Err() == nil {
+		t.Unused(address, err)
+	}
+}
+
 // check reports whether an address accepts connections. It opens one and closes it.
 func (t *Transport) check(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, endDialTimeout)
@@ -90,29 +100,42 @@
 	return c.Close()
 }
 
-// undelimitedBody is a body that the end of its connection ends.
-type undelimitedBody struct {
+// body is the body of an answer.
+type body struct {
 	io.ReadCloser
-	// checkEnd reports whether the body was broken off. It is called at most once.
-	checkEnd func() bool
-	// endErr is the error at the end, nil before it.
+	transport *Transport
+	resp      *http.Response
+	address   string
+	isClosed  atomic.Bool
+	// endErr is the error at the end of the body, nil before it.
 	endErr error
 }
 
-func (b *undelimitedBody) Read(p []byte) (int, error) {
+// Read reads from the body. It returns io.EOF only at the end of a whole one.
+func (b *body) Read(p []byte) (int, error) {
 	if b.endErr != nil {
 		return 0, b.endErr
 	}
 	n, err := b.ReadCloser.Read(p)
-	if n > 0 && errors.Is(err, io.EOF) {
-		return n, nil // the next read finds the end again.
+	if err == nil {
+		return n, nil
 	}
-	if errors.Is(err, io.EOF) {
-		b.endErr = err
-		if b.checkEnd() {
-			b.endErr = &Error{BodyCut, "the endpoint is gone", io.ErrUnexpectedEOF}
+	req := b.resp.Request
+	if err == io.EOF && !IsDelimited(b.resp) { //nolint:errorlint // readers return it unwrapped.
+		check := func(ctx context.Context) error { return b.transport.check(ctx, b.address) }
+		if _, isCutOff := CheckEnd(req.Context(), check); isCutOff {
+			err = &Error{BodyCut, "the endpoint is gone", io.ErrUnexpectedEOF}
 		}
-		err = b.endErr
 	}
+	if err != io.EOF && !b.isClosed.Load() { //nolint:errorlint // readers return it unwrapped.
+		b.transport.report(req, b.address, err)
+	}
+	b.endErr = err
 	return n, err
 }
+
+// Close closes the body, which may end a Read.
+func (b *body) Close() error {
+	b.isClosed.Store(true)
+	return b.ReadCloser.Close()
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -27,6 +27,7 @@
 	"goldcrestwick/internal/connection/conn"
 	"goldcrestwick/internal/connection/front"
 	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/reply"
 	"goldcrestwick/internal/connection/router"
 	"goldcrestwick/internal/process/budget"
 	"goldcrestwick/internal/process/cells"
@@ -137,6 +138,7 @@
 	memberLog memberLog
 	repo      repo.Repo
 	conns     conn.Pool
+	unused    unusedLog
 	budget    budget.Budget
 	proxy     proxy.Proxy
 	router    router.Router
@@ -200,6 +202,8 @@
 	if n.Client == nil {
 		n.Client = &client.Client{}
 	}
+	n.unused.limit()
+	n.Client.Unused = func(address string, err error) { n.logUnused("", address, reply.FaultOf(err), err.Error()) }
 	n.members = member.List{
 		Probe: n.probe, IndirectProbe: n.indirectProbe, Sync: n.syncMembers, Seeds: n.seeds, Changed: n.membersChanged,
 	}
--- a/internal/process/node/proxy.go
+++ b/internal/process/node/proxy.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"goldcrestwick/internal/connection/link"
+	"goldcrestwick/internal/connection/reply"
 	"goldcrestwick/internal/connection/router"
 	"goldcrestwick/internal/connection/wire"
 	"goldcrestwick/internal/process/budget"
@@ -61,6 +62,9 @@
 		LimitChanged: func(id ident.Endpoint, limit ident.Rate) {
 			n.Log.Info("endpoint_limit_changed", "endpoint", id, "requests_per_second", float64(limit))
 		},
+		AnswerUnused: func(request ident.RequestID, id ident.Endpoint, fault reply.Fault, reason string) {
+			n.logUnused(request, string(id), fault, reason)
+		},
 		Quarantined: n.findQuarantined, FindOrigin: n.findOrigin, FindFormerPool: n.findFormerPool,
 		IsAlone: n.isAlone,
 		Started: func(stream ident.RequestID, o origin.Origin) { n.streams.known.Add(stream, o, time.Now()) },
--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"goldcrestwick/internal/connection/conn"
+	"goldcrestwick/internal/connection/reply"
 	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/reach"
 	"goldcrestwick/internal/process/sched"
@@ -112,11 +113,11 @@
 	case info.NotRun || resp.StatusCode == http.StatusMisdirectedRequest:
 		return x.handleNotRun(resp)
 	case resp.Header.Get("Content-Encoding") != "":
-		return x.fail(ctx, "the answer has a content encoding that nobody asked for")
+		return x.fail(ctx, faultEncoding, "the answer has a content encoding that nobody asked for")
 	case isSuccess(resp.StatusCode) && !info.IsSigned:
-		return x.fail(ctx, "the answer has no signature")
+		return x.fail(ctx, faultSignature, "the answer has no signature")
 	case impliesNotRun(resp.StatusCode):
-		return x.fail(ctx, "the endpoint refused without saying that it did not run the request")
+		return x.fail(ctx, faultRefusal, "the endpoint refused without saying that it did not run the request")
 	}
 	x.state.mayHaveRun = true
 	if x.state.stream.headSent && !x.state.stream.isContinuedBy(resp) {
@@ -254,7 +255,8 @@
 // fail returns the outcome of an exchange without a complete answer: notSent or
 // interrupted. The reason is replaced if the caller went away or the deadline
 // passed.
-func (x *exchange) fail(ctx context.Context, reason string) outcome {
+func (x *exchange) fail(ctx context.Context, fault reply.Fault, reason string) outcome {
+	reason = bounded(reason)
 	completion := sched.Completion{Failed: true}
 	switch {
 	case x.state.parent.Err() != nil:
@@ -268,19 +270,22 @@
 		return outcome{notSent, reason, completion}
 	}
 	x.state.mayHaveRun = true
+	if p := x.proxy; completion.Failed && p.AnswerUnused != nil {
+		p.AnswerUnused(x.state.ID, x.grant.Response.Endpoint, fault, reason)
+	}
 	return outcome{interrupted, reason, completion}
 }
 
 // failMidway returns the outcome of an exchange whose connection failed.
-func (x *exchange) failMidway(ctx context.Context, reason string) outcome {
-	return x.excuseEndpoint(x.fail(ctx, reason))
+func (x *exchange) failMidway(ctx context.Context, reason string, err error) outcome {
+	return x.excuseEndpoint(x.fail(ctx, faultOf(err), reason))
 }
 
 // failWithoutAnswer returns the outcome of an exchange that ended with an error before
 // any part of the answer. Unlike failMidway, it reports to the cell whether the endpoint
 // ended the connection.
 func (x *exchange) failWithoutAnswer(ctx context.Context, reason string, err error) outcome {
-	out := x.fail(ctx, reason)
+	out := x.fail(ctx, faultOf(err), reason)
 	noAnswer := out.result == interrupted && out.completion.Failed && isConnectionEnd(err)
 	out = x.excuseEndpoint(out)
 	// It may be a crash though the path is suspect: the cells' nodes see whether the
@@ -330,7 +335,7 @@
 	if !x.discard(resp.Body) {
 		x.DisableReuse()
 	}
-	return outcome{runFailed, "the endpoint answered " + resp.Status + " to a stream to go on with", sched.Completion{
+	return outcome{runFailed, "the endpoint answered " + statusOf(resp) + " to a stream to go on with", sched.Completion{
 		TimeToFirstToken: time.Since(x.sentAt), Erred: resp.StatusCode >= http.StatusInternalServerError,
 	}}
 }
@@ -342,7 +347,7 @@
 	if !x.discard(resp.Body) {
 		x.DisableReuse()
 	}
-	return outcome{rejected, "the endpoint answered " + resp.Status + " and did not run it", sched.Completion{
+	return outcome{rejected, "the endpoint answered " + statusOf(resp) + " and did not run it", sched.Completion{
 		Refused: true, Failed: resp.StatusCode == http.StatusMisdirectedRequest,
 	}}
 }
--- a/internal/request/proxy/broken_test.go
+++ b/internal/request/proxy/broken_test.go
@@ -37,6 +37,8 @@
 	// grants are the endpoints that are granted next.
 	grants      []string
 	completions []sched.Completion
+	// faults are those of the answers that were not used.
+	faults []reply.Fault
 }
 
 func newRawRig(t *testing.T) *rawRig {
@@ -56,6 +58,10 @@
 				Complete: func(c sched.Completion) { g.completions = append(g.completions, c) },
 			}, nil
 		},
+		AnswerUnused: func(_ ident.RequestID, _ ident.Endpoint, fault reply.Fault, reason string) {
+			g.faults = append(g.faults, fault)
+			qt.Check(t, len(reason) <= maxReasonBytes && reason != "", qt.IsTrue)
+		},
 	}
 	return g
 }
@@ -188,6 +194,7 @@
 		checkUnusable(t, a, w, result, first, body)
 	}
 	if a.Fault == "" {
+		qt.Check(t, len(g.faults) > 0, qt.Equals, shape.isTakenUp, at)
 		qt.Check(t, g.completions[len(g.completions)-1].Failed, qt.IsFalse, at)
 		return
 	}
@@ -196,6 +203,7 @@
 		failed = 1
 	}
 	qt.Check(t, g.completions[failed].Failed, qt.IsTrue, at)
+	qt.Check(t, string(g.faults[failed]), qt.Equals, a.Fault, at)
 	qt.Check(t, others == 1, qt.Equals, shape.isTakenUp || shape.isRepeated, at)
 }
 
--- a/internal/request/proxy/forward.go
+++ b/internal/request/proxy/forward.go
@@ -59,7 +59,7 @@
 	answer := &bufferedAnswer{resp.StatusCode, resp.Header, body}
 	if isFailure {
 		x.state.failureAnswer = answer
-		return outcome{runFailed, "the endpoint answered " + resp.Status, out.completion}
+		return outcome{runFailed, "the endpoint answered " + statusOf(resp), out.completion}
 	}
 	x.state.result.TimeToFirstAnswer = time.Since(x.state.Arrived)
 	x.state.result.Status = answer.status
@@ -83,7 +83,7 @@
 	}
 	if err != nil {
 		s.result.Truncated = true
-		out = x.fail(ctx, "the answer broke off: "+err.Error())
+		out = x.fail(ctx, faultOf(err), "the answer broke off: "+err.Error())
 		out.result = answered
 		x.DisableReuse()
 	}
--- a/internal/request/proxy/proxy.go
+++ b/internal/request/proxy/proxy.go
@@ -28,6 +28,7 @@
 	"time"
 
 	"goldcrestwick/internal/connection/conn"
+	"goldcrestwick/internal/connection/reply"
 	"goldcrestwick/internal/process/budget"
 	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/process/memory"
@@ -219,6 +220,9 @@
 	// LimitChanged is called when an endpoint names another limit than in its last answer
 	// to this node, with 0 when it names none any more; it may be nil.
 	LimitChanged func(ident.Endpoint, ident.Rate)
+	// AnswerUnused is called when an endpoint has failed to give an answer that can be used, with the
+	// reason as text of bounded length; it may be nil.
+	AnswerUnused func(ident.RequestID, ident.Endpoint, reply.Fault, string)
 	// Quarantined returns the first of a request's traits that is quarantined, and
 	// until when; nil means that none is.
 	Quarantined func([]ident.Trait) (trait ident.Trait, until time.Time, ok bool)
--- a/internal/request/proxy/stream.go
+++ b/internal/request/proxy/stream.go
@@ -132,11 +132,11 @@
 		}
 		if err != nil {
 			s.flushEvents()
-			return x.failMidway(ctx, "the stream broke off: "+err.Error())
+			return x.failMidway(ctx, "the stream broke off: "+err.Error(), err)
 		}
 		if err := s.stream.advance(e); err != nil {
 			s.flushEvents()
-			return x.fail(ctx, err.Error())
+			return x.fail(ctx, faultEvent, err.Error())
 		}
 		x.recordEvent(t)
 		x.writeHead(resp)
--- a/internal/request/relay/broken_test.go
+++ b/internal/request/relay/broken_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"goldcrestwick/internal/connection/client"
+	"goldcrestwick/internal/connection/reply"
 	"goldcrestwick/internal/request/answer"
 	"goldcrestwick/internal/request/intake"
 	"goldcrestwick/internal/stand/broken"
@@ -98,7 +99,8 @@
 			t.Run(a.Name+"/"+connection, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					s := &rawServer{texts: []string{a.Text(brokenFields, body)}, keepsOpen: a.KeepsOpen}
-					c := &client.Client{Dial: s.dial}
+					var faults []reply.Fault
+					c := &client.Client{Dial: s.dial, Unused: func(_ string, err error) { faults = append(faults, reply.FaultOf(err)) }}
 					defer c.CloseIdleConnections()
 					if connection == "kept" {
 						s.texts = []string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", s.texts[0]}
@@ -112,6 +114,11 @@
 					qt.Check(t, time.Since(begin) < time.Second, qt.IsTrue, at)
 					qt.Check(t, got.heads <= 1, qt.IsTrue, at)
 					checkServiceAnswer(t, a, result, got, body, at)
+					if a.Fault == "" {
+						qt.Check(t, faults, qt.HasLen, 0, at)
+					} else {
+						qt.Check(t, faults, qt.DeepEquals, []reply.Fault{reply.Fault(a.Fault)}, at)
+					}
 				})
 			})
 		}
@@ -159,7 +166,7 @@
 	const uploadBytes = 4 << 20
 	for _, test := range []struct {
 		name, answer string
-		end          func(*net.TCPConn, io.Reader)
+		end          func(c *net.TCPConn, r io.Reader)
 		isWhole      bool
 	}{
 		{"reset", "closed", func(c *net.TCPConn, _ io.Reader) { c.SetLinger(0) }, false}, //nolint:errcheck // the client notices.
