--- a/internal/request/relay/broken_test.go
+++ b/internal/request/relay/broken_test.go
@@ -166,12 +166,12 @@
 	const uploadBytes = 4 << 20
 	for _, test := range []struct {
 		name, answer string
-		end          func(c *net.TCPConn, r io.Reader)
+		end          func(*net.TCPConn, io.Reader)
 		isWhole      bool
 	}{
 		{"reset", "closed", func(c *net.TCPConn, _ io.Reader) { c.SetLinger(0) }, false}, //nolint:errcheck // the client notices.
 		{"closed_unread", "closed", func(*net.TCPConn, io.Reader) {}, false},
-		{"upload_read", "closed", func(c *net.TCPConn, r io.Reader) {
+		{"upload_read", "closed", func(_ *net.TCPConn, r io.Reader) {
 			io.CopyN(io.Discard, r, uploadBytes) //nolint:errcheck // the client notices.
 		}, true},
 		{"kept_open", "length", func(_ *net.TCPConn, r io.Reader) {
--- a/internal/stand/broken/broken.go
+++ b/internal/stand/broken/broken.go
@@ -14,8 +14,10 @@
 import (
 	_ "embed"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 )
 
 //go:embed answers.txt
@@ -32,9 +34,13 @@
 	template string
 }
 
+var answers = sync.OnceValue(parseAnswers)
+
 // Answers returns all answers of answers.txt.
-func Answers() []Answer {
-	var answers []Answer
+func Answers() []Answer { return slices.Clone(answers()) }
+
+func parseAnswers() []Answer {
+	var all []Answer
 	for line := range strings.Lines(answersText) {
 		fields := strings.Fields(line)
 		if len(fields) == 0 || strings.HasPrefix(line, "#") {
@@ -49,14 +55,14 @@
 		if a.Fault == "-" {
 			a.Fault = ""
 		}
-		answers = append(answers, a)
+		all = append(all, a)
 	}
-	return answers
+	return all
 }
 
 // Find returns the answer with a name.
 func Find(name string) (Answer, bool) {
-	for _, a := range Answers() {
+	for _, a := range answers() {
 		if a.Name == name {
 			return a, true
 		}
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -28,6 +28,7 @@
 
 	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/stand/batch"
+	"goldcrestwick/internal/stand/broken"
 )
 
 // Headers of the platform's protocol.
@@ -109,6 +110,8 @@
 	AnswerBeforeBody bool
 	// CloseUnanswered closes the connection without an answer.
 	CloseUnanswered bool
+	// Broken is the name of an answer of package broken, which is sent with Body; "" for none.
+	Broken string
 	// Endless sends bytes without end in this part of the answer, until the caller closes
 	// the connection; "" for none.
 	Endless EndlessPart
@@ -228,6 +231,16 @@
 	io.Copy(io.Discard, c) //nolint:errcheck // blocks until the connection is closed.
 }
 
+// writeBroken sends an answer of package broken and reports whether it keeps the connection open.
+func (e *Engine) writeBroken(c net.Conn, id string, b Behaviour) bool {
+	a, ok := broken.Find(b.Broken)
+	if !ok {
+		panic("no answer of package broken is named " + b.Broken)
+	}
+	fields := fmt.Sprintf("%s%s: %s.%s\r\n", b.idHeader(id), ServerStampHeader, e.ID, id)
+	return send(c, a.Text(fields, b.Body)) && a.KeepsOpen
+}
+
 // bufferBytes is the size of one write of an endless answer.
 const bufferBytes = 4 << 10
 
@@ -276,6 +289,9 @@
 	if e.Crash != nil && e.Crash(req.RequestURI, nil) {
 		return false
 	}
+	if b.Broken != "" {
+		return e.writeBroken(c, req.Header.Get(AttemptIDHeader), b)
+	}
 	if b.Endless != "" {
 		e.writeEndless(c, req.Header.Get(AttemptIDHeader), b)
 		return false
--- a/internal/tool/fleet/proxy_test.go
+++ b/internal/tool/fleet/proxy_test.go
@@ -386,6 +386,7 @@
 			Status: p.IntOption("status", 0), Body: given["body"], LastEvent: p.IntOption("events", 0),
 			EndMode: engine.EndMode(given["ending"]), EventInterval: p.ParseDuration(given["pace"]), CloseUnanswered: given["drop"] == "yes",
 			NotRun: given["not_run"] == "yes", Leaving: given["leaving"] == "yes", RetryAfter: given["retry_after"],
+			Broken: given["broken"],
 		}
 		e.mu.Unlock()
 	}
