proxy: test answers without a body

A HEAD answer without a length on a stream route was taken for a stream that had broken off before its first event, and its caller got 502.

Cause: without a length an answer counted as one that only its connection ends, also where it has no body (RFC 9112, section 6.3).

Passed before and kept: HEAD with a length or chunks, 204, 304.

--- a/internal/request/proxy/broken_test.go
+++ b/internal/request/proxy/broken_test.go
@@ -224,3 +224,38 @@
 		qt.Check(t, w.Body.String(), qt.Equals, first, at)
 	}
 }
+
+// TestAnswersWithoutBody checks that answers which have no body, whatever their fields say, stay sound
+// (RFC 9112, section 6.3).
+func TestAnswersWithoutBody(t *testing.T) {
+	for _, test := range []struct{ name, method, status, fields string }{
+		{"head_length", http.MethodHead, "200 OK", "Content-Length: 5\r\n"},
+		{"head_chunks", http.MethodHead, "200 OK", "Transfer-Encoding: chunked\r\n"},
+		{"head_no_length", http.MethodHead, "200 OK", ""},
+		{"no_content", http.MethodPost, "204 No Content", ""},
+		{"no_content_length", http.MethodPost, "204 No Content", "Content-Length: 0\r\n"},
+		{"not_modified", http.MethodGet, "304 Not Modified", "ETag: \"a\"\r\n"},
+		{"not_modified_length", http.MethodGet, "304 Not Modified", "Content-Length: 5\r\n"},
+	} {
+		for _, kind := range []config.RouteKind{config.Idempotent, config.Stream} {
+			t.Run(fmt.Sprint(test.name, "/", kind), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := newRawRig(t)
+					defer g.proxy.Conns.Close()
+					g.route = &config.Route{Kind: kind, MaxAttempts: 1, Timeout: 10 * time.Second, FirstAnswerTarget: time.Second}
+					var arrived int
+					text := "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + test.status + "\r\n" + answerFields("r1") + test.fields + "\r\n"
+					g.serve["a"] = rawEndpoint(&arrived, true, text)
+					begin := time.Now()
+					w, result := g.send("r1", test.method, nil, "a")
+					at := qt.Commentf("%+v", result)
+					qt.Check(t, result.Refusal == nil && !result.Truncated, qt.IsTrue, at)
+					qt.Check(t, strings.HasPrefix(test.status, fmt.Sprint(w.Code)), qt.IsTrue, at)
+					qt.Check(t, w.Body.Len(), qt.Equals, 0, at)
+					qt.Check(t, time.Since(begin), qt.Equals, time.Duration(0), at)
+					qt.Check(t, g.faults, qt.HasLen, 0, at)
+				})
+			})
+		}
+	}
+}
