--- a/internal/request/proxy/broken_test.go
+++ b/internal/request/proxy/broken_test.go
@@ -119,15 +119,31 @@
 	kind       config.RouteKind
 	isRepeated bool
 	isTakenUp  bool
+	// isLong is set if the answer is too long to be buffered.
+	isLong bool
 }
 
 var answerShapes = []answerShape{
 	{name: "once", kind: config.NonIdempotent},
 	{name: "repeated", kind: config.Idempotent, isRepeated: true},
+	{name: "long", kind: config.NonIdempotent, isLong: true},
 	{name: "stream", kind: config.Stream},
 	{name: "taken_up", kind: config.Stream, isTakenUp: true},
 }
 
+// bodies returns what the caller has of the answer before the broken one, and the body of that.
+func (s answerShape) bodies() (first, body string) {
+	switch {
+	case s.isTakenUp:
+		return eventsOf(1, 2), eventsOf(3, 4)
+	case s.kind == config.Stream:
+		return "", eventsOf(1, 2)
+	case s.isLong:
+		return "", strings.Repeat("012345678\n", maxBufferedBytes/9)
+	}
+	return "", "the whole answer"
+}
+
 // TestBrokenAnswers sends each answer of package broken to each kind of request, on a new
 // connection and on one that was kept.
 func TestBrokenAnswers(t *testing.T) {
@@ -146,13 +162,7 @@
 	g := newRawRig(t)
 	defer g.proxy.Conns.Close()
 	g.route = &config.Route{Kind: shape.kind, MaxAttempts: 2, Resumable: shape.isTakenUp, Timeout: 10 * time.Second, FirstAnswerTarget: time.Second}
-	first, body := "", "the whole answer"
-	switch {
-	case shape.isTakenUp:
-		first, body = eventsOf(1, 2), eventsOf(3, 4)
-	case shape.kind == config.Stream:
-		body = eventsOf(1, 2)
-	}
+	first, body := shape.bodies()
 	texts := []string{a.Text(answerFields("r1"), body)}
 	warmUp := "HTTP/1.1 200 OK\r\n" + answerFields("r0") + "Content-Length: 0\r\n\r\n"
 	if isKept {
@@ -176,7 +186,7 @@
 	}
 	begin := time.Now()
 	w, result := g.send("r1", http.MethodPost, []byte("body"), grants...)
-	at := qt.Commentf("%+v, body %q", result, w.Body)
+	at := qt.Commentf("%+v, body %.200q", result, w.Body)
 	qt.Check(t, time.Since(begin) < time.Second, qt.IsTrue, at)
 	dials := 1
 	if shape.isTakenUp || shape.isRepeated && a.Fault != "" {
@@ -210,7 +220,7 @@
 // checkUnusable checks that a caller gets neither a whole answer nor the promise that its request
 // did not run, and of a stream only events that came before the fault.
 func checkUnusable(t *testing.T, a broken.Answer, w *httptest.ResponseRecorder, result Result, first, body string) {
-	at := qt.Commentf("%+v, body %q", result, w.Body)
+	at := qt.Commentf("%+v, body %.200q", result, w.Body)
 	isBodyFault := reply.Fault(a.Fault) == reply.BodyCut || reply.Fault(a.Fault) == reply.Other
 	if w.Body.Len() == 0 {
 		qt.Assert(t, result.Refusal != nil, qt.IsTrue, at)
--- a/internal/request/proxy/upload_test.go
+++ b/internal/request/proxy/upload_test.go
@@ -91,13 +91,7 @@
 	g.proxy.Conns = &conn.Pool{}
 	defer g.proxy.Conns.Close()
 	g.route = &config.Route{Kind: shape.kind, MaxAttempts: 2, Resumable: shape.isTakenUp, Timeout: 10 * time.Second, FirstAnswerTarget: time.Second}
-	first, body := "", "the whole answer"
-	switch {
-	case shape.isTakenUp:
-		first, body = eventsOf(1, 2), eventsOf(3, 4)
-	case shape.kind == config.Stream:
-		body = eventsOf(1, 2)
-	}
+	first, body := shape.bodies()
 	a, _ := broken.Find(name)
 	texts := []string{a.Text(answerFields("r1"), body)}
 	if isKept {
@@ -124,7 +118,7 @@
 		grants = []string{addresses["start"], addresses["a"]}
 	}
 	w, result := g.send("r1", http.MethodPost, bytes.Repeat([]byte("x"), uploadBytes), grants...)
-	at := qt.Commentf("%+v, body %q", result, w.Body)
+	at := qt.Commentf("%+v, body %.200q", result, w.Body)
 	isWhole := end.whole[name]
 	switch {
 	case isWhole || shape.isRepeated:
--- a/internal/request/relay/broken_test.go
+++ b/internal/request/relay/broken_test.go
@@ -220,3 +220,39 @@
 		})
 	}
 }
+
+// TestBrokenModelAnswers sends each answer of package broken to a request to a model runner, which
+// does not go on with it afterwards. Only the end marker makes an answer whole.
+func TestBrokenModelAnswers(t *testing.T) {
+	events := encodeEvents([]string{"1:a", "2:b", "3:c", "stop", "usage:3", "DONE"})
+	for _, a := range append(broken.Answers(), broken.HeadCuts(brokenFields)...) {
+		t.Run(a.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &rawServer{texts: []string{a.Text(brokenFields, events)}, keepsOpen: a.KeepsOpen}
+				var faults []reply.Fault
+				c := &client.Client{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+					if s.dials > 0 {
+						return nil, syscall.ECONNREFUSED
+					}
+					return s.dial(ctx, network, address)
+				}, Unused: func(_ string, err error) { faults = append(faults, reply.FaultOf(err)) }}
+				defer c.CloseIdleConnections()
+				got := &collected{}
+				run := &Run{Client: c, Address: "http://runner", Sink: got.sink(), Request: &intake.Request{ID: "r1"}}
+				result := run.Model(t.Context())
+				at := qt.Commentf("%+v, refusal %+v, body %q", result, result.Refusal, got.body.String())
+				isBodyFault := a.Fault == "body_cut" || a.Fault == "other"
+				if a.Fault == "" || isBodyFault && got.isWhole {
+					qt.Check(t, result.Refusal == nil && got.isWhole, qt.IsTrue, at)
+					qt.Check(t, got.body.String(), qt.Equals, "abc", at)
+					return
+				}
+				qt.Check(t, got.isWhole, qt.IsFalse, at)
+				qt.Check(t, isBodyFault || got.body.Len() == 0, qt.IsTrue, at)
+				qt.Assert(t, result.Refusal != nil, qt.IsTrue, at)
+				qt.Check(t, result.Refusal.MayHaveRun(), qt.IsTrue, at)
+				qt.Check(t, string(faults[0]), qt.Equals, a.Fault, at)
+			})
+		})
+	}
+}
