--- a/internal/process/node/broken_test.go
+++ b/internal/process/node/broken_test.go
@@ -1,11 +1,8 @@
 package node
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"testing"
 	"testing/synctest"
 
@@ -23,17 +20,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				n := &Node{Client: &client.Client{Dial: func(context.Context, string, string) (net.Conn, error) {
 					local, remote := net.Pipe()
-					go func() {
-						defer remote.Close() //nolint:errcheck // the client notices.
-						reader := bufio.NewReader(remote)
-						if _, err := http.ReadRequest(reader); err != nil {
-							return
-						}
-						io.WriteString(remote, a.Text("", `{"running":3}`)) //nolint:errcheck // the client notices.
-						if a.KeepsOpen {
-							io.Copy(io.Discard, reader) //nolint:errcheck // blocks until the client closes the connection.
-						}
-					}()
+					go broken.Serve(remote, a.KeepsOpen, nil, a.Text("", `{"running":3}`))
 					return local, nil
 				}}}
 				defer n.Client.CloseIdleConnections()
--- a/internal/request/proxy/broken_test.go
+++ b/internal/request/proxy/broken_test.go
@@ -1,10 +1,8 @@
 package proxy
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -90,27 +88,10 @@
 	return engine.AttemptIDHeader + ": " + id + "\r\n" + engine.ServerStampHeader + ": e." + id + "\r\n"
 }
 
-// rawEndpoint answers the requests of a connection by texts, in turn. It keeps the connection
-// open after the last one if keepsOpen is set.
+// rawEndpoint returns the handler of an endpoint that answers the requests of a connection by texts and
+// counts them.
 func rawEndpoint(arrived *int, keepsOpen bool, texts ...string) func(net.Conn) {
-	return func(c net.Conn) {
-		defer c.Close() //nolint:errcheck // the proxy notices.
-		reader := bufio.NewReader(c)
-		for _, text := range texts {
-			req, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			io.Copy(io.Discard, req.Body) //nolint:errcheck // the connection is a pipe.
-			*arrived++
-			if _, err := io.WriteString(c, text); err != nil {
-				return
-			}
-		}
-		if keepsOpen {
-			io.Copy(io.Discard, reader) //nolint:errcheck // blocks until the proxy closes the connection.
-		}
-	}
+	return func(c net.Conn) { broken.Serve(c, keepsOpen, func() { *arrived++ }, texts...) }
 }
 
 // answerShape is a kind of request that gets an answer.
--- a/internal/request/relay/broken_test.go
+++ b/internal/request/relay/broken_test.go
@@ -58,23 +58,7 @@
 		return nil, syscall.ECONNREFUSED
 	}
 	local, remote := net.Pipe()
-	go func() {
-		defer remote.Close() //nolint:errcheck // the client notices.
-		reader := bufio.NewReader(remote)
-		for _, text := range s.texts {
-			req, err := http.ReadRequest(reader)
-			if err != nil {
-				return
-			}
-			io.Copy(io.Discard, req.Body) //nolint:errcheck // the connection is a pipe.
-			if _, err := io.WriteString(remote, text); err != nil {
-				return
-			}
-		}
-		if s.keepsOpen {
-			io.Copy(io.Discard, reader) //nolint:errcheck // blocks until the client closes the connection.
-		}
-	}()
+	go broken.Serve(remote, s.keepsOpen, nil, s.texts...)
 	return local, nil
 }
 
--- a/internal/stand/broken/broken.go
+++ b/internal/stand/broken/broken.go
@@ -4,16 +4,17 @@
 // # Usage
 //
 //	for _, a := range broken.Answers() {
-//		io.WriteString(conn, a.Text("X-Request-Id: r1\r\n", "body"))
-//		if !a.KeepsOpen {
-//			conn.Close()
-//		}
+//		go broken.Serve(conn, a.KeepsOpen, nil, a.Text("X-Request-Id: r1\r\n", "body"))
 //	}
 package broken
 
 import (
+	"bufio"
 	_ "embed"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -89,6 +90,32 @@
 	return answers
 }
 
+// Serve answers the requests of a connection by texts, in turn. Then it closes the connection or, if
+// keepsOpen is set, waits until the client does. Arrived is called for each request once its body has
+// been read; it may be nil.
+func Serve(c net.Conn, keepsOpen bool, arrived func(), texts ...string) {
+	defer c.Close() //nolint:errcheck // the client notices.
+	reader := bufio.NewReader(c)
+	for _, text := range texts {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if arrived != nil {
+			arrived()
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+	}
+	if keepsOpen {
+		io.Copy(io.Discard, reader) //nolint:errcheck // until the client closes the connection.
+	}
+}
+
 // IsUndelimited reports whether only the end of its connection ends the answer.
 func (a Answer) IsUndelimited() bool {
 	return !strings.Contains(a.template, "{length}") && !strings.Contains(a.template, "Transfer-Encoding") && !strings.Contains(a.template, "Content-Length")
