--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -28,7 +28,6 @@
 
 	"goldcrestwick/internal/process/ident"
 	"goldcrestwick/internal/stand/batch"
-	"goldcrestwick/internal/stand/broken"
 )
 
 // Headers of the platform's protocol.
@@ -231,16 +230,6 @@
 	io.Copy(io.Discard, c) //nolint:errcheck // blocks until the connection is closed.
 }
 
-// writeBroken sends an answer of package broken and reports whether it keeps the connection open.
-func (e *Engine) writeBroken(c net.Conn, id string, b Behaviour) bool {
-	a, ok := broken.Find(b.Broken)
-	if !ok {
-		panic("no answer of package broken is named " + b.Broken)
-	}
-	fields := fmt.Sprintf("%s%s: %s.%s\r\n", b.idHeader(id), ServerStampHeader, e.ID, id)
-	return send(c, a.Text(fields, b.Body)) && a.KeepsOpen
-}
-
 // bufferBytes is the size of one write of an endless answer.
 const bufferBytes = 4 << 10
 
