proxy: an endpoint whose answer is invalid has been reached

Two endpoints with invalid answers made a node suspect its path to all endpoints: their failures then counted as canceled requests, endpoints that answered so got further requests, and requests were served through other nodes.

Cause: such an answer counted like none for the monitor of the path.

Change: it counts as an answer there, and as the endpoint's failure in its cell. Ends of the connection, also within a head or body, count as before.

--- a/internal/request/proxy/attempt.go
+++ b/internal/request/proxy/attempt.go
@@ -102,12 +102,16 @@
 		return x.failWithoutAnswer(ctx, err.Error(), err)
 	}
 	resp, info, err := x.receive()
+	hasAnswered := err == nil || isInvalid(err)
+	if p := x.proxy; hasAnswered && p.Reach != nil {
+		p.Reach.Answered()
+	}
+	if err != nil && hasAnswered {
+		return x.fail(ctx, faultOf(err), err.Error())
+	}
 	if err != nil {
 		return x.failWithoutAnswer(ctx, err.Error(), err)
 	}
-	if p := x.proxy; p.Reach != nil {
-		p.Reach.Answered()
-	}
 	x.observe(resp.StatusCode, info)
 	switch {
 	case info.NotRun || resp.StatusCode == http.StatusMisdirectedRequest:
--- a/internal/request/proxy/broken_test.go
+++ b/internal/request/proxy/broken_test.go
@@ -17,6 +17,7 @@
 	"goldcrestwick/internal/connection/reply"
 	"goldcrestwick/internal/process/budget"
 	"goldcrestwick/internal/process/ident"
+	"goldcrestwick/internal/process/reach"
 	"goldcrestwick/internal/process/sched"
 	"goldcrestwick/internal/request/entry"
 	"goldcrestwick/internal/request/refuse"
@@ -250,3 +251,31 @@
 		}
 	}
 }
+
+// TestInvalidAnswerIsReached guards against a node that takes its path to the endpoints for lost since
+// several of them answer, but not in a valid form. Their failures count as theirs.
+func TestInvalidAnswerIsReached(t *testing.T) {
+	for _, a := range broken.Answers() {
+		switch reply.Fault(a.Fault) {
+		case "", reply.HeadCut, reply.BodyCut, reply.Other:
+			continue
+		}
+		t.Run(a.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newRawRig(t)
+				defer g.proxy.Conns.Close()
+				g.route = &config.Route{Kind: config.NonIdempotent, MaxAttempts: 1, Timeout: 10 * time.Second, FirstAnswerTarget: time.Second}
+				monitor := &reach.Monitor{}
+				g.proxy.Reach = monitor
+				for _, name := range []string{"a", "b", "c"} {
+					var arrived int
+					g.serve[name] = rawEndpoint(&arrived, a.KeepsOpen, a.Text(answerFields("r1"), "body"))
+					g.send("r1", http.MethodPost, []byte("body"), name)
+					qt.Check(t, monitor.IsSuspect(), qt.IsFalse)
+					qt.Check(t, g.completions[0].Failed, qt.IsTrue)
+					qt.Check(t, g.completions[0].NoAnswer, qt.IsFalse)
+				}
+			})
+		})
+	}
+}
--- a/internal/request/proxy/fault.go
+++ b/internal/request/proxy/fault.go
@@ -34,6 +34,16 @@
 	return reply.FaultOf(err)
 }
 
+// isInvalid reports whether the error is that of an answer which is not valid, or not that of the
+// request, rather than of the connection. It shows that the endpoint is reached.
+func isInvalid(err error) bool {
+	switch faultOf(err) {
+	case reply.Ended, reply.HeadCut, reply.BodyCut, reply.Reset, reply.Other:
+		return false
+	}
+	return true
+}
+
 // maxReasonBytes bounds the reason of a failed attempt, which may quote the answer.
 const maxReasonBytes = 200
 
