proxy, relay: more forms of broken answers

Streams whose callers have the beginning, invalid heads amid an upload, and a second answer behind one on a connection of serve.

--- a/internal/request/proxy/broken_test.go
+++ b/internal/request/proxy/broken_test.go
@@ -33,6 +33,8 @@
 	route *config.Route
 	// serve holds, by endpoint, the handler of its connections.
 	serve map[string]func(net.Conn)
+	// lastEventID is the last event that callers have.
+	lastEventID int
 	// grants are the endpoints that are granted next.
 	grants      []string
 	completions []sched.Completion
@@ -78,7 +80,7 @@
 	now := time.Now()
 	r := &Request{
 		ID: ident.RequestID(id), Method: method, Target: "/", Host: "h.example", Header: http.Header{engine.AttemptIDHeader: {id}},
-		Body: body, Info: RequestInfo{AttemptID: id}, Arrived: now, Deadline: now.Add(g.route.Timeout), Route: g.route,
+		Body: body, Info: RequestInfo{AttemptID: id, LastEventID: g.lastEventID}, Arrived: now, Deadline: now.Add(g.route.Timeout), Route: g.route,
 		Pool: &config.Pool{ID: "team/pool", Kind: ident.ModelRunner, TokensPerEvent: 1}, Tier: &config.Tier{},
 	}
 	return w, g.proxy.Serve(g.Context(), r, w)
@@ -100,7 +102,9 @@
 	name       string
 	kind       config.RouteKind
 	isRepeated bool
-	isTakenUp  bool
+	// isTakenUp is set if the answer goes on with a stream that broke off at another endpoint, and
+	// isResumed if its caller has the beginning.
+	isTakenUp, isResumed bool
 	// isLong is set if the answer is too long to be buffered.
 	isLong bool
 }
@@ -111,6 +115,7 @@
 	{name: "long", kind: config.NonIdempotent, isLong: true},
 	{name: "stream", kind: config.Stream},
 	{name: "taken_up", kind: config.Stream, isTakenUp: true},
+	{name: "resumed", kind: config.Stream, isResumed: true},
 }
 
 // bodies returns what the caller has of the answer before the broken one, and the body of that.
@@ -118,6 +123,8 @@
 	switch {
 	case s.isTakenUp:
 		return eventsOf(1, 2), eventsOf(3, 4)
+	case s.isResumed:
+		return "", eventsOf(3, 4)
 	case s.kind == config.Stream:
 		return "", eventsOf(1, 2)
 	case s.isLong:
@@ -162,6 +169,9 @@
 		qt.Assert(t, w.Code, qt.Equals, http.StatusOK)
 		qt.Assert(t, arrived, qt.Equals, 1)
 	}
+	if shape.isResumed {
+		g.lastEventID = 2
+	}
 	grants := []string{"a", "b"}
 	if shape.isTakenUp {
 		grants = []string{"start", "a"}
--- a/internal/request/proxy/upload_test.go
+++ b/internal/request/proxy/upload_test.go
@@ -71,7 +71,7 @@
 // the connection was reset while the request was being sent.
 func TestAnswerAmidUpload(t *testing.T) {
 	for _, end := range uploadEnds {
-		for _, name := range []string{"closed", "version_1_0", "length", "chunks", "length_cut", "chunks_cut", "cut_in_head"} {
+		for _, name := range []string{"closed", "version_1_0", "length", "chunks", "length_cut", "chunks_cut", "cut_in_head", "status_000_closed", "name_length_blank"} {
 			if end.name == "kept_open" && !end.whole[name] {
 				continue // nothing ends the answer.
 			}
@@ -113,6 +113,9 @@
 		w, _ := g.send("r0", http.MethodGet, nil, addresses["a"])
 		qt.Assert(t, w.Code, qt.Equals, http.StatusOK)
 	}
+	if shape.isResumed {
+		g.lastEventID = 2
+	}
 	grants := []string{addresses["a"], addresses["b"]}
 	if shape.isTakenUp {
 		grants = []string{addresses["start"], addresses["a"]}
--- a/internal/request/relay/broken_test.go
+++ b/internal/request/relay/broken_test.go
@@ -240,3 +240,34 @@
 		})
 	}
 }
+
+// TestAnswerBeforeRequest guards against a second answer behind one on a connection being taken for
+// that to the next request.
+func TestAnswerBeforeRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close() //nolint:errcheck // the test is over.
+	length, _ := broken.Find("length")
+	twice := length.Text(brokenFields, "first") + length.Text(brokenFields, "stray")
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go broken.Serve(c, true, nil, twice, length.Text(brokenFields, "second"))
+		}
+	}()
+	c := &client.Client{}
+	defer c.CloseIdleConnections()
+	for range 200 {
+		got := &collected{}
+		run := &Run{
+			Client: c, Address: "http://" + l.Addr().String(), Sink: got.sink(), Timeout: 10 * time.Second,
+			Request: &intake.Request{ID: "r1", Method: http.MethodPost, Path: "/", Header: http.Header{}, BodyReader: strings.NewReader("body"), ContentLength: 4},
+		}
+		result := run.Service(t.Context())
+		qt.Check(t, got.body.String(), qt.Not(qt.Equals), "stray")
+		qt.Check(t, result.Refusal != nil || got.body.String() == "first", qt.IsTrue, qt.Commentf("%+v, body %q", result, got.body.String()))
+	}
+}
