--- a/internal/connection/client/client.go
+++ b/internal/connection/client/client.go
@@ -67,8 +67,9 @@
 	c.client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 }
 
-// Do sends a request once. Its answer has been checked by package reply. It reports sent as false only if no byte of the request
-// can have reached the endpoint.
+// Do sends a request once. It reports sent as false only if no byte of the request
+// can have reached the endpoint. The error, or that of the answer's body, is a *reply.Error
+// if there is an answer, which must not be used.
 func (c *Client) Do(req *http.Request) (resp *http.Response, sent bool, err error) {
 	c.once.Do(c.initTransport)
 	var usedConn atomic.Pointer[reply.Conn]
