reply: the end of a connection waits while the request is being sent

Cause: the end of a connection waited for a write in progress only. net/http writes an upload in parts; the end came between two of them. Where the runner closes while nothing is unread, the reset comes only with the next part.

Change: the end waits, at most the same 50 ms, until the request has been sent or a write has failed. conn.Conn.Send and the trace of net/http say when that is.

--- a/internal/connection/conn/conn.go
+++ b/internal/connection/conn/conn.go
@@ -296,6 +296,8 @@
 // Send writes the head and the body of a request, in a single write if they are
 // small.
 func (c *Conn) Send(head, body []byte) error {
+	c.SetSending(true)
+	defer c.SetSending(false)
 	if len(head)+len(body) <= cap(c.writeBuffer) || len(body) <= bufferBytes {
 		c.writeBuffer = append(append(c.writeBuffer[:0], head...), body...)
 		_, err := c.Write(c.writeBuffer)
--- a/internal/connection/reply/conn.go
+++ b/internal/connection/reply/conn.go
@@ -8,8 +8,9 @@
 	"time"
 )
 
-// settleTimeout is how long the end of a connection waits for a write in progress, which fails
-// soon if the peer has reset the connection.
+// settleTimeout is how long the end of a connection waits for a request that is still being sent. Its
+// next write fails soon if the peer has reset the connection, or has closed it and resets it as more
+// of the request comes.
 const settleTimeout = 50 * time.Millisecond
 
 // Conn is a connection whose answers are checked as they are read. Reads may run concurrently
@@ -23,9 +24,10 @@
 	mu sync.Mutex
 	// current is the answer that is being read, nil before the first one.
 	current *exchange
-	// writing counts the writes in progress. settled is closed when there is none; it is nil if
-	// nothing waits for that.
-	writing  int
+	// isSending is set while a request is being sent.
+	isSending bool
+	// settled is closed when the request has been sent or a write has failed; it is nil if nothing
+	// waits for that.
 	settled  chan struct{}
 	writeErr error
 	written  int64
@@ -89,21 +91,32 @@
 	return c.written
 }
 
+// SetSending records whether a request is being sent. The end of the connection waits for it.
+func (c *Conn) SetSending(isSending bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isSending = isSending; !isSending {
+		c.settle()
+	}
+}
+
+// settle ends the wait of WriteError. The caller holds c.mu.
+func (c *Conn) settle() {
+	if c.settled != nil {
+		close(c.settled)
+		c.settled = nil
+	}
+}
+
 // Write writes to the connection.
 func (c *Conn) Write(b []byte) (int, error) {
-	c.mu.Lock()
-	c.writing++
-	c.mu.Unlock()
 	n, err := c.Conn.Write(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.written += int64(n)
 	if err != nil && c.writeErr == nil && !errors.Is(err, net.ErrClosed) {
 		c.writeErr = err
-	}
-	if c.writing--; c.writing == 0 && c.settled != nil {
-		close(c.settled)
-		c.settled = nil
+		c.settle()
 	}
 	return n, err
 }
@@ -170,12 +183,12 @@
 	return e.err
 }
 
-// WriteError returns an *Error if a write has failed. It waits for a write in progress for at most
-// settleTimeout. The kernel reports the reset of a connection once, to a write if that comes first;
-// reads then find the end of the connection, as if the peer had closed it.
+// WriteError returns an *Error if a write has failed. It waits for a request that is being sent for at
+// most settleTimeout. The kernel reports the reset of a connection once, to a write if that comes
+// first; reads then find the end of the connection, as if the peer had closed it.
 func (c *Conn) WriteError() error {
 	c.mu.Lock()
-	if c.writing > 0 && c.settled == nil {
+	if c.isSending && c.writeErr == nil && c.settled == nil {
 		c.settled = make(chan struct{})
 	}
 	settled := c.settled
--- a/internal/connection/reply/conn_test.go
+++ b/internal/connection/reply/conn_test.go
@@ -12,12 +12,12 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// endingConn is a connection that its peer ends behind an answer. Its writes fail after a time, or
-// block if that is negative.
+// endingConn is a connection that its peer ends behind an answer. Its writes succeed until the time
+// failsAt, or block if that is zero.
 type endingConn struct {
 	net.Conn
-	answer      string
-	writeFailed time.Duration
+	answer  string
+	failsAt time.Time
 }
 
 func (c *endingConn) Read(b []byte) (int, error) {
@@ -30,41 +30,63 @@
 }
 
 func (c *endingConn) Write(b []byte) (int, error) {
-	if c.writeFailed < 0 {
+	switch {
+	case c.failsAt.IsZero():
 		time.Sleep(time.Hour)
 		return len(b), nil
+	case time.Now().Before(c.failsAt):
+		return len(b), nil
 	}
-	time.Sleep(c.writeFailed)
 	return 0, syscall.ECONNRESET
 }
 
-// TestEndWhileWriting checks whether the end of a connection counts as that of its answer, by the
-// time at which a write fails.
-func TestEndWhileWriting(t *testing.T) {
+// TestEndWhileSending checks whether the end of a connection counts as that of its answer, by what
+// becomes of the request that is being sent. Its parts come at intervals.
+func TestEndWhileSending(t *testing.T) {
+	const interval = time.Millisecond
 	for _, test := range []struct {
-		name   string
-		failed time.Duration
-		fault  Fault
+		name  string
+		parts int
+		// failsAfter is the time after which writes fail; -1 blocks them.
+		failsAfter time.Duration
+		fault      Fault
+		takes      time.Duration
 	}{
-		{"failed_before", 0, Reset},
-		{"fails_soon", settleTimeout / 2, Reset},
-		{"blocks", -1, ""},
+		{"failed_before", 1, 0, Reset, 0},
+		{"fails_soon", 1000, settleTimeout / 2, Reset, settleTimeout / 2},
+		{"fails_late", 1000, 2 * settleTimeout, "", settleTimeout},
+		{"blocks", 1, -1, "", settleTimeout},
+		{"sent", 1, time.Hour, "", interval},
+		{"being_sent", 1000, time.Hour, "", settleTimeout},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := &Conn{Conn: &endingConn{answer: "HTTP/1.1 200 OK\r\n\r\npart", writeFailed: test.failed}}
+				begin := time.Now()
+				ending := &endingConn{answer: "HTTP/1.1 200 OK\r\n\r\npart"}
+				if test.failsAfter >= 0 {
+					ending.failsAt = begin.Add(test.failsAfter)
+				}
+				c := &Conn{Conn: ending}
 				qt.Assert(t, c.Begin(nil), qt.IsNil)
-				go c.Write([]byte("upload")) //nolint:errcheck // the read reports the failure.
+				c.SetSending(true)
+				go func() {
+					defer c.SetSending(false)
+					for range test.parts {
+						if _, err := c.Write([]byte("part")); err != nil {
+							return
+						}
+						time.Sleep(interval)
+					}
+				}()
 				synctest.Wait()
-				begin := time.Now()
 				_, err := io.ReadAll(c)
+				qt.Check(t, time.Since(begin), qt.Equals, test.takes)
 				if test.fault == "" {
 					qt.Check(t, err, qt.IsNil)
 				} else {
 					qt.Check(t, FaultOf(err), qt.Equals, test.fault)
 					qt.Check(t, errors.Is(err, syscall.ECONNRESET), qt.IsTrue)
 				}
-				qt.Check(t, time.Since(begin) <= settleTimeout, qt.IsTrue)
 				time.Sleep(2 * time.Hour)
 			})
 		})
--- a/internal/connection/reply/transport.go
+++ b/internal/connection/reply/transport.go
@@ -48,13 +48,23 @@
 	var mu sync.Mutex
 	var used *Conn
 	var e *exchange
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*Conn); ok {
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*Conn); ok {
+				c.SetSending(true)
+				mu.Lock()
+				defer mu.Unlock()
+				used, e = c, c.begin()
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
 			mu.Lock()
 			defer mu.Unlock()
-			used, e = c, c.begin()
-		}
-	}}
+			if used != nil {
+				used.SetSending(false)
+			}
+		},
+	}
 	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	mu.Lock()
 	c, answer := used, e
--- a/internal/request/proxy/upload_test.go
+++ b/internal/request/proxy/upload_test.go
@@ -32,7 +32,9 @@
 	{name: "reset", end: func(c *net.TCPConn, _ io.Reader) {
 		c.SetLinger(0) //nolint:errcheck // the test notices.
 	}, whole: map[string]bool{}},
-	{name: "closed_unread", end: func(*net.TCPConn, io.Reader) {}, whole: map[string]bool{}},
+	{name: "closed_unread", end: func(c *net.TCPConn, _ io.Reader) {
+		c.Read(make([]byte, 1)) //nolint:errcheck // more of the upload is there.
+	}, whole: map[string]bool{}},
 	{name: "upload_read", end: func(c *net.TCPConn, r io.Reader) {
 		c.CloseWrite()         //nolint:errcheck // the test notices.
 		io.Copy(io.Discard, r) //nolint:errcheck // until the proxy closes the connection.
--- a/internal/request/relay/broken_test.go
+++ b/internal/request/relay/broken_test.go
@@ -154,7 +154,9 @@
 		isWhole      bool
 	}{
 		{"reset", "closed", func(c *net.TCPConn, _ io.Reader) { c.SetLinger(0) }, false}, //nolint:errcheck // the client notices.
-		{"closed_unread", "closed", func(*net.TCPConn, io.Reader) {}, false},
+		{"closed_unread", "closed", func(c *net.TCPConn, _ io.Reader) {
+			c.Read(make([]byte, 1)) //nolint:errcheck // more of the upload is there.
+		}, false},
 		{"upload_read", "closed", func(_ *net.TCPConn, r io.Reader) {
 			io.CopyN(io.Discard, r, uploadBytes) //nolint:errcheck // the client notices.
 		}, true},
