reply: ask the kernel whether a connection has been reset

Where a write has got the report of a reset, and its goroutine does not run for longer than the 50 ms for which the end of the connection waits, as in a process whose processor time is limited, the part of an answer that had come still looked whole.

Cause: only the goroutine of the write knew.

Failed before: TestResetNotRecorded/reset, where a write outside of the Conn takes the report.

--- a/internal/connection/reply/conn.go
+++ b/internal/connection/reply/conn.go
@@ -5,7 +5,10 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // settleTimeout is how long the end of a connection waits for a request that is still being sent. Its
@@ -100,7 +103,7 @@
 	}
 }
 
-// settle ends the wait of WriteError. The caller holds c.mu.
+// settle ends the wait of ResetError. The caller holds c.mu.
 func (c *Conn) settle() {
 	if c.settled != nil {
 		close(c.settled)
@@ -164,9 +167,9 @@
 }
 
 // checkEnd returns io.EOF if the peer has ended the connection behind the head of an answer, or
-// before one, and no write has failed.
+// before one, and has not reset it.
 func (c *Conn) checkEnd() error {
-	writeErr := c.WriteError()
+	resetErr := c.ResetError()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.current
@@ -175,25 +178,26 @@
 		return io.EOF
 	case e.head.hasBegun():
 		e.err = &Error{HeadCut, "the connection ended within the head", io.ErrUnexpectedEOF}
-	case writeErr != nil:
-		e.err = writeErr
+	case resetErr != nil:
+		e.err = resetErr
 	default:
 		return io.EOF
 	}
 	return e.err
 }
 
-// WriteError returns an *Error if a write has failed. It waits for a request that is being sent for at
-// most settleTimeout. The kernel reports the reset of a connection once, to a write if that comes
-// first; reads then find the end of the connection, as if the peer had closed it.
-func (c *Conn) WriteError() error {
+// ResetError returns an *Error if the connection has been reset or a write has failed. It waits for a
+// request that is being sent for at most settleTimeout. The kernel reports the reset of a connection
+// once, to a write if that comes first; reads then find the end of the connection, as if the peer had
+// closed it.
+func (c *Conn) ResetError() error {
 	c.mu.Lock()
 	if c.isSending && c.writeErr == nil && c.settled == nil {
 		c.settled = make(chan struct{})
 	}
 	settled := c.settled
 	c.mu.Unlock()
-	if settled != nil {
+	if settled != nil && !isReset(c.Conn) {
 		timer := time.NewTimer(settleTimeout)
 		defer timer.Stop()
 		select {
@@ -202,9 +206,33 @@
 		}
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.writeErr == nil {
+	err := c.writeErr
+	c.mu.Unlock()
+	if err == nil && isReset(c.Conn) {
+		err = syscall.ECONNRESET
+	}
+	if err == nil {
 		return nil
 	}
-	return &Error{Reset, "the connection failed while the request was being sent: " + c.writeErr.Error(), c.writeErr}
+	return &Error{Reset, "the connection failed while the request was being sent: " + err.Error(), err}
+}
+
+// isReset reports whether the peer has reset a connection that is open on this side. A connection that
+// is not of the kernel never is.
+func isReset(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isClosed := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		// If the peer had only closed the connection, it would be half open.
+		isClosed = err == nil && info.State == unix.BPF_TCP_CLOSE
+	})
+	return err == nil && isClosed
 }
--- a/internal/connection/reply/conn_test.go
+++ b/internal/connection/reply/conn_test.go
@@ -113,3 +113,37 @@
 		qt.Check(t, FaultOf(err), qt.Equals, HeadCut, qt.Commentf("%q", text))
 	}
 }
+
+// TestResetNotRecorded guards against a reset that the kernel has reported to a write whose goroutine
+// does not run again in time: the read finds the end of the connection.
+func TestResetNotRecorded(t *testing.T) {
+	for name, isReset := range map[string]bool{"reset": true, "closed": false} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			defer l.Close() //nolint:errcheck // the test is over.
+			near, err := net.Dial("tcp", l.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			defer near.Close() //nolint:errcheck // the test is over.
+			far, err := l.Accept()
+			qt.Assert(t, err, qt.IsNil)
+			c := &Conn{Conn: near}
+			qt.Assert(t, c.Begin(nil), qt.IsNil)
+			_, err = io.WriteString(far, "HTTP/1.1 200 OK\r\n\r\npart")
+			qt.Assert(t, err, qt.IsNil)
+			if isReset {
+				far.(*net.TCPConn).SetLinger(0) //nolint:errcheck,revive // a TCP connection; the read shows a failure.
+			}
+			qt.Assert(t, far.Close(), qt.IsNil)
+			for isReset && err == nil {
+				_, err = near.Write([]byte("upload")) // It takes the report of the kernel.
+			}
+			_, err = io.ReadAll(c)
+			if !isReset {
+				qt.Check(t, err, qt.IsNil)
+				return
+			}
+			qt.Check(t, FaultOf(err), qt.Equals, Reset)
+		})
+	}
+}
--- a/internal/request/proxy/cutoff.go
+++ b/internal/request/proxy/cutoff.go
@@ -16,7 +16,7 @@
 	evidence, isCutOff := reply.CheckEnd(ctx, func(ctx context.Context) error {
 		return x.proxy.Conns.Check(ctx, x.grant.Response.Address)
 	})
-	if err := x.WriteError(); err != nil {
+	if err := x.ResetError(); err != nil {
 		// The endpoint has closed the connection first, and reset it as more of the request came.
 		evidence, isCutOff = err.Error(), true
 	}
