--- a/review/rig3/latebeat.go
+++ b/review/rig3/latebeat.go
@@ -38,7 +38,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		w.load(ctx, 60)
+		w.load(ctx, 150)
 	}()
 	time.Sleep(4 * time.Second)
 
